--- /dev/null
+++ b/components/link/src/frames.rs
@@ -0,0 +1,80 @@
+//! Framed reading and writing of one QUIC stream.
+
+use quinn::{RecvStream, SendStream, VarInt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wire::{CodecError, MAX_FRAME};
+
+use crate::error::LinkError;
+
+/// Writes messages to a stream.
+#[derive(Debug)]
+pub struct FrameWriter {
+    stream: SendStream,
+}
+
+impl FrameWriter {
+    pub(crate) fn new(stream: SendStream) -> Self {
+        Self { stream }
+    }
+
+    /// Sends one message.
+    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), LinkError> {
+        let frame = wire::encode(message)?;
+        self.stream
+            .write_all(&frame)
+            .await
+            .map_err(|error| LinkError::Stream(error.to_string()))
+    }
+
+    /// Ends the stream after what was sent.
+    pub fn finish(&mut self) {
+        // A stream that is already closed needs no end.
+        let _ = self.stream.finish();
+    }
+
+    /// Drops the stream and what was not yet delivered.
+    pub fn reset(&mut self) {
+        let _ = self.stream.reset(VarInt::from_u32(0));
+    }
+}
+
+/// Reads messages from a stream.
+#[derive(Debug)]
+pub struct FrameReader {
+    stream: RecvStream,
+}
+
+impl FrameReader {
+    pub(crate) fn new(stream: RecvStream) -> Self {
+        Self { stream }
+    }
+
+    /// Receives one message; `None` at the end of the stream.
+    ///
+    /// Not cancel-safe: a call that is dropped half-way loses its frame. Read in a task of its own
+    /// where several events are awaited.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<Option<T>, LinkError> {
+        let Some(size) = self.receive_size().await? else {
+            return Ok(None);
+        };
+        if size > MAX_FRAME {
+            return Err(CodecError::TooLarge { size }.into());
+        }
+        let mut body = vec![0; size];
+        self.stream
+            .read_exact(&mut body)
+            .await
+            .map_err(|error| LinkError::Stream(error.to_string()))?;
+        Ok(Some(wire::decode(&body)?))
+    }
+
+    async fn receive_size(&mut self) -> Result<Option<usize>, LinkError> {
+        let mut length = [0; 4];
+        match self.stream.read_exact(&mut length).await {
+            Ok(()) => Ok(Some(u32::from_le_bytes(length) as usize)),
+            Err(quinn::ReadExactError::FinishedEarly(0)) => Ok(None),
+            Err(error) => Err(LinkError::Stream(error.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/components/link/src/keys.rs
@@ -0,0 +1,126 @@
+//! Local authority that issues one certificate for each process.
+
+use std::fs;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+
+use rcgen::{
+    BasicConstraints, CertificateParams, CertifiedIssuer, ExtendedKeyUsagePurpose, IsCa, Issuer,
+    KeyPair, KeyUsagePurpose,
+};
+use thiserror::Error;
+use units::NodeName;
+use wire::NodeRole;
+
+use crate::identity::{node_domain, role_domain};
+
+/// Fault of the authority.
+#[derive(Debug, Error)]
+pub enum KeyError {
+    /// A file cannot be read or written.
+    #[error("Failed to access key file {path}")]
+    File {
+        /// Path of the file.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A key or certificate cannot be made or read.
+    #[error("Failed to issue a certificate")]
+    Issue(#[from] rcgen::Error),
+}
+
+/// Paths of the files that a process needs.
+#[derive(Debug, Clone)]
+pub struct KeyFiles {
+    /// Certificate of the authority.
+    pub authority: PathBuf,
+    /// Certificate of the process.
+    pub certificate: PathBuf,
+    /// Private key of the process.
+    pub key: PathBuf,
+}
+
+impl KeyFiles {
+    /// The files of a process in a key folder, as [`KeyAuthority::issue`] names them.
+    pub fn in_folder(folder: &Path, role: NodeRole, name: &NodeName) -> Self {
+        Self {
+            authority: folder.join("authority.pem"),
+            certificate: folder.join(format!("{role}-{name}.pem")),
+            key: folder.join(format!("{role}-{name}.key")),
+        }
+    }
+}
+
+/// Authority whose key lies in the key folder.
+pub struct KeyAuthority {
+    folder: PathBuf,
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl KeyAuthority {
+    /// Opens the authority in a folder, and creates it if there is none.
+    pub fn open(folder: &Path) -> Result<Self, KeyError> {
+        let certificate = folder.join("authority.pem");
+        let key = folder.join("authority.key");
+        if !certificate.exists() {
+            create(folder, &certificate, &key)?;
+        }
+        let pair = KeyPair::from_pem(&read(&key)?)?;
+        let issuer = Issuer::from_ca_cert_pem(&read(&certificate)?, pair)?;
+        Ok(Self {
+            folder: folder.into(),
+            issuer,
+        })
+    }
+
+    /// Issues the certificate and key of a process, and writes them to the folder.
+    pub fn issue(&self, role: NodeRole, name: &NodeName) -> Result<KeyFiles, KeyError> {
+        let domains = vec![role_domain(role), node_domain(role, name)];
+        let mut params = CertificateParams::new(domains)?;
+        params.extended_key_usages = vec![
+            ExtendedKeyUsagePurpose::ServerAuth,
+            ExtendedKeyUsagePurpose::ClientAuth,
+        ];
+        let pair = KeyPair::generate()?;
+        let certificate = params.signed_by(&pair, &self.issuer)?;
+        let files = KeyFiles::in_folder(&self.folder, role, name);
+        write(&files.certificate, &certificate.pem())?;
+        write(&files.key, &pair.serialize_pem())?;
+        Ok(files)
+    }
+}
+
+fn create(folder: &Path, certificate: &Path, key: &Path) -> Result<(), KeyError> {
+    fs::create_dir_all(folder).map_err(|source| KeyError::File {
+        path: folder.into(),
+        source,
+    })?;
+    let mut params = CertificateParams::new(Vec::new())?;
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate()?)?;
+    write(key, &issuer.key().serialize_pem())?;
+    write(certificate, &issuer.pem())
+}
+
+fn read(path: &Path) -> Result<String, KeyError> {
+    fs::read_to_string(path).map_err(|source| KeyError::File {
+        path: path.into(),
+        source,
+    })
+}
+
+/// Writes a file that only its owner can read.
+fn write(path: &Path, text: &str) -> Result<(), KeyError> {
+    let mut options = fs::OpenOptions::new();
+    options.write(true).create(true).truncate(true).mode(0o600);
+    options
+        .open(path)
+        .and_then(|mut file| file.write_all(text.as_bytes()))
+        .map_err(|source| KeyError::File {
+            path: path.into(),
+            source,
+        })
+}
--- /dev/null
+++ b/components/link/tests/handshake.rs
@@ -0,0 +1,76 @@
+//! Links are only opened between processes whose certificates prove their roles and names.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use link::{KeyAuthority, LinkEndpoint, LinkError, LinkIdentity};
+use units::{Incarnation, NodeName};
+use wire::{EntryMessage, NodeRole, StreamKind};
+
+fn endpoint(folder: &Path, role: NodeRole, name: &str) -> LinkEndpoint {
+    let name = NodeName::from(name);
+    let files = KeyAuthority::open(folder)
+        .unwrap()
+        .issue(role, &name)
+        .unwrap();
+    let identity = LinkIdentity::load(role, &name, &files).unwrap();
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    LinkEndpoint::bind(address, &identity, Incarnation(1)).unwrap()
+}
+
+async fn accept(endpoint: &LinkEndpoint) -> Result<link::PeerLink, LinkError> {
+    let incoming = endpoint.accept().await.unwrap();
+    endpoint.finish(incoming).await
+}
+
+#[tokio::test]
+async fn frames_arrive_and_the_peer_is_known() {
+    let folder = tempfile::tempdir().unwrap();
+    let agent = endpoint(folder.path(), NodeRole::Agent, "agent-1");
+    let entry = endpoint(folder.path(), NodeRole::Entry, "entry-1");
+
+    let (opened, accepted) = tokio::join!(
+        entry.connect(agent.address(), NodeRole::Agent),
+        accept(&agent)
+    );
+    let (opened, accepted) = (opened.unwrap(), accepted.unwrap());
+    let (mut writer, _reader) = opened.open(StreamKind::Session).await.unwrap();
+    writer.send(&EntryMessage::Ping(7)).await.unwrap();
+    let mut stream = accepted.accept().await.unwrap();
+
+    assert_eq!(accepted.role(), NodeRole::Entry);
+    assert_eq!(stream.hello.name, NodeName::from("entry-1"));
+    assert_eq!(
+        stream.reader.receive().await.unwrap(),
+        Some(EntryMessage::Ping(7))
+    );
+}
+
+/// Guards against a process that poses as another role with a valid certificate.
+#[tokio::test]
+async fn wrong_role_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let entry = endpoint(folder.path(), NodeRole::Entry, "entry-1");
+    let other = endpoint(folder.path(), NodeRole::Entry, "entry-2");
+
+    let refused = entry.connect(other.address(), NodeRole::Agent).await;
+
+    assert!(refused.is_err(), "{refused:?}");
+}
+
+/// Guards against a certificate of another operator's authority.
+#[tokio::test]
+async fn foreign_authority_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let foreign = tempfile::tempdir().unwrap();
+    let agent = endpoint(folder.path(), NodeRole::Agent, "agent-1");
+    let entry = endpoint(foreign.path(), NodeRole::Entry, "entry-1");
+
+    let (opened, accepted) = tokio::join!(
+        entry.connect(agent.address(), NodeRole::Agent),
+        accept(&agent)
+    );
+
+    assert!(opened.is_err(), "{opened:?}");
+    assert!(accepted.is_err(), "{accepted:?}");
+}
--- /dev/null
+++ b/components/units/src/lib.rs
@@ -0,0 +1,22 @@
+//! Ids, sizes, rates and time used by every other crate.
+//!
+//! Values that cross a module border have a type of their own, with [`Display`](std::fmt::Display)
+//! and [`FromStr`](std::str::FromStr), so that a count of tokens is never taken for a count of bytes.
+
+mod clock;
+mod macros;
+mod names;
+mod numbers;
+
+pub use clock::{ClockSource, ClockTime, ManualClock, SystemClock};
+pub use names::{
+    DataCentreName, IdempotencyKey, NodeName, OrderId, OrganisationName, RegionName, ServiceName,
+    TargetName,
+};
+pub use numbers::{
+    ByteSize, ConfigVersion, CostUnits, DiskId, FencingNumber, FlowWeight, Incarnation, PrefixHash,
+    RequestId, SlotCount,
+};
+
+#[doc(hidden)]
+pub use serde;
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,24 @@
+//! Messages between the processes of the system, and their encoding.
+//!
+//! Each message is a postcard body behind a 4-byte little-endian length. The first frame of every
+//! stream is a [`Hello`]. Decoding never panics and never allocates more than [`MAX_FRAME`].
+
+mod codec;
+mod control;
+mod hello;
+mod run;
+mod session;
+mod usage;
+
+pub use codec::{CodecError, MAX_FRAME, decode, encode};
+pub use control::{
+    BeginCall, BeginOutcome, CallKey, CallOutcome, ControlReply, ControlRequest, DirectoryDelta,
+    DirectoryEntry, EndCall, NodeKind, NodeState, OperatorOrder, OrderReply, RenewReply,
+    RenewRequest, StoredResponse, TargetState,
+};
+pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
+pub use run::{
+    FailureCode, HeaderField, RequestHead, ResponseHead, RunMessage, RunReply, RunStart, RunStatus,
+};
+pub use session::{AgentMessage, EntryMessage, FlowKey, FlowTotal, RequestOffer};
+pub use usage::{FlowUsage, UsageReport, UsageTotals};
--- /dev/null
+++ b/components/wire/src/session.rs
@@ -0,0 +1,86 @@
+//! Offers and claims between an entry and an agent.
+
+use units::{
+    CostUnits, FlowWeight, OrganisationName, PrefixHash, RequestId, ServiceName, SlotCount,
+};
+
+units::data! {
+    /// Organisation and service: what fair shares are kept for.
+    #[derive(PartialOrd, Ord, Hash)]
+    pub struct FlowKey {
+        /// The organisation that asks.
+        pub organisation: OrganisationName,
+        /// The service that is asked.
+        pub service: ServiceName,
+    }
+
+    /// Service that a flow has received in the whole fleet, as known at one time.
+    ///
+    /// Totals only grow, so a receiver keeps the largest that it has seen.
+    pub struct FlowTotal {
+        /// The flow.
+        pub flow: FlowKey,
+        /// Service received, in cost units and not divided by the weight.
+        pub total: CostUnits,
+    }
+
+    /// A request that waits for a target.
+    pub struct RequestOffer {
+        /// The request.
+        pub request: RequestId,
+        /// The flow that it belongs to.
+        pub flow: FlowKey,
+        /// Share of the organisation.
+        pub weight: FlowWeight,
+        /// Service that the flow has received so far.
+        pub total: CostUnits,
+        /// Rough cost of the request.
+        pub hint: CostUnits,
+        /// Hash of the start of the prompt.
+        pub prefix: PrefixHash,
+        /// How long the request has waited, in milliseconds.
+        pub waited_ms: u64,
+    }
+
+    /// Message of an entry to an agent on the session stream.
+    pub enum EntryMessage {
+        /// A request waits.
+        Offer(RequestOffer),
+        /// A request is no longer to be had; a claim of it is void.
+        Withdraw(RequestId),
+        /// Newer totals, and the virtual time of each service.
+        Totals {
+            /// Totals of flows that have offers here.
+            totals: Vec<FlowTotal>,
+            /// Largest weighted counter at which a request of a service was started.
+            virtual_times: Vec<(ServiceName, u64)>,
+        },
+        /// Asks for a [`AgentMessage::Pong`] with the same number.
+        Ping(u64),
+    }
+
+    /// Message of an agent to an entry on the session stream.
+    pub enum AgentMessage {
+        /// The agent has reserved a slot for the request. The entry answers with a run stream or a
+        /// withdrawal.
+        Claim(RequestId),
+        /// The agent has free slots and no offers.
+        Room {
+            /// The service of the target.
+            service: ServiceName,
+            /// Free slots.
+            free: SlotCount,
+        },
+        /// Virtual time of a service at this agent.
+        VirtualTime {
+            /// The service.
+            service: ServiceName,
+            /// Largest weighted counter at which a request was started.
+            time: u64,
+        },
+        /// The agent takes no new work any more.
+        Leaving,
+        /// Answer to [`EntryMessage::Ping`].
+        Pong(u64),
+    }
+}
