Add the empty crates of the design

Cause: several crates are written at the same time and need each other's names in the workspace. Change: one empty crate for each row of the crate table in docs/design.md.

--- /dev/null
+++ b/components/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agent daemon: the only path to one target.
--- /dev/null
+++ b/components/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measures the cost of decisions and messages at growing sizes.
--- /dev/null
+++ b/components/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! Requests to control nodes, and the lease of a node.
--- /dev/null
+++ b/components/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control daemon: replicated state and node directory.
--- /dev/null
+++ b/components/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Commands of the operator.
--- /dev/null
+++ b/components/directory/src/lib.rs
@@ -0,0 +1,1 @@
+//! Directory of live nodes, kept from announcements.
--- /dev/null
+++ b/components/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Concurrency limit of a target, and retry budgets.
--- /dev/null
+++ b/components/manifest/src/lib.rs
@@ -0,0 +1,1 @@
+//! Services text: parsing, checks and differences.
--- /dev/null
+++ b/components/offers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Late binding: waiting requests are offered, and agents claim them.
--- /dev/null
+++ b/components/raft/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, replication, snapshots and membership.
--- /dev/null
+++ b/components/registry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated state: configuration, exclusions, fencing numbers and call records.
--- /dev/null
+++ b/components/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for model engines and plain services.
--- /dev/null
+++ b/components/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Log segments and snapshots on disk.
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Numbered log events, metrics and traces.
