--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -1,1 +1,7 @@
 //! Concurrency limit of a target, and retry budgets.
+
+mod retry;
+mod target;
+
+pub use retry::{RETRY_MEMORY, RetryBudget};
+pub use target::{RunSample, TargetLimit};
