--- a/components/fair/src/lib.rs
+++ b/components/fair/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use home::{HOME_MEMORY, UsageHome};
 pub use ledger::{ACTIVE_SPAN, IDLE_SPAN, LEDGER_MEMORY, REPORT_INTERVAL, UsageLedger};
-pub use rendezvous::{home_of, rendezvous_score};
+pub use rendezvous::{home_of, stable_hash};
 
 use units::{CostUnits, FlowWeight};
 
--- a/components/fair/src/rendezvous.rs
+++ b/components/fair/src/rendezvous.rs
@@ -1,16 +1,35 @@
 //! Choice of a flow's home by rendezvous hash.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use units::NodeName;
 use wire::FlowKey;
 
-/// Score of a node for a key; the node with the largest score is chosen.
-pub fn rendezvous_score<K: Hash>(key: &K, node: &NodeName) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    key.hash(&mut hasher);
-    node.hash(&mut hasher);
-    hasher.finish()
+/// Offset basis of the 64-bit FNV-1a hash.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// Prime of the 64-bit FNV-1a hash.
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hash that is the same in every process and version.
+///
+/// The hasher of the standard library may change with its version, and entries of two versions
+/// must choose the same home during an update.
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let mut hash = FNV_OFFSET;
+    for part in parts {
+        for byte in *part {
+            hash = (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+        }
+        // Ends a part, so that ("ab", "c") and ("a", "bc") differ.
+        hash = (hash ^ 0xff).wrapping_mul(FNV_PRIME);
+    }
+    finish(hash)
+}
+
+/// Spreads the entropy over all bits (finaliser of SplitMix64).
+fn finish(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
 }
 
 /// The entry that sums the usage of a flow, none without entries.
@@ -18,5 +37,13 @@
     flow: &FlowKey,
     entries: impl Iterator<Item = &'a NodeName>,
 ) -> Option<&'a NodeName> {
-    entries.max_by_key(|name| (rendezvous_score(flow, name), *name))
+    entries.max_by_key(|name| (score(flow, name), *name))
+}
+
+fn score(flow: &FlowKey, node: &NodeName) -> u64 {
+    stable_hash(&[
+        flow.organisation.as_str().as_bytes(),
+        flow.service.as_str().as_bytes(),
+        node.as_str().as_bytes(),
+    ])
 }
--- /dev/null
+++ b/components/offers/src/table.rs
@@ -0,0 +1,385 @@
+//! Agent side of late binding: the offers of all entries, and the claims of free slots.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fair::{UsageLedger, weighted};
+use units::{ClockTime, CostUnits, FlowWeight, NodeName, RequestId, ServiceName, SlotCount};
+use wire::{FlowKey, FlowTotal, RequestOffer};
+
+use crate::runs::{SlotTable, SlotUse};
+use crate::waiting::{OfferQueue, ReserveChange};
+
+/// Time after which a claim without an answer ends.
+pub const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Interval at which `Room` is repeated while slots are free and nothing is offered.
+const ROOM_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which idle flows are forgotten.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What an agent must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TableAction {
+    /// Claim a request at its entry.
+    Claim {
+        /// The entry that offers the request.
+        entry: NodeName,
+        /// The request.
+        request: RequestId,
+    },
+    /// Tell an entry that slots are free and nothing is offered.
+    Room {
+        /// The entry.
+        entry: NodeName,
+        /// Free slots.
+        free: SlotCount,
+    },
+    /// Tell all connected entries the virtual time of the service.
+    VirtualTime {
+        /// Largest weighted counter at which a request was started.
+        time: u64,
+    },
+}
+
+/// What a start of a request leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartOutcome {
+    /// The request runs from now on.
+    Started,
+    /// The request runs already.
+    Attached,
+    /// No slot is reserved for the request: it must not run.
+    NotClaimed,
+}
+
+/// Offers, claims and runs of one agent.
+#[derive(Debug, Clone)]
+pub struct OfferTable {
+    service: ServiceName,
+    limit: SlotCount,
+    serving: bool,
+    ledger: UsageLedger,
+    queue: OfferQueue,
+    slots: SlotTable,
+    entries: BTreeSet<NodeName>,
+    /// When `Room` was last sent, none if it is due at once.
+    room_sent: Option<ClockTime>,
+    virtual_time_sent: u64,
+    forgotten: ClockTime,
+}
+
+impl OfferTable {
+    /// Creates the table of an agent that serves.
+    pub fn new(service: ServiceName, limit: SlotCount) -> Self {
+        Self {
+            service,
+            limit,
+            serving: true,
+            ledger: UsageLedger::new(),
+            queue: OfferQueue::default(),
+            slots: SlotTable::default(),
+            entries: BTreeSet::new(),
+            room_sent: None,
+            virtual_time_sent: 0,
+            forgotten: ClockTime::default(),
+        }
+    }
+
+    /// Notes a connected entry, which is told of free slots.
+    pub fn entry_connected(&mut self, entry: &NodeName, _now: ClockTime) -> Vec<TableAction> {
+        self.entries.insert(entry.clone());
+        if !self.has_room() {
+            return Vec::new();
+        }
+        vec![TableAction::Room {
+            entry: entry.clone(),
+            free: self.free(),
+        }]
+    }
+
+    /// Takes in an offer; a repeated one changes nothing.
+    pub fn offered(
+        &mut self,
+        entry: &NodeName,
+        offer: RequestOffer,
+        now: ClockTime,
+    ) -> Vec<TableAction> {
+        self.entries.insert(entry.clone());
+        if !self.serving || self.queue.contains(offer.request) || self.is_held(offer.request) {
+            return Vec::new();
+        }
+        let flow = offer.flow.clone();
+        let weight = offer.weight;
+        self.ledger.backlogged(&flow, weight, now);
+        self.ledger.merge_offer(
+            &FlowTotal {
+                flow: flow.clone(),
+                total: offer.total,
+            },
+            now,
+        );
+        if !self.queue.has_flow(&flow) {
+            self.ledger.opened(&flow, now);
+        }
+        let since = now - Duration::from_millis(offer.waited_ms);
+        self.queue.insert(entry, offer, since);
+        self.reorder(&flow, now);
+        self.fill(now)
+    }
+
+    /// Takes back an offer, or a claim that was not granted.
+    ///
+    /// A withdrawal that arrives after the start has no effect.
+    pub fn withdrawn(
+        &mut self,
+        entry: &NodeName,
+        request: RequestId,
+        now: ClockTime,
+    ) -> Vec<TableAction> {
+        let is_claim = self
+            .slots
+            .get(request)
+            .is_some_and(|slot| !slot.is_running() && slot.entry == *entry);
+        if is_claim {
+            self.release(request, now);
+        } else if self.queue.contains(request) {
+            self.drop_offer(request, now);
+        }
+        self.fill(now)
+    }
+
+    /// Drops the offers and claims of an entry whose connection is lost; its runs go on.
+    pub fn entry_lost(&mut self, entry: &NodeName, now: ClockTime) -> Vec<TableAction> {
+        self.entries.remove(entry);
+        for request in self.queue.offered_by(entry) {
+            self.drop_offer(request, now);
+        }
+        for request in self.slots.claims_of(entry) {
+            self.release(request, now);
+        }
+        self.fill(now)
+    }
+
+    /// Starts a request that was claimed and granted.
+    pub fn started(&mut self, request: RequestId, _now: ClockTime) -> StartOutcome {
+        let Some(slot) = self.slots.get(request) else {
+            return StartOutcome::NotClaimed;
+        };
+        if slot.is_running() {
+            return StartOutcome::Attached;
+        }
+        let counter = self.ledger.counter(&slot.flow, slot.weight);
+        self.ledger.merge_virtual_time(&self.service, counter);
+        self.slots.start(request);
+        StartOutcome::Started
+    }
+
+    /// Charges a run with its cost so far.
+    pub fn charged(&mut self, request: RequestId, cost: CostUnits, now: ClockTime) {
+        let Some((growth, release)) = self.slots.charge(request, cost) else {
+            return;
+        };
+        let Some((flow, weight)) = self.flow_of(request) else {
+            return;
+        };
+        self.ledger.charge(&flow, CostUnits(growth), now);
+        let change = ReserveChange {
+            release,
+            ..ReserveChange::default()
+        };
+        self.queue.reserve(&flow, weight, change);
+        self.reorder(&flow, now);
+    }
+
+    /// Ends a run and frees its slot.
+    pub fn ended(&mut self, request: RequestId, now: ClockTime) -> Vec<TableAction> {
+        self.release(request, now);
+        self.fill(now)
+    }
+
+    /// Merges totals and virtual times that an entry has sent.
+    pub fn merge(&mut self, totals: &[FlowTotal], virtual_times: &[(ServiceName, u64)]) {
+        for (service, time) in virtual_times {
+            if *service == self.service {
+                self.ledger.merge_virtual_time(service, *time);
+            }
+        }
+        for total in totals {
+            // A flow that is not here will bring its total along with its next offer.
+            if self.queue.has_flow(&total.flow) {
+                self.ledger.merge(total);
+                self.place(&total.flow);
+            }
+        }
+    }
+
+    /// Sets the concurrency limit.
+    pub fn set_limit(&mut self, limit: SlotCount, now: ClockTime) -> Vec<TableAction> {
+        self.limit = limit;
+        self.fill(now)
+    }
+
+    /// Sets whether the agent takes new work. Without it, offers are dropped and claims given up.
+    pub fn set_serving(&mut self, serving: bool, now: ClockTime) -> Vec<TableAction> {
+        self.serving = serving;
+        if !serving {
+            for entry in self.entries.clone() {
+                for request in self.queue.offered_by(&entry) {
+                    self.drop_offer(request, now);
+                }
+                for request in self.slots.claims_of(&entry) {
+                    self.release(request, now);
+                }
+            }
+        }
+        self.room_sent = None;
+        self.fill(now)
+    }
+
+    /// Ends claims without an answer, repeats `Room` and forgets idle flows.
+    pub fn tick(&mut self, now: ClockTime) -> Vec<TableAction> {
+        while let Some(request) = self.slots.timed_out(now) {
+            self.release(request, now);
+        }
+        if now.since(self.forgotten) >= FORGET_INTERVAL {
+            self.forgotten = now;
+            self.ledger.forget_idle(now);
+        }
+        if self
+            .room_sent
+            .is_some_and(|sent| now.since(sent) >= ROOM_INTERVAL)
+        {
+            self.room_sent = None;
+        }
+        self.fill(now)
+    }
+
+    /// Slots that claims and runs take.
+    pub fn used(&self) -> SlotCount {
+        SlotCount(self.slots.len() as u32)
+    }
+
+    /// Slots that are free.
+    pub fn free(&self) -> SlotCount {
+        SlotCount(self.limit.0.saturating_sub(self.used().0))
+    }
+
+    /// Counters as this agent knows them.
+    pub fn ledger(&self) -> &UsageLedger {
+        &self.ledger
+    }
+
+    /// Whether offers wait here.
+    pub fn has_offers(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    fn has_room(&self) -> bool {
+        self.serving && self.free().0 > 0 && self.queue.is_empty()
+    }
+
+    fn is_held(&self, request: RequestId) -> bool {
+        self.slots.get(request).is_some()
+    }
+
+    fn flow_of(&self, request: RequestId) -> Option<(FlowKey, FlowWeight)> {
+        let slot = self.slots.get(request)?;
+        Some((slot.flow.clone(), slot.weight))
+    }
+
+    /// Claims offers while slots are free, then tells what has changed.
+    fn fill(&mut self, now: ClockTime) -> Vec<TableAction> {
+        let mut actions = Vec::new();
+        while self.serving && self.free().0 > 0 {
+            let Some(request) = self.queue.first() else {
+                break;
+            };
+            actions.extend(self.claim(request, now));
+        }
+        self.tell_virtual_time(&mut actions);
+        self.tell_room(&mut actions, now);
+        actions
+    }
+
+    fn claim(&mut self, request: RequestId, now: ClockTime) -> Option<TableAction> {
+        let waiting = self.queue.remove(request)?;
+        let entry = waiting.entry;
+        let flow = waiting.offer.flow.clone();
+        let change = ReserveChange {
+            add: waiting.offer.hint.0,
+            begun: 1,
+            ..ReserveChange::default()
+        };
+        self.queue.reserve(&flow, waiting.offer.weight, change);
+        self.slots
+            .claim(entry.clone(), waiting.offer, now + CLAIM_TIMEOUT);
+        self.reorder(&flow, now);
+        Some(TableAction::Claim { entry, request })
+    }
+
+    fn tell_virtual_time(&mut self, actions: &mut Vec<TableAction>) {
+        let time = self.ledger.virtual_time(&self.service);
+        if time > self.virtual_time_sent {
+            self.virtual_time_sent = time;
+            actions.push(TableAction::VirtualTime { time });
+        }
+    }
+
+    fn tell_room(&mut self, actions: &mut Vec<TableAction>, now: ClockTime) {
+        if !self.has_room() {
+            self.room_sent = None;
+            return;
+        }
+        if self.room_sent.is_some() {
+            return;
+        }
+        self.room_sent = Some(now);
+        let free = self.free();
+        actions.extend(self.entries.iter().map(|entry| TableAction::Room {
+            entry: entry.clone(),
+            free,
+        }));
+    }
+
+    /// Frees the slot of a claim or run.
+    fn release(&mut self, request: RequestId, now: ClockTime) {
+        let Some(slot) = self.slots.remove(request) else {
+            return;
+        };
+        self.release_reserve(&slot);
+        self.reorder(&slot.flow, now);
+    }
+
+    fn release_reserve(&mut self, slot: &SlotUse) {
+        let change = ReserveChange {
+            release: slot.reserve(),
+            ended: 1,
+            ..ReserveChange::default()
+        };
+        self.queue.reserve(&slot.flow, slot.weight, change);
+    }
+
+    fn drop_offer(&mut self, request: RequestId, now: ClockTime) {
+        if let Some(waiting) = self.queue.remove(request) {
+            self.reorder(&waiting.offer.flow, now);
+        }
+    }
+
+    /// Puts the flow in its place and notes when it has neither offers nor runs any more.
+    fn reorder(&mut self, flow: &FlowKey, now: ClockTime) {
+        if self.place(flow) {
+            self.ledger.closed(flow, now);
+        }
+    }
+
+    fn place(&mut self, flow: &FlowKey) -> bool {
+        let ledger = &self.ledger;
+        self.queue.reorder(flow, |reserve, weight| {
+            ledger
+                .counter(flow, weight)
+                .saturating_add(weighted(CostUnits(reserve), weight))
+        })
+    }
+}
