--- /dev/null
+++ b/components/offers/tests/common/nodes.rs
@@ -0,0 +1,128 @@
+//! Entries and agents of the fake network.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fair::{UsageHome, UsageLedger};
+use offers::{BookSettings, OfferBook, OfferTable};
+use units::{
+    CostUnits, FlowWeight, Incarnation, NodeName, OrganisationName, PrefixHash, RequestId,
+    ServiceName, SlotCount,
+};
+use wire::{FlowKey, RequestOffer};
+
+pub const SERVICE: &str = "stone-advice";
+
+/// Request of a caller.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    pub id: RequestId,
+    pub organisation: usize,
+    pub cost: u64,
+    pub hint: u64,
+}
+
+/// Entry with its callers' open requests.
+pub struct EntryNode {
+    pub name: NodeName,
+    pub region: usize,
+    pub incarnation: u64,
+    pub book: OfferBook,
+    pub ledger: UsageLedger,
+    pub home: UsageHome,
+    /// Requests that wait or run.
+    pub open: BTreeMap<RequestId, CallerRequest>,
+    /// Agent that runs each granted request.
+    pub granted: BTreeMap<RequestId, usize>,
+    /// Queueing times of the waiting requests of each organisation.
+    pub waiting: BTreeMap<usize, BTreeSet<(u64, RequestId)>>,
+    pub queued: BTreeMap<RequestId, u64>,
+}
+
+impl EntryNode {
+    pub fn new(index: usize, region: usize, incarnation: u64) -> Self {
+        Self {
+            name: NodeName::from(format!("entry-{index}").as_str()),
+            region,
+            incarnation,
+            book: OfferBook::new(BookSettings::default()),
+            ledger: UsageLedger::new(),
+            home: UsageHome::new(),
+            open: BTreeMap::new(),
+            granted: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            queued: BTreeMap::new(),
+        }
+    }
+
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation(self.incarnation)
+    }
+
+    pub fn wait(&mut self, request: &CallerRequest, now: u64) {
+        self.queued.insert(request.id, now);
+        self.waiting
+            .entry(request.organisation)
+            .or_default()
+            .insert((now, request.id));
+    }
+
+    pub fn stop_waiting(&mut self, request: RequestId) {
+        let Some(time) = self.queued.remove(&request) else {
+            return;
+        };
+        let organisation = self.open[&request].organisation;
+        if let Some(waiting) = self.waiting.get_mut(&organisation) {
+            waiting.remove(&(time, request));
+        }
+    }
+}
+
+/// Run at an agent.
+#[derive(Debug, Clone)]
+pub struct AgentRun {
+    pub entry: usize,
+    pub entry_incarnation: u64,
+    pub organisation: usize,
+    pub cost: u64,
+    pub done: u64,
+}
+
+/// Agent with its runs.
+pub struct AgentNode {
+    pub name: NodeName,
+    pub region: usize,
+    pub incarnation: u64,
+    pub table: OfferTable,
+    pub runs: BTreeMap<RequestId, AgentRun>,
+}
+
+impl AgentNode {
+    pub fn new(index: usize, region: usize, slots: u32, incarnation: u64) -> Self {
+        Self {
+            name: NodeName::from(format!("agent-{index}").as_str()),
+            region,
+            incarnation,
+            table: OfferTable::new(ServiceName::from(SERVICE), SlotCount(slots)),
+            runs: BTreeMap::new(),
+        }
+    }
+}
+
+pub fn flow(organisation: usize) -> FlowKey {
+    FlowKey {
+        organisation: OrganisationName::from(format!("org-{organisation:02}").as_str()),
+        service: ServiceName::from(SERVICE),
+    }
+}
+
+pub fn offer(request: &CallerRequest, weight: u32, total: CostUnits) -> RequestOffer {
+    RequestOffer {
+        request: request.id,
+        flow: flow(request.organisation),
+        weight: FlowWeight(weight),
+        total,
+        hint: CostUnits(request.hint),
+        prefix: PrefixHash(request.id.0 as u64),
+        waited_ms: 0,
+    }
+}
