--- a/components/offers/tests/common/mod.rs
+++ b/components/offers/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod first_come;
 pub mod meter;
 pub mod network;
 pub mod nodes;
--- a/components/offers/tests/common/network.rs
+++ b/components/offers/tests/common/network.rs
@@ -19,12 +19,12 @@
 /// Time before another region is offered a request, in ms.
 pub const SPILL_MS: u64 = 150;
 /// Interval at which a run produces units, in ms.
-const STEP_MS: u64 = 20;
+pub const STEP_MS: u64 = 20;
 /// Units that a run produces in a step.
-const STEP_UNITS: u64 = 2;
+pub const STEP_UNITS: u64 = 2;
 /// Largest cost of a request, in units.
 pub const MOST_COST: u64 = 40;
-const TICK_MS: u64 = 5;
+pub const TICK_MS: u64 = 5;
 const SAMPLE_MS: u64 = 20;
 
 /// Whether agents are told the totals of the fleet.
--- a/components/offers/tests/fairness.rs
+++ b/components/offers/tests/fairness.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use common::first_come;
+use common::meter::FleetMeter;
 use common::network::{CallerLoad, FakeNetwork, FleetSettings, SharePolicy};
 
 const ORGANISATIONS: usize = 16;
@@ -57,18 +59,26 @@
     loads.collect()
 }
 
-fn check(network: &FakeNetwork, bound: f64, label: &str) {
-    let meter = &network.meter;
+fn all() -> Vec<usize> {
+    (0..ORGANISATIONS).collect()
+}
+
+fn print(meter: &FleetMeter, bound: f64, label: &str) {
     println!(
-        "{label}: gap {:.0} of at most {bound:.0} {:?}, end gap {:.0}, utilisation {:.3}, granted {}, refused {}, idle faults {}",
+        "{label}: gap {:.0} of at most {bound:.0} at {:?}, end gap {:.0}, utilisation {:.3}, \
+         granted {}, refused {}",
         meter.gap,
         meter.worst,
-        meter.final_gap(&(0..ORGANISATIONS).collect::<Vec<_>>()),
+        meter.final_gap(&all()),
         meter.utilisation(),
         meter.granted,
         meter.refused,
-        meter.idle_faults.len(),
     );
+}
+
+fn check(network: &FakeNetwork, bound: f64, label: &str) {
+    let meter = &network.meter;
+    print(meter, bound, label);
     assert!(
         meter.gap <= bound,
         "{label}: gap {} over {bound}",
@@ -102,3 +112,95 @@
 
     check(&network, bound, "uneven callers");
 }
+
+/// Guards against a flood that uses a partition of the entries: totals are as old as the partition
+/// then, and the shares must be made up for after it.
+#[test]
+fn flood_during_a_partition_is_made_up_for() {
+    let settings = fleet(three_large());
+    let during = settings.bound(5_000);
+    let after = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    network.run_until(3_000);
+    network.partition = [0, 3].into();
+    network.run_until(8_000);
+    network.partition.clear();
+    network.run_until(20_000);
+
+    check(&network, during, "partition");
+    let gap = network.meter.final_gap(&all());
+    assert!(gap <= after, "gap {gap} over {after} after the partition");
+}
+
+/// Guards against lost or doubled counts when an entry, and with it the homes of some flows,
+/// restarts with empty memory.
+#[test]
+fn restart_of_an_entry_keeps_the_bound() {
+    for index in 0..ENTRIES {
+        let settings = fleet(three_large());
+        let bound = settings.bound(0);
+        let mut network = FakeNetwork::new(settings);
+
+        network.run_until(6_100);
+        network.restart_entry(index);
+        network.run_until(15_000);
+
+        check(&network, bound, &format!("restart of entry {index}"));
+    }
+}
+
+/// Guards against an agent that forgets the counters and serves by age until they return.
+#[test]
+fn restart_of_an_agent_keeps_the_bound() {
+    let settings = fleet(uneven_callers());
+    let bound = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    network.run_until(6_100);
+    network.restart_agent(4);
+    network.run_until(15_000);
+
+    check(&network, bound, "restart of an agent");
+}
+
+/// Guards against requests that are lost or granted twice when connections break.
+#[test]
+fn broken_connections_lose_no_request() {
+    let settings = fleet(three_large());
+    let bound = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    for round in 1..40 {
+        network.run_until(round * 250);
+        network.reconnect(round as usize % ENTRIES, round as usize * 5 % 12);
+    }
+
+    check(&network, bound, "broken connections");
+}
+
+/// Prints what two simpler designs reach with the same load. Guards against a load that is so even
+/// that the bound would hold without a fair choice.
+#[test]
+fn first_come_first_served_breaks_the_bound() {
+    for (label, loads) in [
+        ("three large", three_large()),
+        ("uneven callers", uneven_callers()),
+    ] {
+        let mut settings = fleet(loads);
+        let bound = settings.bound(0);
+        let first_come = first_come::run(&settings, 20_000);
+        print(
+            &first_come,
+            bound,
+            &format!("{label}, first come first served"),
+        );
+        settings.policy = SharePolicy::AgentAlone;
+        let mut alone = FakeNetwork::new(settings);
+        alone.run_until(20_000);
+        print(&alone.meter, bound, &format!("{label}, each agent alone"));
+        if label == "three large" {
+            assert!(first_come.gap > bound, "{} within {bound}", first_come.gap);
+        }
+    }
+}
