--- a/components/offers/src/table.rs
+++ b/components/offers/src/table.rs
@@ -143,9 +143,12 @@
             .get(request)
             .is_some_and(|slot| !slot.is_running() && slot.entry == *entry);
         if is_claim {
+            self.grant_elsewhere(request, now);
             self.release(request, now);
-        } else if self.queue.contains(request) {
-            self.drop_offer(request, now);
+        } else if let Some(waiting) = self.queue.remove(request) {
+            let offer = waiting.offer;
+            self.queue.granted_elsewhere(&offer.flow, offer.hint.0, now);
+            self.reorder(&offer.flow, now);
         }
         self.fill(now)
     }
@@ -210,6 +213,7 @@
             // A flow that is not here will bring its total along with its next offer.
             if self.queue.has_flow(&total.flow) {
                 self.ledger.merge(total);
+                self.queue.clear_elsewhere(&total.flow);
                 self.place(&total.flow);
             }
         }
@@ -343,6 +347,12 @@
         }));
     }
 
+    fn grant_elsewhere(&mut self, request: RequestId, now: ClockTime) {
+        if let Some(slot) = self.slots.get(request) {
+            self.queue.granted_elsewhere(&slot.flow, slot.hint, now);
+        }
+    }
+
     /// Frees the slot of a claim or run.
     fn release(&mut self, request: RequestId, now: ClockTime) {
         let Some(slot) = self.slots.remove(request) else {
--- a/components/offers/src/waiting.rs
+++ b/components/offers/src/waiting.rs
@@ -1,11 +1,17 @@
 //! Offers that wait at an agent, ordered by the counters of their flows.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
 use units::{ClockTime, FlowWeight, NodeName, RequestId};
 use wire::{FlowKey, RequestOffer};
 
+/// Time after which hints of requests that run elsewhere no longer count.
+///
+/// Two report intervals. Without it, wrong hints would add up while no totals arrive.
+const ELSEWHERE_SPAN: Duration = Duration::from_secs(1);
+
 new_key_type! {
     /// Handle of a waiting offer.
     pub(crate) struct OfferId;
@@ -29,6 +35,10 @@
     weight: FlowWeight,
     /// Not yet produced part of the hints of the flow's claims and runs.
     reserve: u64,
+    /// Hints of requests that other agents were granted since the last total.
+    elsewhere: u64,
+    /// Time of the first of these grants.
+    elsewhere_since: ClockTime,
     /// Claims and runs.
     running: u32,
     offers: BTreeSet<(ClockTime, RequestId, OfferId)>,
@@ -115,6 +125,25 @@
         flow.running = flow.running + change.begun - change.ended;
     }
 
+    /// Notes that another agent was granted a request of the flow.
+    pub(crate) fn granted_elsewhere(&mut self, key: &FlowKey, hint: u64, now: ClockTime) {
+        if let Some(&id) = self.flow_ids.get(key) {
+            let flow = &mut self.flows[id];
+            if flow.elsewhere == 0 || now.since(flow.elsewhere_since) >= ELSEWHERE_SPAN {
+                flow.elsewhere = 0;
+                flow.elsewhere_since = now;
+            }
+            flow.elsewhere = flow.elsewhere.saturating_add(hint);
+        }
+    }
+
+    /// Notes a new total, which contains what other agents have produced.
+    pub(crate) fn clear_elsewhere(&mut self, key: &FlowKey) {
+        if let Some(&id) = self.flow_ids.get(key) {
+            self.flows[id].elsewhere = 0;
+        }
+    }
+
     /// Puts a flow in its place again after its counter, reserve or offers have changed.
     ///
     /// Drops the flow if it has neither offers nor runs, and returns whether it did.
@@ -131,7 +160,7 @@
             self.order.remove(&place);
         }
         if let Some((since, request, _)) = flow.offers.first() {
-            let score = counter(flow.reserve, flow.weight);
+            let score = counter(flow.reserve + flow.elsewhere, flow.weight);
             let place = (score, *since, *request, id);
             flow.place = Some(place);
             self.order.insert(place);
@@ -154,6 +183,8 @@
             key: key.clone(),
             weight,
             reserve: 0,
+            elsewhere: 0,
+            elsewhere_since: ClockTime::default(),
             running: 0,
             offers: BTreeSet::new(),
             place: None,
