Add the node directory

Announcements of one incarnation carry no number. A late one is recognised by an older installed configuration, by a return from leaving, or, when another control node passes it on, by a direct announcement within the last second. Control nodes pass on only what nodes announced to them, since two of them would otherwise keep a dead node alive for each other. Load, limit and installed configuration do not raise the revision: they change with nearly every renewal.

--- /dev/null
+++ b/components/directory/src/directory.rs
@@ -0,0 +1,233 @@
+//! Directory of a control node.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use units::{ClockTime, Incarnation, NodeName};
+use wire::{DirectoryDelta, DirectoryEntry};
+
+use crate::record::{AnnouncementSource, NodeRecord, is_meaningful};
+
+/// Time without announcements after which a node is removed.
+pub const SILENT_SPAN: Duration = Duration::from_secs(2);
+
+/// Time for which a removed node is remembered.
+///
+/// Longer than any announcement is late, so that one of an older incarnation is still recognised.
+pub const REMOVED_MEMORY: Duration = Duration::from_secs(60);
+
+/// Node that was removed.
+#[derive(Debug, Clone, Copy)]
+struct RemovedNode {
+    incarnation: Incarnation,
+    revision: u64,
+    time: ClockTime,
+}
+
+/// Live nodes, with a revision for each meaningful change.
+#[derive(Debug, Clone)]
+pub struct NodeDirectory {
+    source: Incarnation,
+    revision: u64,
+    nodes: BTreeMap<NodeName, NodeRecord>,
+    removed: BTreeMap<NodeName, RemovedNode>,
+    /// Nodes and removed nodes by the revision of their last change.
+    by_revision: BTreeMap<u64, NodeName>,
+    by_heard: BTreeSet<(ClockTime, NodeName)>,
+    by_removal: BTreeSet<(ClockTime, NodeName)>,
+    /// Largest revision of a removal that is forgotten: older deltas would lack it.
+    forgotten: u64,
+}
+
+impl NodeDirectory {
+    /// Creates an empty directory; `source` is the incarnation of the control node.
+    pub fn new(source: Incarnation) -> Self {
+        Self {
+            source,
+            revision: 0,
+            nodes: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            by_revision: BTreeMap::new(),
+            by_heard: BTreeSet::new(),
+            by_removal: BTreeSet::new(),
+            forgotten: 0,
+        }
+    }
+
+    /// Takes in the announcement of a node itself; returns whether it was accepted.
+    pub fn announce(&mut self, entry: DirectoryEntry, now: ClockTime) -> bool {
+        self.accept(entry, AnnouncementSource::Direct, now)
+    }
+
+    /// Takes in announcements that another control node has passed on.
+    pub fn passed_on(&mut self, entries: Vec<DirectoryEntry>, now: ClockTime) {
+        for entry in entries {
+            self.accept(entry, AnnouncementSource::PassedOn, now);
+        }
+    }
+
+    /// Nodes that have announced themselves here after `since`, to be passed on.
+    ///
+    /// What was passed on to this node is not among them: two control nodes would otherwise keep a
+    /// dead node alive for each other.
+    pub fn announced_since(&self, since: ClockTime) -> Vec<DirectoryEntry> {
+        self.nodes
+            .values()
+            .filter(|record| record.direct.is_some_and(|direct| direct > since))
+            .map(|record| record.entry.clone())
+            .collect()
+    }
+
+    /// Removes silent nodes.
+    pub fn tick(&mut self, now: ClockTime) {
+        while let Some((heard, name)) = self.by_heard.first().cloned() {
+            if now.since(heard) < SILENT_SPAN {
+                break;
+            }
+            self.remove(&name, now);
+        }
+        while let Some((time, name)) = self.by_removal.first().cloned() {
+            if now.since(time) < REMOVED_MEMORY {
+                break;
+            }
+            if let Some(removed) = self.forget_removed(&name) {
+                self.forgotten = self.forgotten.max(removed.revision);
+            }
+        }
+    }
+
+    /// Changes since a revision; the whole directory if the source differs or the revision is not
+    /// known any more.
+    pub fn delta_since(&self, source: Incarnation, revision: u64) -> DirectoryDelta {
+        let is_known =
+            source == self.source && revision >= self.forgotten && revision <= self.revision;
+        if !is_known {
+            return self.whole();
+        }
+        let names = self.by_revision.range(revision + 1..);
+        let (live, removed): (Vec<_>, Vec<_>) = names
+            .map(|(_, name)| name)
+            .partition(|name| self.nodes.contains_key(*name));
+        DirectoryDelta {
+            source: self.source,
+            revision: self.revision,
+            whole: false,
+            changed: live
+                .into_iter()
+                .map(|name| self.nodes[name].entry.clone())
+                .collect(),
+            removed: removed.into_iter().cloned().collect(),
+        }
+    }
+
+    /// The live node of a name.
+    pub fn get(&self, name: &NodeName) -> Option<&DirectoryEntry> {
+        self.nodes.get(name).map(|record| &record.entry)
+    }
+
+    /// All live nodes.
+    pub fn entries(&self) -> impl Iterator<Item = &DirectoryEntry> {
+        self.nodes.values().map(|record| &record.entry)
+    }
+
+    /// Revision of the last meaningful change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    fn whole(&self) -> DirectoryDelta {
+        DirectoryDelta {
+            source: self.source,
+            revision: self.revision,
+            whole: true,
+            changed: self.entries().cloned().collect(),
+            removed: Vec::new(),
+        }
+    }
+
+    fn accept(
+        &mut self,
+        entry: DirectoryEntry,
+        source: AnnouncementSource,
+        now: ClockTime,
+    ) -> bool {
+        self.tick(now);
+        let is_accepted = match self.nodes.get(&entry.name) {
+            Some(record) => record.is_replaced_by(&entry, source, now),
+            None => self
+                .removed
+                .get(&entry.name)
+                .is_none_or(|removed| entry.incarnation >= removed.incarnation),
+        };
+        if is_accepted {
+            self.replace(entry, source, now);
+        }
+        is_accepted
+    }
+
+    fn replace(&mut self, entry: DirectoryEntry, source: AnnouncementSource, now: ClockTime) {
+        let name = entry.name.clone();
+        self.forget_removed(&name);
+        let old = self.nodes.remove(&name);
+        let is_changed = old
+            .as_ref()
+            .is_none_or(|old| is_meaningful(&old.entry, &entry));
+        let is_same_process = old
+            .as_ref()
+            .is_some_and(|old| old.entry.incarnation == entry.incarnation);
+        let mut direct = match &old {
+            Some(old) if is_same_process => old.direct,
+            _ => None,
+        };
+        if source == AnnouncementSource::Direct {
+            direct = Some(now);
+        }
+        let old_revision = old.as_ref().map_or(0, |old| old.revision);
+        if let Some(old) = old {
+            self.by_heard.remove(&(old.heard, name.clone()));
+        }
+        let revision = if is_changed {
+            self.by_revision.remove(&old_revision);
+            self.next_revision(&name)
+        } else {
+            old_revision
+        };
+        self.by_heard.insert((now, name.clone()));
+        let record = NodeRecord {
+            entry,
+            revision,
+            heard: now,
+            direct,
+        };
+        self.nodes.insert(name, record);
+    }
+
+    fn remove(&mut self, name: &NodeName, now: ClockTime) {
+        let Some(record) = self.nodes.remove(name) else {
+            return;
+        };
+        self.by_heard.remove(&(record.heard, name.clone()));
+        self.by_revision.remove(&record.revision);
+        let revision = self.next_revision(name);
+        let removed = RemovedNode {
+            incarnation: record.entry.incarnation,
+            revision,
+            time: now,
+        };
+        self.removed.insert(name.clone(), removed);
+        self.by_removal.insert((now, name.clone()));
+    }
+
+    fn forget_removed(&mut self, name: &NodeName) -> Option<RemovedNode> {
+        let removed = self.removed.remove(name)?;
+        self.by_removal.remove(&(removed.time, name.clone()));
+        self.by_revision.remove(&removed.revision);
+        Some(removed)
+    }
+
+    fn next_revision(&mut self, name: &NodeName) -> u64 {
+        self.revision += 1;
+        self.by_revision.insert(self.revision, name.clone());
+        self.revision
+    }
+}
--- /dev/null
+++ b/components/directory/tests/directory.rs
@@ -0,0 +1,255 @@
+//! Directory against a list of all announcements, with late, repeated and lost ones.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use directory::{NodeDirectory, SILENT_SPAN};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use units::{ClockTime, ConfigVersion, DataCentreName, Incarnation, NodeName, ServiceName};
+use units::{SlotCount, TargetName};
+use wire::{DirectoryDelta, DirectoryEntry, NodeKind, NodeState, TargetState};
+
+const SOURCE: Incarnation = Incarnation(1);
+
+fn node(index: u8, incarnation: u64) -> DirectoryEntry {
+    DirectoryEntry {
+        name: NodeName::from(format!("agent-{index}").as_str()),
+        incarnation: Incarnation(incarnation),
+        address: ([127, 0, 0, 1], 9000 + u16::from(index)).into(),
+        data_centre: DataCentreName::from("praha-1"),
+        state: NodeState::Serving,
+        config: ConfigVersion(1),
+        kind: NodeKind::Agent(TargetState {
+            target: TargetName::from("engine"),
+            service: ServiceName::from("stone-advice"),
+            limit: SlotCount(4),
+            running: SlotCount(0),
+            cold: false,
+            healthy: true,
+        }),
+    }
+}
+
+fn leaving(index: u8, incarnation: u64) -> DirectoryEntry {
+    DirectoryEntry {
+        state: NodeState::Leaving,
+        ..node(index, incarnation)
+    }
+}
+
+fn time(ms: u64) -> ClockTime {
+    ClockTime(ms)
+}
+
+/// Applies a delta as a node does.
+fn apply(view: &mut BTreeMap<NodeName, DirectoryEntry>, delta: &DirectoryDelta) {
+    if delta.whole {
+        view.clear();
+    }
+    for entry in &delta.changed {
+        view.insert(entry.name.clone(), entry.clone());
+    }
+    for name in &delta.removed {
+        view.remove(name);
+    }
+}
+
+/// Guards against control traffic for renewals that tell nothing new.
+#[test]
+fn unchanged_renewal_keeps_the_revision() {
+    let mut directory = NodeDirectory::new(SOURCE);
+    directory.announce(node(1, 5), time(0));
+    let revision = directory.revision();
+    let mut busier = node(1, 5);
+    if let NodeKind::Agent(target) = &mut busier.kind {
+        target.running = SlotCount(3);
+    }
+
+    directory.announce(node(1, 5), time(500));
+    directory.announce(busier, time(1000));
+
+    assert_eq!(directory.revision(), revision);
+    assert!(directory.delta_since(SOURCE, revision).changed.is_empty());
+}
+
+/// Guards against a dead node that stays listed.
+#[test]
+fn silent_node_is_removed() {
+    let mut directory = NodeDirectory::new(SOURCE);
+    directory.announce(node(1, 5), time(0));
+    let revision = directory.revision();
+
+    directory.tick(time(0) + SILENT_SPAN);
+
+    let delta = directory.delta_since(SOURCE, revision);
+    assert_eq!(delta.removed, [NodeName::from("agent-1")]);
+    assert!(!delta.whole);
+}
+
+/// Guards against a late announcement that brings an ended process or an old state back.
+#[test]
+fn late_announcement_replaces_nothing() {
+    let mut directory = NodeDirectory::new(SOURCE);
+    directory.announce(leaving(1, 5), time(0));
+    assert!(
+        !directory.announce(node(1, 5), time(10)),
+        "leaving is final"
+    );
+    assert!(directory.announce(node(1, 6), time(20)));
+    directory.passed_on(vec![leaving(1, 5), leaving(1, 6)], time(30));
+    let entry = directory.get(&NodeName::from("agent-1")).cloned();
+    assert_eq!(entry, Some(node(1, 6)));
+
+    directory.tick(time(20) + SILENT_SPAN);
+    let late = time(30) + SILENT_SPAN;
+    assert!(!directory.announce(node(1, 5), late), "ended before");
+    assert!(directory.announce(node(1, 6), late), "only silent");
+}
+
+/// Guards against two control nodes that keep a dead node alive for each other.
+#[test]
+fn control_nodes_do_not_pass_on_what_was_passed_on() {
+    let mut first = NodeDirectory::new(SOURCE);
+    let mut second = NodeDirectory::new(Incarnation(2));
+    first.announce(node(1, 5), time(0));
+
+    for round in 1..10 {
+        let now = time(round * 500);
+        second.passed_on(first.announced_since(now - Duration::from_millis(600)), now);
+        first.passed_on(
+            second.announced_since(now - Duration::from_millis(600)),
+            now,
+        );
+    }
+
+    first.tick(time(4500));
+    second.tick(time(4500));
+    assert_eq!(first.entries().count() + second.entries().count(), 0);
+}
+
+/// Guards against a node that misses changes because its revision is of another control node, too
+/// old, or from the future of a restarted one.
+#[test]
+fn unknown_revision_gets_the_whole_directory() {
+    let mut directory = NodeDirectory::new(SOURCE);
+    directory.announce(node(1, 5), time(0));
+    directory.announce(node(2, 5), time(0));
+    let before = directory.revision();
+    directory.tick(time(5_000));
+    directory.announce(node(2, 5), time(5_000));
+    directory.tick(time(80_000));
+
+    assert!(directory.delta_since(SOURCE, before).whole, "too old");
+    assert!(
+        directory.delta_since(Incarnation(9), 1).whole,
+        "other source"
+    );
+    assert!(directory.delta_since(SOURCE, 1000).whole, "future");
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Announce {
+        index: u8,
+        incarnation: u64,
+        leaving: bool,
+    },
+    PassOn {
+        index: u8,
+        incarnation: u64,
+        leaving: bool,
+    },
+    Wait(u64),
+    /// A follower asks for the changes; some answers are lost.
+    Ask {
+        follower: usize,
+        lost: bool,
+    },
+    /// The control node restarts with empty memory.
+    Restart,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let entry = (0u8..4, 1u64..4, any::<bool>());
+    prop_oneof![
+        entry
+            .clone()
+            .prop_map(|(index, incarnation, leaving)| Step::Announce {
+                index,
+                incarnation,
+                leaving
+            }),
+        entry.prop_map(|(index, incarnation, leaving)| Step::PassOn {
+            index,
+            incarnation,
+            leaving
+        }),
+        (0u64..1500).prop_map(Step::Wait),
+        (20_000u64..70_000).prop_map(Step::Wait),
+        (0usize..2, any::<bool>()).prop_map(|(follower, lost)| Step::Ask { follower, lost }),
+        (0usize..2, any::<bool>()).prop_map(|(follower, lost)| Step::Ask { follower, lost }),
+        Just(Step::Restart),
+    ]
+}
+
+fn entry(index: u8, incarnation: u64, leaves: bool) -> DirectoryEntry {
+    if leaves {
+        leaving(index, incarnation)
+    } else {
+        node(index, incarnation)
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 400, failure_persistence: None, rng_seed: RngSeed::Fixed(11), ..Config::default() })]
+
+    /// Guards against followers that drift from the directory whatever answers they miss, and
+    /// against incarnations that go back while a node is listed.
+    #[test]
+    fn followers_see_the_directory(steps in prop::collection::vec(step(), 1..80)) {
+        let mut directory = NodeDirectory::new(SOURCE);
+        let mut source = 1;
+        let mut now = time(0);
+        let mut views = vec![(Incarnation(0), 0u64, BTreeMap::new()); 2];
+        let mut newest: BTreeMap<NodeName, Incarnation> = BTreeMap::new();
+        for step in steps {
+            match step {
+                Step::Announce { index, incarnation, leaving } => {
+                    directory.announce(entry(index, incarnation, leaving), now);
+                }
+                Step::PassOn { index, incarnation, leaving } => {
+                    directory.passed_on(vec![entry(index, incarnation, leaving)], now);
+                }
+                Step::Wait(ms) => now = now + Duration::from_millis(ms),
+                Step::Ask { follower, lost } => {
+                    directory.tick(now);
+                    let (known, revision, view) = &mut views[follower];
+                    let delta = directory.delta_since(*known, *revision);
+                    if !lost {
+                        apply(view, &delta);
+                        (*known, *revision) = (delta.source, delta.revision);
+                        let whole: BTreeMap<_, _> = directory
+                            .entries()
+                            .map(|entry| (entry.name.clone(), entry.clone()))
+                            .collect();
+                        prop_assert_eq!(&*view, &whole);
+                    }
+                }
+                Step::Restart => {
+                    source += 1;
+                    directory = NodeDirectory::new(Incarnation(source));
+                    newest.clear();
+                }
+            }
+            if matches!(step, Step::Wait(ms) if ms >= 20_000) {
+                newest.clear();
+            }
+            for entry in directory.entries() {
+                let known = newest.entry(entry.name.clone()).or_insert(entry.incarnation);
+                prop_assert!(entry.incarnation >= *known);
+                *known = entry.incarnation;
+            }
+        }
+    }
+}
