--- /dev/null
+++ b/components/fair/tests/home.rs
@@ -0,0 +1,305 @@
+//! Usage reports against an exact global count, with lost, late, repeated and reordered messages and
+//! with restarts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fair::{UsageHome, UsageLedger};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use units::ServiceName;
+use units::{ClockTime, CostUnits, FlowWeight, Incarnation, NodeName, OrganisationName};
+use wire::{FlowKey, UsageReport, UsageTotals};
+
+const REPORTERS: usize = 3;
+
+fn flow() -> FlowKey {
+    FlowKey {
+        organisation: OrganisationName::from("mlyn-hora"),
+        service: ServiceName::from("stone-advice"),
+    }
+}
+
+/// Reporters, their home and the exact counts.
+struct ReportWorld {
+    now: ClockTime,
+    home: UsageHome,
+    ledgers: Vec<UsageLedger>,
+    incarnations: Vec<u64>,
+    /// Messages on their way; a message that is delivered stays here to be repeated.
+    reports: Vec<UsageReport>,
+    answers: Vec<(usize, u64, UsageTotals)>,
+    /// Everything that was ever charged.
+    charged: u64,
+    /// Largest count of each incarnation that has reached the home.
+    arrived: BTreeMap<(usize, u64), u64>,
+}
+
+impl ReportWorld {
+    fn new() -> Self {
+        Self {
+            now: ClockTime(1000),
+            home: UsageHome::new(),
+            ledgers: (0..REPORTERS).map(|_| UsageLedger::new()).collect(),
+            incarnations: vec![1; REPORTERS],
+            reports: Vec::new(),
+            answers: Vec::new(),
+            charged: 0,
+            arrived: BTreeMap::new(),
+        }
+    }
+
+    fn charge(&mut self, reporter: usize, cost: u64) {
+        self.ledgers[reporter].charge(&flow(), CostUnits(cost), self.now);
+        self.charged += cost;
+    }
+
+    fn send_report(&mut self, reporter: usize) {
+        self.reports.push(UsageReport {
+            reporter: NodeName::from(reporter.to_string().as_str()),
+            incarnation: Incarnation(self.incarnations[reporter]),
+            flows: self.ledgers[reporter].report(self.now),
+            virtual_times: Vec::new(),
+        });
+    }
+
+    fn deliver_report(&mut self, index: usize) {
+        let Some(report) = self.reports.get(index).cloned() else {
+            return;
+        };
+        let reporter: usize = report.reporter.as_str().parse().expect("an index");
+        let key = (reporter, report.incarnation.0);
+        for usage in &report.flows {
+            let count = self.arrived.entry(key).or_default();
+            *count = (*count).max(usage.count.0);
+        }
+        let totals = self.home.report(&report, self.now);
+        for total in &totals.totals {
+            assert!(
+                total.total.0 <= self.charged,
+                "counted more than was charged"
+            );
+        }
+        self.answers.push((key.0, key.1, totals));
+    }
+
+    fn deliver_answer(&mut self, index: usize) {
+        let Some((reporter, incarnation, totals)) = self.answers.get(index).cloned() else {
+            return;
+        };
+        if self.incarnations[reporter] != incarnation {
+            return;
+        }
+        for total in &totals.totals {
+            let before = self.ledgers[reporter].total(&flow());
+            self.ledgers[reporter].merge(total);
+            assert!(self.ledgers[reporter].total(&flow()) >= before, "went back");
+        }
+    }
+
+    fn known(&self) -> u64 {
+        let totals = self.ledgers.iter().map(|ledger| ledger.total(&flow()).0);
+        totals.max().unwrap_or(0)
+    }
+
+    /// Reports of all without loss; returns the last total.
+    fn round(&mut self) -> u64 {
+        self.reports.clear();
+        self.answers.clear();
+        self.now = self.now + Duration::from_millis(500);
+        let mut total = 0;
+        for reporter in 0..REPORTERS {
+            // A charge of nothing keeps the flow active.
+            self.charge(reporter, 0);
+            self.send_report(reporter);
+            self.deliver_report(reporter);
+            total = self.answers[reporter].2.totals[0].total.0;
+            self.deliver_answer(reporter);
+        }
+        total
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Charge(usize, u64),
+    Report(usize),
+    DeliverReport(usize),
+    DeliverAnswer(usize),
+    LoseReport(usize),
+    LoseAnswer(usize),
+    Wait(u64),
+    RestartReporter(usize),
+    RestartHome,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let reporter = 0..REPORTERS;
+    prop_oneof![
+        4 => (reporter.clone(), 1u64..50).prop_map(|(reporter, cost)| Step::Charge(reporter, cost)),
+        4 => reporter.clone().prop_map(Step::Report),
+        4 => (0usize..6).prop_map(Step::DeliverReport),
+        4 => (0usize..6).prop_map(Step::DeliverAnswer),
+        1 => (0usize..6).prop_map(Step::LoseReport),
+        1 => (0usize..6).prop_map(Step::LoseAnswer),
+        2 => (1u64..800).prop_map(Step::Wait),
+        1 => reporter.prop_map(Step::RestartReporter),
+        1 => Just(Step::RestartHome),
+    ]
+}
+
+/// Runs a history and returns the largest total that was ever published.
+fn run(world: &mut ReportWorld, steps: Vec<Step>) -> u64 {
+    let mut published = 0;
+    for step in steps {
+        match step {
+            Step::Charge(reporter, cost) => world.charge(reporter, cost),
+            Step::Report(reporter) => world.send_report(reporter),
+            Step::DeliverReport(index) => world.deliver_report(index),
+            Step::DeliverAnswer(index) => world.deliver_answer(index),
+            Step::LoseReport(index) if index < world.reports.len() => {
+                world.reports.remove(index);
+            }
+            Step::LoseAnswer(index) if index < world.answers.len() => {
+                world.answers.remove(index);
+            }
+            Step::LoseReport(_) | Step::LoseAnswer(_) => {}
+            Step::Wait(ms) => world.now = world.now + Duration::from_millis(ms),
+            Step::RestartReporter(reporter) => {
+                world.ledgers[reporter] = UsageLedger::new();
+                world.incarnations[reporter] += 1;
+            }
+            Step::RestartHome => {
+                world.home = UsageHome::new();
+                world.arrived.clear();
+            }
+        }
+        let answers = world.answers.iter().flat_map(|answer| &answer.2.totals);
+        published = answers.map(|total| total.total.0).fold(published, u64::max);
+        assert!(world.known() <= world.charged, "a ledger knows too much");
+    }
+    published
+}
+
+fn config() -> Config {
+    Config {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(23),
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against counts that are lost or doubled when messages are lost, late, repeated or
+    /// reordered and reporters restart: without a restart of the home the sum is exact.
+    #[test]
+    fn sum_is_exact_while_the_home_lives(steps in prop::collection::vec(step(), 1..120)) {
+        let mut world = ReportWorld::new();
+        let steps = steps.into_iter().filter(|step| !matches!(step, Step::RestartHome));
+
+        let published = run(&mut world, steps.collect());
+        let total = world.round();
+
+        prop_assert!(total >= published);
+        prop_assert_eq!(total, world.arrived.values().sum::<u64>());
+    }
+
+    /// Guards against a restarted home that starts from nothing, counts twice what a known total
+    /// contains, or misses what is charged after the restart.
+    #[test]
+    fn restarted_home_goes_on_from_the_largest_known_total(
+        steps in prop::collection::vec(step(), 1..120),
+        charges in prop::collection::vec((0..REPORTERS, 1u64..50), 1..10),
+    ) {
+        let mut world = ReportWorld::new();
+
+        run(&mut world, steps);
+        let known = world.ledgers.iter().flat_map(|ledger| ledger.report(world.now));
+        let known = known.map(|usage| usage.known_total.0).max().unwrap_or(0);
+        world.round();
+        world.round();
+        let before = world.round();
+        let mut added = 0;
+        for (reporter, cost) in charges {
+            world.charge(reporter, cost);
+            added += cost;
+        }
+        let after = world.round();
+
+        prop_assert!(before >= known, "{} after {} was known", before, known);
+        prop_assert_eq!(after, before + added);
+    }
+}
+
+/// Guards against a raise at one entry of a flow that is busy at another one: callers that are
+/// spread over many entries would be raised again and again.
+#[test]
+fn flow_that_is_busy_elsewhere_is_not_raised() {
+    let mut world = ReportWorld::new();
+    let service = flow().service;
+    // Longer than a restarted home accepts known totals of entries that it has not heard.
+    for _ in 0..2 * fair::HOME_MEMORY.as_secs() + 2 {
+        world.charge(0, 10);
+        world.round();
+    }
+    let before = world.ledgers[0].total(&flow());
+    world.ledgers[1] = UsageLedger::new();
+    world.incarnations[1] = 2;
+    world.ledgers[1].merge_virtual_time(&service, 1_000_000);
+
+    world.ledgers[1].backlogged(&flow(), FlowWeight(1000), world.now);
+    let provisional = world.ledgers[1].counter(&flow(), FlowWeight(1000));
+    world.round();
+
+    assert_eq!(provisional, 1_000_000);
+    assert_eq!(world.ledgers[1].total(&flow()), before);
+    assert_eq!(
+        world.ledgers[1].counter(&flow(), FlowWeight(1000)),
+        before.0
+    );
+}
+
+/// Guards against credit for idle time: a flow that was idle in the whole fleet is raised to the
+/// virtual time, at every entry.
+#[test]
+fn flow_that_was_idle_everywhere_is_raised() {
+    let mut world = ReportWorld::new();
+    world.charge(0, 10);
+    world.round();
+    world.now = world.now + Duration::from_secs(5);
+    world.ledgers[1].merge_virtual_time(&flow().service, 25);
+
+    world.ledgers[1].backlogged(&flow(), FlowWeight(2000), world.now);
+    // A counter of 25 at weight 2 is a total of 50 units, of which 10 were charged.
+    world.charged += 40;
+    world.round();
+    world.round();
+
+    for ledger in &world.ledgers {
+        assert_eq!(ledger.counter(&flow(), FlowWeight(2000)), 25);
+    }
+}
+
+/// Guards against memory that grows with every flow that was ever seen.
+#[test]
+fn idle_flows_are_forgotten() {
+    let mut world = ReportWorld::new();
+    world.charge(0, 10);
+    world.round();
+    let later = world.now + fair::LEDGER_MEMORY;
+
+    world.ledgers[0].forget_idle(later);
+    let empty = UsageReport {
+        reporter: NodeName::from("0"),
+        incarnation: Incarnation(1),
+        flows: Vec::new(),
+        virtual_times: Vec::new(),
+    };
+    world.home.report(&empty, later);
+
+    assert!(world.ledgers[0].is_empty());
+    assert!(world.home.is_empty());
+}
