Test offers, limits and retry budgets against naive models; add examples

The agent side must claim exactly what a scan of all offers finds; the entry side is held against what every agent holds. Histories repeat, delay, reorder and lose messages and connections under fixed seeds.

--- /dev/null
+++ b/components/limits/examples/cold_target.rs
@@ -0,0 +1,34 @@
+//! A target earns its limit, becomes cold, and a flow runs out of retries.
+
+use std::time::Duration;
+
+use limits::{RetryBudget, RunSample, TargetLimit};
+use units::{ClockTime, OrganisationName, ServiceName, SlotCount};
+use wire::FlowKey;
+
+fn main() {
+    let now = ClockTime(0);
+    let mut limit = TargetLimit::new(SlotCount(1), SlotCount(16));
+    for _ in 0..20 {
+        let sample = RunSample {
+            running: limit.limit(),
+            first_token: Duration::from_millis(40),
+            ok: true,
+        };
+        limit.completed(sample, now);
+    }
+    println!("limit after 20 runs at full use: {}", limit.limit());
+    limit.refused(now);
+    println!("limit after a refusal: {}", limit.limit());
+
+    let flow = FlowKey {
+        organisation: OrganisationName::from("mlyn-hora"),
+        service: ServiceName::from("stone-advice"),
+    };
+    let mut budget = RetryBudget::new();
+    for _ in 0..10 {
+        budget.request(&flow, now);
+    }
+    let retries = (0..5).filter(|_| budget.try_retry(&flow, now)).count();
+    println!("retries granted for 10 requests: {retries}");
+}
--- /dev/null
+++ b/components/limits/tests/limits.rs
@@ -0,0 +1,210 @@
+//! Limit and retry budget under generated histories.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use limits::{RETRY_MEMORY, RetryBudget, RunSample, TargetLimit};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use units::{ClockTime, OrganisationName, ServiceName, SlotCount};
+use wire::FlowKey;
+
+const NOW: ClockTime = ClockTime(1000);
+
+fn sample(running: u32, first_token_ms: u64) -> RunSample {
+    RunSample {
+        running: SlotCount(running),
+        first_token: Duration::from_millis(first_token_ms),
+        ok: true,
+    }
+}
+
+/// A target that has been raised to its largest limit.
+fn warm(cold: u32, most: u32) -> TargetLimit {
+    let mut limit = TargetLimit::new(SlotCount(cold), SlotCount(most));
+    for _ in 0..most * most {
+        limit.completed(sample(limit.limit().0, 20), NOW);
+    }
+    assert_eq!(limit.limit(), SlotCount(most));
+    limit
+}
+
+fn flow(index: u32) -> FlowKey {
+    FlowKey {
+        organisation: OrganisationName::from(format!("org-{index}").as_str()),
+        service: ServiceName::from("stone-advice"),
+    }
+}
+
+fn config(seed: u64) -> Config {
+    Config {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..Config::default()
+    }
+}
+
+/// Guards against a cold target that gets full load.
+#[test]
+fn limit_starts_cold_and_grows_by_one_for_each_full_round() {
+    let mut limit = TargetLimit::new(SlotCount(1), SlotCount(8));
+    assert!(limit.is_cold());
+
+    for expected in 2..=5 {
+        for _ in 0..limit.limit().0 {
+            limit.completed(sample(limit.limit().0, 20), NOW);
+        }
+        assert_eq!(limit.limit(), SlotCount(expected));
+    }
+    assert!(!limit.is_cold());
+}
+
+/// Guards against a limit that grows although the target was never tried at it.
+#[test]
+fn light_use_does_not_raise_the_limit() {
+    let mut limit = TargetLimit::new(SlotCount(4), SlotCount(8));
+
+    for _ in 0..100 {
+        limit.completed(sample(3, 20), NOW);
+    }
+
+    assert_eq!(limit.limit(), SlotCount(4));
+}
+
+/// Guards against load on a target that has become cold without warning.
+#[test]
+fn refusal_and_slow_first_token_drop_the_limit_at_once() {
+    let mut refused = warm(1, 8);
+    refused.refused(NOW);
+    assert_eq!(refused.limit(), SlotCount(1));
+
+    let mut slow = warm(1, 8);
+    slow.completed(sample(8, 80), NOW);
+    assert_eq!(slow.limit(), SlotCount(8), "four times the best is normal");
+    slow.completed(sample(8, 81), NOW);
+    assert_eq!(slow.limit(), SlotCount(1));
+    assert!(slow.is_cold());
+}
+
+/// Guards against a failure that the target did not cause and that makes it look cold.
+#[test]
+fn failed_run_neither_raises_nor_drops_the_limit() {
+    let mut limit = warm(1, 8);
+
+    let failed = RunSample {
+        ok: false,
+        ..sample(8, 5000)
+    };
+    limit.completed(failed, NOW);
+
+    assert_eq!(limit.limit(), SlotCount(8));
+}
+
+#[derive(Debug, Clone)]
+enum LimitStep {
+    Completed {
+        running: u32,
+        first_token_ms: u64,
+        ok: bool,
+    },
+    Refused,
+}
+
+fn limit_step() -> impl Strategy<Value = LimitStep> {
+    prop_oneof![
+        9 => (0u32..12, 1u64..200, any::<bool>()).prop_map(|(running, first_token_ms, ok)| {
+            LimitStep::Completed { running, first_token_ms, ok }
+        }),
+        1 => Just(LimitStep::Refused),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config(51))]
+
+    /// Guards against a limit outside its range, and against growth that outruns the successful runs
+    /// at full use since the target was last cold.
+    #[test]
+    fn limit_is_earned(steps in prop::collection::vec(limit_step(), 1..200)) {
+        let mut limit = TargetLimit::new(SlotCount(2), SlotCount(8));
+        let mut full_runs = 0;
+        for step in steps {
+            let before = limit.limit().0;
+            match step {
+                LimitStep::Completed { running, first_token_ms, ok } => {
+                    full_runs += u32::from(ok && running >= before);
+                    limit.completed(
+                        RunSample { ok, ..sample(running, first_token_ms) },
+                        NOW,
+                    );
+                }
+                LimitStep::Refused => limit.refused(NOW),
+            }
+            let after = limit.limit().0;
+            prop_assert!((2..=8).contains(&after));
+            prop_assert!(after <= before + 1);
+            if after < before {
+                prop_assert_eq!(after, 2, "a drop goes to the cold limit");
+                full_runs = 0;
+            }
+            let needed: u32 = (2..after).sum();
+            prop_assert!(full_runs >= needed);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(52))]
+
+    /// Guards against retries that multiply the load: they stay within a tenth of the requests of
+    /// their own flow, plus the one that a new flow may make.
+    #[test]
+    fn retries_stay_within_a_tenth(
+        steps in prop::collection::vec((0u32..3, any::<bool>(), 0u64..200), 1..400),
+    ) {
+        let mut budget = RetryBudget::new();
+        let mut now = NOW;
+        let mut requests: BTreeMap<u32, u32> = BTreeMap::new();
+        let mut retries: BTreeMap<u32, u32> = BTreeMap::new();
+        for (index, retry, wait_ms) in steps {
+            now = now + Duration::from_millis(wait_ms);
+            if retry {
+                let granted = budget.try_retry(&flow(index), now);
+                *retries.entry(index).or_default() += u32::from(granted);
+            } else {
+                budget.request(&flow(index), now);
+                *requests.entry(index).or_default() += 1;
+            }
+            let made = retries.get(&index).copied().unwrap_or(0);
+            let paid = requests.get(&index).copied().unwrap_or(0);
+            prop_assert!(made <= paid / 10 + 1);
+        }
+    }
+}
+
+/// Guards against a budget that is saved up in quiet times and spent in one burst.
+#[test]
+fn credit_is_bounded() {
+    let mut budget = RetryBudget::new();
+    for _ in 0..10_000 {
+        budget.request(&flow(0), NOW);
+    }
+
+    let retries = (0..1000).filter(|_| budget.try_retry(&flow(0), NOW));
+
+    assert_eq!(retries.count(), 10);
+}
+
+/// Guards against memory that grows with every flow that was ever seen.
+#[test]
+fn unused_flows_are_forgotten() {
+    let mut budget = RetryBudget::new();
+    for index in 0..1000 {
+        budget.request(&flow(index), NOW);
+    }
+
+    budget.request(&flow(1), NOW + RETRY_MEMORY);
+
+    assert_eq!(budget.len(), 1);
+}
--- /dev/null
+++ b/components/offers/tests/book.rs
@@ -0,0 +1,368 @@
+//! Entry side against a naive model of what every agent holds, with faults as inputs.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use offers::{AgentView, BookAction, BookSettings, OfferBook, QueueError, WaitingRequest};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use units::{ClockTime, CostUnits, FlowWeight, NodeName, OrganisationName, PrefixHash, RequestId};
+use units::{ServiceName, SlotCount};
+use wire::{EntryMessage, FlowKey, FlowTotal, RequestOffer};
+
+const MAX_WAITING: u32 = 5;
+
+fn flow(organisation: u8) -> FlowKey {
+    FlowKey {
+        organisation: OrganisationName::from(format!("org-{organisation}").as_str()),
+        service: ServiceName::from("stone-advice"),
+    }
+}
+
+fn waiting(request: u8, deadline: ClockTime) -> WaitingRequest {
+    WaitingRequest {
+        offer: RequestOffer {
+            request: RequestId(u128::from(request)),
+            flow: flow(request % 3),
+            weight: FlowWeight(1000),
+            total: CostUnits(0),
+            hint: CostUnits(10),
+            prefix: PrefixHash(u64::from(request) << 56),
+            waited_ms: 0,
+        },
+        deadline,
+        max_waiting: MAX_WAITING,
+    }
+}
+
+fn agent(index: u8) -> NodeName {
+    NodeName::from(format!("agent-{index}").as_str())
+}
+
+/// Agents 0 to 3 are local, 4 and 5 are in another region.
+fn view(index: u8) -> AgentView {
+    AgentView {
+        name: agent(index),
+        service: ServiceName::from("stone-advice"),
+        local: index < 4,
+        free: SlotCount(1),
+    }
+}
+
+fn settings() -> BookSettings {
+    BookSettings {
+        wave_size: 2,
+        ..BookSettings::default()
+    }
+}
+
+/// What the entry has promised, in plain maps.
+#[derive(Debug, Default)]
+struct NaiveBook {
+    /// Deadlines of the waiting requests.
+    waiting: BTreeMap<RequestId, ClockTime>,
+    queued: BTreeMap<RequestId, ClockTime>,
+    /// Offers that each connected agent holds.
+    held: BTreeMap<NodeName, BTreeSet<RequestId>>,
+}
+
+impl NaiveBook {
+    /// Carries out actions as agents do, and returns the grants and expiries.
+    fn act(&mut self, actions: Vec<BookAction>, now: ClockTime) -> Vec<BookAction> {
+        let mut outcomes = Vec::new();
+        for action in actions {
+            match action {
+                BookAction::Send { agent, message } => self.message(&agent, message, now),
+                outcome => outcomes.push(outcome),
+            }
+        }
+        outcomes
+    }
+
+    fn message(&mut self, agent: &NodeName, message: EntryMessage, now: ClockTime) {
+        let Some(held) = self.held.get_mut(agent) else {
+            return;
+        };
+        match message {
+            EntryMessage::Offer(offer) => {
+                let queued = self.queued[&offer.request];
+                let waited = now.since(queued);
+                assert_eq!(waited.as_millis() as u64, offer.waited_ms);
+                let is_remote = agent.as_str() >= "agent-4";
+                assert!(
+                    !is_remote || waited >= settings().spill_after,
+                    "offered to another region after {waited:?}"
+                );
+                held.insert(offer.request);
+            }
+            EntryMessage::Withdraw(request) => {
+                held.remove(&request);
+            }
+            EntryMessage::Totals { .. } | EntryMessage::Ping(_) => {}
+        }
+    }
+
+    fn waits(&self, flow: &FlowKey) -> u32 {
+        let requests = self.waiting.keys();
+        let same = requests.filter(|request| self::flow(request.0 as u8 % 3) == *flow);
+        same.count() as u32
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Enqueue {
+        request: u8,
+        deadline_ms: u64,
+    },
+    Claim {
+        agent: u8,
+        request: u8,
+    },
+    Room {
+        agent: u8,
+        free: u32,
+    },
+    Lose(u8),
+    /// An agent drops its offers without telling, as one does that is taken out and back in.
+    Drop(u8),
+    SetAgents(BTreeSet<u8>),
+    Cancel(u8),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let request = 0u8..30;
+    prop_oneof![
+        6 => (request.clone(), 1u64..1500)
+            .prop_map(|(request, deadline_ms)| Step::Enqueue { request, deadline_ms }),
+        4 => (0u8..6, request.clone()).prop_map(|(agent, request)| Step::Claim { agent, request }),
+        1 => (0u8..6, 0u32..4).prop_map(|(agent, free)| Step::Room { agent, free }),
+        1 => (0u8..6).prop_map(Step::Lose),
+        1 => (0u8..6).prop_map(Step::Drop),
+        2 => prop::collection::btree_set(0u8..6, 0..6).prop_map(Step::SetAgents),
+        1 => request.prop_map(Step::Cancel),
+        4 => (1u64..60).prop_map(Step::Wait),
+    ]
+}
+
+/// Steps of time in which a request has been offered to every agent.
+const ALL_WAVES: Duration = Duration::from_millis(150 + 4 * 20);
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 600,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(41),
+        ..Config::default()
+    })]
+
+    /// Guards against double grants, lost requests, offers that stay at an agent after the request
+    /// is gone, and agents that are never offered a waiting request.
+    #[test]
+    fn book_keeps_its_promises(steps in prop::collection::vec(step(), 1..120)) {
+        let mut now = ClockTime(1000);
+        let mut book = OfferBook::new(settings());
+        let mut naive = NaiveBook::default();
+        let mut dropped = false;
+        for step in steps {
+            match step {
+                Step::Enqueue { request, deadline_ms } => {
+                    let deadline = now + Duration::from_millis(deadline_ms);
+                    let request = waiting(request, deadline);
+                    let id = request.offer.request;
+                    let waits = naive.waits(&request.offer.flow);
+                    let expected = if naive.waiting.contains_key(&id) {
+                        Some(QueueError::Duplicate(id))
+                    } else if waits >= MAX_WAITING {
+                        Some(QueueError::Full { waiting: waits, most: MAX_WAITING })
+                    } else {
+                        None
+                    };
+                    match book.enqueue(request, now) {
+                        Ok(actions) => {
+                            prop_assert_eq!(expected, None);
+                            naive.waiting.insert(id, deadline);
+                            naive.queued.insert(id, now);
+                            prop_assert!(naive.act(actions, now).is_empty());
+                        }
+                        Err(error) => prop_assert_eq!(Some(error), expected),
+                    }
+                }
+                Step::Claim { agent: index, request } => {
+                    let name = agent(index);
+                    let request = RequestId(u128::from(request));
+                    let holds = naive.held.get(&name).is_some_and(|held| held.contains(&request));
+                    let outcomes = naive.act(book.claimed(&name, request, now), now);
+                    if holds {
+                        // An agent that holds an offer holds one that waits, and gets it.
+                        let grant = BookAction::Grant { agent: name.clone(), request };
+                        prop_assert_eq!(outcomes, vec![grant]);
+                        naive.waiting.remove(&request).expect("a waiting request");
+                        naive.held.get_mut(&name).expect("an agent").remove(&request);
+                    } else if !dropped {
+                        prop_assert!(outcomes.is_empty(), "granted without an offer");
+                    } else {
+                        for outcome in outcomes {
+                            prop_assert_eq!(outcome, BookAction::Grant { agent: name.clone(), request });
+                            naive.waiting.remove(&request).expect("a waiting request");
+                        }
+                    }
+                }
+                Step::Room { agent: index, free } => {
+                    let actions = book.room(&agent(index), SlotCount(free), now);
+                    prop_assert!(actions.len() <= free as usize);
+                    prop_assert!(naive.act(actions, now).is_empty());
+                }
+                Step::Lose(index) => {
+                    naive.held.remove(&agent(index));
+                    let actions = book.agent_lost(&agent(index), now);
+                    prop_assert!(naive.act(actions, now).is_empty());
+                }
+                Step::Drop(index) => {
+                    if let Some(held) = naive.held.get_mut(&agent(index)) {
+                        held.clear();
+                        dropped = true;
+                    }
+                }
+                Step::SetAgents(indices) => {
+                    for index in 0..6 {
+                        if indices.contains(&index) {
+                            naive.held.entry(agent(index)).or_default();
+                        }
+                    }
+                    let actions = book.set_agents(indices.iter().copied().map(view).collect(), now);
+                    prop_assert!(naive.act(actions, now).is_empty());
+                    naive.held.retain(|name, _| indices.iter().any(|index| agent(*index) == *name));
+                }
+                Step::Cancel(request) => {
+                    let request = RequestId(u128::from(request));
+                    naive.waiting.remove(&request);
+                    prop_assert!(naive.act(book.cancel(request), now).is_empty());
+                }
+                Step::Wait(ms) => {
+                    now = now + Duration::from_millis(ms);
+                    let expired: BTreeSet<RequestId> = naive
+                        .waiting
+                        .iter()
+                        .filter(|(_, deadline)| **deadline <= now)
+                        .map(|(request, _)| *request)
+                        .collect();
+                    naive.waiting.retain(|_, deadline| *deadline > now);
+                    let outcomes = naive.act(book.tick(now), now);
+                    let outcomes = outcomes.into_iter().map(|outcome| match outcome {
+                        BookAction::Expire { request } => request,
+                        other => panic!("{other:?} by time"),
+                    });
+                    prop_assert_eq!(outcomes.collect::<BTreeSet<_>>(), expired);
+                }
+            }
+            prop_assert_eq!(book.len(), naive.waiting.len());
+            for held in naive.held.values() {
+                let stale = held.iter().find(|request| !naive.waiting.contains_key(request));
+                prop_assert_eq!(stale, None, "an offer outlives its request");
+            }
+        }
+        if dropped {
+            return Ok(());
+        }
+        let settled = now + ALL_WAVES;
+        while now < settled {
+            now = now + Duration::from_millis(10);
+            naive.waiting.retain(|_, deadline| *deadline > now);
+            let actions = book.tick(now);
+            naive.act(actions, now);
+        }
+        for (name, held) in &naive.held {
+            let all: BTreeSet<RequestId> = naive.waiting.keys().copied().collect();
+            prop_assert_eq!(held, &all, "{} is not offered all", name);
+        }
+    }
+}
+
+/// Guards against an agent that stays idle after it has dropped its offers.
+#[test]
+fn room_brings_dropped_offers_back() {
+    let mut book = OfferBook::new(settings());
+    let start = ClockTime(1000);
+    book.set_agents(vec![view(0)], start);
+    let deadline = start + Duration::from_secs(60);
+    book.enqueue(waiting(1, deadline), start).expect("queued");
+
+    let later = start + Duration::from_secs(2);
+    let actions = book.room(&agent(0), SlotCount(1), later);
+
+    let is_offer = matches!(
+        actions.as_slice(),
+        [BookAction::Send { message: EntryMessage::Offer(offer), .. }] if offer.request.0 == 1
+    );
+    assert!(is_offer, "{actions:?}");
+}
+
+/// Guards against one organisation with many waiting requests that takes all free slots of an
+/// agent that has room.
+#[test]
+fn room_is_answered_with_requests_of_every_flow() {
+    let mut book = OfferBook::new(settings());
+    let now = ClockTime(1000);
+    let deadline = now + Duration::from_secs(60);
+    for request in [0, 3, 6, 9, 1, 2] {
+        book.enqueue(waiting(request, deadline), now)
+            .expect("queued");
+    }
+    book.set_agents(vec![view(4)], now);
+
+    let later = now + Duration::from_millis(200);
+    let actions = book.room(&agent(4), SlotCount(3), later);
+
+    let flows: BTreeSet<u128> = actions
+        .iter()
+        .map(|action| match action {
+            BookAction::Send {
+                message: EntryMessage::Offer(offer),
+                ..
+            } => offer.request.0 % 3,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(flows, BTreeSet::from([0, 1, 2]));
+}
+
+/// Guards against totals that are sent to agents without offers of the flow.
+#[test]
+fn totals_go_to_the_agents_that_hold_offers() {
+    let mut book = OfferBook::new(settings());
+    let now = ClockTime(1000);
+    book.set_agents((0..4).map(view).collect(), now);
+    let deadline = now + Duration::from_secs(60);
+    let offered = book.enqueue(waiting(0, deadline), now).expect("queued");
+    let total = FlowTotal {
+        flow: flow(0),
+        total: CostUnits(99),
+    };
+    let other = FlowTotal {
+        flow: flow(1),
+        total: CostUnits(99),
+    };
+
+    let actions = book.totals(&[total.clone(), other], &[]);
+
+    let agents = |actions: &[BookAction]| -> BTreeSet<NodeName> {
+        let names = actions.iter().filter_map(|action| match action {
+            BookAction::Send { agent, .. } => Some(agent.clone()),
+            _ => None,
+        });
+        names.collect()
+    };
+    assert_eq!(agents(&actions), agents(&offered));
+    for action in actions {
+        let BookAction::Send {
+            message: EntryMessage::Totals { totals, .. },
+            ..
+        } = action
+        else {
+            panic!("{action:?}");
+        };
+        assert_eq!(totals, std::slice::from_ref(&total));
+    }
+}
--- /dev/null
+++ b/components/offers/tests/table.rs
@@ -0,0 +1,372 @@
+//! Agent side against a naive table that scans all offers, with faults as inputs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fair::{UsageLedger, weighted};
+use offers::{CLAIM_TIMEOUT, OfferTable, StartOutcome, TableAction};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use units::{ClockTime, CostUnits, FlowWeight, NodeName, OrganisationName, PrefixHash, RequestId};
+use units::{ServiceName, SlotCount};
+use wire::{FlowKey, FlowTotal, RequestOffer};
+
+fn service() -> ServiceName {
+    ServiceName::from("stone-advice")
+}
+
+fn entry(index: u8) -> NodeName {
+    NodeName::from(format!("entry-{index}").as_str())
+}
+
+fn flow(index: u8) -> FlowKey {
+    FlowKey {
+        organisation: OrganisationName::from(format!("org-{index}").as_str()),
+        service: service(),
+    }
+}
+
+fn offer(request: u8, organisation: u8, total: u64, hint: u64) -> RequestOffer {
+    RequestOffer {
+        request: RequestId(u128::from(request)),
+        flow: flow(organisation),
+        weight: FlowWeight(1000 + 500 * u32::from(organisation)),
+        total: CostUnits(total),
+        hint: CostUnits(hint),
+        prefix: PrefixHash(0),
+        waited_ms: 0,
+    }
+}
+
+#[derive(Debug, Clone)]
+struct NaiveSlot {
+    entry: NodeName,
+    offer: RequestOffer,
+    charged: u64,
+    claim_end: Option<ClockTime>,
+}
+
+/// Table that recomputes everything from plain lists.
+#[derive(Debug)]
+struct NaiveTable {
+    limit: usize,
+    serving: bool,
+    ledger: UsageLedger,
+    offers: Vec<(ClockTime, NodeName, RequestOffer)>,
+    slots: BTreeMap<RequestId, NaiveSlot>,
+    /// Hints of requests granted elsewhere, with the time of the first.
+    elsewhere: BTreeMap<FlowKey, (ClockTime, u64)>,
+    open: BTreeMap<FlowKey, bool>,
+}
+
+impl NaiveTable {
+    fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            serving: true,
+            ledger: UsageLedger::new(),
+            offers: Vec::new(),
+            slots: BTreeMap::new(),
+            elsewhere: BTreeMap::new(),
+            open: BTreeMap::new(),
+        }
+    }
+
+    fn is_open(&self, flow: &FlowKey) -> bool {
+        let waits = self.offers.iter().any(|(_, _, offer)| offer.flow == *flow);
+        waits || self.slots.values().any(|slot| slot.offer.flow == *flow)
+    }
+
+    fn score(&self, offer: &RequestOffer) -> u64 {
+        let slots = self.slots.values();
+        let reserve: u64 = slots
+            .filter(|slot| slot.offer.flow == offer.flow)
+            .map(|slot| slot.offer.hint.0.saturating_sub(slot.charged))
+            .sum();
+        let elsewhere = self.elsewhere.get(&offer.flow).map_or(0, |(_, hint)| *hint);
+        self.ledger.counter(&offer.flow, offer.weight)
+            + weighted(CostUnits(reserve + elsewhere), offer.weight)
+    }
+
+    fn offered(&mut self, name: &NodeName, offer: RequestOffer, now: ClockTime) {
+        let is_known = self.slots.contains_key(&offer.request)
+            || self
+                .offers
+                .iter()
+                .any(|(_, _, known)| known.request == offer.request);
+        if !self.serving || is_known {
+            return;
+        }
+        self.ledger.backlogged(&offer.flow, offer.weight, now);
+        let total = FlowTotal {
+            flow: offer.flow.clone(),
+            total: offer.total,
+        };
+        self.ledger.merge_offer(&total, now);
+        if !self.is_open(&offer.flow) {
+            self.ledger.opened(&offer.flow, now);
+        }
+        self.offers.push((now, name.clone(), offer));
+    }
+
+    fn withdrawn(&mut self, name: &NodeName, request: RequestId, now: ClockTime) {
+        let claim = self.slots.get(&request);
+        if let Some(slot) = claim.filter(|slot| slot.claim_end.is_some() && slot.entry == *name) {
+            let offer = slot.offer.clone();
+            self.grant_elsewhere(&offer, now);
+            self.slots.remove(&request);
+        } else if let Some(index) = self.position(request) {
+            let (_, _, offer) = self.offers.remove(index);
+            self.grant_elsewhere(&offer, now);
+        }
+        self.close(now);
+    }
+
+    fn grant_elsewhere(&mut self, offer: &RequestOffer, now: ClockTime) {
+        let (since, hint) = self.elsewhere.entry(offer.flow.clone()).or_insert((now, 0));
+        if *hint == 0 || now.since(*since) >= Duration::from_secs(1) {
+            (*since, *hint) = (now, 0);
+        }
+        *hint += offer.hint.0;
+    }
+
+    fn position(&self, request: RequestId) -> Option<usize> {
+        let mut offers = self.offers.iter();
+        offers.position(|(_, _, offer)| offer.request == request)
+    }
+
+    fn drop_claims(&mut self, is_dropped: impl Fn(&NaiveSlot) -> bool) {
+        self.slots
+            .retain(|_, slot| slot.claim_end.is_none() || !is_dropped(slot));
+    }
+
+    /// Notes flows that have neither offers nor slots any more.
+    fn close(&mut self, now: ClockTime) {
+        let flows: Vec<FlowKey> = (0..4).map(flow).collect();
+        for flow in flows {
+            let is_open = self.is_open(&flow);
+            let was_open = self.open.insert(flow.clone(), is_open).unwrap_or(false);
+            if was_open && !is_open {
+                self.ledger.closed(&flow, now);
+                self.elsewhere.remove(&flow);
+            }
+        }
+    }
+
+    /// Claims the offer with the least score, the oldest one first, while slots are free.
+    fn fill(&mut self, now: ClockTime) -> Vec<RequestId> {
+        self.close(now);
+        let mut claims = Vec::new();
+        while self.serving && self.slots.len() < self.limit && !self.offers.is_empty() {
+            let best = (0..self.offers.len())
+                .min_by_key(|index| {
+                    let (since, _, offer) = &self.offers[*index];
+                    (self.score(offer), *since, offer.request)
+                })
+                .expect("an offer");
+            let (_, entry, offer) = self.offers.remove(best);
+            claims.push(offer.request);
+            let slot = NaiveSlot {
+                entry,
+                offer,
+                charged: 0,
+                claim_end: Some(now + CLAIM_TIMEOUT),
+            };
+            self.slots.insert(slot.offer.request, slot);
+        }
+        claims
+    }
+
+    fn started(&mut self, request: RequestId) -> StartOutcome {
+        let Some(slot) = self.slots.get_mut(&request) else {
+            return StartOutcome::NotClaimed;
+        };
+        if slot.claim_end.take().is_none() {
+            return StartOutcome::Attached;
+        }
+        let counter = self.ledger.counter(&slot.offer.flow, slot.offer.weight);
+        self.ledger.merge_virtual_time(&service(), counter);
+        StartOutcome::Started
+    }
+
+    fn charged(&mut self, request: RequestId, cost: u64, now: ClockTime) {
+        if let Some(slot) = self.slots.get_mut(&request)
+            && slot.claim_end.is_none()
+        {
+            let growth = cost.saturating_sub(slot.charged);
+            slot.charged += growth;
+            self.ledger.charge(&slot.offer.flow, CostUnits(growth), now);
+        }
+    }
+
+    fn merge(&mut self, total: &FlowTotal) {
+        if self.is_open(&total.flow) {
+            self.ledger.merge(total);
+            self.elsewhere.remove(&total.flow);
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Offer {
+        entry: u8,
+        request: u8,
+        organisation: u8,
+        total: u64,
+        hint: u64,
+    },
+    Withdraw {
+        entry: u8,
+        request: u8,
+    },
+    Lose(u8),
+    Start(u8),
+    Charge(u8, u64),
+    End(u8),
+    Merge(u8, u64),
+    Limit(u32),
+    Serve(bool),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let request = 0u8..24;
+    prop_oneof![
+        8 => (0u8..3, request.clone(), 0u8..4, 0u64..200, 0u64..100).prop_map(
+            |(entry, request, organisation, total, hint)| Step::Offer { entry, request, organisation, total, hint }
+        ),
+        3 => (0u8..3, request.clone()).prop_map(|(entry, request)| Step::Withdraw { entry, request }),
+        1 => (0u8..3).prop_map(Step::Lose),
+        6 => request.clone().prop_map(Step::Start),
+        6 => (request.clone(), 0u64..1000).prop_map(|(request, cost)| Step::Charge(request, cost)),
+        3 => request.prop_map(Step::End),
+        2 => (0u8..4, 0u64..2000).prop_map(|(organisation, total)| Step::Merge(organisation, total)),
+        1 => (0u32..6).prop_map(Step::Limit),
+        1 => any::<bool>().prop_map(Step::Serve),
+        3 => (0u64..2000).prop_map(Step::Wait),
+    ]
+}
+
+fn claims(actions: &[TableAction]) -> Vec<RequestId> {
+    let claims = actions.iter().filter_map(|action| match action {
+        TableAction::Claim { request, .. } => Some(*request),
+        _ => None,
+    });
+    claims.collect()
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 600,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(31),
+        ..Config::default()
+    })]
+
+    /// Guards against claims that are not for the least served flow, slots that leak, and more claims
+    /// and runs than the limit, whatever is repeated, late or lost.
+    #[test]
+    fn table_claims_what_a_scan_of_all_offers_finds(steps in prop::collection::vec(step(), 1..120)) {
+        let mut now = ClockTime(1000);
+        let mut table = OfferTable::new(service(), SlotCount(2));
+        let mut naive = NaiveTable::new(2);
+        for step in steps {
+            let actions = match step {
+                Step::Offer { entry: index, request, organisation, total, hint } => {
+                    // A request keeps its organisation when it is offered again.
+                    let organisation = (organisation & 2) | (request & 1);
+                    let offer = offer(request, organisation, total, hint);
+                    naive.offered(&entry(index), offer.clone(), now);
+                    table.offered(&entry(index), offer, now)
+                }
+                Step::Withdraw { entry: index, request } => {
+                    let request = RequestId(u128::from(request));
+                    naive.withdrawn(&entry(index), request, now);
+                    table.withdrawn(&entry(index), request, now)
+                }
+                Step::Lose(index) => {
+                    let name = entry(index);
+                    naive.offers.retain(|(_, other, _)| *other != name);
+                    naive.drop_claims(|slot| slot.entry == name);
+                    table.entry_lost(&name, now)
+                }
+                Step::Start(request) => {
+                    let request = RequestId(u128::from(request));
+                    prop_assert_eq!(table.started(request, now), naive.started(request));
+                    continue;
+                }
+                Step::Charge(request, cost) => {
+                    let request = RequestId(u128::from(request));
+                    naive.charged(request, cost, now);
+                    table.charged(request, CostUnits(cost), now);
+                    continue;
+                }
+                Step::End(request) => {
+                    let request = RequestId(u128::from(request));
+                    naive.slots.remove(&request);
+                    table.ended(request, now)
+                }
+                Step::Merge(organisation, total) => {
+                    let total = FlowTotal { flow: flow(organisation), total: CostUnits(total) };
+                    naive.merge(&total);
+                    table.merge(&[total], &[]);
+                    continue;
+                }
+                Step::Limit(limit) => {
+                    naive.limit = limit as usize;
+                    table.set_limit(SlotCount(limit), now)
+                }
+                Step::Serve(serving) => {
+                    naive.serving = serving;
+                    if !serving {
+                        naive.offers.clear();
+                        naive.drop_claims(|_| true);
+                    }
+                    table.set_serving(serving, now)
+                }
+                Step::Wait(ms) => {
+                    now = now + Duration::from_millis(ms);
+                    naive.drop_claims(|slot| slot.claim_end.is_some_and(|end| end <= now));
+                    table.tick(now)
+                }
+            };
+            prop_assert_eq!(claims(&actions), naive.fill(now));
+            prop_assert_eq!(table.used().0 as usize, naive.slots.len());
+        }
+    }
+}
+
+/// Guards against an agent with free slots that waits in silence, and against one message to every
+/// entry for every event.
+#[test]
+fn room_is_told_once_and_repeated_by_time() {
+    let mut table = OfferTable::new(service(), SlotCount(2));
+    let now = ClockTime(1000);
+    let room = [TableAction::Room {
+        entry: entry(0),
+        free: SlotCount(2),
+    }];
+
+    assert_eq!(table.entry_connected(&entry(0), now), room);
+    assert_eq!(table.tick(now), room);
+    assert!(table.tick(now + Duration::from_millis(100)).is_empty());
+    assert_eq!(table.tick(now + Duration::from_millis(500)), room);
+}
+
+/// Guards against a second run of a request whose start is repeated, and against a start after the
+/// claim has ended.
+#[test]
+fn request_starts_once() {
+    let mut table = OfferTable::new(service(), SlotCount(1));
+    let now = ClockTime(1000);
+    let request = RequestId(1);
+    table.offered(&entry(0), offer(1, 0, 0, 10), now);
+
+    assert_eq!(table.started(request, now), StartOutcome::Started);
+    assert_eq!(table.started(request, now), StartOutcome::Attached);
+    table.withdrawn(&entry(0), request, now);
+    assert_eq!(table.used(), SlotCount(1), "a late withdrawal ends no run");
+    table.ended(request, now);
+    assert_eq!(table.started(request, now), StartOutcome::NotClaimed);
+}
