Add the public types of raft and store

Cause: the control daemon is written at the same time and needs the signatures. Ruled out: acknowledging a Persist by log index, because a truncation makes indexes ambiguous; each batch has a growing id instead. Change: types, actions, messages and errors of raft; LogStore and its errors.

--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -1,1 +1,18 @@
-//! Log segments and snapshots on disk.
+//! Log segments, snapshots, term and vote on disk.
+//!
+//! A [`LogStore`] owns one folder. [`LogStore::open`] returns the state to start a
+//! [`raft::RaftNode`] with; [`LogStore::persist`] carries out one `Persist` action and returns after
+//! the files and the folder are synced, so the daemon then calls `RaftNode::persisted`. Both block
+//! and belong on a thread of their own.
+//!
+//! Files: `state` (id, term, vote), `snapshot`, `log-N` (records from index N on) and `lock`. Each
+//! record has a length and a CRC-32. `state` and `snapshot` are replaced by writing `NAME.new`,
+//! syncing, renaming and syncing the folder. A torn last record of the newest segment is cut off
+//! when the folder is opened; any other damage is [`StoreError::Corrupt`], and the host must rejoin
+//! with an empty folder, which gives it a new id.
+
+mod error;
+mod log_store;
+
+pub use error::StoreError;
+pub use log_store::{LogStore, SEGMENT_BYTES};
