Add numbered log events, metrics and traces

Every daemon logs through one catalogue so that operators can look up a number. docs/EVENTS.md is printed by an example, and a test compares it with the constants, checks that numbers are unique and that each lies in the range of its daemon. logforth needs its log bridge and layouts, and log its kv feature, for the fields of an event.

--- /dev/null
+++ b/components/telemetry/examples/catalogue.rs
@@ -0,0 +1,5 @@
+//! Prints `docs/EVENTS.md`.
+
+fn main() {
+    print!("{}", telemetry::catalogue_page());
+}
--- /dev/null
+++ b/components/telemetry/src/events/client.rs
@@ -0,0 +1,6 @@
+//! Events of a node's connection to control, 3900 to 3999.
+
+log_events! {
+    LEASE_HELD = 3900, Info, "lease-held", "The node holds a lease and takes new work.";
+    LEASE_LOST = 3901, Warn, "lease-lost", "The lease has expired and the node refuses new work. Check that a majority of control nodes runs and can be reached.";
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,1 +1,18 @@
-//! Numbered log events, metrics and traces.
+//! Logs, metrics and traces of every daemon.
+//!
+//! A log line is a numbered event from [`events`]; `docs/EVENTS.md` lists them all for operators.
+
+mod catalogue;
+mod event;
+pub mod events;
+mod logs;
+mod metrics;
+mod traces;
+
+pub use catalogue::catalogue_page;
+pub use event::{LogEvent, log_event};
+pub use events::ALL_EVENTS;
+pub use log::{Level, LevelFilter};
+pub use logs::{LogFormat, LogSettings, start_logs};
+pub use metrics::{MetricSettings, start_metrics};
+pub use traces::{TraceSettings, start_traces, stop_traces};
--- /dev/null
+++ b/components/telemetry/src/logs.rs
@@ -0,0 +1,73 @@
+//! Log lines on standard error.
+
+use eyre::{Result, WrapErr};
+use log::LevelFilter;
+use logforth::append::Stderr;
+use logforth::bridge::log::LogBridge;
+use logforth::layout::{JsonLayout, TextLayout};
+
+/// Form of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LogFormat {
+    /// One line of text.
+    #[default]
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+impl std::fmt::Display for LogFormat {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Text => "text",
+            Self::Json => "json",
+        })
+    }
+}
+
+impl std::str::FromStr for LogFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(format!(
+                "Failed to read log format {text:?}: want text or json"
+            )),
+        }
+    }
+}
+
+/// What is logged, and how.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Least severe level that is written.
+    pub level: LevelFilter,
+    /// Form of a line.
+    pub format: LogFormat,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LevelFilter::Info,
+            format: LogFormat::Text,
+        }
+    }
+}
+
+/// Starts writing logs to standard error. Fails if the process already has a logger.
+pub fn start_logs(settings: &LogSettings) -> Result<()> {
+    let append = match settings.format {
+        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    };
+    let logger = logforth::core::builder()
+        .dispatch(|dispatch| dispatch.append(append))
+        .build();
+    log::set_boxed_logger(Box::new(LogBridge::new(logger)))
+        .wrap_err("Failed to start logs: the process already has a logger")?;
+    log::set_max_level(settings.level);
+    Ok(())
+}
