--- a/components/manifest/src/lib.rs
+++ b/components/manifest/src/lib.rs
@@ -1,1 +1,15 @@
 //! Services text: parsing, checks and differences.
+//!
+//! The operator describes regions, data centres, services and organisations in one TOML text.
+//! [`FleetManifest::parse`] either returns the whole manifest or every fault of the text.
+
+mod change;
+mod check;
+mod error;
+mod reader;
+mod spec;
+mod text;
+
+pub use change::ManifestChange;
+pub use error::{ManifestError, ManifestFault};
+pub use spec::{CallRule, FleetManifest, KeyHash, OrganisationSpec, ServiceKind, ServiceSpec};
