Measure slopes and work out the capacity of each role

Ruled out: timing whole processes, because absolute times on a shared machine are not stable; message sizes and memory are counts, and times stand beside a reference operation of the same run. Change: bilberry-bench measures 19 series at four or more sizes and writes the page.

--- /dev/null
+++ b/components/bench/src/decisions.rs
@@ -0,0 +1,224 @@
+//! Processor time of the decisions of entries and agents at growing sizes.
+
+use std::time::Duration;
+
+use fair::{UsageHome, UsageLedger};
+use offers::{AgentView, BookSettings, OfferBook, OfferTable, WaitingRequest};
+use units::{ClockTime, CostUnits, FlowWeight, NodeName, SlotCount};
+
+use crate::fixtures;
+use crate::meter::time_of;
+use crate::slope::{CostUnit, SlopeSeries};
+
+/// Sizes at which decisions are measured: offers held, waiting requests, flows.
+const SIZES: [u64; 5] = [64, 256, 1024, 4096, 16_384];
+
+/// Agents between which an entry chooses.
+const AGENTS: [u64; 4] = [15, 60, 240, 600];
+
+/// Events in one measurement.
+const EVENTS: u32 = 4_000;
+
+/// Offers in one wave at the size to build towards.
+const WAVE_SIZE: usize = 4;
+
+const DEADLINE: ClockTime = ClockTime(60_000);
+
+/// Measures the decisions.
+pub(crate) fn measure() -> [SlopeSeries; 6] {
+    [
+        SlopeSeries::measure(
+            "agent: offer, claim, start, charge and end of a request",
+            "offers held",
+            CostUnit::Nanoseconds,
+            &SIZES,
+            agent_cycle,
+        ),
+        SlopeSeries::measure(
+            "entry: queue a request, take a claim, withdraw the other offers",
+            "waiting requests",
+            CostUnit::Nanoseconds,
+            &SIZES,
+            |waiting| entry_cycle(waiting, 15),
+        ),
+        SlopeSeries::measure(
+            "entry: the same among a number of agents",
+            "agents",
+            CostUnit::Nanoseconds,
+            &AGENTS,
+            |agents| entry_cycle(256, agents),
+        ),
+        SlopeSeries::measure(
+            "entry: charge a chunk to a flow",
+            "flows known",
+            CostUnit::Nanoseconds,
+            &SIZES,
+            charge,
+        ),
+        SlopeSeries::measure(
+            "entry: make a usage report",
+            "active flows",
+            CostUnit::Nanoseconds,
+            &SIZES,
+            make_report,
+        ),
+        SlopeSeries::measure(
+            "usage home: take a report",
+            "flows in the report",
+            CostUnit::Nanoseconds,
+            &[16, 64, 256, 1024],
+            take_report,
+        ),
+    ]
+}
+
+fn agent_cycle(held: u64) -> f64 {
+    let entry = fixtures::entry(1);
+    time_of(
+        EVENTS,
+        || {
+            let mut table = OfferTable::new(fixtures::service(), SlotCount(1));
+            table.entry_connected(&entry, ClockTime(0));
+            for number in 0..=held {
+                table.offered(&entry, fixtures::offer(number), ClockTime(1));
+            }
+            (table, held + 1)
+        },
+        |(table, next)| {
+            let mut claimed = fixtures::offer(0).request;
+            for _ in 0..EVENTS {
+                table.started(claimed, ClockTime(2));
+                table.charged(claimed, CostUnits(320), ClockTime(3));
+                let actions = table.ended(claimed, ClockTime(4));
+                claimed = first_claim(&actions);
+                table.offered(&entry, fixtures::offer(*next), ClockTime(5));
+                *next += 1;
+            }
+        },
+    )
+}
+
+fn first_claim(actions: &[offers::TableAction]) -> units::RequestId {
+    actions
+        .iter()
+        .find_map(|action| match action {
+            offers::TableAction::Claim { request, .. } => Some(*request),
+            _ => None,
+        })
+        .expect("a free slot claims one of the offers held")
+}
+
+fn entry_cycle(waiting: u64, agents: u64) -> f64 {
+    let settings = BookSettings {
+        wave_size: WAVE_SIZE,
+        ..BookSettings::default()
+    };
+    time_of(
+        EVENTS,
+        || {
+            let mut book = OfferBook::new(settings.clone());
+            book.set_agents((0..agents).map(view).collect(), ClockTime(0));
+            for number in 0..waiting {
+                enqueue(&mut book, number);
+            }
+            (book, waiting)
+        },
+        |(book, next)| {
+            for _ in 0..EVENTS {
+                let agent = enqueue(book, *next).expect("a new request is offered to an agent");
+                book.claimed(&agent, fixtures::offer(*next).request, ClockTime(2));
+                *next += 1;
+            }
+        },
+    )
+}
+
+fn view(number: u64) -> AgentView {
+    AgentView {
+        name: fixtures::agent(number),
+        service: fixtures::service(),
+        local: number.is_multiple_of(3),
+        free: SlotCount(4),
+    }
+}
+
+/// Queues a request and returns the first agent that it is offered to.
+fn enqueue(book: &mut OfferBook, number: u64) -> Option<NodeName> {
+    let offer = fixtures::offer(number);
+    let request = WaitingRequest {
+        offer,
+        deadline: DEADLINE,
+        max_waiting: 256,
+    };
+    let actions = book
+        .enqueue(request, ClockTime(1))
+        .expect("each request has its own flow");
+    actions.iter().find_map(|action| match action {
+        offers::BookAction::Send { agent, .. } => Some(agent.clone()),
+        _ => None,
+    })
+}
+
+/// Ledger in which each flow has an open request.
+pub(crate) fn ledger(flows: u64) -> UsageLedger {
+    let mut ledger = UsageLedger::new();
+    for number in 0..flows {
+        let flow = fixtures::flow(number);
+        ledger.backlogged(&flow, FlowWeight(1000), ClockTime(0));
+        ledger.opened(&flow, ClockTime(0));
+        ledger.charge(&flow, CostUnits(1), ClockTime(0));
+    }
+    ledger
+}
+
+fn charge(flows: u64) -> f64 {
+    let keys: Vec<_> = (0..64)
+        .map(|number| fixtures::flow(number * flows / 64))
+        .collect();
+    time_of(
+        EVENTS,
+        || ledger(flows),
+        |ledger| {
+            for number in 0..EVENTS {
+                let flow = &keys[number as usize % keys.len()];
+                ledger.charge(flow, CostUnits(1), ClockTime(u64::from(number)));
+            }
+        },
+    )
+}
+
+fn make_report(flows: u64) -> f64 {
+    const REPORTS: u32 = 10;
+    time_of(
+        REPORTS,
+        || ledger(flows),
+        |ledger| {
+            for _ in 0..REPORTS {
+                std::hint::black_box(ledger.report(ClockTime(100)));
+            }
+        },
+    )
+}
+
+fn take_report(flows: u64) -> f64 {
+    const REPORTS: u32 = 40;
+    let interval = Duration::from_millis(500);
+    time_of(
+        REPORTS,
+        || {
+            let reports = (0..REPORTS)
+                .map(|number| {
+                    fixtures::usage_report(u64::from(number % 8), flows, u64::from(number))
+                })
+                .collect::<Vec<_>>();
+            (UsageHome::new(), reports)
+        },
+        |(home, reports)| {
+            let mut now = ClockTime(0);
+            for report in reports.iter() {
+                home.report(report, now);
+                now = now + interval;
+            }
+        },
+    )
+}
--- /dev/null
+++ b/components/bench/src/page.rs
@@ -0,0 +1,201 @@
+//! The page `docs/CAPACITY.md`.
+
+use std::fmt::{Result, Write};
+
+use crate::capacity::{RoleCosts, WorkRow, roles};
+use crate::fleet::{FleetSize, NodeBudget};
+use crate::measured::Measured;
+use crate::slope::SlopeSeries;
+
+/// Text between the measured tables and the hand-written part of the page.
+pub const END_MARK: &str = "<!-- end of the measured part -->";
+
+/// Writes the measured part of the page.
+pub fn capacity_page(size: &FleetSize, measured: &Measured) -> String {
+    let mut page = String::new();
+    write_page(&mut page, size, measured).expect("a string takes any text");
+    page
+}
+
+fn write_page(page: &mut String, size: &FleetSize, measured: &Measured) -> Result {
+    writeln!(page, "# Capacity at the size to build towards\n")?;
+    writeln!(
+        page,
+        "Source: `cargo run --release --bin bilberry-bench -- --write docs/CAPACITY.md`"
+    )?;
+    writeln!(
+        page,
+        "measures everything again and rewrites this page up to the mark below. Sizes of"
+    )?;
+    writeln!(
+        page,
+        "messages and memory are counts. Processor times hold for one machine and one run; the"
+    )?;
+    writeln!(
+        page,
+        "reference operation (SHA-256 of 1 KiB) took {:.0} ns in it.\n",
+        measured.reference_ns
+    )?;
+    write_size(page, size)?;
+    let budget = NodeBudget::GOAL;
+    writeln!(page, "## Costs for each role\n")?;
+    writeln!(
+        page,
+        "Budget of a node for control: {:.1}% of a core, {:.0} MB, {:.0} KB/s. Hosts set",
+        budget.time_ns / 1e7,
+        budget.memory / 1e6,
+        budget.traffic / 1e3
+    )?;
+    writeln!(
+        page,
+        "aside for control ({:.0}) have no budget. Traffic counts both directions with all headers.\n",
+        size.controls
+    )?;
+    for role in roles(size, measured) {
+        write_role(page, &role, &budget)?;
+    }
+    write_slopes(page, measured)?;
+    writeln!(page, "{END_MARK}")
+}
+
+fn write_size(page: &mut String, size: &FleetSize) -> Result {
+    writeln!(page, "## Size\n")?;
+    writeln!(page, "| Quantity | Value | Source |\n|---|---|---|")?;
+    let rows = [
+        ("nodes before the targets", size.nodes, "goal"),
+        ("of these set aside for control", size.controls, "goal"),
+        ("targets", size.targets, "goal"),
+        ("requests/s", size.requests, "goal"),
+        ("tokens/s", size.tokens, "goal"),
+        ("ms between tokens", size.token_interval_ms, "goal"),
+        ("organisations", size.organisations, "goal"),
+        ("backlogged organisations", size.backlogged, "goal"),
+        ("configuration changes a day", size.changes, "goal"),
+        (
+            "running requests",
+            size.running(),
+            "tokens/s times time between tokens",
+        ),
+        (
+            "waiting requests of a backlogged organisation",
+            size.waiting_each,
+            "assumed",
+        ),
+        (
+            "share of requests that may not be repeated",
+            size.recorded_share,
+            "assumed",
+        ),
+        (
+            "agents that a request is offered to",
+            size.offers_each,
+            "wave size",
+        ),
+        (
+            "flows with open requests at one entry",
+            size.flows_at_entry(),
+            "one for each open request",
+        ),
+    ];
+    for (name, value, source) in rows {
+        writeln!(page, "| {name} | {} | {source} |", number(value))?;
+    }
+    writeln!(page)
+}
+
+fn write_role(page: &mut String, role: &RoleCosts, budget: &NodeBudget) -> Result {
+    writeln!(page, "### {}\n", role.role)?;
+    writeln!(
+        page,
+        "| Work | Mechanism | Rate (1/s) | Core (%) | Traffic (B/s) | Memory (kB) |"
+    )?;
+    writeln!(page, "|---|---|---|---|---|---|")?;
+    for row in &role.rows {
+        write_work(page, row)?;
+    }
+    let total = [role.time_ns() / 1e7, role.traffic(), role.memory() / 1e3];
+    writeln!(
+        page,
+        "| **Total** | | | **{:.3}** | **{:.0}** | **{:.0}** |",
+        total[0], total[1], total[2]
+    )?;
+    if role.is_budgeted {
+        let shares = [
+            role.time_ns() / budget.time_ns,
+            role.traffic() / budget.traffic,
+            role.memory() / budget.memory,
+        ];
+        let [time, traffic, memory] = shares.map(verdict);
+        writeln!(
+            page,
+            "| Share of the budget | | | {time} | {traffic} | {memory} |"
+        )?;
+    }
+    writeln!(page)
+}
+
+fn verdict(share: f64) -> String {
+    let mark = if share > 1.0 { " **over**" } else { "" };
+    format!("{:.0}%{mark}", share * 100.0)
+}
+
+fn write_work(page: &mut String, row: &WorkRow) -> Result {
+    writeln!(
+        page,
+        "| {} | {} | {} | {:.3} | {:.0} | {:.0} |",
+        row.work,
+        row.mechanism,
+        number(row.rate),
+        row.time_ns / 1e7,
+        row.traffic,
+        row.memory / 1e3
+    )
+}
+
+fn write_slopes(page: &mut String, measured: &Measured) -> Result {
+    writeln!(page, "## Measured slopes\n")?;
+    writeln!(
+        page,
+        "`cost = base + slope * size`; fit is the share of the variance that the line explains.\n"
+    )?;
+    writeln!(
+        page,
+        "| Operation | Size | Costs at sizes | Base | Slope | Fit |\n|---|---|---|---|---|---|"
+    )?;
+    for series in measured.series() {
+        write_series(page, series)?;
+    }
+    let sizes = measured.sizes;
+    writeln!(
+        page,
+        "\nMessages that do not grow, in bytes: offer {}, withdrawal or claim {}, heartbeat {}, renewal {}, answer to it without news {}.\n",
+        sizes.offer, sizes.withdraw, sizes.ping, sizes.renew, sizes.renewed
+    )
+}
+
+fn write_series(page: &mut String, series: &SlopeSeries) -> Result {
+    let points: Vec<String> = series
+        .points
+        .iter()
+        .map(|point| format!("{}: {:.0}", point.size, point.cost))
+        .collect();
+    writeln!(
+        page,
+        "| {} | {} | {} | {:.0} {unit} | {:.3} {unit} | {:.2} |",
+        series.name,
+        series.size_name,
+        points.join(", "),
+        series.fit.base,
+        series.fit.slope,
+        series.fit.quality,
+        unit = series.unit
+    )
+}
+
+fn number(value: f64) -> String {
+    if value >= 100.0 {
+        format!("{value:.0}")
+    } else {
+        format!("{value:.3}")
+    }
+}
--- a/components/link/src/endpoint.rs
+++ b/components/link/src/endpoint.rs
@@ -6,7 +6,7 @@
 
 use quinn::{Connection, Endpoint, IdleTimeout, TransportConfig, VarInt};
 use rustls::pki_types::CertificateDer;
-use units::Incarnation;
+use units::{ByteSize, Incarnation};
 use wire::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
 
 use crate::error::LinkError;
@@ -117,6 +117,19 @@
     peer: PeerName,
 }
 
+/// Traffic of a connection: UDP payload, without the headers of IP and UDP.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkTraffic {
+    /// Bytes sent.
+    pub sent: ByteSize,
+    /// Datagrams sent.
+    pub sent_datagrams: u64,
+    /// Bytes received.
+    pub received: ByteSize,
+    /// Datagrams received.
+    pub received_datagrams: u64,
+}
+
 /// A stream that a peer has opened.
 #[derive(Debug)]
 pub struct LinkStream {
@@ -195,6 +208,17 @@
         })
     }
 
+    /// Bytes and datagrams of the connection so far, with QUIC's own overhead.
+    pub fn traffic(&self) -> LinkTraffic {
+        let stats = self.connection.stats();
+        LinkTraffic {
+            sent: ByteSize(stats.udp_tx.bytes),
+            sent_datagrams: stats.udp_tx.datagrams,
+            received: ByteSize(stats.udp_rx.bytes),
+            received_datagrams: stats.udp_rx.datagrams,
+        }
+    }
+
     /// Closes the connection.
     pub fn close(&self, reason: &str) {
         self.connection
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -10,7 +10,7 @@
 mod identity;
 mod keys;
 
-pub use endpoint::{LinkEndpoint, LinkStream, PeerLink};
+pub use endpoint::{LinkEndpoint, LinkStream, LinkTraffic, PeerLink};
 pub use error::LinkError;
 pub use frames::{FrameReader, FrameWriter};
 pub use identity::{LinkIdentity, PeerName};
