--- a/components/raft/src/lib.rs
+++ b/components/raft/src/lib.rs
@@ -25,10 +25,14 @@
 //! a new id, joins with [`MemberChange::AddLearner`], the old id is removed, and the new id is
 //! promoted. A node in no membership neither votes nor starts elections.
 
+mod barrier;
 mod error;
+mod log;
 mod membership;
 mod message;
 mod node;
+mod persist;
+mod progress;
 mod settings;
 mod state;
 
