--- /dev/null
+++ b/components/control/src/driver.rs
@@ -0,0 +1,480 @@
+//! The thread that owns the Raft node and its files.
+//!
+//! It drains all waiting events, carries out the actions, and then writes everything that must be
+//! durable with one sync, so that proposals that arrive together share its cost.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use board::StateBoard;
+use eyre::{Result, WrapErr};
+use raft::{
+    EntryPayload, LogEntry, LogIndex, NodeRole, PersistBatch, PersistedState, ProposeError,
+    RaftAction, RaftMessage, RaftNode, Snapshot, Term,
+};
+use registry::{RegistryAction, RegistryCommand, RegistryOutcome, RegistryState, WallTime};
+use store::LogStore;
+use telemetry::{event, events};
+use tokio::sync::{mpsc, oneshot};
+use units::{ClockSource, ClockTime, DiskId, NodeName};
+
+use crate::formation::{PeerAnnounce, SeenPeer, founders};
+use crate::members::{JoinTargets, MemberStep, next_step};
+use crate::peer_link::{PeerFrame, PeerSenders};
+use crate::settings::ControlSettings;
+use crate::state::DriverView;
+
+/// Time between two read barriers. Half of the renewal interval, so the age in a reply stays small
+/// against the lease.
+const BARRIER_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Entries between two snapshots.
+const SNAPSHOT_ENTRIES: u64 = 1_000;
+
+/// Events handled before a sync.
+const MAX_EVENTS: usize = 256;
+
+/// What happens to the driver.
+pub(crate) enum DriverEvent {
+    /// Time has passed.
+    Tick,
+    /// A message of another control node.
+    Message {
+        from: DiskId,
+        to: DiskId,
+        message: RaftMessage,
+    },
+    /// Another control node tells about itself.
+    Announce {
+        name: NodeName,
+        announce: PeerAnnounce,
+    },
+    /// A command for the log.
+    Propose {
+        action: RegistryAction,
+        reply: oneshot::Sender<Result<RegistryOutcome, ProposeFailure>>,
+    },
+    /// Hands leadership to another node.
+    Transfer,
+    /// Ends the thread.
+    Stop,
+}
+
+/// Why a proposal has no outcome.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ProposeFailure {
+    /// This node does not lead; nothing was proposed.
+    NotLeader,
+    /// The node refused it; nothing was proposed.
+    Refused(String),
+    /// It is not known whether the proposal is committed.
+    Unknown,
+}
+
+/// A proposal whose entry is not committed yet.
+struct WaitingProposal {
+    term: Term,
+    reply: oneshot::Sender<Result<RegistryOutcome, ProposeFailure>>,
+}
+
+/// The Raft node, its files and the state that it feeds.
+pub(crate) struct RaftDriver {
+    settings: Arc<ControlSettings>,
+    clock: Arc<dyn ClockSource>,
+    view: StateBoard<DriverView>,
+    peers: PeerSenders,
+    node: RaftNode,
+    store: LogStore,
+    pending: VecDeque<(u64, PersistBatch)>,
+    waiting: BTreeMap<LogIndex, WaitingProposal>,
+    targets: JoinTargets,
+    barriers: u64,
+    last_barrier: ClockTime,
+    applied: LogIndex,
+    compacted: LogIndex,
+    transferring: bool,
+}
+
+/// The founding members that a log still shows.
+fn founders_of(state: &PersistedState) -> Option<std::collections::BTreeSet<DiskId>> {
+    let first = state.entries.first()?;
+    match &first.payload {
+        EntryPayload::Members(members) if first.id.index == LogIndex(1) => {
+            Some(members.voters.clone())
+        }
+        _ => None,
+    }
+}
+
+impl RaftDriver {
+    /// Opens the data folder.
+    pub(crate) fn open(
+        settings: Arc<ControlSettings>,
+        clock: Arc<dyn ClockSource>,
+        peers: PeerSenders,
+    ) -> Result<Self> {
+        let (store, state) = LogStore::open(&settings.data)
+            .wrap_err_with(|| format!("Failed to open data folder {}", settings.data.display()))?;
+        let now = clock.now();
+        let announce = PeerAnnounce {
+            id: store.id(),
+            empty: state.is_empty(),
+            listed: settings.listed(),
+            founders: founders_of(&state),
+            applied: LogIndex(0),
+        };
+        let node = RaftNode::new(
+            store.id(),
+            state,
+            settings.raft.clone(),
+            rand::random(),
+            now,
+        );
+        let view = StateBoard::new(DriverView {
+            registry: RegistryState::default(),
+            status: node.status(),
+            confirmed: None,
+            announce,
+            seen: BTreeMap::new(),
+            version_times: VecDeque::new(),
+        });
+        Ok(Self {
+            settings,
+            clock,
+            view,
+            peers,
+            node,
+            store,
+            pending: VecDeque::new(),
+            waiting: BTreeMap::new(),
+            targets: JoinTargets::default(),
+            barriers: 0,
+            last_barrier: now,
+            applied: LogIndex(0),
+            compacted: LogIndex(0),
+            transferring: false,
+        })
+    }
+
+    /// What the driver publishes.
+    pub(crate) fn view(&self) -> StateBoard<DriverView> {
+        self.view.clone()
+    }
+
+    /// Handles events until it is stopped or a write fails.
+    pub(crate) fn run(mut self, mut events: mpsc::Receiver<DriverEvent>) -> Result<()> {
+        while let Some(event) = events.blocking_recv() {
+            let mut next = Some(event);
+            let mut handled = 0;
+            while let Some(event) = next {
+                if matches!(event, DriverEvent::Stop) {
+                    return self.flush();
+                }
+                self.handle(event)?;
+                handled += 1;
+                next = match handled < MAX_EVENTS {
+                    true => events.try_recv().ok(),
+                    false => None,
+                };
+            }
+            self.flush()?;
+            self.publish();
+        }
+        Ok(())
+    }
+
+    fn handle(&mut self, event: DriverEvent) -> Result<()> {
+        let now = self.clock.now();
+        match event {
+            DriverEvent::Tick => self.tick(now),
+            DriverEvent::Message { from, to, message } => self.message(from, to, message, now),
+            DriverEvent::Announce { name, announce } => self.announced(name, announce, now),
+            DriverEvent::Propose { action, reply } => self.propose(action, Some(reply), now),
+            DriverEvent::Transfer => self.transfer(now),
+            DriverEvent::Stop => Ok(()),
+        }
+    }
+
+    fn tick(&mut self, now: ClockTime) -> Result<()> {
+        let actions = self.node.tick(now);
+        self.carry_out(actions)?;
+        if self.view.read(|view| view.announce.empty) {
+            self.form(now)?;
+        }
+        if now.since(self.last_barrier) >= BARRIER_INTERVAL {
+            self.last_barrier = now;
+            self.barriers += 1;
+            let actions = self.node.barrier(self.barriers, now);
+            self.carry_out(actions)?;
+            self.change_members(now)?;
+        }
+        Ok(())
+    }
+
+    fn message(
+        &mut self,
+        from: DiskId,
+        to: DiskId,
+        message: RaftMessage,
+        now: ClockTime,
+    ) -> Result<()> {
+        let status = self.node.status();
+        let from_leader = matches!(
+            message,
+            RaftMessage::Append { .. } | RaftMessage::Snapshot { .. } | RaftMessage::Removed
+        );
+        // A node without a log must stay as it is until it forms a group or a leader reaches it: a
+        // term from an election would make its folder look used.
+        let has_log = status.last > LogIndex(0) || status.snapshot > LogIndex(0);
+        if to != status.id || !(has_log || from_leader) {
+            return Ok(());
+        }
+        let actions = self.node.receive(from, message, now);
+        self.carry_out(actions)
+    }
+
+    fn announced(&mut self, name: NodeName, announce: PeerAnnounce, now: ClockTime) -> Result<()> {
+        let seen = SeenPeer {
+            announce,
+            seen: now,
+        };
+        self.view.write_quietly(|view| view.seen.insert(name, seen));
+        Ok(())
+    }
+
+    /// Forms the group when all listed nodes are present and empty.
+    fn form(&mut self, now: ClockTime) -> Result<()> {
+        let status = self.node.status();
+        if status.last > LogIndex(0) || status.snapshot > LogIndex(0) {
+            self.view.write_quietly(|view| view.announce.empty = false);
+            return Ok(());
+        }
+        let members = self
+            .view
+            .read(|view| founders(&view.announce, &view.seen, now));
+        let Some(members) = members else {
+            return Ok(());
+        };
+        let state = PersistedState::bootstrap(members.clone());
+        self.store
+            .persist(&state.to_batch())
+            .wrap_err("Failed to write the first entry of the group")?;
+        let id = self.store.id();
+        self.node = RaftNode::new(id, state, self.settings.raft.clone(), rand::random(), now);
+        event!(events::GROUP_FORMED, members = members.len());
+        self.view.write(|view| {
+            view.announce.empty = false;
+            view.announce.founders = Some(members);
+        });
+        Ok(())
+    }
+
+    /// Proposes a command. Without a waiting caller the outcome is dropped.
+    fn propose(
+        &mut self,
+        action: RegistryAction,
+        reply: Option<oneshot::Sender<Result<RegistryOutcome, ProposeFailure>>>,
+        now: ClockTime,
+    ) -> Result<()> {
+        let command = RegistryCommand {
+            at: wall_time(),
+            action,
+        };
+        let bytes = postcard::to_stdvec(&command).wrap_err("Failed to encode a command")?;
+        match self.node.propose(bytes, now) {
+            Ok((index, actions)) => {
+                if let Some(reply) = reply {
+                    let term = self.node.status().term;
+                    self.waiting.insert(index, WaitingProposal { term, reply });
+                }
+                self.carry_out(actions)
+            }
+            Err(error) => {
+                let failure = match error {
+                    ProposeError::NotLeader { .. } => ProposeFailure::NotLeader,
+                    error => ProposeFailure::Refused(error.to_string()),
+                };
+                if let Some(reply) = reply {
+                    let _ = reply.send(Err(failure));
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// Makes the next membership change, if this node leads and one is due.
+    fn change_members(&mut self, now: ClockTime) -> Result<()> {
+        let status = self.node.status();
+        if status.role != NodeRole::Leader || self.transferring {
+            return Ok(());
+        }
+        let own = (status.id, &self.settings.name);
+        let targets = &mut self.targets;
+        let step = self.view.read(|view| {
+            let names = view.registry.controls();
+            let members = &status.membership;
+            next_step(own, &view.seen, members, names, status.commit, targets)
+        });
+        match step {
+            None => Ok(()),
+            Some(MemberStep::Record(id, name)) => {
+                self.propose(RegistryAction::Control { id, name }, None, now)
+            }
+            Some(MemberStep::Change(change)) => {
+                // A refusal means that another change is not committed yet or the learner is
+                // behind; the step comes up again at the next barrier.
+                let text = format!("{change:?}");
+                match self.node.change_member(change, now) {
+                    Ok(actions) => {
+                        event!(events::MEMBER_CHANGED, change = %text);
+                        self.carry_out(actions)
+                    }
+                    Err(_) => Ok(()),
+                }
+            }
+        }
+    }
+
+    fn transfer(&mut self, now: ClockTime) -> Result<()> {
+        self.transferring = true;
+        match self.node.transfer_leadership(now) {
+            Ok(actions) => self.carry_out(actions),
+            Err(_) => Ok(()),
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<RaftAction>) -> Result<()> {
+        for action in actions {
+            match action {
+                RaftAction::Send { to, message } => self.send(to, message),
+                RaftAction::Persist { id, batch } => self.enqueue(id, batch),
+                RaftAction::Apply { entry } => self.apply(entry)?,
+                RaftAction::Restore { snapshot } => self.restore(&snapshot)?,
+                RaftAction::BarrierDone { started, .. } => self.view.write(|view| {
+                    view.confirmed = view.confirmed.max(Some(started));
+                }),
+                RaftAction::BarrierFailed { .. } => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn send(&self, to: DiskId, message: RaftMessage) {
+        let name = self.view.read(|view| {
+            let mut peers = view.seen.iter();
+            peers
+                .find(|(_, peer)| peer.announce.id == to)
+                .map(|(name, _)| name.clone())
+        });
+        if let Some(name) = name {
+            let from = self.store.id();
+            self.peers
+                .send(&name, PeerFrame::Raft { from, to, message });
+        }
+    }
+
+    fn enqueue(&mut self, id: u64, batch: PersistBatch) {
+        match self.pending.back_mut() {
+            Some((last, joined)) if joined.can_merge(&batch) => {
+                joined.merge(batch);
+                *last = id;
+            }
+            _ => self.pending.push_back((id, batch)),
+        }
+    }
+
+    /// Writes what must be durable, and carries out what follows from it.
+    fn flush(&mut self) -> Result<()> {
+        while let Some((id, batch)) = self.pending.pop_front() {
+            self.store
+                .persist(&batch)
+                .wrap_err("Failed to write the log")?;
+            let now = self.clock.now();
+            let actions = self.node.persisted(id, now);
+            self.carry_out(actions)?;
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: LogEntry) -> Result<()> {
+        let index = entry.id.index;
+        let waiting = self.waiting.remove(&index);
+        if let EntryPayload::Command(bytes) = &entry.payload {
+            let command: RegistryCommand = postcard::from_bytes(bytes)
+                .wrap_err_with(|| format!("Failed to decode log entry {index}"))?;
+            let now = self.clock.now();
+            let outcome = self.view.write(|view| {
+                let outcome = view.registry.apply(&command);
+                view.note_version(now);
+                outcome
+            });
+            if let Some(waiting) = waiting {
+                let result = match waiting.term == entry.id.term {
+                    true => Ok(outcome),
+                    false => Err(ProposeFailure::NotLeader),
+                };
+                let _ = waiting.reply.send(result);
+            }
+        } else if let Some(waiting) = waiting {
+            // Another leader's entry took the place of the proposal.
+            let _ = waiting.reply.send(Err(ProposeFailure::NotLeader));
+        }
+        self.applied = index;
+        self.compact();
+        Ok(())
+    }
+
+    fn compact(&mut self) {
+        if self.applied.0 >= self.compacted.0 + SNAPSHOT_ENTRIES {
+            let snapshot = self.view.read(|view| view.registry.snapshot());
+            event!(
+                events::SNAPSHOT_WRITTEN,
+                index = self.applied,
+                bytes = snapshot.len()
+            );
+            self.node.compact(self.applied, snapshot);
+            self.compacted = self.applied;
+        }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) -> Result<()> {
+        let registry = RegistryState::restore(&snapshot.data)
+            .wrap_err_with(|| format!("Failed to restore at entry {}", snapshot.last.index))?;
+        let now = self.clock.now();
+        self.view.write(|view| {
+            view.registry = registry;
+            view.note_version(now);
+        });
+        self.applied = snapshot.last.index;
+        self.compacted = self.applied;
+        let later = self.waiting.split_off(&LogIndex(self.applied.0 + 1));
+        for waiting in std::mem::replace(&mut self.waiting, later).into_values() {
+            let _ = waiting.reply.send(Err(ProposeFailure::Unknown));
+        }
+        Ok(())
+    }
+
+    /// Publishes the node's state, and wakes readers when it has changed.
+    fn publish(&mut self) {
+        let status = self.node.status();
+        let applied = self.applied;
+        let changed = self.view.read(|view| view.status != status);
+        if !changed {
+            return;
+        }
+        if self.view.read(|view| view.status.role != status.role) {
+            let (role, term) = (status.role, status.term);
+            event!(events::ROLE_CHANGED, role = ?role, term = term);
+        }
+        self.view.write(|view| {
+            view.status = status;
+            view.announce.applied = applied;
+        });
+    }
+}
+
+fn wall_time() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    WallTime(since.map_or(0, |since| since.as_millis() as u64))
+}
--- /dev/null
+++ b/components/control/src/handle.rs
@@ -0,0 +1,205 @@
+//! Start and end of a control node inside a process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use board::StateBoard;
+use client::ControlClient;
+use eyre::{Result, WrapErr, eyre};
+use link::{KeyFiles, LinkEndpoint, LinkIdentity};
+use raft::NodeRole as RaftRole;
+use telemetry::{event, events};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use units::{ClockSource, Incarnation, NodeName, SystemClock};
+use wire::NodeRole;
+
+use crate::driver::{DriverEvent, RaftDriver};
+use crate::health::serve_health;
+use crate::nodes::NodeTable;
+use crate::peer_link::{PeerSenders, keep_stream, pass_directory};
+use crate::server::serve;
+use crate::settings::ControlSettings;
+use crate::state::ControlContext;
+use crate::status::{FleetStatus, fleet_status};
+
+/// Time between two ticks of the Raft node.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Events that may wait for the driver.
+const MAX_EVENTS: usize = 4_096;
+
+/// Longest wait for another leader at a planned stop.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A running control node.
+pub struct ControlHandle {
+    context: ControlContext,
+    endpoint: LinkEndpoint,
+    tasks: JoinSet<()>,
+    thread: Option<JoinHandle<()>>,
+    ended: Option<oneshot::Receiver<Result<()>>>,
+}
+
+/// Starts a control node. It runs until the handle is stopped or dropped.
+pub async fn start(settings: ControlSettings) -> Result<ControlHandle> {
+    let files = KeyFiles::in_folder(&settings.keys, NodeRole::Control, &settings.name);
+    let identity = LinkIdentity::load(NodeRole::Control, &settings.name, &files)
+        .wrap_err_with(|| format!("Failed to load the keys of {}", settings.name))?;
+    let endpoint = LinkEndpoint::bind(settings.listen, &identity, incarnation())?;
+    start_on(settings, endpoint).await
+}
+
+/// Starts a control node on an endpoint that is bound already.
+pub async fn start_on(settings: ControlSettings, endpoint: LinkEndpoint) -> Result<ControlHandle> {
+    let settings = Arc::new(settings);
+    let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::start());
+    let (peers, queues) = PeerSenders::new(settings.peers.keys());
+    let (driver, events) = mpsc::channel(MAX_EVENTS);
+    let raft = RaftDriver::open(settings.clone(), clock.clone(), peers.clone())?;
+    let forwards = settings.peers.iter().map(|(name, address)| {
+        let client = ControlClient::new(endpoint.clone(), vec![*address]);
+        (name.clone(), client)
+    });
+    let context = ControlContext {
+        view: raft.view(),
+        nodes: StateBoard::new(NodeTable::new(incarnation())),
+        driver,
+        forwards: Arc::new(forwards.collect()),
+        clock,
+        settings: settings.clone(),
+    };
+    let mut tasks = JoinSet::new();
+    for (name, queue) in queues {
+        let address = settings.peers[&name];
+        tasks.spawn(keep_stream(
+            context.clone(),
+            endpoint.clone(),
+            address,
+            queue,
+        ));
+    }
+    tasks.spawn(pass_directory(context.clone(), peers));
+    tasks.spawn(tick(context.driver.clone()));
+    tasks.spawn(serve(context.clone(), endpoint.clone()));
+    if let Some(address) = settings.http {
+        tasks.spawn(serve_health(context.clone(), address));
+    }
+    let (end, ended) = oneshot::channel();
+    let thread = std::thread::Builder::new()
+        .name(format!("raft-{}", settings.name))
+        .spawn(move || {
+            let result = raft.run(events);
+            if let Err(error) = &result {
+                event!(events::DRIVER_FAILED, error = ?error);
+            }
+            // The receiver is gone when the handle was dropped first.
+            let _ = end.send(result);
+        })
+        .wrap_err("Failed to start the thread of the replicated log")?;
+    event!(
+        events::CONTROL_STARTED,
+        name = settings.name,
+        address = endpoint.address()
+    );
+    Ok(ControlHandle {
+        context,
+        endpoint,
+        tasks,
+        thread: Some(thread),
+        ended: Some(ended),
+    })
+}
+
+impl ControlHandle {
+    /// Address for links.
+    pub fn address(&self) -> SocketAddr {
+        self.endpoint.address()
+    }
+
+    /// State of the fleet as this node sees it.
+    pub fn status(&self) -> FleetStatus {
+        let text = fleet_status(&self.context);
+        serde_json::from_str(&text).expect("the report is JSON of this type")
+    }
+
+    /// Waits until this node's state fulfils a condition; it is checked at each change.
+    pub async fn wait_until(&self, mut check: impl FnMut(&FleetStatus) -> bool) {
+        let mut changes = self.context.view.changes();
+        while !check(&self.status()) {
+            // Presence and ages change without a write to the board.
+            let _ = tokio::time::timeout(TICK_INTERVAL, changes.changed()).await;
+        }
+    }
+
+    /// Waits until the node fails, for example because its disk does.
+    pub async fn failed(&mut self) -> Result<()> {
+        match self.ended.take() {
+            Some(ended) => ended
+                .await
+                .unwrap_or_else(|_| Err(eyre!("the driver panicked"))),
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Hands leadership to another node, and stops.
+    pub async fn stop(mut self) {
+        let view = &self.context.view;
+        let leads = |status: &raft::NodeStatus| status.role == RaftRole::Leader;
+        if view.read(|view| leads(&view.status))
+            && self
+                .context
+                .driver
+                .send(DriverEvent::Transfer)
+                .await
+                .is_ok()
+        {
+            let handed = view.wait_for(|view| (!leads(&view.status)).then_some(()));
+            // Without another live voter there is nobody to hand it to.
+            let _ = tokio::time::timeout(TRANSFER_TIMEOUT, handed).await;
+        }
+        self.kill().await;
+        event!(events::CONTROL_STOPPED);
+    }
+
+    /// Stops at once, as a crash does, but for the sync of what was written.
+    pub async fn kill(&mut self) {
+        self.tasks.shutdown().await;
+        self.endpoint.close().await;
+        let _ = self.context.driver.send(DriverEvent::Stop).await;
+        if let Some(thread) = self.thread.take() {
+            // The data folder may be opened again when the thread has ended.
+            let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+        }
+    }
+
+    /// Name of the node.
+    pub fn name(&self) -> &NodeName {
+        &self.context.settings.name
+    }
+}
+
+impl Drop for ControlHandle {
+    fn drop(&mut self) {
+        // Ends the thread of a handle that was not stopped; a full queue ends with its senders.
+        let _ = self.context.driver.try_send(DriverEvent::Stop);
+    }
+}
+
+async fn tick(driver: mpsc::Sender<DriverEvent>) {
+    let mut interval = tokio::time::interval(TICK_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        if driver.send(DriverEvent::Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation(since.map_or(0, |since| since.as_millis() as u64))
+}
--- /dev/null
+++ b/components/control/src/health.rs
@@ -0,0 +1,43 @@
+//! Health checks over HTTP.
+
+use std::net::SocketAddr;
+
+use salvo::conn::TcpListener;
+use salvo::http::StatusCode;
+use salvo::{Listener, Response, Router, Server, handler};
+
+use crate::state::ControlContext;
+
+/// Whether the node holds a recent confirmation by a quorum.
+struct ReadyCheck {
+    context: ControlContext,
+}
+
+#[handler]
+impl ReadyCheck {
+    async fn handle(&self, response: &mut Response) {
+        let now = self.context.clock.now();
+        let ready = self.context.view.read(|view| view.age(now).is_some());
+        if ready {
+            response.render("ready\n");
+        } else {
+            response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            response.render("no quorum\n");
+        }
+    }
+}
+
+/// Tells that the process runs.
+#[handler]
+async fn healthy(response: &mut Response) {
+    response.render("ok\n");
+}
+
+/// Serves the checks, for ever.
+pub(crate) async fn serve_health(context: ControlContext, address: SocketAddr) {
+    let router = Router::new()
+        .push(Router::with_path("healthz").get(healthy))
+        .push(Router::with_path("readyz").get(ReadyCheck { context }));
+    let acceptor = TcpListener::new(address).bind().await;
+    Server::new(acceptor).serve(router).await;
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -1,1 +1,23 @@
 //! Control daemon: replicated state and node directory.
+//!
+//! One thread (`driver`) owns the Raft node and its files. Everything else reads the result from a
+//! board: the server that answers nodes and operators, the links to the other control nodes, and
+//! the status page.
+
+mod driver;
+mod formation;
+mod handle;
+mod health;
+mod members;
+mod nodes;
+mod orders;
+mod peer_link;
+mod requests;
+mod server;
+mod settings;
+mod state;
+mod status;
+
+pub use handle::{ControlHandle, start, start_on};
+pub use settings::ControlSettings;
+pub use status::{ControlStatus, DataCentreReport, FleetStatus, NodeReport, ServiceReport};
--- /dev/null
+++ b/components/control/src/members.rs
@@ -0,0 +1,84 @@
+//! Which membership change comes next when a control host was replaced.
+
+use std::collections::BTreeMap;
+
+use raft::{LogIndex, MemberChange, Membership};
+use units::{DiskId, NodeName};
+
+use crate::formation::{PeerAnnounce, SeenPeers};
+
+/// What the leader does next about its members.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum MemberStep {
+    /// Record the name of a data folder.
+    Record(DiskId, NodeName),
+    /// Change one member.
+    Change(MemberChange),
+}
+
+/// Commit index that each learner must reach before it may vote.
+#[derive(Debug, Default)]
+pub(crate) struct JoinTargets {
+    targets: BTreeMap<DiskId, LogIndex>,
+}
+
+impl JoinTargets {
+    /// Whether the learner holds the log up to the commit index at the time it was first seen here.
+    fn reached(&mut self, announce: &PeerAnnounce, commit: LogIndex) -> bool {
+        let target = *self.targets.entry(announce.id).or_insert(commit);
+        announce.applied >= target
+    }
+}
+
+/// The next step, or none if the members are as they should be.
+///
+/// Order for a replaced host: record the name, add the new id as a learner, wait until it holds the
+/// log, remove the old id, promote the new one. The group never has two voters of one host, so a
+/// host counts once towards a majority, and the majority never grows through a host that is gone.
+pub(crate) fn next_step(
+    own: (DiskId, &NodeName),
+    seen: &SeenPeers,
+    membership: &Membership,
+    names: &BTreeMap<DiskId, NodeName>,
+    commit: LogIndex,
+    targets: &mut JoinTargets,
+) -> Option<MemberStep> {
+    if names.get(&own.0) != Some(own.1) {
+        return Some(MemberStep::Record(own.0, own.1.clone()));
+    }
+    let mut peers = seen.iter();
+    peers.find_map(|(name, peer)| {
+        let announce = &peer.announce;
+        let id = announce.id;
+        if membership.removed.contains(&id) {
+            return None;
+        }
+        if names.get(&id) != Some(name) {
+            return Some(MemberStep::Record(id, name.clone()));
+        }
+        if membership.voters.contains(&id) {
+            return None;
+        }
+        let change = if !membership.learners.contains(&id) {
+            MemberChange::AddLearner(id)
+        } else if !targets.reached(announce, commit) {
+            return None;
+        } else if let Some(old) = predecessor(id, name, membership, names) {
+            MemberChange::Remove(old)
+        } else {
+            MemberChange::Promote(id)
+        };
+        Some(MemberStep::Change(change))
+    })
+}
+
+/// Another member with the same name, which a new data folder replaces.
+fn predecessor(
+    id: DiskId,
+    name: &NodeName,
+    membership: &Membership,
+    names: &BTreeMap<DiskId, NodeName>,
+) -> Option<DiskId> {
+    let mut members = membership.members();
+    members.find(|member| *member != id && names.get(member) == Some(name))
+}
--- /dev/null
+++ b/components/control/src/requests.rs
@@ -0,0 +1,151 @@
+//! Answers to the requests of nodes and operators.
+
+use std::time::Duration;
+
+use registry::{RegistryAction, RegistryOutcome};
+use tokio::sync::oneshot;
+use wire::{
+    ControlReply, ControlRequest, Hello, NodeKind, NodeRole, OrderReply, RenewReply, RenewRequest,
+};
+
+use crate::driver::{DriverEvent, ProposeFailure};
+use crate::orders::order_actions;
+use crate::peer_link::take_directory;
+use crate::state::ControlContext;
+use crate::status::fleet_status;
+
+/// Longest wait for a commit, less than a client's wait for an attempt.
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Answers one request of a peer.
+pub(crate) async fn answer(
+    context: &ControlContext,
+    peer: &Hello,
+    request: ControlRequest,
+) -> ControlReply {
+    if !is_allowed(peer.role, &request) {
+        return ControlReply::Forbidden(peer.role);
+    }
+    match request {
+        ControlRequest::Renew(renewal) => renew(context, peer, renewal),
+        ControlRequest::Status => ControlReply::Status(fleet_status(context)),
+        ControlRequest::Directory(entries) => {
+            take_directory(context, entries);
+            ControlReply::Done
+        }
+        ControlRequest::Text(_) => ControlReply::BadRequest("a text without its order".into()),
+        request => commit(context, peer, request).await,
+    }
+}
+
+/// Whether a role may ask this. Control nodes forward the requests of others, which they have
+/// checked.
+fn is_allowed(role: NodeRole, request: &ControlRequest) -> bool {
+    match request {
+        ControlRequest::Renew(_) => matches!(role, NodeRole::Entry | NodeRole::Agent),
+        ControlRequest::Begin(_) | ControlRequest::End(_) => {
+            matches!(role, NodeRole::Entry | NodeRole::Control)
+        }
+        ControlRequest::Order(_) | ControlRequest::Text(_) | ControlRequest::Status => {
+            matches!(role, NodeRole::Operator | NodeRole::Control)
+        }
+        ControlRequest::Directory(_) => role == NodeRole::Control,
+    }
+}
+
+/// Grants a lease and tells the news. Without a recent confirmation by a quorum there is none.
+fn renew(context: &ControlContext, peer: &Hello, renewal: RenewRequest) -> ControlReply {
+    let own_kind = match renewal.node.kind {
+        NodeKind::Entry => NodeRole::Entry,
+        NodeKind::Agent(_) => NodeRole::Agent,
+    };
+    if renewal.node.name != peer.name || own_kind != peer.role {
+        let name = &renewal.node.name;
+        return ControlReply::BadRequest(format!("{own_kind} {name} is not the sender"));
+    }
+    let now = context.clock.now();
+    let granted = context.view.read(|view| {
+        let age = view.age(now)?;
+        let version = view.registry.config().version;
+        Some((age, version, view.registry.changes_since(renewal.config)))
+    });
+    let Some((age, version, changes)) = granted else {
+        return no_quorum(context);
+    };
+    let directory = context.nodes.write_quietly(|nodes| {
+        nodes.renewed(renewal.node, now);
+        renewal.directory.map(|known| nodes.delta(known))
+    });
+    ControlReply::Renewed(RenewReply {
+        age_ms: age.as_millis() as u64,
+        version,
+        changes,
+        directory,
+    })
+}
+
+/// Commits a request here if this node leads, or forwards it to the leader.
+async fn commit(context: &ControlContext, peer: &Hello, request: ControlRequest) -> ControlReply {
+    let own = &context.settings.name;
+    let leader = context.view.read(|view| view.leader(own));
+    match leader {
+        Some(leader) if leader == *own => commit_here(context, request).await,
+        // A request that another control node has forwarded is not forwarded again: the nodes
+        // disagree about the leader for a moment, and the client tries again.
+        Some(leader) if peer.role != NodeRole::Control => match context.forwards.get(&leader) {
+            Some(client) => match client.request_once(&request).await {
+                Ok(reply) => reply,
+                Err(_) => no_quorum(context),
+            },
+            None => no_quorum(context),
+        },
+        _ => no_quorum(context),
+    }
+}
+
+async fn commit_here(context: &ControlContext, request: ControlRequest) -> ControlReply {
+    let actions = match request {
+        ControlRequest::Begin(begin) => vec![RegistryAction::Begin(begin)],
+        ControlRequest::End(end) => vec![RegistryAction::End(end)],
+        ControlRequest::Order(order) => match order_actions(context, order).await {
+            Ok(actions) => actions,
+            Err(reason) => return ControlReply::Order(OrderReply::Invalid(reason)),
+        },
+        _ => return ControlReply::BadRequest("only calls and orders are committed".into()),
+    };
+    let mut outcome = RegistryOutcome::Done;
+    for action in actions {
+        outcome = match propose(context, action).await {
+            Ok(outcome) => outcome,
+            Err(ProposeFailure::Refused(reason)) => return ControlReply::BadRequest(reason),
+            Err(_) => return no_quorum(context),
+        };
+    }
+    match outcome {
+        RegistryOutcome::Done => ControlReply::Done,
+        RegistryOutcome::Order(reply) => ControlReply::Order(reply),
+        RegistryOutcome::Begin(outcome) => ControlReply::Begun(outcome),
+    }
+}
+
+/// Proposes an action and waits until it is committed and applied here.
+async fn propose(
+    context: &ControlContext,
+    action: RegistryAction,
+) -> Result<RegistryOutcome, ProposeFailure> {
+    let (reply, outcome) = oneshot::channel();
+    let proposal = DriverEvent::Propose { action, reply };
+    if context.driver.send(proposal).await.is_err() {
+        return Err(ProposeFailure::NotLeader);
+    }
+    match tokio::time::timeout(COMMIT_TIMEOUT, outcome).await {
+        Ok(Ok(outcome)) => outcome,
+        _ => Err(ProposeFailure::Unknown),
+    }
+}
+
+fn no_quorum(context: &ControlContext) -> ControlReply {
+    let own = &context.settings.name;
+    let leader = context.view.read(|view| view.leader(own));
+    ControlReply::NoQuorum { leader }
+}
--- /dev/null
+++ b/components/control/src/server.rs
@@ -0,0 +1,146 @@
+//! Links of nodes, operators and the other control nodes.
+
+use std::time::Duration;
+
+use link::{FrameReader, FrameWriter, LinkEndpoint, LinkError, LinkStream, PeerLink};
+use telemetry::{event, events};
+use wire::{ControlReply, ControlRequest, Hello, NodeRole, OperatorOrder, RenewReply, StreamKind};
+
+use crate::peer_link::serve_peer;
+use crate::requests::answer;
+use crate::state::ControlContext;
+
+/// Longest wait for the frames of one request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Largest services text, in bytes: four times that of 38,000 organisations.
+const MAX_TEXT: usize = 16 << 20;
+
+/// Largest part of a reply in one frame, in bytes.
+const REPLY_PART: usize = 512 << 10;
+
+/// Accepts peers until the endpoint is closed.
+pub(crate) async fn serve(context: ControlContext, endpoint: LinkEndpoint) {
+    while let Some(incoming) = endpoint.accept().await {
+        let (context, endpoint) = (context.clone(), endpoint.clone());
+        tokio::spawn(async move {
+            match endpoint.finish(incoming).await {
+                Ok(link) => serve_link(context, link).await,
+                Err(error) => event!(events::PEER_REFUSED, error = %error),
+            }
+        });
+    }
+}
+
+async fn serve_link(context: ControlContext, link: PeerLink) {
+    loop {
+        match link.accept().await {
+            Ok(stream) => {
+                tokio::spawn(serve_stream(context.clone(), stream));
+            }
+            Err(LinkError::Lost { .. }) => return,
+            Err(error) => event!(events::PEER_REFUSED, error = %error),
+        }
+    }
+}
+
+async fn serve_stream(context: ControlContext, stream: LinkStream) {
+    let LinkStream {
+        hello,
+        mut writer,
+        reader,
+    } = stream;
+    let is_peer =
+        hello.role == NodeRole::Control && context.settings.peers.contains_key(&hello.name);
+    // An error ends this stream only; the peer opens another.
+    let _ = match hello.kind {
+        StreamKind::Control => serve_requests(&context, &hello, writer, reader).await,
+        StreamKind::Raft if is_peer => serve_peer(context, hello.name, writer, reader).await,
+        _ => {
+            event!(events::STREAM_REFUSED, role = hello.role, name = hello.name);
+            writer.reset();
+            Ok(())
+        }
+    };
+}
+
+async fn serve_requests(
+    context: &ControlContext,
+    hello: &Hello,
+    mut writer: FrameWriter,
+    mut reader: FrameReader,
+) -> Result<(), LinkError> {
+    let request = tokio::time::timeout(REQUEST_TIMEOUT, receive_request(&mut reader))
+        .await
+        .map_err(|_| LinkError::Stream("the request is incomplete".into()))??;
+    let reply = match request {
+        Some(request) => answer(context, hello, request).await,
+        None => ControlReply::BadRequest("the request is too large or incomplete".into()),
+    };
+    for part in reply_parts(reply) {
+        writer.send(&part).await?;
+    }
+    writer.finish();
+    Ok(())
+}
+
+/// Receives one request and joins the parts of its text.
+async fn receive_request(reader: &mut FrameReader) -> Result<Option<ControlRequest>, LinkError> {
+    let mut joined = String::new();
+    while let Some(request) = reader.receive::<ControlRequest>().await? {
+        match request {
+            ControlRequest::Text(part) if joined.len() + part.len() <= MAX_TEXT => joined += &part,
+            ControlRequest::Text(_) => return Ok(None),
+            ControlRequest::Order(OperatorOrder::Apply {
+                order,
+                expected,
+                text,
+            }) => {
+                let text = joined + &text;
+                let apply = OperatorOrder::Apply {
+                    order,
+                    expected,
+                    text,
+                };
+                return Ok(Some(ControlRequest::Order(apply)));
+            }
+            request => return Ok(Some(request)),
+        }
+    }
+    Ok(None)
+}
+
+/// Splits a reply into frames; the receiver joins them up to the end of the stream.
+fn reply_parts(reply: ControlReply) -> Vec<ControlReply> {
+    match reply {
+        ControlReply::Renewed(mut first) if first.changes.len() > REPLY_PART => {
+            let rest = first.changes.split_off(REPLY_PART);
+            let (age_ms, version) = (first.age_ms, first.version);
+            let mut parts = vec![ControlReply::Renewed(first)];
+            parts.extend(rest.chunks(REPLY_PART).map(|changes| {
+                ControlReply::Renewed(RenewReply {
+                    age_ms,
+                    version,
+                    changes: changes.to_vec(),
+                    directory: None,
+                })
+            }));
+            parts
+        }
+        ControlReply::Status(text) if text.len() > REPLY_PART => {
+            let mut parts = Vec::new();
+            let mut rest = text.as_str();
+            while !rest.is_empty() {
+                let mut end = rest.len().min(REPLY_PART);
+                while !rest.is_char_boundary(end) {
+                    end -= 1;
+                }
+                let (part, tail) = rest.split_at(end);
+                parts.push(ControlReply::Status(part.into()));
+                rest = tail;
+            }
+            parts
+        }
+        reply => vec![reply],
+    }
+}
--- a/components/registry/src/command.rs
+++ b/components/registry/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands of the replicated log and their outcomes.
 
 use manifest::ManifestChange;
-use units::{ConfigVersion, DataCentreName, OrderId, TargetName};
+use units::{ConfigVersion, DataCentreName, DiskId, NodeName, OrderId, TargetName};
 use wire::{BeginCall, BeginOutcome, EndCall, OrderReply};
 
 units::number!(
@@ -79,6 +79,13 @@
         Begin(BeginCall),
         /// Records the outcome of a call.
         End(EndCall),
+        /// Records the name of a control node's data folder.
+        Control {
+            /// Id of the folder.
+            id: DiskId,
+            /// Name of the control node.
+            name: NodeName,
+        },
     }
 
     /// Outcome of a command.
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -4,7 +4,7 @@
 
 use manifest::ManifestChange;
 use thiserror::Error;
-use units::{ConfigVersion, DataCentreName, FencingNumber, OrderId, TargetName};
+use units::{ConfigVersion, DataCentreName, DiskId, FencingNumber, NodeName, OrderId, TargetName};
 use wire::{CallKey, OrderReply};
 
 use crate::calls::{CallRecord, CallTable};
@@ -52,6 +52,7 @@
         orders: OrderMemory,
         fencing: BTreeMap<TargetName, FencingNumber>,
         staged: VecDeque<StagedChange>,
+        controls: BTreeMap<DiskId, NodeName>,
         calls: CallTable,
     }
 }
@@ -108,7 +109,16 @@
                 self.calls.end(end, self.now);
                 RegistryOutcome::Done
             }
-            action => RegistryOutcome::Order(self.order(action)),
+            RegistryAction::Control { id, name } => {
+                self.controls.insert(*id, name.clone());
+                RegistryOutcome::Done
+            }
+            RegistryAction::Apply { order, .. }
+            | RegistryAction::DataCentre { order, .. }
+            | RegistryAction::Target { order, .. }
+            | RegistryAction::Fence { order, .. } => {
+                RegistryOutcome::Order(self.order(order, &command.action))
+            }
         }
     }
 
@@ -143,16 +153,7 @@
     }
 
     /// Carries out an order, or returns the first outcome of a repeated one.
-    fn order(&mut self, action: &RegistryAction) -> OrderReply {
-        let order = match action {
-            RegistryAction::Apply { order, .. }
-            | RegistryAction::DataCentre { order, .. }
-            | RegistryAction::Target { order, .. }
-            | RegistryAction::Fence { order, .. } => order,
-            RegistryAction::Stage { .. } | RegistryAction::Begin(_) | RegistryAction::End(_) => {
-                unreachable!("only orders are carried out here")
-            }
-        };
+    fn order(&mut self, order: &OrderId, action: &RegistryAction) -> OrderReply {
         if let Some(reply) = self.orders.get(order) {
             return reply.clone();
         }
@@ -174,12 +175,8 @@
                 if *expected != self.config.version || base != expected {
                     return self.conflict();
                 }
-                let mut all = match parts {
-                    Some(Some(parts)) => parts,
-                    Some(None) => {
-                        return OrderReply::Invalid("parts of the change are missing".into());
-                    }
-                    None => Vec::new(),
+                let Some(mut all) = parts.unwrap_or_else(|| Some(Vec::new())) else {
+                    return OrderReply::Invalid("parts of the change are missing".into());
                 };
                 all.extend_from_slice(changes);
                 self.advance(all.into_iter().map(ConfigChange::Manifest).collect())
@@ -197,9 +194,7 @@
                 ..
             } => self.set_target(*expected, target, *out),
             RegistryAction::Fence { target, .. } => self.fence(target),
-            RegistryAction::Stage { .. } | RegistryAction::Begin(_) | RegistryAction::End(_) => {
-                unreachable!("only orders are carried out here")
-            }
+            _ => unreachable!("only orders are carried out here"),
         }
     }
 
@@ -292,6 +287,11 @@
         self.calls.get(key)
     }
 
+    /// Names of the control nodes' data folders, past ones included.
+    pub fn controls(&self) -> &BTreeMap<DiskId, NodeName> {
+        &self.controls
+    }
+
     /// Number of call records.
     pub fn call_count(&self) -> usize {
         self.calls.len()
