--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -13,7 +13,7 @@
 use telemetry::{event, events};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
-use units::{ClockSource, Incarnation, NodeName, SystemClock};
+use units::{ClockSource, DiskId, Incarnation, NodeName, SystemClock};
 use wire::NodeRole;
 
 use crate::driver::{DriverEvent, RaftDriver};
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Id of the data folder.
+    pub fn disk_id(&self) -> DiskId {
+        self.context.view.read(|view| view.announce.id)
+    }
+
     /// Name of the node.
     pub fn name(&self) -> &NodeName {
         &self.context.settings.name
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -19,5 +19,5 @@
 mod status;
 
 pub use handle::{ControlHandle, start, start_on};
-pub use settings::ControlSettings;
+pub use settings::{ControlArguments, ControlSettings};
 pub use status::{ControlStatus, DataCentreReport, FleetStatus, NodeReport, ServiceReport};
--- /dev/null
+++ b/components/control/tests/group.rs
@@ -0,0 +1,221 @@
+//! Three control nodes in one process on loopback.
+
+mod support;
+
+use registry::FleetConfig;
+use support::{TEXT, TestGroup, agent_kind, apply, node, order, renew, renew_request};
+use units::{ConfigVersion, Incarnation, OrderId, RequestId};
+use wire::{
+    BeginCall, BeginOutcome, CallKey, ControlReply, ControlRequest, NodeKind, NodeRole,
+    OperatorOrder, OrderReply,
+};
+
+fn accepted(version: u64) -> OrderReply {
+    OrderReply::Accepted(ConfigVersion(version))
+}
+
+/// The text with one more data centre for each step.
+fn text(step: usize) -> String {
+    let centres = (0..step)
+        .map(|number| format!("[[data_centre]]\nname = \"brno-{number}\"\nregion = \"bohemia\"\n"));
+    TEXT.to_string() + &centres.collect::<String>()
+}
+
+fn begin(key: &str) -> ControlRequest {
+    ControlRequest::Begin(BeginCall {
+        call: CallKey {
+            organisation: "mlyn-hora".into(),
+            service: "visits".into(),
+            key: key.into(),
+        },
+        body_hash: [7; 32],
+        request: RequestId(1),
+        agent: "agent-1".into(),
+        incarnation: Incarnation(1),
+    })
+}
+
+/// Guards against a group that forms but does not accept a text or grants leases without it.
+#[tokio::test(flavor = "multi_thread")]
+async fn group_forms_accepts_a_text_and_grants_leases() {
+    let group = TestGroup::start().await;
+    group.wait_ready().await;
+    let operator = group.client(NodeRole::Operator, "operator-1");
+
+    let first = order(&operator, apply("order-1", 0, TEXT)).await;
+    let repeated = order(&operator, apply("order-1", 0, TEXT)).await;
+    let stale = order(&operator, apply("order-2", 0, TEXT)).await;
+    group.wait_version(1).await;
+
+    assert_eq!(first, accepted(1));
+    assert_eq!(repeated, accepted(1));
+    let current = ConfigVersion(1);
+    assert_eq!(stale, OrderReply::Conflict { current });
+    for index in group.running() {
+        let entry = group.client_at(index, NodeRole::Entry, "entry-1");
+        let reply = renew(&entry, node("entry-1", NodeKind::Entry)).await;
+        let mut config = FleetConfig::default();
+        config.install(&reply.changes).unwrap();
+        assert_eq!(config.version, ConfigVersion(1));
+        assert_eq!(config.manifest.services.len(), 1);
+        assert!(reply.age_ms < 2_500, "{}", reply.age_ms);
+    }
+}
+
+/// Guards against a text of the largest fleet that does not fit a log entry or a frame.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_text_reaches_nodes_whole() {
+    let group = TestGroup::start().await;
+    group.wait_ready().await;
+    let operator = group.client(NodeRole::Operator, "operator-1");
+    let organisations = (0..38_000).map(|number| {
+        format!(
+            "[[organisation]]\nname = \"organisation-{number}\"\nkey_sha256 = \"{number:064x}\"\n"
+        )
+    });
+    let text = TEXT.to_string() + &organisations.collect::<String>();
+
+    let reply = order(&operator, apply("order-1", 0, &text)).await;
+    group.wait_version(1).await;
+    let entry = group.client(NodeRole::Entry, "entry-1");
+    let renewed = renew(&entry, node("entry-1", NodeKind::Entry)).await;
+
+    assert_eq!(reply, accepted(1));
+    let mut config = FleetConfig::default();
+    config.install(&renewed.changes).unwrap();
+    assert_eq!(config.manifest.organisations.len(), 38_000);
+}
+
+/// Guards against a group that stops with its leader, and a node that misses what was accepted
+/// while it was away.
+#[tokio::test(flavor = "multi_thread")]
+async fn group_goes_on_without_its_leader_which_catches_up() {
+    let mut group = TestGroup::start().await;
+    group.wait_ready().await;
+    let operator = group.client(NodeRole::Operator, "operator-1");
+    let first = order(&operator, apply("order-1", 0, &text(1))).await;
+    let leader = group.leader().await;
+
+    group.stop(leader).await;
+    let second = order(&operator, apply("order-2", 1, &text(2))).await;
+    group.restart(leader, false).await;
+    group.wait_version(2).await;
+    let repeated = order(&operator, apply("order-1", 0, &text(1))).await;
+
+    assert_eq!((first, second), (accepted(1), accepted(2)));
+    assert_eq!(repeated, accepted(1));
+}
+
+/// Guards against leases and orders without a majority.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_without_majority_grants_nothing() {
+    let mut group = TestGroup::start().await;
+    group.wait_ready().await;
+    group.kill(0).await;
+    group.kill(1).await;
+    group
+        .wait(2, "confirmation expires", |status| {
+            status.confirmed_ms.is_none()
+        })
+        .await;
+
+    let entry = group.client_at(2, NodeRole::Entry, "entry-1");
+    let renewed = entry
+        .request(&renew_request(node("entry-1", NodeKind::Entry)))
+        .await;
+    let begun = entry.request(&begin("key-1")).await;
+
+    assert!(renewed.is_err(), "{renewed:?}");
+    assert!(begun.is_err(), "{begun:?}");
+}
+
+/// Guards against a host with a lost disk that stays out, keeps its old vote, or makes the group
+/// form anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_data_folder_is_replaced() {
+    let mut group = TestGroup::start().await;
+    group.wait_ready().await;
+    let operator = group.client(NodeRole::Operator, "operator-1");
+    order(&operator, apply("order-1", 0, &text(1))).await;
+    let lost = group.leader().await;
+    let names_known = |status: &control::FleetStatus| {
+        status.controls.iter().all(|control| control.name.is_some())
+    };
+    group.wait(lost, "names are recorded", names_known).await;
+    let old = group.id_of(lost);
+
+    group.kill(lost).await;
+    group.restart(lost, true).await;
+    let new = group.id_of(lost);
+    for index in group.running() {
+        group
+            .wait(index, "the new folder votes alone", |status| {
+                let is_new = |control: &control::ControlStatus| control.id == new;
+                let voters = status.controls.iter().filter(|control| control.voter);
+                voters.clone().count() == 3
+                    && status.controls.len() == 3
+                    && voters.into_iter().any(is_new)
+            })
+            .await;
+    }
+    group.wait_version(1).await;
+    let second = order(&operator, apply("order-2", 1, &text(2))).await;
+
+    assert_ne!(old, new);
+    assert_eq!(second, accepted(2));
+}
+
+/// Guards against nodes that ask for what only another role may.
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_role_is_refused() {
+    let group = TestGroup::start().await;
+    group.wait_ready().await;
+    let agent = group.client(NodeRole::Agent, "agent-1");
+    let entry = group.client(NodeRole::Entry, "entry-1");
+    let operator = group.client(NodeRole::Operator, "operator-1");
+    let fence = ControlRequest::Order(OperatorOrder::Fence {
+        order: OrderId::from("order-1"),
+        target: "target-1".into(),
+    });
+
+    let agent_begins = agent.request(&begin("key-1")).await.unwrap();
+    let entry_orders = entry.request(&fence).await.unwrap();
+    let operator_begins = operator.request(&begin("key-1")).await.unwrap();
+    let entry_as_agent = entry
+        .request(&renew_request(node("entry-1", agent_kind())))
+        .await
+        .unwrap();
+    let entry_as_other = entry
+        .request(&renew_request(node("entry-2", NodeKind::Entry)))
+        .await
+        .unwrap();
+    let entry_begins = entry.request(&begin("key-1")).await.unwrap();
+
+    assert_eq!(agent_begins, ControlReply::Forbidden(NodeRole::Agent));
+    assert_eq!(entry_orders, ControlReply::Forbidden(NodeRole::Entry));
+    assert_eq!(operator_begins, ControlReply::Forbidden(NodeRole::Operator));
+    assert!(matches!(entry_as_agent, ControlReply::BadRequest(_)));
+    assert!(matches!(entry_as_other, ControlReply::BadRequest(_)));
+    assert_eq!(entry_begins, ControlReply::Begun(BeginOutcome::Granted));
+}
+
+/// Guards against a directory that only the control node of the renewal knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn directory_reaches_all_control_nodes() {
+    let group = TestGroup::start().await;
+    group.wait_ready().await;
+    let agent = group.client_at(0, NodeRole::Agent, "agent-1");
+
+    renew(&agent, node("agent-1", agent_kind())).await;
+
+    for index in group.running() {
+        group
+            .wait(index, "the agent is listed", |status| {
+                status
+                    .nodes
+                    .iter()
+                    .any(|node| node.name.as_str() == "agent-1")
+            })
+            .await;
+    }
+}
--- /dev/null
+++ b/components/control/tests/support/mod.rs
@@ -0,0 +1,246 @@
+//! A group of control nodes in one process.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use client::ControlClient;
+use control::{ControlHandle, ControlSettings, FleetStatus, start, start_on};
+use link::{KeyAuthority, KeyFiles, LinkEndpoint, LinkIdentity};
+use raft::RaftSettings;
+use tempfile::TempDir;
+use units::{ConfigVersion, Incarnation, NodeName, OrderId, ServiceName, SlotCount, TargetName};
+use wire::{
+    ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeRole, NodeState, OperatorOrder,
+    OrderReply, RenewReply, RenewRequest, TargetState,
+};
+
+/// Longest wait for an event; a run that needs it has failed.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+pub(crate) const NAMES: [&str; 3] = ["control-1", "control-2", "control-3"];
+
+pub(crate) const TEXT: &str = r#"
+[[region]]
+name = "bohemia"
+[[data_centre]]
+name = "praha-1"
+region = "bohemia"
+[[service]]
+name = "stone-advice"
+kind = "model"
+"#;
+
+pub(crate) struct TestGroup {
+    folder: TempDir,
+    settings: Vec<ControlSettings>,
+    pub(crate) nodes: Vec<Option<ControlHandle>>,
+}
+
+pub(crate) fn endpoint(keys: &std::path::Path, role: NodeRole, name: &str) -> LinkEndpoint {
+    let name = NodeName::from(name);
+    let files = KeyFiles::in_folder(keys, role, &name);
+    if !files.key.exists() {
+        KeyAuthority::open(keys)
+            .unwrap()
+            .issue(role, &name)
+            .unwrap();
+    }
+    let identity = LinkIdentity::load(role, &name, &files).unwrap();
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    LinkEndpoint::bind(address, &identity, Incarnation(1)).unwrap()
+}
+
+impl TestGroup {
+    /// Starts three nodes with empty folders.
+    pub(crate) async fn start() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let keys = folder.path().join("keys");
+        let endpoints: Vec<_> = NAMES
+            .iter()
+            .map(|name| endpoint(&keys, NodeRole::Control, name))
+            .collect();
+        let addresses: BTreeMap<NodeName, SocketAddr> = NAMES
+            .iter()
+            .zip(&endpoints)
+            .map(|(name, endpoint)| (NodeName::from(*name), endpoint.address()))
+            .collect();
+        let mut group = Self {
+            settings: Vec::new(),
+            nodes: Vec::new(),
+            folder,
+        };
+        for (name, endpoint) in NAMES.iter().zip(endpoints) {
+            let mut peers = addresses.clone();
+            peers.remove(&NodeName::from(*name));
+            let settings = ControlSettings {
+                name: (*name).into(),
+                listen: endpoint.address(),
+                data: group.folder.path().join(format!("{name}-1")),
+                keys: keys.clone(),
+                peers,
+                http: None,
+                region: None,
+                data_centre: None,
+                raft: RaftSettings::default(),
+            };
+            let handle = start_on(settings.clone(), endpoint).await.unwrap();
+            group.settings.push(settings);
+            group.nodes.push(Some(handle));
+        }
+        group
+    }
+
+    /// Stops a node without notice to the others.
+    pub(crate) async fn kill(&mut self, index: usize) {
+        self.nodes[index].take().unwrap().kill().await;
+    }
+
+    /// Stops a node as an operator does.
+    pub(crate) async fn stop(&mut self, index: usize) {
+        self.nodes[index].take().unwrap().stop().await;
+    }
+
+    /// Starts a node again, with its data folder or an empty one.
+    pub(crate) async fn restart(&mut self, index: usize, empty: bool) {
+        if empty {
+            let name = format!("{}-{}", NAMES[index], "replaced");
+            self.settings[index].data = PathBuf::from(self.folder.path()).join(name);
+        }
+        let handle = start(self.settings[index].clone()).await.unwrap();
+        self.nodes[index] = Some(handle);
+    }
+
+    /// Waits until a running node's state fulfils a condition.
+    pub(crate) async fn wait(
+        &self,
+        index: usize,
+        what: &str,
+        check: impl FnMut(&FleetStatus) -> bool,
+    ) {
+        let node = self.nodes[index].as_ref().unwrap();
+        let waited = tokio::time::timeout(PATIENCE, node.wait_until(check)).await;
+        assert!(waited.is_ok(), "{what}: {:#?}", node.status());
+    }
+
+    /// Waits until all running nodes can grant leases.
+    pub(crate) async fn wait_ready(&self) {
+        for index in self.running() {
+            self.wait(index, "ready", |status| status.confirmed_ms.is_some())
+                .await;
+        }
+    }
+
+    /// Waits until all running nodes have a version in force.
+    pub(crate) async fn wait_version(&self, version: u64) {
+        for index in self.running() {
+            self.wait(index, "version", |status| {
+                status.version == ConfigVersion(version) && status.confirmed_ms.is_some()
+            })
+            .await;
+        }
+    }
+
+    /// Index of the leader as a running node sees it.
+    pub(crate) async fn leader(&self) -> usize {
+        let any = self.running()[0];
+        self.wait(any, "leader", |status| status.leader.is_some())
+            .await;
+        let leader = self.nodes[any].as_ref().unwrap().status().leader.unwrap();
+        let name = leader.as_str();
+        NAMES.iter().position(|known| *known == name).unwrap()
+    }
+
+    /// Id of the data folder of a running node.
+    pub(crate) fn id_of(&self, index: usize) -> String {
+        let node = self.nodes[index].as_ref().unwrap();
+        node.disk_id().to_string()
+    }
+
+    pub(crate) fn running(&self) -> Vec<usize> {
+        let nodes = self.nodes.iter().enumerate();
+        nodes
+            .filter(|(_, node)| node.is_some())
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// A client of all nodes.
+    pub(crate) fn client(&self, role: NodeRole, name: &str) -> ControlClient {
+        let controls = self.settings.iter().map(|settings| settings.listen);
+        self.client_of(role, name, controls.collect())
+    }
+
+    /// A client of one node.
+    pub(crate) fn client_at(&self, index: usize, role: NodeRole, name: &str) -> ControlClient {
+        self.client_of(role, name, vec![self.settings[index].listen])
+    }
+
+    fn client_of(&self, role: NodeRole, name: &str, controls: Vec<SocketAddr>) -> ControlClient {
+        let keys = self.folder.path().join("keys");
+        ControlClient::new(endpoint(&keys, role, name), controls)
+    }
+}
+
+/// Sends an order until it is answered; the order id makes that safe.
+pub(crate) async fn order(client: &ControlClient, order: OperatorOrder) -> OrderReply {
+    let request = ControlRequest::Order(order);
+    for _ in 0..20 {
+        match client.request(&request).await {
+            Ok(ControlReply::Order(reply)) => return reply,
+            Ok(other) => panic!("{other:?}"),
+            // An election takes up to a second.
+            Err(error) => eprintln!("{error}"),
+        }
+    }
+    panic!("no answer to {request:?}");
+}
+
+pub(crate) fn apply(id: &str, expected: u64, text: &str) -> OperatorOrder {
+    OperatorOrder::Apply {
+        order: OrderId::from(id),
+        expected: ConfigVersion(expected),
+        text: text.into(),
+    }
+}
+
+pub(crate) fn node(name: &str, kind: NodeKind) -> DirectoryEntry {
+    DirectoryEntry {
+        name: name.into(),
+        incarnation: Incarnation(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "praha-1".into(),
+        state: NodeState::Serving,
+        config: ConfigVersion(0),
+        kind,
+    }
+}
+
+pub(crate) fn agent_kind() -> NodeKind {
+    NodeKind::Agent(TargetState {
+        target: TargetName::from("target-1"),
+        service: ServiceName::from("stone-advice"),
+        limit: SlotCount(4),
+        running: SlotCount(0),
+        cold: false,
+        healthy: true,
+    })
+}
+
+/// Request for a lease by a node that has nothing installed.
+pub(crate) fn renew_request(node: DirectoryEntry) -> ControlRequest {
+    ControlRequest::Renew(RenewRequest {
+        node,
+        config: ConfigVersion(0),
+        directory: Some((Incarnation(0), 0)),
+    })
+}
+
+/// Renews once.
+pub(crate) async fn renew(client: &ControlClient, node: DirectoryEntry) -> RenewReply {
+    match client.request(&renew_request(node)).await {
+        Ok(ControlReply::Renewed(reply)) => reply,
+        other => panic!("{other:?}"),
+    }
+}
