--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -42,7 +42,8 @@
 /// checked.
 fn is_allowed(role: NodeRole, request: &ControlRequest) -> bool {
     match request {
-        ControlRequest::Renew(_) => matches!(role, NodeRole::Entry | NodeRole::Agent),
+        // An operator's renewal only reads the configuration.
+        ControlRequest::Renew(_) => role != NodeRole::Control,
         ControlRequest::Begin(_) | ControlRequest::End(_) => {
             matches!(role, NodeRole::Entry | NodeRole::Control)
         }
@@ -55,11 +56,12 @@
 
 /// Grants a lease and tells the news. Without a recent confirmation by a quorum there is none.
 fn renew(context: &ControlContext, peer: &Hello, renewal: RenewRequest) -> ControlReply {
+    let is_operator = peer.role == NodeRole::Operator;
     let own_kind = match renewal.node.kind {
         NodeKind::Entry => NodeRole::Entry,
         NodeKind::Agent(_) => NodeRole::Agent,
     };
-    if renewal.node.name != peer.name || own_kind != peer.role {
+    if renewal.node.name != peer.name || (own_kind != peer.role && !is_operator) {
         let name = &renewal.node.name;
         return ControlReply::BadRequest(format!("{own_kind} {name} is not the sender"));
     }
@@ -73,7 +75,9 @@
         return no_quorum(context);
     };
     let directory = context.nodes.write_quietly(|nodes| {
-        nodes.renewed(renewal.node, now);
+        if !is_operator {
+            nodes.renewed(renewal.node, now);
+        }
         renewal.directory.map(|known| nodes.delta(known))
     });
     ControlReply::Renewed(RenewReply {
--- a/components/ctl/src/lib.rs
+++ b/components/ctl/src/lib.rs
@@ -1,1 +1,22 @@
 //! Commands of the operator.
+//!
+//! Exit codes: 0 done, 1 failed, 2 usage, 3 conflict, 4 invalid text.
+
+mod apply;
+mod capacity;
+mod commands;
+mod connection;
+mod keys;
+mod members;
+mod options;
+mod orders;
+mod status;
+mod table;
+
+pub use capacity::{Exclusion, lost_services};
+pub use commands::{CommandReport, ExitStatus, run};
+pub use options::{
+    ApplyOptions, Command, ConnectionOptions, CtlOptions, KeyCommand, MemberCommand, OrderOptions,
+    OutState, options,
+};
+pub use table::text_table;
--- /dev/null
+++ b/components/ctl/src/members.rs
@@ -0,0 +1,37 @@
+//! `control members`: the control nodes.
+
+use eyre::Result;
+
+use crate::commands::CommandReport;
+use crate::connection::ControlConnection;
+use crate::table::text_table;
+
+/// Lists the members of the group.
+pub(crate) async fn members(connection: &ControlConnection, json: bool) -> Result<CommandReport> {
+    let controls = connection.status().await?.controls;
+    if json {
+        return Ok(CommandReport::done(
+            serde_json::to_string(&controls)? + "\n",
+        ));
+    }
+    let rows: Vec<Vec<String>> = controls
+        .iter()
+        .map(|control| {
+            let name = control.name.as_ref().map(ToString::to_string);
+            let kind = if control.voter { "voter" } else { "learner" };
+            vec![
+                name.unwrap_or_else(|| "-".into()),
+                control.id.clone(),
+                kind.into(),
+                yes_no(control.leader),
+                yes_no(control.present),
+            ]
+        })
+        .collect();
+    let head = ["NAME", "ID", "KIND", "LEADER", "PRESENT"];
+    Ok(CommandReport::done(text_table(&head, &rows)))
+}
+
+fn yes_no(flag: bool) -> String {
+    if flag { "yes" } else { "no" }.into()
+}
--- /dev/null
+++ b/components/ctl/src/orders.rs
@@ -0,0 +1,60 @@
+//! `dc` and `target`: takes something out, or brings it in.
+
+use eyre::Result;
+use units::ConfigVersion;
+use wire::OperatorOrder;
+
+use crate::apply::{order_id, order_report};
+use crate::capacity::{Exclusion, lost_services};
+use crate::commands::CommandReport;
+use crate::connection::ControlConnection;
+use crate::options::{OrderOptions, OutState};
+
+/// What an order is about.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum OrderSubject {
+    /// A data centre.
+    DataCentre,
+    /// A target.
+    Target,
+}
+
+/// Shows which services lose their last capacity, and sends the order.
+pub(crate) async fn exclude(
+    connection: &ControlConnection,
+    subject: OrderSubject,
+    options: &OrderOptions,
+    json: bool,
+) -> Result<CommandReport> {
+    let status = connection.status().await?;
+    let name = options.name.as_str();
+    let out = options.state == OutState::Out;
+    let exclusion = match subject {
+        OrderSubject::DataCentre => Exclusion::DataCentre(name.into()),
+        OrderSubject::Target => Exclusion::Target(name.into()),
+    };
+    if out {
+        for service in lost_services(&status, &exclusion) {
+            eprintln!("service {service} loses its last capacity");
+        }
+    }
+    let expected = options.expect.map_or(status.version, ConfigVersion);
+    let order = order_id(options.order.as_deref());
+    eprintln!("order {order}, expected version {expected}");
+    let message = match subject {
+        OrderSubject::DataCentre => OperatorOrder::DataCentre {
+            order: order.clone(),
+            expected,
+            data_centre: name.into(),
+            out,
+        },
+        OrderSubject::Target => OperatorOrder::Target {
+            order: order.clone(),
+            expected,
+            target: name.into(),
+            out,
+        },
+    };
+    let reply = connection.order(message).await?;
+    Ok(order_report(&order, &reply, 1, json))
+}
