--- a/components/fair/src/home.rs
+++ b/components/fair/src/home.rs
@@ -46,6 +46,8 @@
     /// Since when the flow has been reported without a silence.
     since: ClockTime,
     heard: ClockTime,
+    /// When silent reporters were last looked for.
+    cleaned: ClockTime,
     reporters: BTreeMap<(NodeName, Incarnation), ReporterCount>,
 }
 
@@ -146,6 +148,7 @@
             rebuild_end,
             since: now,
             heard: now,
+            cleaned: now,
             reporters: BTreeMap::new(),
         }
     }
@@ -216,6 +219,10 @@
 
     /// Forgets reporters that have been silent; their counts stay in the total.
     fn forget_reporters(&mut self, now: ClockTime) {
+        if now.since(self.cleaned) < HOME_MEMORY {
+            return;
+        }
+        self.cleaned = now;
         let before = self.reporters.len();
         self.reporters
             .retain(|_, record| now.since(record.heard) < HOME_MEMORY);
--- a/components/fair/src/ledger.rs
+++ b/components/fair/src/ledger.rs
@@ -59,6 +59,8 @@
     flows: BTreeMap<FlowKey, FlowRecord>,
     /// Flows by the time of their last activity.
     by_activity: BTreeSet<(ClockTime, FlowKey)>,
+    /// Flows with waiting or running requests.
+    open: BTreeSet<FlowKey>,
     virtual_times: BTreeMap<ServiceName, u64>,
 }
 
@@ -152,24 +154,31 @@
     pub fn opened(&mut self, flow: &FlowKey, now: ClockTime) {
         let record = self.touch(flow, now);
         record.open += 1;
+        self.open.insert(flow.clone());
     }
 
     /// Notes that a request counted by [`opened`](Self::opened) has ended.
     pub fn closed(&mut self, flow: &FlowKey, now: ClockTime) {
         let record = self.touch(flow, now);
         record.open = record.open.saturating_sub(1);
+        if record.open == 0 {
+            self.open.remove(flow);
+        }
     }
 
     /// Own cumulative counts of the flows that are active, for their homes.
     pub fn report(&self, now: ClockTime) -> Vec<FlowUsage> {
-        self.flows
+        let recent = self
+            .by_activity
+            .iter()
+            .rev()
+            .take_while(|(active, _)| now.since(*active) <= ACTIVE_SPAN)
+            .map(|(_, flow)| flow)
+            .filter(|flow| !self.open.contains(*flow));
+        self.open
             .iter()
-            .filter(|(_, record)| record.open > 0 || now.since(record.active) <= ACTIVE_SPAN)
-            .map(|(flow, record)| FlowUsage {
-                flow: flow.clone(),
-                count: CostUnits(record.count),
-                known_total: CostUnits(record.known.max(record.proposal)),
-            })
+            .chain(recent)
+            .map(|flow| self.usage(flow))
             .collect()
     }
 
@@ -180,8 +189,7 @@
                 break;
             }
             self.by_activity.pop_first();
-            let open = self.flows.get(&flow).is_some_and(|record| record.open > 0);
-            if open {
+            if self.open.contains(&flow) {
                 self.touch(&flow, now);
             } else {
                 self.flows.remove(&flow);
@@ -199,6 +207,15 @@
         self.flows.is_empty()
     }
 
+    fn usage(&self, flow: &FlowKey) -> FlowUsage {
+        let record = &self.flows[flow];
+        FlowUsage {
+            flow: flow.clone(),
+            count: CostUnits(record.count),
+            known_total: CostUnits(record.known.max(record.proposal)),
+        }
+    }
+
     fn touch(&mut self, flow: &FlowKey, now: ClockTime) -> &mut FlowRecord {
         let record = self.flows.entry(flow.clone()).or_default();
         let place = (record.active, flow.clone());
--- a/components/offers/src/table.rs
+++ b/components/offers/src/table.rs
@@ -13,8 +13,13 @@
 /// Time after which a claim without an answer ends.
 pub const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Shortest time between two tellings of `Room` or of the virtual time.
+///
+/// Both go to every entry: at each end of a request they would be most of the control traffic.
+const TELL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Interval at which `Room` is repeated while slots are free and nothing is offered.
-const ROOM_INTERVAL: Duration = Duration::from_millis(500);
+const ROOM_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Interval at which idle flows are forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(1);
@@ -66,7 +71,10 @@
     entries: BTreeSet<NodeName>,
     /// When `Room` was last sent, none if it is due at once.
     room_sent: Option<ClockTime>,
+    /// Whether `Room` was sent since there is room.
+    room_told: bool,
     virtual_time_sent: u64,
+    virtual_time_told: Option<ClockTime>,
     forgotten: ClockTime,
 }
 
@@ -82,7 +90,9 @@
             slots: SlotTable::default(),
             entries: BTreeSet::new(),
             room_sent: None,
+            room_told: false,
             virtual_time_sent: 0,
+            virtual_time_told: None,
             forgotten: ClockTime::default(),
         }
     }
@@ -251,12 +261,6 @@
             self.forgotten = now;
             self.ledger.forget_idle(now);
         }
-        if self
-            .room_sent
-            .is_some_and(|sent| now.since(sent) >= ROOM_INTERVAL)
-        {
-            self.room_sent = None;
-        }
         self.fill(now)
     }
 
@@ -302,7 +306,7 @@
             };
             actions.extend(self.claim(request, now));
         }
-        self.tell_virtual_time(&mut actions);
+        self.tell_virtual_time(&mut actions, now);
         self.tell_room(&mut actions, now);
         actions
     }
@@ -323,22 +327,29 @@
         Some(TableAction::Claim { entry, request })
     }
 
-    fn tell_virtual_time(&mut self, actions: &mut Vec<TableAction>) {
+    fn tell_virtual_time(&mut self, actions: &mut Vec<TableAction>, now: ClockTime) {
         let time = self.ledger.virtual_time(&self.service);
-        if time > self.virtual_time_sent {
+        if time > self.virtual_time_sent && is_due(self.virtual_time_told, TELL_INTERVAL, now) {
             self.virtual_time_sent = time;
+            self.virtual_time_told = Some(now);
             actions.push(TableAction::VirtualTime { time });
         }
     }
 
     fn tell_room(&mut self, actions: &mut Vec<TableAction>, now: ClockTime) {
         if !self.has_room() {
-            self.room_sent = None;
+            self.room_told = false;
             return;
         }
-        if self.room_sent.is_some() {
+        let interval = if self.room_told {
+            ROOM_INTERVAL
+        } else {
+            TELL_INTERVAL
+        };
+        if !is_due(self.room_sent, interval, now) {
             return;
         }
+        self.room_told = true;
         self.room_sent = Some(now);
         let free = self.free();
         actions.extend(self.entries.iter().map(|entry| TableAction::Room {
@@ -393,3 +404,7 @@
         })
     }
 }
+
+fn is_due(last: Option<ClockTime>, interval: Duration, now: ClockTime) -> bool {
+    last.is_none_or(|last| now.since(last) >= interval)
+}
--- a/components/offers/tests/fairness.rs
+++ b/components/offers/tests/fairness.rs
@@ -113,6 +113,22 @@
     check(&network, bound, "uneven callers");
 }
 
+/// Guards against shares that do not follow the weights: two organisations have twice the weight, and
+/// one has half.
+#[test]
+fn shares_follow_the_weights() {
+    let mut settings = fleet(three_large());
+    settings.weights[0] = 2000;
+    settings.weights[7] = 500;
+    settings.weights[9] = 2000;
+    let bound = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    network.run_until(20_000);
+
+    check(&network, bound, "weights");
+}
+
 /// Guards against a flood that uses a partition of the entries: totals are as old as the partition
 /// then, and the shares must be made up for after it.
 #[test]
