--- a/components/offers/tests/common/first_come.rs
+++ b/components/offers/tests/common/first_come.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::meter::FleetMeter;
-use super::network::{FleetSettings, MOST_COST, SPILL_MS, STEP_MS, STEP_UNITS};
+use super::settings::{FleetSettings, MOST_COST, SPILL_MS, STEP_MS, STEP_UNITS};
 
 #[derive(Debug, Clone, Copy)]
 struct BoundRequest {
--- a/components/offers/tests/common/network.rs
+++ b/components/offers/tests/common/network.rs
@@ -3,78 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use fair::home_of;
-use offers::{AgentView, BookAction, StartOutcome, TableAction, WaitingRequest};
+use offers::{BookAction, StartOutcome, TableAction, WaitingRequest};
 use units::{ClockTime, CostUnits, NodeName, RequestId, ServiceName};
 use wire::{EntryMessage, FlowTotal, UsageReport, UsageTotals};
 
 use super::meter::FleetMeter;
 use super::nodes::{AgentNode, AgentRun, CallerRequest, EntryNode, SERVICE, flow, offer};
-
-/// One-way delay within a region, in ms (rounded up to the clock's unit).
-pub const NEAR_MS: u64 = 1;
-/// One-way delay between regions, in ms.
-pub const FAR_MS: u64 = 8;
-/// Interval of usage reports, in ms.
-pub const REPORT_MS: u64 = 500;
-/// Time before another region is offered a request, in ms.
-pub const SPILL_MS: u64 = 150;
-/// Interval at which a run produces units, in ms.
-pub const STEP_MS: u64 = 20;
-/// Units that a run produces in a step.
-pub const STEP_UNITS: u64 = 2;
-/// Largest cost of a request, in units.
-pub const MOST_COST: u64 = 40;
-pub const TICK_MS: u64 = 5;
-const SAMPLE_MS: u64 = 20;
-
-/// Whether agents are told the totals of the fleet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SharePolicy {
-    /// Totals are summed at homes and passed on.
-    Fleet,
-    /// Each agent knows only its own service.
-    AgentAlone,
-}
-
-/// Requests of one organisation at one entry.
-#[derive(Debug, Clone)]
-pub struct CallerLoad {
-    pub organisation: usize,
-    pub entry: usize,
-    /// Time between two requests, in ms.
-    pub every_ms: u64,
-}
-
-/// Size and load of a fleet.
-#[derive(Debug, Clone)]
-pub struct FleetSettings {
-    pub regions: usize,
-    pub entries: usize,
-    pub agents: usize,
-    pub slots: u32,
-    pub weights: Vec<u32>,
-    pub loads: Vec<CallerLoad>,
-    pub max_waiting: u32,
-    pub policy: SharePolicy,
-    pub seed: u64,
-}
-
-impl FleetSettings {
-    /// Units that all slots produce in a second.
-    pub fn rate(&self) -> f64 {
-        let slots = self.agents as f64 * f64::from(self.slots);
-        slots * STEP_UNITS as f64 * 1000.0 / STEP_MS as f64
-    }
-
-    /// The bound of section 3.2: `(C * D + (S + 1) * L) / w`, for totals that are `extra_ms` older
-    /// than in a fleet without faults.
-    pub fn bound(&self, extra_ms: u64) -> f64 {
-        let age_ms = REPORT_MS + 2 * FAR_MS + FAR_MS + extra_ms;
-        let slots = self.agents as f64 * f64::from(self.slots);
-        let weight = f64::from(*self.weights.iter().min().expect("an organisation")) / 1000.0;
-        (self.rate() * age_ms as f64 / 1000.0 + (slots + 1.0) * MOST_COST as f64) / weight
-    }
-}
+use super::settings::{
+    CallerLoad, FAR_MS, FleetSettings, MOST_COST, NEAR_MS, REPORT_MS, SAMPLE_MS, STEP_MS,
+    STEP_UNITS, SharePolicy, TICK_MS,
+};
 
 #[derive(Debug, Clone)]
 enum Event {
@@ -107,7 +45,8 @@
     random: u64,
     next_request: u128,
     next_incarnation: u64,
-    holders: BTreeMap<RequestId, usize>,
+    /// Agent that each request is granted to.
+    pub holders: BTreeMap<RequestId, usize>,
 }
 
 impl FakeNetwork {
@@ -170,76 +109,6 @@
         self.now = end;
     }
 
-    /// Restarts an entry with empty memory; its callers send their requests again.
-    pub fn restart_entry(&mut self, index: usize) {
-        let region = self.entries[index].region;
-        let incarnation = self.incarnation();
-        let fresh = EntryNode::new(index, region, incarnation);
-        let old = std::mem::replace(&mut self.entries[index], fresh);
-        let now = self.time();
-        for agent in 0..self.agents.len() {
-            let name = old.name.clone();
-            let actions = self.agents[agent].table.entry_lost(&name, now);
-            self.table_actions(agent, actions);
-        }
-        self.connect(index);
-        for request in old.open.into_values() {
-            self.holders.remove(&request.id);
-            self.enqueue(index, request);
-        }
-    }
-
-    /// Restarts an agent with empty memory; entries offer what it ran again.
-    pub fn restart_agent(&mut self, index: usize) {
-        let region = self.agents[index].region;
-        let incarnation = self.incarnation();
-        self.agents[index] = AgentNode::new(index, region, self.settings.slots, incarnation);
-        let name = self.agents[index].name.clone();
-        for entry in 0..self.entries.len() {
-            let now = self.time();
-            let actions = self.entries[entry].book.agent_lost(&name, now);
-            self.book_actions(entry, actions);
-            self.connect(entry);
-            let granted = self.entries[entry].granted.clone();
-            for (request, agent) in granted {
-                if agent == index {
-                    self.requeue(entry, request);
-                }
-            }
-        }
-    }
-
-    /// Breaks and restores the connection of an entry and an agent.
-    pub fn reconnect(&mut self, entry: usize, agent: usize) {
-        let now = self.time();
-        let agent_name = self.agents[agent].name.clone();
-        let entry_name = self.entries[entry].name.clone();
-        let actions = self.entries[entry].book.agent_lost(&agent_name, now);
-        self.book_actions(entry, actions);
-        let actions = self.agents[agent].table.entry_lost(&entry_name, now);
-        self.table_actions(agent, actions);
-        self.connect(entry);
-    }
-
-    fn connect(&mut self, entry: usize) {
-        let region = self.entries[entry].region;
-        let views = self.agents.iter().map(|agent| AgentView {
-            name: agent.name.clone(),
-            service: ServiceName::from(SERVICE),
-            local: agent.region == region,
-            free: agent.table.free(),
-        });
-        let views = views.collect();
-        let now = self.time();
-        let actions = self.entries[entry].book.set_agents(views, now);
-        self.book_actions(entry, actions);
-        let name = self.entries[entry].name.clone();
-        for agent in 0..self.agents.len() {
-            let actions = self.agents[agent].table.entry_connected(&name, now);
-            self.table_actions(agent, actions);
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(load) => {
@@ -280,7 +149,10 @@
             Event::ToHome(from, home, report) => self.at_home(from, home, &report),
             Event::Totals(entry, incarnation, totals) => self.totals(entry, incarnation, &totals),
             Event::Tick => self.tick(),
-            Event::Sample => self.sample(),
+            Event::Sample => {
+                self.sample();
+                self.after(SAMPLE_MS, Event::Sample);
+            }
         }
     }
 
@@ -307,7 +179,7 @@
         self.enqueue(entry, request);
     }
 
-    fn enqueue(&mut self, entry: usize, request: CallerRequest) {
+    pub(super) fn enqueue(&mut self, entry: usize, request: CallerRequest) {
         let now = self.time();
         let weight = self.settings.weights[request.organisation];
         let key = flow(request.organisation);
@@ -331,7 +203,7 @@
     }
 
     /// Offers a granted request again that did not run to its end.
-    fn requeue(&mut self, entry: usize, request: RequestId) {
+    pub(super) fn requeue(&mut self, entry: usize, request: RequestId) {
         let node = &mut self.entries[entry];
         node.granted.remove(&request);
         self.holders.remove(&request);
@@ -400,7 +272,7 @@
         self.book_actions(entry, actions);
     }
 
-    fn book_actions(&mut self, entry: usize, actions: Vec<BookAction>) {
+    pub(super) fn book_actions(&mut self, entry: usize, actions: Vec<BookAction>) {
         for action in actions {
             match action {
                 BookAction::Send { agent, message } => {
@@ -429,7 +301,7 @@
         self.after(self.delay(entry, agent), event);
     }
 
-    fn table_actions(&mut self, agent: usize, actions: Vec<TableAction>) {
+    pub(super) fn table_actions(&mut self, agent: usize, actions: Vec<TableAction>) {
         for action in actions {
             let entries: Vec<usize> = match &action {
                 TableAction::Claim { entry, .. } | TableAction::Room { entry, .. } => {
@@ -567,74 +439,7 @@
         self.after(TICK_MS, Event::Tick);
     }
 
-    /// Organisations with a request that every agent of the pool may have been offered.
-    fn backlogged(&self) -> Vec<bool> {
-        let old = self.now.saturating_sub(SPILL_MS + TICK_MS + FAR_MS);
-        let is_backlogged = |organisation: usize| {
-            self.entries.iter().any(|entry| {
-                let waiting = entry.waiting.get(&organisation);
-                let oldest = waiting.and_then(BTreeSet::first);
-                oldest.is_some_and(|(time, _)| *time <= old)
-            })
-        };
-        (0..self.settings.weights.len())
-            .map(is_backlogged)
-            .collect()
-    }
-
-    fn sample(&mut self) {
-        let backlogged = self.backlogged();
-        self.meter.sample_gaps(&backlogged, self.now);
-        if backlogged.contains(&true) {
-            let busy = self.agents.iter().map(|agent| agent.runs.len() as u64);
-            let slots = self.agents.len() as u64 * u64::from(self.settings.slots);
-            self.meter.sample_slots(busy.sum(), slots);
-        }
-        self.check_idle();
-        self.check_open();
-        self.after(SAMPLE_MS, Event::Sample);
-    }
-
-    /// No agent is free while a request that it could serve waits longer than the message delay
-    /// plus the wave time (and the spill time for an agent in another region).
-    fn check_idle(&mut self) {
-        for (agent, node) in self.agents.iter().enumerate() {
-            if node.table.free().0 == 0 {
-                continue;
-            }
-            for (index, entry) in self.entries.iter().enumerate() {
-                let spill = if entry.region == node.region {
-                    0
-                } else {
-                    SPILL_MS
-                };
-                let most = spill + TICK_MS + self.delay(index, agent);
-                let waiting = entry.queued.iter();
-                for (request, time) in waiting.filter(|(_, time)| self.now > *time + most) {
-                    self.meter.idle_faults.push(format!(
-                        "{} is free at {} while {request} waits at {} since {time}",
-                        node.name, self.now, entry.name
-                    ));
-                }
-            }
-        }
-    }
-
-    /// Nothing is lost: an open request either waits in the book or is granted.
-    fn check_open(&self) {
-        for entry in &self.entries {
-            for request in entry.open.keys() {
-                let waits = entry.book.is_waiting(*request);
-                let granted = entry.granted.contains_key(request);
-                assert!(
-                    waits != granted,
-                    "request {request} is lost or granted twice"
-                );
-            }
-        }
-    }
-
-    fn time(&self) -> ClockTime {
+    pub(super) fn time(&self) -> ClockTime {
         ClockTime(self.now)
     }
 
@@ -648,7 +453,7 @@
         (entry, self.agents[agent].incarnation)
     }
 
-    fn delay(&self, entry: usize, agent: usize) -> u64 {
+    pub(super) fn delay(&self, entry: usize, agent: usize) -> u64 {
         let near = self.entries[entry].region == self.agents[agent].region;
         if near { NEAR_MS } else { FAR_MS }
     }
@@ -663,7 +468,7 @@
         names.position(|other| other == name).expect("an agent")
     }
 
-    fn incarnation(&mut self) -> u64 {
+    pub(super) fn incarnation(&mut self) -> u64 {
         self.next_incarnation += 1;
         self.next_incarnation
     }
--- /dev/null
+++ b/components/offers/tests/common/settings.rs
@@ -0,0 +1,67 @@
+//! Size, load and timing of the fake fleet, and the bound that follows from them.
+
+/// One-way delay within a region, in ms (rounded up to the clock's unit).
+pub const NEAR_MS: u64 = 1;
+/// One-way delay between regions, in ms.
+pub const FAR_MS: u64 = 8;
+/// Interval of usage reports, in ms.
+pub const REPORT_MS: u64 = 500;
+/// Time before another region is offered a request, in ms.
+pub const SPILL_MS: u64 = 150;
+/// Interval at which a run produces units, in ms.
+pub const STEP_MS: u64 = 20;
+/// Units that a run produces in a step.
+pub const STEP_UNITS: u64 = 2;
+/// Largest cost of a request, in units.
+pub const MOST_COST: u64 = 40;
+pub const TICK_MS: u64 = 5;
+pub const SAMPLE_MS: u64 = 20;
+
+/// Whether agents are told the totals of the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SharePolicy {
+    /// Totals are summed at homes and passed on.
+    Fleet,
+    /// Each agent knows only its own service.
+    AgentAlone,
+}
+
+/// Requests of one organisation at one entry.
+#[derive(Debug, Clone)]
+pub struct CallerLoad {
+    pub organisation: usize,
+    pub entry: usize,
+    /// Time between two requests, in ms.
+    pub every_ms: u64,
+}
+
+/// Size and load of a fleet.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    pub regions: usize,
+    pub entries: usize,
+    pub agents: usize,
+    pub slots: u32,
+    pub weights: Vec<u32>,
+    pub loads: Vec<CallerLoad>,
+    pub max_waiting: u32,
+    pub policy: SharePolicy,
+    pub seed: u64,
+}
+
+impl FleetSettings {
+    /// Units that all slots produce in a second.
+    pub fn rate(&self) -> f64 {
+        let slots = self.agents as f64 * f64::from(self.slots);
+        slots * STEP_UNITS as f64 * 1000.0 / STEP_MS as f64
+    }
+
+    /// The bound of section 3.2: `(C * D + (S + 1) * L) / w`, for totals that are `extra_ms` older
+    /// than in a fleet without faults.
+    pub fn bound(&self, extra_ms: u64) -> f64 {
+        let age_ms = REPORT_MS + 2 * FAR_MS + FAR_MS + extra_ms;
+        let slots = self.agents as f64 * f64::from(self.slots);
+        let weight = f64::from(*self.weights.iter().min().expect("an organisation")) / 1000.0;
+        (self.rate() * age_ms as f64 / 1000.0 + (slots + 1.0) * MOST_COST as f64) / weight
+    }
+}
--- a/components/offers/tests/fairness.rs
+++ b/components/offers/tests/fairness.rs
@@ -4,7 +4,8 @@
 
 use common::first_come;
 use common::meter::FleetMeter;
-use common::network::{CallerLoad, FakeNetwork, FleetSettings, SharePolicy};
+use common::network::FakeNetwork;
+use common::settings::{CallerLoad, FleetSettings, SharePolicy};
 
 const ORGANISATIONS: usize = 16;
 const ENTRIES: usize = 6;
