--- a/components/offers/tests/common/checks.rs
+++ b/components/offers/tests/common/checks.rs
@@ -8,7 +8,8 @@
 impl FakeNetwork {
     /// Organisations with a request that every agent of the pool may have been offered.
     fn backlogged(&self) -> Vec<bool> {
-        let old = self.now.saturating_sub(SPILL_MS + TICK_MS + FAR_MS);
+        let waves = SPILL_MS + self.settings.wave_ms(self.settings.agents);
+        let old = self.now.saturating_sub(waves + TICK_MS + FAR_MS);
         let is_backlogged = |organisation: usize| {
             self.entries.iter().any(|entry| {
                 let waiting = entry.waiting.get(&organisation);
@@ -41,12 +42,13 @@
                 continue;
             }
             for (index, entry) in self.entries.iter().enumerate() {
-                let spill = if entry.region == node.region {
-                    0
+                let local = self.settings.agents / self.settings.regions;
+                let waves = if entry.region == node.region {
+                    self.settings.wave_ms(local)
                 } else {
-                    SPILL_MS
+                    SPILL_MS + self.settings.wave_ms(self.settings.agents - local)
                 };
-                let most = spill + TICK_MS + self.delay(index, agent);
+                let most = waves + TICK_MS + self.delay(index, agent);
                 let waiting = entry.queued.iter();
                 for (request, time) in waiting.filter(|(_, time)| self.now > *time + most) {
                     self.meter.idle_faults.push(format!(
--- a/components/offers/tests/common/faults.rs
+++ b/components/offers/tests/common/faults.rs
@@ -11,7 +11,7 @@
     pub fn restart_entry(&mut self, index: usize) {
         let region = self.entries[index].region;
         let incarnation = self.incarnation();
-        let fresh = EntryNode::new(index, region, incarnation);
+        let fresh = EntryNode::new(index, region, incarnation, self.settings.wave_size);
         let old = std::mem::replace(&mut self.entries[index], fresh);
         let now = self.time();
         for agent in 0..self.agents.len() {
--- a/components/offers/tests/common/network.rs
+++ b/components/offers/tests/common/network.rs
@@ -16,6 +16,7 @@
 
 #[derive(Debug, Clone)]
 enum Event {
+    Burst(usize),
     Arrive(usize),
     ToAgent(usize, usize, (u64, u64), EntryMessage),
     ToEntry(usize, usize, (u64, u64), TableAction),
@@ -53,7 +54,7 @@
     pub fn new(settings: FleetSettings) -> Self {
         let regions = settings.regions;
         let entries = (0..settings.entries)
-            .map(|i| EntryNode::new(i, i % regions, 1))
+            .map(|i| EntryNode::new(i, i % regions, 1, settings.wave_size))
             .collect();
         let agents = (0..settings.agents)
             .map(|i| AgentNode::new(i, i % regions, settings.slots, 1))
@@ -85,12 +86,12 @@
             self.after(offset, Event::Report(entry));
         }
         for load in 0..self.settings.loads.len() {
+            let start = self.settings.loads[load].start_ms;
             // A burst at the start, so that every flow is backlogged early.
             for _ in 0..8 {
-                self.submit(load);
+                self.after(start, Event::Burst(load));
             }
-            let every = self.settings.loads[load].every_ms;
-            self.after(every, Event::Arrive(load));
+            self.after(start, Event::Arrive(load));
         }
         self.after(TICK_MS, Event::Tick);
         self.after(SAMPLE_MS, Event::Sample);
@@ -111,6 +112,7 @@
 
     fn handle(&mut self, event: Event) {
         match event {
+            Event::Burst(load) => self.submit(load),
             Event::Arrive(load) => {
                 self.submit(load);
                 let every = self.settings.loads[load].every_ms;
--- a/components/offers/tests/common/nodes.rs
+++ b/components/offers/tests/common/nodes.rs
@@ -39,12 +39,16 @@
 }
 
 impl EntryNode {
-    pub fn new(index: usize, region: usize, incarnation: u64) -> Self {
+    pub fn new(index: usize, region: usize, incarnation: u64, wave_size: usize) -> Self {
+        let settings = BookSettings {
+            wave_size,
+            ..BookSettings::default()
+        };
         Self {
             name: NodeName::from(format!("entry-{index}").as_str()),
             region,
             incarnation,
-            book: OfferBook::new(BookSettings::default()),
+            book: OfferBook::new(settings),
             ledger: UsageLedger::new(),
             home: UsageHome::new(),
             open: BTreeMap::new(),
--- a/components/offers/tests/common/settings.rs
+++ b/components/offers/tests/common/settings.rs
@@ -8,6 +8,8 @@
 pub const REPORT_MS: u64 = 500;
 /// Time before another region is offered a request, in ms.
 pub const SPILL_MS: u64 = 150;
+/// Time between two waves of offers, in ms.
+pub const WAVE_MS: u64 = 20;
 /// Interval at which a run produces units, in ms.
 pub const STEP_MS: u64 = 20;
 /// Units that a run produces in a step.
@@ -33,6 +35,8 @@
     pub entry: usize,
     /// Time between two requests, in ms.
     pub every_ms: u64,
+    /// Time of the first request, in ms.
+    pub start_ms: u64,
 }
 
 /// Size and load of a fleet.
@@ -45,6 +49,8 @@
     pub weights: Vec<u32>,
     pub loads: Vec<CallerLoad>,
     pub max_waiting: u32,
+    /// Agents that a request is offered to in one wave.
+    pub wave_size: usize,
     pub policy: SharePolicy,
     pub seed: u64,
 }
@@ -56,6 +62,11 @@
         slots * STEP_UNITS as f64 * 1000.0 / STEP_MS as f64
     }
 
+    /// Time until all agents of a number are offered a request, in ms.
+    pub fn wave_ms(&self, agents: usize) -> u64 {
+        (agents.div_ceil(self.wave_size) as u64).saturating_sub(1) * WAVE_MS
+    }
+
     /// The bound of section 3.2: `(C * D + (S + 1) * L) / w`, for totals that are `extra_ms` older
     /// than in a fleet without faults.
     pub fn bound(&self, extra_ms: u64) -> f64 {
--- a/components/offers/tests/fairness.rs
+++ b/components/offers/tests/fairness.rs
@@ -17,6 +17,7 @@
         organisation,
         entry: *entry,
         every_ms,
+        start_ms: 0,
     });
     loads.collect()
 }
@@ -30,6 +31,7 @@
         weights: vec![1000; ORGANISATIONS],
         loads,
         max_waiting: 64,
+        wave_size: usize::MAX,
         policy: SharePolicy::Fleet,
         seed: 7,
     }
@@ -130,6 +132,42 @@
     check(&network, bound, "weights");
 }
 
+/// Guards against agents that stay idle, and flows that are passed over, when a request is offered to
+/// a few agents at a time.
+#[test]
+fn small_waves_keep_the_bound() {
+    let mut settings = fleet(three_large());
+    settings.wave_size = 2;
+    let bound = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    network.run_until(15_000);
+
+    check(&network, bound, "waves of two agents");
+}
+
+/// Guards against credit for idle time: an organisation that first calls after 20 s must not be
+/// given what the others got before.
+#[test]
+fn late_organisation_gets_no_credit() {
+    let mut loads = three_large();
+    for load in &mut loads {
+        if [0, 5].contains(&load.organisation) {
+            load.start_ms = 20_000;
+        }
+    }
+    let settings = fleet(loads);
+    let bound = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    network.run_until(20_000);
+    let credit = network.meter.share(1);
+    assert!(credit > bound, "a credit of {credit} would not be seen");
+    network.run_until(30_000);
+
+    check(&network, bound, "late organisation");
+}
+
 /// Guards against a flood that uses a partition of the entries: totals are as old as the partition
 /// then, and the shares must be made up for after it.
 #[test]
