Stop the growth of a limit at twice the best latency

Latency rises with the load. A limit that grew until the target looked cold (four times the best) dropped to the cold limit again and again. Also: an unchanged serving state no longer repeats Room, and only the entry that offers a request withdraws it.

--- a/components/fair/src/lib.rs
+++ b/components/fair/src/lib.rs
@@ -3,6 +3,12 @@
 //! Entries and agents keep a [`UsageLedger`]. The entry that is the home of a flow keeps a
 //! [`UsageHome`], which sums the counts of all entries and decides whether a flow was idle in the
 //! whole fleet.
+//!
+//! An entry calls [`UsageLedger::backlogged`] and [`UsageLedger::opened`] when a request arrives,
+//! [`UsageLedger::charge`] for each part of an answer, and [`UsageLedger::closed`] when the request
+//! ends. Every [`REPORT_INTERVAL`] it sends [`UsageLedger::report`] to the homes of the flows
+//! ([`home_of`]), merges their answers with [`UsageLedger::merge`], and passes them on to the agents
+//! that hold offers of the flows. `offers::OfferTable` keeps the ledger of an agent.
 
 mod home;
 mod ledger;
--- a/components/limits/src/target.rs
+++ b/components/limits/src/target.rs
@@ -7,6 +7,12 @@
 /// First-token latency, as a multiple of the best seen, at which a target counts as cold.
 const COLD_LATENCY_FACTOR: u32 = 4;
 
+/// First-token latency, as a multiple of the best seen, up to which the limit grows.
+///
+/// Half of [`COLD_LATENCY_FACTOR`]: latency rises with the load, and a limit that grew until the
+/// target looked cold would drop again and again.
+const NORMAL_LATENCY_FACTOR: u32 = 2;
+
 /// Smallest latency that is taken as the best.
 ///
 /// Latencies are measured in milliseconds, and below this a few milliseconds of scheduling delay
@@ -65,13 +71,14 @@
             self.successes = 0;
             return;
         }
-        if self.is_slow(sample.first_token) {
+        if self.is_above(sample.first_token, COLD_LATENCY_FACTOR) {
             self.drop_to_cold();
             return;
         }
+        let is_normal = !self.is_above(sample.first_token, NORMAL_LATENCY_FACTOR);
         let latency = sample.first_token.max(LEAST_BEST_LATENCY);
         self.best = Some(self.best.map_or(latency, |best| best.min(latency)));
-        if sample.running >= self.limit {
+        if is_normal && sample.running >= self.limit {
             self.count_success();
         }
     }
@@ -81,9 +88,8 @@
         self.drop_to_cold();
     }
 
-    fn is_slow(&self, latency: Duration) -> bool {
-        self.best
-            .is_some_and(|best| latency > best * COLD_LATENCY_FACTOR)
+    fn is_above(&self, latency: Duration, factor: u32) -> bool {
+        self.best.is_some_and(|best| latency > best * factor)
     }
 
     fn count_success(&mut self) {
--- a/components/limits/tests/limits.rs
+++ b/components/limits/tests/limits.rs
@@ -87,6 +87,23 @@
     assert!(slow.is_cold());
 }
 
+/// Guards against a limit that grows with the load until the target looks cold, drops, and grows again.
+#[test]
+fn limit_settles_where_the_load_slows_the_target() {
+    let mut limit = TargetLimit::new(SlotCount(1), SlotCount(100));
+    let mut most = 0;
+
+    for _ in 0..10_000 {
+        let running = limit.limit().0;
+        limit.completed(sample(running, 20 + 5 * u64::from(running - 1)), NOW);
+        assert!(limit.limit().0 >= most, "dropped from {most}");
+        most = limit.limit().0;
+    }
+
+    // The latency is twice the best at 5 running requests.
+    assert_eq!(most, 6);
+}
+
 /// Guards against a failure that the target did not cause and that makes it look cold.
 #[test]
 fn failed_run_neither_raises_nor_drops_the_limit() {
--- a/components/offers/src/table.rs
+++ b/components/offers/src/table.rs
@@ -155,10 +155,8 @@
         if is_claim {
             self.grant_elsewhere(request, now);
             self.release(request, now);
-        } else if let Some(waiting) = self.queue.remove(request) {
-            let offer = waiting.offer;
-            self.queue.granted_elsewhere(&offer.flow, offer.hint.0, now);
-            self.reorder(&offer.flow, now);
+        } else if self.queue.is_offered_by(request, entry) {
+            self.withdraw_offer(request, now);
         }
         self.fill(now)
     }
@@ -237,6 +235,9 @@
 
     /// Sets whether the agent takes new work. Without it, offers are dropped and claims given up.
     pub fn set_serving(&mut self, serving: bool, now: ClockTime) -> Vec<TableAction> {
+        if self.serving == serving {
+            return self.fill(now);
+        }
         self.serving = serving;
         if !serving {
             for entry in self.entries.clone() {
@@ -358,6 +359,14 @@
         }));
     }
 
+    fn withdraw_offer(&mut self, request: RequestId, now: ClockTime) {
+        if let Some(waiting) = self.queue.remove(request) {
+            let offer = waiting.offer;
+            self.queue.granted_elsewhere(&offer.flow, offer.hint.0, now);
+            self.reorder(&offer.flow, now);
+        }
+    }
+
     fn grant_elsewhere(&mut self, request: RequestId, now: ClockTime) {
         if let Some(slot) = self.slots.get(request) {
             self.queue.granted_elsewhere(&slot.flow, slot.hint, now);
--- a/components/offers/src/waiting.rs
+++ b/components/offers/src/waiting.rs
@@ -69,6 +69,11 @@
         self.offer_ids.contains_key(&request)
     }
 
+    pub(crate) fn is_offered_by(&self, request: RequestId, entry: &NodeName) -> bool {
+        let requests = self.by_entry.get(entry);
+        requests.is_some_and(|requests| requests.contains(&request))
+    }
+
     pub(crate) fn has_flow(&self, key: &FlowKey) -> bool {
         self.flow_ids.contains_key(key)
     }
--- a/components/offers/tests/table.rs
+++ b/components/offers/tests/table.rs
@@ -122,7 +122,7 @@
             let offer = slot.offer.clone();
             self.grant_elsewhere(&offer, now);
             self.slots.remove(&request);
-        } else if let Some(index) = self.position(request) {
+        } else if let Some(index) = self.position(name, request) {
             let (_, _, offer) = self.offers.remove(index);
             self.grant_elsewhere(&offer, now);
         }
@@ -137,9 +137,9 @@
         *hint += offer.hint.0;
     }
 
-    fn position(&self, request: RequestId) -> Option<usize> {
+    fn position(&self, name: &NodeName, request: RequestId) -> Option<usize> {
         let mut offers = self.offers.iter();
-        offers.position(|(_, _, offer)| offer.request == request)
+        offers.position(|(_, entry, offer)| offer.request == request && entry == name)
     }
 
     fn drop_claims(&mut self, is_dropped: impl Fn(&NaiveSlot) -> bool) {
