Tell a proposed raise from a published total

A home accepted a larger known total only for a while after its start, since it might be the proposed raise of an entry where the flow was idle. Histories with two homes at once (entries that disagree on the home in a partition) showed totals that were published and then lost: 4 after 5 was known. Proposals now carry a count of their own (RAISE_PROPOSAL), and published totals are taken over at any time. Ruled out: a count of 0 as the mark, since reporters without own service then lost their first counts.

--- a/components/fair/src/home.rs
+++ b/components/fair/src/home.rs
@@ -6,7 +6,7 @@
 use units::{ClockTime, CostUnits, Incarnation, NodeName, ServiceName};
 use wire::{FlowKey, FlowTotal, FlowUsage, UsageReport, UsageTotals};
 
-use crate::ledger::IDLE_SPAN;
+use crate::ledger::{IDLE_SPAN, RAISE_PROPOSAL};
 
 /// Time after which a flow without reports is forgotten.
 pub const HOME_MEMORY: Duration = Duration::from_secs(30);
@@ -16,13 +16,12 @@
 /// The idle span plus one report interval.
 const SILENT_SPAN: Duration = Duration::from_millis(1500);
 
-/// Time after the first report of a flow in which larger known totals are accepted.
+/// Time after a silence in which proposals to raise a flow are accepted.
 ///
-/// Four report intervals: every entry with requests of the flow has reported by then. Later, the
-/// sum is complete but for entries that a restarted home has not heard yet, and a larger known
-/// total is only the proposal of an entry where the flow was idle although it was busy elsewhere. Accepting those would raise a flow whose callers are
-/// spread over many entries again and again.
-const REBUILD_SPAN: Duration = Duration::from_secs(2);
+/// Four report intervals: every entry where the flow returns has reported by then. Later, a
+/// proposal comes from an entry where the flow was idle although it was busy elsewhere. Accepting
+/// those would raise a flow whose callers are spread over many entries again and again.
+const RAISE_SPAN: Duration = Duration::from_secs(2);
 
 /// Count of one reporter in one incarnation.
 #[derive(Debug, Clone, Copy)]
@@ -41,8 +40,6 @@
     total: u64,
     /// Total at the last time it was taken from a reporter's known total.
     rebased: u64,
-    /// Until when known totals of reporters that are new here are accepted after a restart.
-    rebuild_end: ClockTime,
     /// Since when the flow has been reported without a silence.
     since: ClockTime,
     heard: ClockTime,
@@ -60,8 +57,6 @@
     flows: BTreeMap<FlowKey, FlowSum>,
     by_report: BTreeSet<(ClockTime, FlowKey)>,
     virtual_times: BTreeMap<ServiceName, u64>,
-    /// Time of the first report.
-    started: Option<ClockTime>,
 }
 
 impl UsageHome {
@@ -73,7 +68,6 @@
     /// Takes in a report and answers with the sums of its flows.
     pub fn report(&mut self, report: &UsageReport, now: ClockTime) -> UsageTotals {
         self.forget_silent(now);
-        self.started.get_or_insert(now);
         for (service, time) in &report.virtual_times {
             let known = self.virtual_times.entry(service.clone()).or_default();
             *known = (*known).max(*time);
@@ -115,11 +109,10 @@
         usage: &FlowUsage,
         now: ClockTime,
     ) -> FlowTotal {
-        let rebuild_end = self.started.unwrap_or(now) + HOME_MEMORY;
         let sum = self
             .flows
             .entry(usage.flow.clone())
-            .or_insert_with(|| FlowSum::new(rebuild_end, now));
+            .or_insert_with(|| FlowSum::new(now));
         self.by_report.remove(&(sum.heard, usage.flow.clone()));
         sum.add(reporter, usage, now);
         self.by_report.insert((sum.heard, usage.flow.clone()));
@@ -141,11 +134,10 @@
 }
 
 impl FlowSum {
-    fn new(rebuild_end: ClockTime, now: ClockTime) -> Self {
+    fn new(now: ClockTime) -> Self {
         Self {
             total: 0,
             rebased: 0,
-            rebuild_end,
             since: now,
             heard: now,
             cleaned: now,
@@ -158,32 +150,24 @@
             self.since = now;
         }
         self.heard = self.heard.max(now);
-        let was_synced = self.count(reporter, usage, now);
         let known = usage.known_total.0;
-        let is_rebuilding =
-            now.since(self.since) <= REBUILD_SPAN || (now < self.rebuild_end && !was_synced);
-        if known > self.total && is_rebuilding {
+        let is_proposal = usage.count == RAISE_PROPOSAL;
+        if !is_proposal {
+            self.count(reporter, usage, now);
+        }
+        if known > self.total && (!is_proposal || now.since(self.since) <= RAISE_SPAN) {
             self.adopt(reporter, known);
         }
         self.forget_reporters(now);
     }
 
-    /// Adds the growth of the reporter's count; returns whether the reporter was synced before.
-    fn count(
-        &mut self,
-        reporter: &(NodeName, Incarnation),
-        usage: &FlowUsage,
-        now: ClockTime,
-    ) -> bool {
+    /// Adds the growth of the reporter's count.
+    fn count(&mut self, reporter: &(NodeName, Incarnation), usage: &FlowUsage, now: ClockTime) {
         let count = usage.count.0;
         let known = usage.known_total.0;
         // A sum that was never adopted from a reporter lacks nothing, so that the whole count of
         // a reporter without a known total is new.
         let is_new = self.rebased == 0 && known == 0;
-        let was_synced = self
-            .reporters
-            .get(reporter)
-            .is_some_and(|record| record.synced);
         let record = self
             .reporters
             .entry(reporter.clone())
@@ -202,7 +186,6 @@
             record.seen = count;
             record.synced = true;
         }
-        was_synced
     }
 
     /// Takes over a total that another home has published or that an idle flow is raised to.
--- a/components/fair/src/ledger.rs
+++ b/components/fair/src/ledger.rs
@@ -19,6 +19,16 @@
 /// Four intervals, so that the last count arrives although some reports are lost.
 pub const ACTIVE_SPAN: Duration = Duration::from_secs(2);
 
+/// Count of a usage whose known total is a proposal to raise a flow that was idle at the reporter.
+///
+/// The home may refuse a proposal, but not a total that was published.
+pub const RAISE_PROPOSAL: CostUnits = CostUnits(u64::MAX);
+
+/// Totals below a proposal after which it counts as refused.
+///
+/// The first one may answer a report from before the proposal.
+const REFUSALS: u8 = 2;
+
 /// Time after which an idle flow is forgotten.
 ///
 /// Longer than [`crate::HOME_MEMORY`]: a home that remembered a reporter's count longer than the
@@ -38,6 +48,8 @@
     floor: u64,
     /// The part of `floor` that is not local charges: what is proposed to the home.
     proposal: u64,
+    /// Totals below the proposal that were merged since the raise.
+    answers: u8,
     /// Requests that wait or run.
     open: u32,
     /// Last time with waiting or running requests.
@@ -48,6 +60,24 @@
     fn is_idle(&self, now: ClockTime) -> bool {
         self.open == 0 && now.since(self.active) >= IDLE_SPAN
     }
+
+    fn raise(&mut self, total: u64) {
+        self.floor = total;
+        self.proposal = total;
+        self.answers = 0;
+    }
+
+    /// Ends a raise that the home has accepted or refused.
+    fn answered(&mut self, total: u64) {
+        if self.proposal == 0 {
+            return;
+        }
+        self.answers += 1;
+        if total >= self.proposal || self.answers >= REFUSALS {
+            self.floor = 0;
+            self.proposal = 0;
+        }
+    }
 }
 
 /// Counters of all flows that an entry or agent has seen lately.
@@ -85,8 +115,7 @@
         let record = self.touch(&total.flow, ClockTime::default());
         record.total = record.total.max(total.total.0);
         record.known = record.known.max(total.total.0);
-        record.floor = 0;
-        record.proposal = 0;
+        record.answered(total.total.0);
     }
 
     /// Merges the total of an offer, which may be older than the home's answer to a raise.
@@ -145,8 +174,7 @@
         let record = self.touch(flow, now);
         let raised = unweighted(time, weight);
         if idle && raised > record.total {
-            record.floor = raised;
-            record.proposal = raised;
+            record.raise(raised);
         }
     }
 
@@ -167,6 +195,9 @@
     }
 
     /// Own cumulative counts of the flows that are active, for their homes.
+    ///
+    /// A flow that was raised provisionally is reported with [`RAISE_PROPOSAL`] until the home has
+    /// answered.
     pub fn report(&self, now: ClockTime) -> Vec<FlowUsage> {
         let recent = self
             .by_activity
@@ -209,10 +240,15 @@
 
     fn usage(&self, flow: &FlowKey) -> FlowUsage {
         let record = &self.flows[flow];
+        let (count, known_total) = if record.proposal > record.known {
+            (RAISE_PROPOSAL, record.proposal)
+        } else {
+            (CostUnits(record.count), record.known)
+        };
         FlowUsage {
             flow: flow.clone(),
-            count: CostUnits(record.count),
-            known_total: CostUnits(record.known.max(record.proposal)),
+            count,
+            known_total: CostUnits(known_total),
         }
     }
 
--- a/components/fair/src/lib.rs
+++ b/components/fair/src/lib.rs
@@ -15,7 +15,9 @@
 mod rendezvous;
 
 pub use home::{HOME_MEMORY, UsageHome};
-pub use ledger::{ACTIVE_SPAN, IDLE_SPAN, LEDGER_MEMORY, REPORT_INTERVAL, UsageLedger};
+pub use ledger::{
+    ACTIVE_SPAN, IDLE_SPAN, LEDGER_MEMORY, RAISE_PROPOSAL, REPORT_INTERVAL, UsageLedger,
+};
 pub use rendezvous::{home_of, stable_hash};
 
 use units::{CostUnits, FlowWeight};
