Make the test of short idle times bite

The flow is now busy for 3 s first; run with the former times the test fails, with the present ones it passes.

--- a/components/fair/tests/home.rs
+++ b/components/fair/tests/home.rs
@@ -293,7 +293,10 @@
 fn flow_that_was_idle_everywhere_is_raised() {
     let mut world = ReportWorld::new();
     world.charge(0, 10);
-    world.round();
+    // Longer than a new flow accepts proposals.
+    for _ in 0..6 {
+        world.round();
+    }
     world.idle(3);
     world.ledgers[1].merge_virtual_time(&flow().service, 25);
 
