--- a/components/offers/tests/common/meter.rs
+++ b/components/offers/tests/common/meter.rs
@@ -23,6 +23,7 @@
     slots: u64,
     /// Longest time that a request waited although an agent that knew of it was free.
     pub idle_faults: Vec<String>,
+    pub claimed: u64,
     pub granted: u64,
     pub ended: u64,
     pub refused: u64,
--- a/components/offers/tests/common/network.rs
+++ b/components/offers/tests/common/network.rs
@@ -305,6 +305,7 @@
 
     pub(super) fn table_actions(&mut self, agent: usize, actions: Vec<TableAction>) {
         for action in actions {
+            self.meter.claimed += u64::from(matches!(action, TableAction::Claim { .. }));
             let entries: Vec<usize> = match &action {
                 TableAction::Claim { entry, .. } | TableAction::Room { entry, .. } => {
                     let mut names = self.entries.iter().map(|node| &node.name);
--- a/components/offers/tests/fairness.rs
+++ b/components/offers/tests/fairness.rs
@@ -69,11 +69,12 @@
 fn print(meter: &FleetMeter, bound: f64, label: &str) {
     println!(
         "{label}: gap {:.0} of at most {bound:.0} at {:?}, end gap {:.0}, utilisation {:.3}, \
-         granted {}, refused {}",
+         claimed {}, granted {}, refused {}",
         meter.gap,
         meter.worst,
         meter.final_gap(&all()),
         meter.utilisation(),
+        meter.claimed,
         meter.granted,
         meter.refused,
     );
