--- a/components/offers/tests/common/checks.rs
+++ b/components/offers/tests/common/checks.rs
@@ -24,7 +24,10 @@
 
     pub fn sample(&mut self) {
         let backlogged = self.backlogged();
-        self.meter.sample_gaps(&backlogged, self.now);
+        // The sides of a cut are pools of their own.
+        if self.cut.is_none() {
+            self.meter.sample_gaps(&backlogged, self.now);
+        }
         if backlogged.contains(&true) {
             let busy = self.agents.iter().map(|agent| agent.runs.len() as u64);
             let slots = self.agents.len() as u64 * u64::from(self.settings.slots);
@@ -42,6 +45,9 @@
                 continue;
             }
             for (index, entry) in self.entries.iter().enumerate() {
+                if !self.is_reachable(index, agent) {
+                    continue;
+                }
                 let local = self.settings.agents / self.settings.regions;
                 let waves = if entry.region == node.region {
                     self.settings.wave_ms(local)
--- a/components/offers/tests/common/mod.rs
+++ b/components/offers/tests/common/mod.rs
@@ -9,3 +9,4 @@
 pub mod network;
 pub mod nodes;
 pub mod settings;
+pub mod usage;
