Confirm no heartbeat round by an answer to an earlier term

Cause: a follower of a newer term answered a late message of an old term with its own term and the old round number. If the sender led the newer term by then, it took the answer for its present round, and a barrier on an isolated leader was confirmed although a newer entry was committed. Ruled out: a wrong majority (3 voters, all present as peers) and an answer after the partition (the confirmation came in the call that asked). Change: such answers carry round 0. Conclusion: numbers that restart with a term must not be compared across terms.

--- a/components/raft/src/node/follower.rs
+++ b/components/raft/src/node/follower.rs
@@ -21,10 +21,12 @@
 
 impl RaftNode {
     /// Accepts the sender as leader of its term, or refuses a message of an old term.
-    pub(super) fn follow(&mut self, from: DiskId, term: Term, prev: LogIndex, round: u64) -> bool {
+    pub(super) fn follow(&mut self, from: DiskId, term: Term, prev: LogIndex) -> bool {
         if term < self.hard_state.term {
+            // The reply carries the newer term. If the sender leads that term by now, its rounds
+            // have started again, so the old number would confirm a round that was never answered.
             let hint = EntryId::default();
-            self.answer_append(from, round, AppendOutcome::Rejected { prev, hint });
+            self.answer_append(from, 0, AppendOutcome::Rejected { prev, hint });
             return false;
         }
         if term == self.hard_state.term {
--- a/components/raft/src/node/mod.rs
+++ b/components/raft/src/node/mod.rs
@@ -182,12 +182,12 @@
                 commit,
                 round,
             } => {
-                if self.follow(from, term, prev.index, round) {
+                if self.follow(from, term, prev.index) {
                     self.append_received(from, prev, entries, commit, round);
                 }
             }
             RaftMessage::Snapshot { term, round, chunk } => {
-                if self.follow(from, term, chunk.last.index, round) {
+                if self.follow(from, term, chunk.last.index) {
                     self.chunk_received(from, chunk, round);
                 }
             }
--- /dev/null
+++ b/components/raft/tests/messages.rs
@@ -0,0 +1,238 @@
+//! Single nodes that are given messages by hand.
+
+mod support;
+
+use raft::{
+    AppendOutcome, EntryId, EntryPayload, LogEntry, LogIndex, NodeRole, PersistedState, RaftAction,
+    RaftMessage, RaftNode, RaftSettings, Term,
+};
+use support::ids;
+use units::{ClockTime, DiskId};
+
+const A: DiskId = DiskId(1);
+const B: DiskId = DiskId(2);
+const C: DiskId = DiskId(3);
+
+fn node(id: DiskId, seed: u64) -> RaftNode {
+    let state = PersistedState::bootstrap(ids(3));
+    RaftNode::new(id, state, RaftSettings::default(), seed, ClockTime(0))
+}
+
+fn sent(actions: &[RaftAction]) -> Vec<&RaftMessage> {
+    let messages = actions.iter().filter_map(|action| match action {
+        RaftAction::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    messages.collect()
+}
+
+fn batches(actions: &[RaftAction]) -> Vec<u64> {
+    let ids = actions.iter().filter_map(|action| match action {
+        RaftAction::Persist { id, .. } => Some(*id),
+        _ => None,
+    });
+    ids.collect()
+}
+
+fn last() -> EntryId {
+    EntryId {
+        index: LogIndex(1),
+        term: Term(1),
+    }
+}
+
+fn heartbeat(term: u64, round: u64) -> RaftMessage {
+    RaftMessage::Append {
+        term: Term(term),
+        prev: last(),
+        entries: Vec::new(),
+        commit: LogIndex(0),
+        round,
+    }
+}
+
+fn noop(term: u64) -> LogEntry {
+    let id = EntryId {
+        index: LogIndex(2),
+        term: Term(term),
+    };
+    LogEntry {
+        id,
+        payload: EntryPayload::Noop,
+    }
+}
+
+/// Node A as leader of term 2, with its log acknowledged by B but no round answered.
+fn leader() -> RaftNode {
+    let mut node = node(A, 1);
+    let now = ClockTime(1000);
+    node.tick(now);
+    let granted = RaftMessage::PreVoteReply {
+        term: Term(2),
+        granted: true,
+    };
+    let actions = node.receive(B, granted, now);
+    assert_eq!(
+        sent(&actions).len(),
+        0,
+        "the own vote must be durable before others are asked"
+    );
+    let actions = node.persisted(batches(&actions)[0], now);
+    assert_eq!(sent(&actions).len(), 2);
+    let actions = node.receive(
+        B,
+        RaftMessage::VoteReply {
+            term: Term(2),
+            granted: true,
+        },
+        now,
+    );
+    assert_eq!(node.status().role, NodeRole::Leader);
+    node.receive(B, accepted(2, 0), now);
+    assert_eq!(
+        node.status().commit,
+        LogIndex(0),
+        "the own disk counts only once it is synced"
+    );
+    node.persisted(batches(&actions)[0], now);
+    assert_eq!(node.status().commit, LogIndex(2));
+    node
+}
+
+fn accepted(matched: u64, round: u64) -> RaftMessage {
+    let outcome = AppendOutcome::Accepted {
+        matched: LogIndex(matched),
+    };
+    RaftMessage::AppendReply {
+        term: Term(2),
+        round,
+        outcome,
+    }
+}
+
+fn confirmed(actions: &[RaftAction]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, RaftAction::BarrierDone { .. }))
+}
+
+/// Guards against commits and votes that a crash of the disk's owner would undo.
+#[test]
+fn a_leader_counts_itself_only_after_its_disk() {
+    leader();
+}
+
+/// Guards against a vote or acknowledgement that leaves before the disk has it.
+#[test]
+fn replies_wait_for_the_disk() {
+    let mut node = node(B, 2);
+    let now = ClockTime(100);
+    let vote = RaftMessage::Vote {
+        term: Term(2),
+        last: last(),
+        transfer: false,
+    };
+    let voted = node.receive(A, vote, now);
+    assert_eq!(sent(&voted).len(), 0);
+    let newest = *batches(&voted).last().expect("the vote is persisted");
+    let released = node.persisted(newest, now);
+    assert_eq!(
+        sent(&released),
+        [&RaftMessage::VoteReply {
+            term: Term(2),
+            granted: true
+        }]
+    );
+
+    let append = RaftMessage::Append {
+        term: Term(2),
+        prev: last(),
+        entries: vec![noop(2)],
+        commit: LogIndex(0),
+        round: 1,
+    };
+    let appended = node.receive(A, append, now);
+    assert_eq!(sent(&appended).len(), 0);
+    let released = node.persisted(batches(&appended)[0], now);
+    assert_eq!(sent(&released), [&accepted(2, 1)]);
+}
+
+/// Guards against two votes in a term, also after a restart.
+#[test]
+fn a_vote_outlives_a_restart() {
+    let mut state = PersistedState::bootstrap(ids(3));
+    state.hard_state.term = Term(2);
+    state.hard_state.vote = Some(A);
+    let mut node = RaftNode::new(B, state, RaftSettings::default(), 3, ClockTime(0));
+    let vote = RaftMessage::Vote {
+        term: Term(2),
+        last: last(),
+        transfer: false,
+    };
+    let other = node.receive(C, vote.clone(), ClockTime(100));
+    let same = node.receive(A, vote, ClockTime(100));
+    assert_eq!(
+        sent(&other),
+        [&RaftMessage::VoteReply {
+            term: Term(2),
+            granted: false
+        }]
+    );
+    assert_eq!(
+        sent(&same),
+        [&RaftMessage::VoteReply {
+            term: Term(2),
+            granted: true
+        }]
+    );
+}
+
+/// Guards against a stale read: a follower of a newer term once returned the round of a message
+/// from the sender's earlier leadership, and the sender, leading again, took it for an answer.
+#[test]
+fn an_answer_to_an_old_term_confirms_no_round() {
+    let mut follower = node(B, 4);
+    let now = ClockTime(100);
+    let actions = follower.receive(A, heartbeat(2, 1), now);
+    follower.persisted(
+        *batches(&actions).last().expect("the term is persisted"),
+        now,
+    );
+    let late = follower.receive(A, heartbeat(1, 7), now);
+    let reply = sent(&late)[0].clone();
+    assert!(matches!(
+        reply,
+        RaftMessage::AppendReply { term: Term(2), .. }
+    ));
+
+    let mut leader = leader();
+    let now = ClockTime(1100);
+    let asked = leader.barrier(1, now);
+    let answered = leader.receive(B, reply, now);
+    assert!(!confirmed(&asked) && !confirmed(&answered));
+    assert!(confirmed(&leader.receive(B, accepted(2, 1), now)));
+}
+
+/// Guards against an answer to a barrier of an earlier process of the same node.
+#[test]
+fn an_answer_to_an_earlier_process_confirms_nothing() {
+    let ask = |seed| {
+        let mut node = node(B, seed);
+        let now = ClockTime(100);
+        let actions = node.receive(A, heartbeat(1, 1), now);
+        assert_eq!(batches(&actions), [], "the term is known already");
+        let nonce = match sent(&node.barrier(1, now))[..] {
+            [RaftMessage::Barrier { nonce }] => *nonce,
+            ref other => panic!("unexpected messages {other:?}"),
+        };
+        (node, nonce)
+    };
+    let (_, old) = ask(1);
+    let (mut node, new) = ask(2);
+    let answer = |nonce| RaftMessage::BarrierReply {
+        nonce,
+        index: Some(LogIndex(0)),
+    };
+    assert!(!confirmed(&node.receive(A, answer(old), ClockTime(110))));
+    assert!(confirmed(&node.receive(A, answer(new), ClockTime(120))));
+}
