--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -7,12 +7,16 @@
 //!
 //! Files: `state` (id, term, vote), `snapshot`, `log-N` (records from index N on) and `lock`. Each
 //! record has a length and a CRC-32. `state` and `snapshot` are replaced by writing `NAME.new`,
-//! syncing, renaming and syncing the folder. A torn last record of the newest segment is cut off
-//! when the folder is opened; any other damage is [`StoreError::Corrupt`], and the host must rejoin
-//! with an empty folder, which gives it a new id.
+//! syncing, renaming and syncing the folder. An incomplete last record of the newest segment is cut
+//! off when the folder is opened: its write was never acknowledged. Any other damage, a last record
+//! of full length with a wrong checksum included, is [`StoreError::Corrupt`], and the host must
+//! rejoin with an empty folder, which gives it a new id.
 
 mod error;
+mod folder;
 mod log_store;
+mod record;
+mod segments;
 
 pub use error::StoreError;
 pub use log_store::{LogStore, SEGMENT_BYTES};
--- /dev/null
+++ b/components/store/tests/crash.rs
@@ -0,0 +1,151 @@
+//! Crashes between any two file operations, as the folders that they leave.
+
+mod support;
+
+use std::fs;
+use std::path::Path;
+
+use raft::{PersistBatch, PersistedState};
+use store::LogStore;
+use support::{copy, entries, hard_state, names, open, segments, snapshot};
+use tempfile::TempDir;
+
+/// A folder before and after one write.
+struct OneWrite {
+    before: TempDir,
+    after: TempDir,
+    old: PersistedState,
+    new: PersistedState,
+}
+
+fn one_write(earlier: &[PersistBatch], batch: &PersistBatch) -> OneWrite {
+    let before = tempfile::tempdir().unwrap();
+    let (mut store, mut old) = LogStore::open_with(before.path(), 100).unwrap();
+    for batch in earlier {
+        store.persist(batch).unwrap();
+        old.apply(batch);
+    }
+    drop(store);
+    let after = copy(before.path());
+    let (mut store, mut new) = LogStore::open_with(after.path(), 100).unwrap();
+    store.persist(batch).unwrap();
+    new.apply(batch);
+    OneWrite {
+        before,
+        after,
+        old,
+        new,
+    }
+}
+
+/// Checks the folder, and that it takes further writes.
+fn assert_opens(folder: &Path, expected: &PersistedState) {
+    let (mut store, mut state) = LogStore::open(folder).unwrap();
+    assert_eq!(state, *expected);
+    assert!(names(folder).iter().all(|name| !name.ends_with(".new")));
+    let start = state
+        .snapshot
+        .as_ref()
+        .map_or(0, |snapshot| snapshot.last.index.0);
+    let last = state.entries.last().map_or(start, |entry| entry.id.index.0);
+    let more = entries(last + 1, 2, 50);
+    store.persist(&more).unwrap();
+    state.apply(&more);
+    drop(store);
+    assert_eq!(open(folder), state);
+}
+
+/// Every state of a file replacement up to the rename: any part of the new file is written.
+fn check_replacement(write: &OneWrite, name: &str) {
+    let bytes = fs::read(write.after.path().join(name)).unwrap();
+    for length in 0..=bytes.len() {
+        let folder = copy(write.before.path());
+        fs::write(folder.path().join(format!("{name}.new")), &bytes[..length]).unwrap();
+        assert_opens(folder.path(), &write.old);
+    }
+}
+
+/// Every state after the rename: any number of segments is deleted, in the given order.
+fn check_deletions(write: &OneWrite, deleted: &[String]) {
+    for count in 0..=deleted.len() {
+        let folder = copy(write.before.path());
+        fs::copy(
+            write.after.path().join("snapshot"),
+            folder.path().join("snapshot"),
+        )
+        .unwrap();
+        for name in &deleted[..count] {
+            fs::remove_file(folder.path().join(name)).unwrap();
+        }
+        assert_opens(folder.path(), &write.new);
+    }
+}
+
+fn deleted(write: &OneWrite) -> Vec<String> {
+    let left = names(write.after.path());
+    let before = names(write.before.path()).into_iter();
+    before.filter(|name| !left.contains(name)).collect()
+}
+
+fn log() -> Vec<PersistBatch> {
+    (0..6).map(|place| entries(1 + place * 3, 3, 1)).collect()
+}
+
+/// Guards against a lost or mixed term and vote, with which a node could vote twice.
+#[test]
+fn term_and_vote_change_as_one() {
+    let write = one_write(&[hard_state(3)], &hard_state(4));
+    check_replacement(&write, "state");
+    assert_opens(write.after.path(), &write.new);
+}
+
+/// Guards against an id that changes after a crash.
+#[test]
+fn the_id_is_created_once() {
+    let folder = tempfile::tempdir().unwrap();
+    let id = LogStore::open(folder.path()).unwrap().0.id();
+    let bytes = fs::read(folder.path().join("state")).unwrap();
+    assert_eq!(LogStore::open(folder.path()).unwrap().0.id(), id);
+    for length in 0..=bytes.len() {
+        let crashed = tempfile::tempdir().unwrap();
+        fs::write(crashed.path().join("state.new"), &bytes[..length]).unwrap();
+        assert_ne!(LogStore::open(crashed.path()).unwrap().0.id(), id);
+    }
+}
+
+/// Guards against entries that are lost or appear again around a compaction.
+#[test]
+fn a_compaction_survives_a_crash_at_any_step() {
+    let mut earlier = log();
+    earlier.push(snapshot(4, 1));
+    let write = one_write(&earlier, &snapshot(14, 1));
+    let deleted = deleted(&write);
+    assert!(deleted.len() > 1, "the compaction deletes segments");
+    check_replacement(&write, "snapshot");
+    check_deletions(&write, &deleted);
+}
+
+/// Guards against entries of an old leader that survive behind a snapshot of a new one.
+#[test]
+fn an_installed_snapshot_replaces_a_different_log_at_any_step() {
+    for index in [10, 18, 30] {
+        let write = one_write(&log(), &snapshot(index, 2));
+        let mut deleted = deleted(&write);
+        assert_eq!(segments(write.after.path()).len(), 0);
+        deleted.reverse();
+        check_replacement(&write, "snapshot");
+        check_deletions(&write, &deleted);
+    }
+}
+
+/// Guards against a failure to start after a crash between the creation of a segment and the first
+/// record in it.
+#[test]
+fn an_empty_new_segment_is_no_damage() {
+    let write = one_write(&log(), &entries(19, 3, 1));
+    let rows = segments(write.after.path());
+    assert_eq!(rows.len(), segments(write.before.path()).len() + 1);
+    let newest = rows.last().unwrap().file_name().unwrap();
+    fs::write(write.before.path().join(newest), []).unwrap();
+    assert_opens(write.before.path(), &write.old);
+}
--- /dev/null
+++ b/components/store/tests/restart.rs
@@ -0,0 +1,65 @@
+//! Restarts of a folder in normal use.
+
+mod support;
+
+use store::{LogStore, StoreError};
+use support::{entries, entry, hard_state, names, open_error, segments, snapshot};
+
+/// Guards against lost entries and growing folders over hundreds of records and compactions.
+#[test]
+fn five_hundred_records_survive_restarts_and_compactions() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, mut state) = LogStore::open_with(folder.path(), 2000).unwrap();
+    let id = store.id();
+    for index in 1..=500 {
+        let mut batch = entries(index, 1, 1);
+        batch.hard_state = hard_state(index / 100).hard_state;
+        store.persist(&batch).unwrap();
+        state.apply(&batch);
+        if index % 60 == 0 {
+            let compaction = snapshot(index - 5, 1);
+            store.persist(&compaction).unwrap();
+            state.apply(&compaction);
+        }
+        if index % 125 == 0 {
+            drop(store);
+            let opened = LogStore::open_with(folder.path(), 2000).unwrap();
+            assert_eq!(opened.1, state);
+            store = opened.0;
+        }
+    }
+    assert_eq!(store.id(), id);
+    assert_eq!(state.entries.last(), Some(&entry(500, 1, 20)));
+    let files = names(folder.path());
+    assert!(
+        segments(folder.path()).len() < 5,
+        "old segments are deleted: {files:?}"
+    );
+    let snapshots = files.iter().filter(|name| name.starts_with("snapshot"));
+    assert_eq!(snapshots.count(), 1);
+}
+
+/// Guards against two processes that write to one folder.
+#[test]
+fn a_folder_in_use_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = LogStore::open(folder.path()).unwrap();
+    assert!(matches!(
+        open_error(folder.path()),
+        StoreError::Locked { .. }
+    ));
+    drop(first);
+    LogStore::open(folder.path()).unwrap();
+}
+
+/// Guards against gaps, which could not be read back.
+#[test]
+fn a_gap_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, _) = LogStore::open(folder.path()).unwrap();
+    store.persist(&entries(1, 3, 1)).unwrap();
+    let gap = store.persist(&entries(5, 1, 1));
+    let after = store.persist(&entries(4, 1, 1));
+    assert!(matches!(gap, Err(StoreError::Gap { first: 5, last: 3 })));
+    assert!(matches!(after, Err(StoreError::Failed)));
+}
