Test slow disks in raft histories and joined batches in store

Cause: writes in the histories took at most 4 ms, so messages that wait for the disk were hardly ever overtaken; the control daemon joins batches, which no test covered.

--- a/components/raft/tests/support/mod.rs
+++ b/components/raft/tests/support/mod.rs
@@ -240,7 +240,7 @@
         match action {
             RaftAction::Send { to, message } => self.post(id, to, message),
             RaftAction::Persist { id: write, batch } => {
-                let delay = self.rng.random_range(0..4);
+                let delay = self.write_time();
                 let host = self.host(id);
                 host.writes.push_back((write, batch));
                 let start = host.start;
@@ -282,6 +282,13 @@
         }
     }
 
+    /// Most writes are fast; with faults, some take longer than an election timeout.
+    fn write_time(&mut self) -> u64 {
+        let is_late = self.rng.random_range(0..200) < self.rates.late;
+        let slowest = if is_late { 700 } else { 4 };
+        self.rng.random_range(0..slowest)
+    }
+
     fn apply(&mut self, id: DiskId, entry: LogEntry) {
         let index = entry.id.index.0;
         match self.history.get(index as usize - 1) {
--- a/components/store/tests/restart.rs
+++ b/components/store/tests/restart.rs
@@ -2,8 +2,13 @@
 
 mod support;
 
+use proptest::prelude::*;
+use raft::PersistedState;
 use store::{LogStore, StoreError};
-use support::{entries, entry, hard_state, names, open_error, segments, snapshot};
+use support::{
+    all_writes, batch, entries, entry, hard_state, names, open, open_error, runner, segments,
+    snapshot,
+};
 
 /// Guards against lost entries and growing folders over hundreds of records and compactions.
 #[test]
@@ -63,3 +68,28 @@
     assert!(matches!(gap, Err(StoreError::Gap { first: 5, last: 3 })));
     assert!(matches!(after, Err(StoreError::Failed)));
 }
+
+/// Guards against a difference between batches that are written one by one and joined ones.
+#[test]
+fn joined_batches_leave_the_same_state() {
+    let test = |writes: Vec<support::Write>| {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut store, mut state) = LogStore::open(folder.path()).unwrap();
+        let mut joined = PersistedState::default().to_batch();
+        for (place, write) in writes.iter().enumerate() {
+            let batch = batch(&state, write, 1 + place as u64);
+            state.apply(&batch);
+            if joined.can_merge(&batch) {
+                joined.merge(batch);
+            } else {
+                store.persist(&joined).unwrap();
+                joined = batch;
+            }
+        }
+        store.persist(&joined).unwrap();
+        drop(store);
+        prop_assert_eq!(open(folder.path()), state);
+        Ok(())
+    };
+    runner(100).run(&all_writes(), test).unwrap();
+}
