Declare the settings and handles of entry and agent

A resumed or queried run names the incarnation of the agent that was granted it. Without it, a restarted agent, whose memory of requests is empty, would answer that a request never ran. The agent tells its incarnation in the first message of a session, since the directory may lag behind a restart.

--- /dev/null
+++ b/components/agent/src/settings.rs
@@ -0,0 +1,94 @@
+//! Settings of an agent.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use units::{DataCentreName, NodeName, ServiceName, SlotCount, TargetName};
+
+/// Kind of a target, which decides how its cost is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetKind {
+    /// A model engine: cost in tokens.
+    Model,
+    /// A plain service: one unit for each call.
+    Plain,
+}
+
+impl fmt::Display for TargetKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Model => "model",
+            Self::Plain => "plain",
+        })
+    }
+}
+
+impl FromStr for TargetKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "model" => Ok(Self::Model),
+            "plain" => Ok(Self::Plain),
+            _ => Err(format!("Failed to read kind {text:?}: model or plain")),
+        }
+    }
+}
+
+/// Settings of an agent.
+#[derive(Debug, Clone)]
+pub struct AgentSettings {
+    /// Name of the agent, unique in the fleet.
+    pub name: NodeName,
+    /// Address for links of entries.
+    pub listen: SocketAddr,
+    /// Data centre of the host.
+    pub data_centre: DataCentreName,
+    /// Addresses of the control nodes.
+    pub controls: Vec<SocketAddr>,
+    /// Folder with the key files.
+    pub keys: PathBuf,
+    /// Name of the target.
+    pub target: TargetName,
+    /// Service of the target.
+    pub service: ServiceName,
+    /// Kind of the target.
+    pub kind: TargetKind,
+    /// Base URL of the target, `http://HOST:PORT`.
+    pub target_url: String,
+    /// Requests that a cold target runs at once.
+    pub cold_limit: SlotCount,
+    /// Requests that the target runs at once at most.
+    pub most_slots: SlotCount,
+    /// Address for `/healthz` and `/readyz`.
+    pub health: SocketAddr,
+}
+
+impl AgentSettings {
+    /// All faults of the settings, empty if they can be used.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        if self.controls.is_empty() {
+            faults.push("Failed to use the control addresses: none is given".into());
+        }
+        if !self.target_url.starts_with("http://") {
+            let url = &self.target_url;
+            faults.push(format!(
+                "Failed to use target URL {url:?}: expected http://HOST:PORT"
+            ));
+        }
+        if self.cold_limit.0 == 0 || self.cold_limit > self.most_slots {
+            let (cold, most) = (self.cold_limit, self.most_slots);
+            faults.push(format!(
+                "Failed to use cold limit {cold}: expected 1 to {most} (the most slots)"
+            ));
+        }
+        if !self.keys.is_dir() {
+            let keys = self.keys.display();
+            faults.push(format!("Failed to use keys folder {keys}: no such folder"));
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/components/entry/src/settings.rs
@@ -0,0 +1,74 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use units::{ByteSize, DataCentreName, NodeName};
+
+/// Settings of an entry.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Name of the entry, unique in the fleet.
+    pub name: NodeName,
+    /// Address for callers' HTTP.
+    pub http: SocketAddr,
+    /// Address for links of other entries.
+    pub listen: SocketAddr,
+    /// Data centre of the host.
+    pub data_centre: DataCentreName,
+    /// Addresses of the control nodes.
+    pub controls: Vec<SocketAddr>,
+    /// Folder with the key files.
+    pub keys: PathBuf,
+    /// Bounds on callers' requests.
+    pub limits: EntryLimits,
+}
+
+/// Bounds on callers' requests.
+#[derive(Debug, Clone)]
+pub struct EntryLimits {
+    /// Largest request body.
+    pub max_body: ByteSize,
+    /// Largest sum of header names and values.
+    pub max_headers: ByteSize,
+    /// Longest time in which a request body must arrive.
+    pub body_timeout: Duration,
+    /// Longest time from the arrival of a request to the end of its response.
+    pub request_timeout: Duration,
+    /// Wait after which a request is offered to other regions.
+    pub spill_after: Duration,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            max_body: ByteSize(16 << 20),
+            max_headers: ByteSize(64 << 10),
+            body_timeout: Duration::from_secs(30),
+            request_timeout: Duration::from_secs(300),
+            spill_after: Duration::from_millis(150),
+        }
+    }
+}
+
+impl EntrySettings {
+    /// All faults of the settings, empty if they can be used.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        if self.controls.is_empty() {
+            faults.push("Failed to use the control addresses: none is given".into());
+        }
+        if self.limits.max_body.0 == 0 {
+            faults.push("Failed to use body limit 0: expected at least 1 byte".into());
+        }
+        if self.limits.request_timeout.is_zero() {
+            faults.push("Failed to use request timeout 0: expected at least 1 ms".into());
+        }
+        if !self.keys.is_dir() {
+            let keys = self.keys.display();
+            faults.push(format!("Failed to use keys folder {keys}: no such folder"));
+        }
+        faults
+    }
+}
--- a/components/wire/src/run.rs
+++ b/components/wire/src/run.rs
@@ -1,6 +1,6 @@
 //! One run of a request: the request to the agent, and the numbered chunks of the answer.
 
-use units::{CostUnits, RequestId, ServiceName};
+use units::{CostUnits, Incarnation, RequestId};
 
 use crate::session::FlowKey;
 
@@ -61,6 +61,8 @@
         Resume {
             /// The request.
             request: RequestId,
+            /// Start of the agent's process at which the run began.
+            incarnation: Incarnation,
             /// Number of the first chunk that the entry lacks.
             next_chunk: u64,
         },
@@ -68,8 +70,9 @@
         Query {
             /// The request.
             request: RequestId,
-            /// Service of the request.
-            service: ServiceName,
+            /// Start of the agent's process that was granted the request. A process started later
+            /// has no memory of the request and answers [`RunStatus::Unknown`].
+            incarnation: Incarnation,
         },
         /// All chunks before this number have reached the entry and may be dropped.
         Acknowledge(u64),
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -1,7 +1,8 @@
 //! Offers and claims between an entry and an agent.
 
 use units::{
-    CostUnits, FlowWeight, OrganisationName, PrefixHash, RequestId, ServiceName, SlotCount,
+    CostUnits, FlowWeight, Incarnation, OrganisationName, PrefixHash, RequestId, ServiceName,
+    SlotCount,
 };
 
 units::data! {
@@ -61,6 +62,13 @@
 
     /// Message of an agent to an entry on the session stream.
     pub enum AgentMessage {
+        /// First message of each session.
+        Ready {
+            /// Start of the agent's process.
+            incarnation: Incarnation,
+            /// The service of the target.
+            service: ServiceName,
+        },
         /// The agent has reserved a slot for the request. The entry answers with a run stream or a
         /// withdrawal.
         Claim(RequestId),
