--- /dev/null
+++ b/components/agent/src/forward.rs
@@ -0,0 +1,225 @@
+//! Runs a request against the target.
+
+use std::time::Duration;
+
+use cadence::prelude::*;
+use fastrace::Span;
+use fastrace::collector::SpanContext;
+use fastrace::future::FutureExt as _;
+use futures_util::StreamExt;
+use limits::RunSample;
+use units::{ClockTime, CostUnits, RequestId};
+use wire::{FailureCode, RunStart, RunStatus};
+
+use crate::meter::{CostMeter, meter_for};
+use crate::run::{AgentRun, RunEnd, RunFailure};
+use crate::settings::TargetKind;
+use crate::state::AgentShared;
+use crate::target::{TargetError, TargetRequest, TargetResponse};
+
+/// Largest chunk of a response.
+const CHUNK_BYTES: usize = 64 << 10;
+
+/// Time that a call that may not be repeated may run past its deadline, so that its outcome is
+/// still learned.
+const CALL_GRACE: Duration = Duration::from_secs(30);
+
+/// HTTP statuses by which an engine refuses a request because it is full or still loading.
+const BUSY_STATUSES: [u16; 2] = [429, 503];
+
+/// Runs a request that the agent has started, and notes its end.
+pub(crate) async fn run_request(
+    shared: AgentShared,
+    run: AgentRun,
+    start: RunStart,
+    body: Vec<u8>,
+) {
+    let id = start.request;
+    let running = shared.board.write_quietly(|state| {
+        state.running += 1;
+        state.running
+    });
+    let mut forward = Forward {
+        shared: &shared,
+        run: &run,
+        id,
+        running,
+        begun: shared.now(),
+        first_token: None,
+    };
+    let span = run_span(&start);
+    let limit = time_limit(&start);
+    let end = tokio::select! {
+        end = forward.run(start, body).in_span(span) => end,
+        () = run.cancelled() => stopped(FailureCode::Cancelled, "the run was cancelled"),
+        () = tokio::time::sleep(limit) => {
+            stopped(FailureCode::DeadlinePassed, "the deadline has passed")
+        }
+    };
+    forward.finish(end);
+}
+
+fn stopped(code: FailureCode, message: &str) -> RunEnd {
+    RunEnd::Failed(RunFailure::new(RunStatus::Unknown, code, message))
+}
+
+fn time_limit(start: &RunStart) -> Duration {
+    let deadline = Duration::from_millis(start.deadline_ms);
+    if start.repeatable {
+        deadline
+    } else {
+        deadline + CALL_GRACE
+    }
+}
+
+fn run_span(start: &RunStart) -> Span {
+    let parent = start
+        .trace
+        .as_deref()
+        .and_then(SpanContext::decode_w3c_traceparent);
+    match parent {
+        Some(parent) => Span::root("agent.run", parent),
+        None => Span::noop(),
+    }
+}
+
+struct Forward<'a> {
+    shared: &'a AgentShared,
+    run: &'a AgentRun,
+    id: RequestId,
+    running: u32,
+    begun: ClockTime,
+    first_token: Option<Duration>,
+}
+
+impl Forward<'_> {
+    async fn run(&mut self, start: RunStart, body: Vec<u8>) -> RunEnd {
+        let span = Span::enter_with_local_parent("target.call");
+        let trace = SpanContext::from_span(&span)
+            .map(|context| context.encode_w3c_traceparent())
+            .or(start.trace);
+        let request = TargetRequest {
+            head: start.head,
+            body,
+            repeatable: start.repeatable,
+            trace,
+        };
+        let response = self.shared.target.send(request).in_span(span).await;
+        match response {
+            Ok(response) if self.is_busy(&response) => RunEnd::Failed(RunFailure::new(
+                RunStatus::Unknown,
+                FailureCode::TargetBusy,
+                format!("the target refused with status {}", response.head.status),
+            )),
+            Ok(response) => self.read(response).await,
+            Err(error) => RunEnd::Failed(target_failure(&error)),
+        }
+    }
+
+    /// A plain service's own 429 or 503 is a response to the caller, an engine's is not.
+    fn is_busy(&self, response: &TargetResponse) -> bool {
+        self.shared.settings.kind == TargetKind::Model
+            && BUSY_STATUSES.contains(&response.head.status)
+    }
+
+    async fn read(&mut self, response: TargetResponse) -> RunEnd {
+        let TargetResponse { head, mut body } = response;
+        let content_type = head
+            .headers
+            .iter()
+            .find(|field| field.name == "content-type")
+            .map(|field| String::from_utf8_lossy(&field.value).into_owned())
+            .unwrap_or_default();
+        let mut meter = meter_for(self.shared.settings.kind, &content_type);
+        self.run.set_head(head);
+        while let Some(part) = body.next().await {
+            match part {
+                Ok(bytes) => self.pass_on(&bytes, meter.as_mut()).await,
+                Err(error) => return RunEnd::Failed(target_failure(&error)),
+            }
+        }
+        let cost = meter.finish();
+        self.charge(cost);
+        RunEnd::Complete(cost)
+    }
+
+    async fn pass_on(&mut self, bytes: &[u8], meter: &mut dyn CostMeter) {
+        let begun = self.begun;
+        let now = self.shared.now();
+        self.first_token.get_or_insert_with(|| now.since(begun));
+        for piece in bytes.chunks(CHUNK_BYTES) {
+            let cost = meter.feed(piece);
+            self.charge(cost);
+            self.run.push(piece, cost).await;
+        }
+    }
+
+    fn charge(&self, cost: CostUnits) {
+        let now = self.shared.now();
+        self.shared
+            .board
+            .write_quietly(|state| state.table.charged(self.id, cost, now));
+    }
+
+    /// Frees the slot, adapts the limit and gives the end to the readers.
+    fn finish(&self, end: RunEnd) {
+        let now = self.shared.now();
+        self.shared.board.write(|state| {
+            state.running -= 1;
+            state.seen.ended(self.id, end.status(), now);
+            self.adapt_limit(state, &end, now);
+            let actions = state.table.ended(self.id, now);
+            state.perform(actions);
+            state.apply_limit(now);
+        });
+        let outcome = match &end {
+            RunEnd::Complete(_) => "runs.complete",
+            RunEnd::Failed(_) => "runs.failed",
+        };
+        let _ = self.shared.metrics.incr(outcome);
+        if let RunEnd::Failed(failure) = &end {
+            telemetry::event!(
+                telemetry::events::AGENT_RUN_FAILED,
+                request = self.id,
+                code = ?failure.code,
+                reason = failure.message
+            );
+        }
+        self.run.set_end(end);
+    }
+
+    fn adapt_limit(&self, state: &mut crate::state::AgentState, end: &RunEnd, now: ClockTime) {
+        match end {
+            RunEnd::Complete(_) => {
+                let first_token = self.first_token.unwrap_or_else(|| now.since(self.begun));
+                state.limit.completed(self.sample(first_token), now);
+            }
+            RunEnd::Failed(failure) => match failure.code {
+                FailureCode::TargetUnreachable
+                | FailureCode::TargetLost
+                | FailureCode::TargetBusy => state.limit.refused(now),
+                _ => {}
+            },
+        }
+    }
+
+    fn sample(&self, first_token: Duration) -> RunSample {
+        RunSample {
+            running: units::SlotCount(self.running),
+            first_token,
+            ok: true,
+        }
+    }
+}
+
+fn target_failure(error: &TargetError) -> RunFailure {
+    match error {
+        TargetError::Unreachable(_) => {
+            RunFailure::not_run(FailureCode::TargetUnreachable, error)
+        }
+        TargetError::BadRequest(_) => RunFailure::not_run(FailureCode::BadMessage, error),
+        TargetError::Lost(_) => {
+            RunFailure::new(RunStatus::Unknown, FailureCode::TargetLost, error)
+        }
+    }
+}
