--- a/components/agent/src/forward.rs
+++ b/components/agent/src/forward.rs
@@ -214,12 +214,8 @@
 
 fn target_failure(error: &TargetError) -> RunFailure {
     match error {
-        TargetError::Unreachable(_) => {
-            RunFailure::not_run(FailureCode::TargetUnreachable, error)
-        }
+        TargetError::Unreachable(_) => RunFailure::not_run(FailureCode::TargetUnreachable, error),
         TargetError::BadRequest(_) => RunFailure::not_run(FailureCode::BadMessage, error),
-        TargetError::Lost(_) => {
-            RunFailure::new(RunStatus::Unknown, FailureCode::TargetLost, error)
-        }
+        TargetError::Lost(_) => RunFailure::new(RunStatus::Unknown, FailureCode::TargetLost, error),
     }
 }
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -1,37 +1,26 @@
 //! Agent daemon: the only path to one target.
-
+//!
+//! Entries connect, offer requests and start the claimed ones. The agent decides which offers it
+//! claims, forwards each request at most once, and buffers the response so that an entry can
+//! resume it after a lost connection.
+
+mod buffer;
+mod daemon;
+mod forward;
+mod health;
+mod meter;
+mod run;
+mod seen;
+mod sessions;
 mod settings;
-
-use std::net::SocketAddr;
-
+mod state;
+mod streams;
+mod target;
+mod upkeep;
+
+pub use buffer::{BUFFER_SIZE, BufferLost, BufferedChunk, RunBuffer};
+pub use daemon::{AgentHandle, AgentParts, start, start_with};
+pub use meter::{CostMeter, meter_for};
+pub use seen::{MAX_SEEN, SeenRequests, SeenVerdict};
 pub use settings::{AgentSettings, TargetKind};
-
-/// A running agent.
-#[derive(Debug)]
-pub struct AgentHandle {
-    address: SocketAddr,
-    health: SocketAddr,
-}
-
-impl AgentHandle {
-    /// Address for links of entries.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Address for `/healthz` and `/readyz`.
-    pub fn health(&self) -> SocketAddr {
-        self.health
-    }
-
-    /// Announces that the agent leaves, finishes its runs and stops.
-    pub async fn leave(self) {}
-}
-
-/// Starts an agent.
-pub async fn start(settings: AgentSettings) -> eyre::Result<AgentHandle> {
-    Ok(AgentHandle {
-        address: settings.listen,
-        health: settings.health,
-    })
-}
+pub use target::{HttpTarget, TargetClient, TargetError, TargetRequest, TargetResponse};
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -144,9 +144,7 @@
 
     /// Waits until the run is cancelled.
     pub(crate) async fn cancelled(&self) {
-        self.board
-            .wait_for(|run| run.cancelled.then_some(()))
-            .await;
+        self.board.wait_for(|run| run.cancelled.then_some(())).await;
     }
 
     /// Attaches a reader that begins at a chunk; it replaces an earlier one.
@@ -185,9 +183,7 @@
 
     /// Cancels the run if no entry reads it, and says whether it can be dropped.
     pub(crate) fn clean_up(&self, now: ClockTime) -> bool {
-        let (unread, ended) = self
-            .board
-            .read(|run| (run.unread_since, run.end.is_some()));
+        let (unread, ended) = self.board.read(|run| (run.unread_since, run.end.is_some()));
         let Some(since) = unread else {
             return false;
         };
--- a/components/agent/src/seen.rs
+++ b/components/agent/src/seen.rs
@@ -90,7 +90,10 @@
     /// Forgets ids whose time has passed.
     pub fn forget(&mut self, now: ClockTime) {
         for (queue, memory) in [(&mut self.runs, RUN_MEMORY), (&mut self.calls, CALL_MEMORY)] {
-            while queue.front().is_some_and(|(time, _)| now.since(*time) > memory) {
+            while queue
+                .front()
+                .is_some_and(|(time, _)| now.since(*time) > memory)
+            {
                 if let Some((_, id)) = queue.pop_front() {
                     self.requests.remove(&id);
                 }
--- a/components/agent/src/target.rs
+++ b/components/agent/src/target.rs
@@ -92,7 +92,9 @@
         Ok(Self {
             url: url.into(),
             address,
-            runs: builder().build().wrap_err("Failed to create the HTTP client")?,
+            runs: builder()
+                .build()
+                .wrap_err("Failed to create the HTTP client")?,
             // A reused connection may close while the request is on its way, and then it is
             // unknown whether the target has seen it. A call that may not be repeated gets a new
             // connection.
@@ -116,8 +118,8 @@
         for field in &request.head.headers {
             let name = HeaderName::from_bytes(field.name.as_bytes())
                 .map_err(|error| bad(error.to_string()))?;
-            let value = HeaderValue::from_bytes(&field.value)
-                .map_err(|error| bad(error.to_string()))?;
+            let value =
+                HeaderValue::from_bytes(&field.value).map_err(|error| bad(error.to_string()))?;
             builder = builder.header(name, value);
         }
         if let Some(trace) = request.trace {
--- /dev/null
+++ b/components/entry/src/fleet.rs
@@ -0,0 +1,107 @@
+//! Questions to the view of the fleet: pure functions over [`FleetView`].
+
+use std::collections::{HashMap, HashSet};
+
+use client::FleetView;
+use offers::AgentView;
+use units::{
+    ClockTime, ConfigVersion, DataCentreName, FlowWeight, Incarnation, NodeName, OrganisationName,
+    ServiceName, SlotCount,
+};
+use wire::{DirectoryEntry, NodeKind, NodeState, TargetState};
+
+/// Agents that may be offered work.
+pub(crate) fn serving_agents(
+    view: &FleetView,
+    home: &DataCentreName,
+    failed: &HashMap<NodeName, ClockTime>,
+    leaving: &HashSet<(NodeName, Incarnation)>,
+) -> Vec<AgentView> {
+    view.directory
+        .values()
+        .filter(|node| !failed.contains_key(&node.name))
+        .filter(|node| !leaving.contains(&(node.name.clone(), node.incarnation)))
+        .filter_map(|node| Some((node, serving_target(view, node)?)))
+        .map(|(node, target)| AgentView {
+            name: node.name.clone(),
+            service: target.service.clone(),
+            local: is_local(view, home, &node.data_centre),
+            free: SlotCount(target.limit.0.saturating_sub(target.running.0)),
+        })
+        .collect()
+}
+
+/// The target of a node, if it may get new work.
+fn serving_target<'a>(view: &FleetView, node: &'a DirectoryEntry) -> Option<&'a TargetState> {
+    let NodeKind::Agent(target) = &node.kind else {
+        return None;
+    };
+    let serves = node.state == NodeState::Serving
+        && target.healthy
+        && !view.config.is_out(&node.data_centre, &target.target);
+    serves.then_some(target)
+}
+
+/// Whether a data centre is in the region of another. Data centres that the text does not list
+/// are local only to themselves.
+fn is_local(view: &FleetView, home: &DataCentreName, other: &DataCentreName) -> bool {
+    let regions = &view.config.manifest.data_centres;
+    match (regions.get(home), regions.get(other)) {
+        (Some(home), Some(other)) => home == other,
+        _ => home == other,
+    }
+}
+
+/// Whether a service has a target that may get new work.
+pub(crate) fn has_target(view: &FleetView, service: &ServiceName) -> bool {
+    view.directory
+        .values()
+        .filter_map(|node| serving_target(view, node))
+        .any(|target| target.service == *service)
+}
+
+/// The first service without a live target among those that a service depends on, directly or
+/// not.
+pub(crate) fn missing_dependency(view: &FleetView, service: &ServiceName) -> Option<ServiceName> {
+    let spec = view.config.manifest.services.get(service)?;
+    spec.depends_on.iter().find_map(|dependency| {
+        if has_target(view, dependency) {
+            missing_dependency(view, dependency)
+        } else {
+            Some(dependency.clone())
+        }
+    })
+}
+
+/// Names of the entries that are live.
+pub(crate) fn live_entries(view: &FleetView) -> impl Iterator<Item = &NodeName> {
+    view.directory
+        .values()
+        .filter(|node| node.kind == NodeKind::Entry && node.state == NodeState::Serving)
+        .map(|node| &node.name)
+}
+
+/// Organisations by the hash of their key, as of one version of the configuration.
+#[derive(Debug, Default)]
+pub(crate) struct KeyIndex {
+    version: Option<ConfigVersion>,
+    organisations: HashMap<[u8; 32], (OrganisationName, FlowWeight)>,
+}
+
+impl KeyIndex {
+    /// The organisation of a key, and its weight.
+    pub(crate) fn find(
+        &mut self,
+        view: &FleetView,
+        hash: &[u8; 32],
+    ) -> Option<(OrganisationName, FlowWeight)> {
+        if self.version != Some(view.config.version) {
+            self.version = Some(view.config.version);
+            let organisations = view.config.manifest.organisations.iter();
+            self.organisations = organisations
+                .map(|(name, spec)| (spec.key_sha256.0, (name.clone(), spec.weight)))
+                .collect();
+        }
+        self.organisations.get(hash).cloned()
+    }
+}
--- /dev/null
+++ b/components/entry/src/http.rs
@@ -0,0 +1,405 @@
+//! HTTP towards callers.
+
+use std::sync::{Arc, Mutex};
+
+use cadence::prelude::*;
+use fastrace::Span;
+use fastrace::collector::SpanContext;
+use fastrace::future::FutureExt as _;
+use salvo::http::HeaderMap;
+use salvo::prelude::*;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use units::{CostUnits, FlowWeight, OrganisationName, PrefixHash, ServiceName};
+use wire::{FlowKey, HeaderField, RequestHead};
+
+use crate::fleet::{KeyIndex, has_target, missing_dependency};
+use crate::refusal::Refusal;
+use crate::reply;
+use crate::request::{
+    CHAT_PATH, ChatBody, CheckedRequest, idempotency_key, is_canonical_path, key_hash,
+    split_service_path,
+};
+use crate::serve::{OpenRequest, RETRY_AFTER, serve};
+use crate::sink::{ResponsePart, ResponseSink};
+use crate::state::EntryShared;
+
+/// Headers that are not passed on: those of one connection, the organisation's key, and those that
+/// the HTTP client of the agent sets.
+const DROPPED_HEADERS: [&str; 13] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "traceparent",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Serves callers' requests.
+struct CallerGate {
+    shared: EntryShared,
+    keys: Arc<Mutex<KeyIndex>>,
+}
+
+/// Organisation of a caller.
+struct CallerIdentity {
+    organisation: OrganisationName,
+    weight: FlowWeight,
+}
+
+#[async_trait]
+impl Handler for CallerGate {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let _ = self.shared.metrics.incr("requests");
+        let trace = header_text(req.headers(), "traceparent").map(str::to_owned);
+        let span = request_span(trace.as_deref());
+        match self.accept(req, trace).await {
+            Ok(request) => self.answer(request, span, res).await,
+            Err(refusal) => {
+                let _ = self.shared.metrics.incr("refusals");
+                reply::refuse(res, &refusal);
+            }
+        }
+    }
+}
+
+impl CallerGate {
+    /// Checks a request and reads its body.
+    async fn accept(
+        &self,
+        req: &mut Request,
+        trace: Option<String>,
+    ) -> Result<OpenRequest, Refusal> {
+        let deadline = Instant::now() + self.shared.settings.limits.request_timeout;
+        self.check_headers(req)?;
+        let caller = self.identify(req)?;
+        self.check_serving()?;
+        let body = self.read_body(req).await?;
+        let checked = self.check(req, caller.organisation, body)?;
+        self.check_targets(&checked.flow.service)?;
+        let service = &checked.flow.service;
+        let max_waiting = self.shared.view.read(|view| {
+            let spec = view.config.manifest.services.get(service);
+            spec.map_or(0, |spec| spec.max_waiting)
+        });
+        Ok(OpenRequest {
+            body: Arc::new(checked.body.clone()),
+            checked,
+            weight: caller.weight,
+            max_waiting,
+            deadline,
+            trace,
+        })
+    }
+
+    fn check_headers(&self, req: &Request) -> Result<(), Refusal> {
+        let headers = req.headers().iter();
+        let size: usize = headers
+            .map(|(name, value)| name.as_str().len() + value.len())
+            .sum();
+        let limit = self.shared.settings.limits.max_headers;
+        if size as u64 > limit.0 {
+            let message = format!("Failed to accept headers of {size} bytes: the limit is {limit}");
+            return Err(Refusal::not_run(431, "headers-too-large", message));
+        }
+        Ok(())
+    }
+
+    fn identify(&self, req: &Request) -> Result<CallerIdentity, Refusal> {
+        let refuse = |message: &str| Refusal::not_run(401, "unauthorised", message);
+        let hash = header_text(req.headers(), "authorization")
+            .and_then(key_hash)
+            .ok_or_else(|| refuse("Failed to identify the caller: no bearer key"))?;
+        let mut keys = self.keys.lock().expect("no holder of the key index panics");
+        let found = self.shared.view.read(|view| keys.find(view, &hash));
+        let (organisation, weight) =
+            found.ok_or_else(|| refuse("Failed to identify the caller: unknown key"))?;
+        Ok(CallerIdentity {
+            organisation,
+            weight,
+        })
+    }
+
+    fn check_serving(&self) -> Result<(), Refusal> {
+        let leaving = self.shared.board.read(|state| state.leaving);
+        let message = if leaving {
+            "Failed to accept the request: the entry is leaving"
+        } else if !self.shared.has_permission() {
+            "Failed to accept the request: the entry has no lease or is out of service"
+        } else {
+            return Ok(());
+        };
+        Err(Refusal::not_run(503, "not-serving", message).retry_after(RETRY_AFTER))
+    }
+
+    fn check_targets(&self, service: &ServiceName) -> Result<(), Refusal> {
+        let missing = self.shared.view.read(|view| {
+            if has_target(view, service) {
+                missing_dependency(view, service)
+            } else {
+                Some(service.clone())
+            }
+        });
+        match missing {
+            None => Ok(()),
+            Some(missing) => {
+                let message =
+                    format!("Failed to accept the request: service {missing} has no live target");
+                Err(Refusal::not_run(503, "no-target", message).retry_after(RETRY_AFTER))
+            }
+        }
+    }
+
+    async fn read_body(&self, req: &mut Request) -> Result<Vec<u8>, Refusal> {
+        let limits = &self.shared.settings.limits;
+        let max = limits.max_body.0;
+        let too_large = || {
+            let message = format!("Failed to accept the body: the limit is {max} bytes");
+            Refusal::not_run(413, "body-too-large", message)
+        };
+        let stated = header_text(req.headers(), "content-length")
+            .and_then(|length| length.parse::<u64>().ok());
+        if stated.is_some_and(|length| length > max) {
+            return Err(too_large());
+        }
+        let reading = req.payload_with_max_size(max as usize);
+        match tokio::time::timeout(limits.body_timeout, reading).await {
+            Ok(Ok(bytes)) => Ok(bytes.to_vec()),
+            Ok(Err(salvo::http::ParseError::PayloadTooLarge)) => Err(too_large()),
+            Ok(Err(error)) => {
+                let message = format!("Failed to read the body: {error}");
+                Err(Refusal::not_run(400, "bad-request", message))
+            }
+            Err(_) => Err(Refusal::not_run(
+                408,
+                "body-timeout",
+                "Failed to read the body in time",
+            )),
+        }
+    }
+
+    fn check(
+        &self,
+        req: &Request,
+        organisation: OrganisationName,
+        body: Vec<u8>,
+    ) -> Result<CheckedRequest, Refusal> {
+        if req.uri().path() == CHAT_PATH {
+            self.check_chat(req, organisation, body)
+        } else {
+            self.check_service(req, organisation, body)
+        }
+    }
+
+    fn check_chat(
+        &self,
+        req: &Request,
+        organisation: OrganisationName,
+        body: Vec<u8>,
+    ) -> Result<CheckedRequest, Refusal> {
+        let chat = ChatBody::read(&body)?;
+        let max_cost = self.service(&chat.service, manifest::ServiceKind::Model)?;
+        if chat.is_bounded && chat.hint > max_cost {
+            let message = format!(
+                "Failed to accept a request for {} tokens: the limit of {} is {max_cost}",
+                chat.hint, chat.service
+            );
+            return Err(Refusal::not_run(400, "too-costly", message));
+        }
+        Ok(CheckedRequest {
+            flow: FlowKey {
+                organisation,
+                service: chat.service,
+            },
+            head: request_head(req, CHAT_PATH.into()),
+            body,
+            hint: chat.hint.min(max_cost),
+            prefix: chat.prefix,
+            call: None,
+        })
+    }
+
+    fn check_service(
+        &self,
+        req: &Request,
+        organisation: OrganisationName,
+        body: Vec<u8>,
+    ) -> Result<CheckedRequest, Refusal> {
+        let path = req.uri().path();
+        let (service, path) = split_service_path(path)
+            .ok_or_else(|| Refusal::not_run(404, "not-found", "Failed to find the path"))?;
+        self.service(&service, manifest::ServiceKind::Plain)?;
+        let repeatable = self.is_repeatable(&service, req.method().as_str(), &path)?;
+        let key = req.headers().get("idempotency-key");
+        let call = if repeatable {
+            None
+        } else {
+            Some(idempotency_key(key.map(|value| value.as_bytes()))?)
+        };
+        let target = match req.uri().query() {
+            Some(query) => format!("{path}?{query}"),
+            None => path,
+        };
+        Ok(CheckedRequest {
+            flow: FlowKey {
+                organisation,
+                service,
+            },
+            head: request_head(req, target),
+            body,
+            hint: CostUnits(1),
+            prefix: PrefixHash(0),
+            call,
+        })
+    }
+
+    /// Largest cost of a request to a service of this kind.
+    fn service(
+        &self,
+        service: &ServiceName,
+        kind: manifest::ServiceKind,
+    ) -> Result<CostUnits, Refusal> {
+        let found = self.shared.view.read(|view| {
+            let spec = view.config.manifest.services.get(service)?;
+            (spec.kind == kind).then_some(spec.max_cost)
+        });
+        found.ok_or_else(|| {
+            let message = format!("Failed to find {service}: no such service");
+            Refusal::not_run(404, "not-found", message)
+        })
+    }
+
+    fn is_repeatable(
+        &self,
+        service: &ServiceName,
+        method: &str,
+        path: &str,
+    ) -> Result<bool, Refusal> {
+        let (has_rules, repeatable) = self.shared.view.read(|view| {
+            let spec = view.config.manifest.services.get(service);
+            spec.map_or((false, true), |spec| {
+                (!spec.calls.is_empty(), spec.is_repeatable(method, path))
+            })
+        });
+        if has_rules && !is_canonical_path(path) {
+            let message = format!("Failed to accept path {path:?}: it has a plainer spelling");
+            return Err(Refusal::not_run(400, "bad-path", message));
+        }
+        Ok(repeatable)
+    }
+
+    /// Runs a request and answers its caller.
+    async fn answer(&self, request: OpenRequest, span: Span, res: &mut Response) {
+        let deadline = request.deadline;
+        let (sink, parts) = ResponseSink::new();
+        tokio::spawn(serve(self.shared.clone(), request, sink).in_span(span));
+        respond(res, parts, deadline).await;
+    }
+}
+
+/// Answers with the first part, and streams the others.
+async fn respond(res: &mut Response, mut parts: mpsc::Receiver<ResponsePart>, deadline: Instant) {
+    match tokio::time::timeout_at(deadline + reply::DEADLINE_SLACK, parts.recv()).await {
+        Ok(Some(ResponsePart::Head(head))) => reply::stream(res, &head, parts),
+        Ok(Some(ResponsePart::Refusal(refusal))) => reply::refuse(res, &refusal),
+        Ok(_) => {
+            let message = "The request ended without a response";
+            reply::refuse(res, &Refusal::unknown(502, "no-response", message));
+        }
+        Err(_) => {
+            let message = "The deadline has passed and the request may still run";
+            reply::refuse(res, &Refusal::unknown(504, "deadline-passed", message));
+        }
+    }
+}
+
+fn request_span(trace: Option<&str>) -> Span {
+    let parent = trace
+        .and_then(SpanContext::decode_w3c_traceparent)
+        .unwrap_or_else(SpanContext::random);
+    Span::root("entry.request", parent)
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn request_head(req: &Request, path: String) -> RequestHead {
+    let headers = req.headers().iter();
+    RequestHead {
+        method: req.method().as_str().into(),
+        path,
+        headers: headers
+            .filter(|(name, _)| !DROPPED_HEADERS.contains(&name.as_str()))
+            .map(|(name, value)| HeaderField {
+                name: name.as_str().into(),
+                value: value.as_bytes().to_vec(),
+            })
+            .collect(),
+    }
+}
+
+struct ReadyCheck {
+    shared: EntryShared,
+}
+
+#[async_trait]
+impl Handler for ReadyCheck {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let leaving = self.shared.board.read(|state| state.leaving);
+        let ready = !leaving && self.shared.has_permission();
+        res.status_code(if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        });
+        res.render(if ready { "ready" } else { "not ready" });
+    }
+}
+
+#[handler]
+async fn healthz() -> &'static str {
+    "alive"
+}
+
+#[handler]
+async fn not_found(res: &mut Response) {
+    let refusal = Refusal::not_run(404, "not-found", "Failed to find the path");
+    reply::refuse(res, &refusal);
+}
+
+/// Routes of the caller's address.
+pub(crate) fn routes(shared: EntryShared) -> Router {
+    let keys = Arc::new(Mutex::new(KeyIndex::default()));
+    let gate = || CallerGate {
+        shared: shared.clone(),
+        keys: keys.clone(),
+    };
+    Router::new()
+        .push(Router::with_path("healthz").get(healthz))
+        .push(Router::with_path("readyz").get(ReadyCheck {
+            shared: shared.clone(),
+        }))
+        .push(Router::with_path("v1/chat/completions").post(gate()))
+        .push(Router::with_path("services/{**rest}").goal(gate()))
+        .push(Router::with_path("{**rest}").goal(not_found))
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,37 +1,33 @@
 //! Entry daemon: ends callers' HTTP and decides which target gets a request.
-
+//!
+//! A request is checked, waits in the offer book until an agent claims it, and runs there. The
+//! entry passes the response on and resumes it when the connection to the agent is lost.
+
+mod call_flow;
+mod calls;
+mod chunks;
+mod daemon;
+mod fleet;
+mod http;
+mod links;
+mod recorder;
+mod refusal;
+mod reply;
+mod request;
+mod run;
+mod serve;
 mod settings;
-
-use std::net::SocketAddr;
-
+mod sink;
+mod state;
+mod upkeep;
+mod usage;
+
+pub use call_flow::{CallAttempt, CallFlow, CallStep, CallVerdict};
+pub use chunks::{ChunkGap, ChunkSequence, ChunkVerdict};
+pub use daemon::{EntryHandle, EntryParts, start, start_with};
+pub use recorder::{CallRecorder, ControlRecorder};
+pub use refusal::{Refusal, RequestOutcome};
+pub use request::{
+    ChatBody, CheckedRequest, idempotency_key, is_canonical_path, split_service_path,
+};
 pub use settings::{EntryLimits, EntrySettings};
-
-/// A running entry.
-#[derive(Debug)]
-pub struct EntryHandle {
-    http: SocketAddr,
-    address: SocketAddr,
-}
-
-impl EntryHandle {
-    /// Address for callers' HTTP.
-    pub fn http(&self) -> SocketAddr {
-        self.http
-    }
-
-    /// Address for links of other entries.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Announces that the entry leaves, finishes its requests and stops.
-    pub async fn leave(self) {}
-}
-
-/// Starts an entry.
-pub async fn start(settings: EntrySettings) -> eyre::Result<EntryHandle> {
-    Ok(EntryHandle {
-        http: settings.http,
-        address: settings.listen,
-    })
-}
--- /dev/null
+++ b/components/entry/src/recorder.rs
@@ -0,0 +1,47 @@
+//! Records of calls that may not be repeated.
+
+use client::ControlClient;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use wire::{BeginCall, BeginOutcome, ControlReply, ControlRequest, EndCall};
+
+/// Keeps the records of calls that may not be repeated.
+pub trait CallRecorder: Send + Sync {
+    /// Records that a call is about to run; `None` if that is not confirmed.
+    fn begin(&self, call: BeginCall) -> BoxFuture<'_, Option<BeginOutcome>>;
+
+    /// Records the outcome of a call, and tells whether that is confirmed.
+    fn end(&self, call: EndCall) -> BoxFuture<'_, bool>;
+}
+
+/// Records in the replicated log of control.
+pub struct ControlRecorder {
+    client: ControlClient,
+}
+
+impl ControlRecorder {
+    /// Creates the recorder over a client.
+    pub fn new(client: ControlClient) -> Self {
+        Self { client }
+    }
+}
+
+impl CallRecorder for ControlRecorder {
+    fn begin(&self, call: BeginCall) -> BoxFuture<'_, Option<BeginOutcome>> {
+        async move {
+            match self.client.request(&ControlRequest::Begin(call)).await {
+                Ok(ControlReply::Begun(outcome)) => Some(outcome),
+                Ok(_) | Err(_) => None,
+            }
+        }
+        .boxed()
+    }
+
+    fn end(&self, call: EndCall) -> BoxFuture<'_, bool> {
+        async move {
+            let reply = self.client.request(&ControlRequest::End(call)).await;
+            matches!(reply, Ok(ControlReply::Done))
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/components/entry/src/refusal.rs
@@ -0,0 +1,112 @@
+//! Refusals and failures as callers see them.
+
+use std::time::Duration;
+
+use serde_json::json;
+use wire::{FailureCode, RunStatus};
+
+/// Whether a request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestOutcome {
+    /// It did not run and will not.
+    NotRun,
+    /// It ran.
+    Ran,
+    /// It may have run.
+    Unknown,
+}
+
+impl RequestOutcome {
+    /// Value of the header `Bilberry-Outcome`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Refusal or failure of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// HTTP status.
+    pub status: u16,
+    /// Code in the JSON body.
+    pub code: &'static str,
+    /// Message in the JSON body.
+    pub message: String,
+    /// Whether the request ran.
+    pub outcome: RequestOutcome,
+    /// Wait after which a repetition may succeed.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal of a request that did not run and will not.
+    pub fn not_run(status: u16, code: &'static str, message: impl ToString) -> Self {
+        Self {
+            status,
+            code,
+            message: message.to_string(),
+            outcome: RequestOutcome::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// A failure of a request that may have run.
+    pub fn unknown(status: u16, code: &'static str, message: impl ToString) -> Self {
+        Self {
+            outcome: RequestOutcome::Unknown,
+            ..Self::not_run(status, code, message)
+        }
+    }
+
+    /// A refusal of a request that ran before.
+    pub fn ran(status: u16, code: &'static str, message: impl ToString) -> Self {
+        Self {
+            outcome: RequestOutcome::Ran,
+            ..Self::not_run(status, code, message)
+        }
+    }
+
+    /// Adds the wait after which a repetition may succeed.
+    pub fn retry_after(self, wait: Duration) -> Self {
+        Self {
+            retry_after: Some(wait),
+            ..self
+        }
+    }
+
+    /// The refusal for a failed run.
+    pub fn of_run(status: RunStatus, code: FailureCode, message: &str) -> Self {
+        let (http, name) = match code {
+            FailureCode::NotClaimed | FailureCode::NotServing => (503, "not-serving"),
+            FailureCode::TargetUnreachable => (503, "target-unreachable"),
+            FailureCode::TargetLost => (502, "target-lost"),
+            FailureCode::TargetBusy => (503, "target-busy"),
+            FailureCode::BufferLost => (502, "response-lost"),
+            FailureCode::DeadlinePassed => (504, "deadline-passed"),
+            FailureCode::Cancelled => (499, "cancelled"),
+            FailureCode::BadMessage => (502, "bad-message"),
+        };
+        let refusal = Self::unknown(http, name, message);
+        match status {
+            RunStatus::NotRun => Self {
+                outcome: RequestOutcome::NotRun,
+                ..refusal
+            }
+            .retry_after(Duration::from_secs(1)),
+            RunStatus::Ended => Self {
+                outcome: RequestOutcome::Ran,
+                ..refusal
+            },
+            RunStatus::Running | RunStatus::Unknown => refusal,
+        }
+    }
+
+    /// The JSON body.
+    pub fn body(&self) -> String {
+        json!({"error": {"code": self.code, "message": self.message}}).to_string()
+    }
+}
