--- a/components/entry/src/request.rs
+++ b/components/entry/src/request.rs
@@ -7,7 +7,7 @@
 use crate::refusal::Refusal;
 
 /// Path of the model interface.
-pub const CHAT_PATH: &str = "/v1/chat/completions";
+pub(crate) const CHAT_PATH: &str = "/v1/chat/completions";
 
 /// Path prefix of plain services.
 const SERVICES_PREFIX: &str = "/services/";
@@ -52,7 +52,7 @@
 }
 
 /// SHA-256 of a bearer key, from the `Authorization` header.
-pub fn key_hash(authorization: &str) -> Option<[u8; 32]> {
+pub(crate) fn key_hash(authorization: &str) -> Option<[u8; 32]> {
     let (scheme, key) = authorization.split_once(' ')?;
     let key = key.trim();
     if !scheme.eq_ignore_ascii_case("bearer") || key.is_empty() {
--- /dev/null
+++ b/components/entry/tests/common/mod.rs
@@ -0,0 +1,299 @@
+//! A small fleet in one process: an entry, agents, fake targets and a fake control.
+
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+pub mod recorder;
+pub mod target;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agent::{AgentHandle, AgentParts, AgentSettings, TargetKind};
+use board::StateBoard;
+use client::FleetView;
+use entry::{EntryHandle, EntryLimits, EntryParts, EntrySettings};
+use link::KeyAuthority;
+use manifest::FleetManifest;
+use tempfile::TempDir;
+use units::{ClockSource, ClockTime, DataCentreName, NodeName, ServiceName, SlotCount, TargetName};
+use wire::{DirectoryEntry, NodeKind, NodeRole, NodeState};
+
+use recorder::FakeRecorder;
+
+/// Bearer key of the organisation in the text.
+pub const KEY: &str = "key-of-mlyn-hora";
+
+/// Longest wait for an event in a test.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+const TEXT: &str = r#"
+[[region]]
+name = "bohemia"
+
+[[data_centre]]
+name = "praha-1"
+region = "bohemia"
+
+[[service]]
+name = "stone-advice"
+kind = "model"
+max_waiting = 256
+max_cost = 4096
+
+[[service]]
+name = "visits"
+kind = "plain"
+max_waiting = 256
+max_cost = 1
+[[service.call]]
+method = "POST"
+path = "/orders"
+repeatable = false
+
+[[service]]
+name = "bookings"
+kind = "plain"
+depends_on = ["records"]
+max_waiting = 256
+max_cost = 1
+
+[[service]]
+name = "records"
+kind = "plain"
+max_waiting = 256
+max_cost = 1
+
+[[organisation]]
+name = "mlyn-hora"
+weight = 1
+key_sha256 = "KEY_HASH"
+"#;
+
+pub struct Fleet {
+    pub folder: TempDir,
+    /// What the entry sees.
+    pub view: StateBoard<FleetView>,
+    /// What the agents see.
+    pub agent_view: StateBoard<FleetView>,
+    pub clock: Arc<dyn ClockSource>,
+    pub recorder: Arc<FakeRecorder>,
+    authority: KeyAuthority,
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn text() -> String {
+    use sha2::{Digest, Sha256};
+    let hash = Sha256::digest(KEY.as_bytes());
+    let hex: String = hash.iter().map(|byte| format!("{byte:02x}")).collect();
+    TEXT.replace("KEY_HASH", &hex)
+}
+
+fn fleet_view() -> FleetView {
+    let mut view = FleetView {
+        lease_end: ClockTime(u64::MAX),
+        ..FleetView::default()
+    };
+    view.config.version = units::ConfigVersion(1);
+    view.config.manifest = FleetManifest::parse(&text()).unwrap();
+    view
+}
+
+impl Fleet {
+    pub fn new() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let authority = KeyAuthority::open(folder.path()).unwrap();
+        Self {
+            folder,
+            view: StateBoard::new(fleet_view()),
+            agent_view: StateBoard::new(fleet_view()),
+            clock: Arc::new(units::SystemClock::start()),
+            recorder: Arc::default(),
+            authority,
+        }
+    }
+
+    pub async fn entry(&self, name: &str) -> EntryHandle {
+        self.entry_with(name, EntryLimits::default()).await
+    }
+
+    pub async fn entry_with(&self, name: &str, limits: EntryLimits) -> EntryHandle {
+        let name = NodeName::from(name);
+        self.authority.issue(NodeRole::Entry, &name).unwrap();
+        let settings = EntrySettings {
+            name,
+            http: any_port(),
+            listen: any_port(),
+            data_centre: DataCentreName::from("praha-1"),
+            controls: vec![any_port()],
+            keys: self.folder.path().into(),
+            limits,
+        };
+        let parts = EntryParts {
+            view: Some(self.view.clone()),
+            recorder: Some(self.recorder.clone()),
+            clock: self.clock.clone(),
+            ..EntryParts::default()
+        };
+        let entry = entry::start_with(settings, parts).await.unwrap();
+        self.list(entry.directory_entry());
+        entry
+    }
+
+    /// Starts an agent and lists it once its target is healthy.
+    pub async fn agent(
+        &self,
+        name: &str,
+        service: &str,
+        kind: TargetKind,
+        target: SocketAddr,
+    ) -> AgentHandle {
+        let agent = self.unlisted_agent(name, service, kind, target).await;
+        self.list(agent.directory_entry());
+        agent
+    }
+
+    pub async fn unlisted_agent(
+        &self,
+        name: &str,
+        service: &str,
+        kind: TargetKind,
+        target: SocketAddr,
+    ) -> AgentHandle {
+        let name = NodeName::from(name);
+        self.authority.issue(NodeRole::Agent, &name).unwrap();
+        let settings = AgentSettings {
+            target: TargetName::from(format!("target-of-{name}").as_str()),
+            name,
+            listen: any_port(),
+            data_centre: DataCentreName::from("praha-1"),
+            controls: vec![any_port()],
+            keys: self.folder.path().into(),
+            service: ServiceName::from(service),
+            kind,
+            target_url: format!("http://{target}"),
+            cold_limit: SlotCount(4),
+            most_slots: SlotCount(8),
+            health: any_port(),
+        };
+        let parts = AgentParts {
+            view: Some(self.agent_view.clone()),
+            clock: self.clock.clone(),
+            ..AgentParts::default()
+        };
+        let agent = agent::start_with(settings, parts).await.unwrap();
+        until("the target is healthy", || {
+            is_healthy(&agent.directory_entry())
+        })
+        .await;
+        agent
+    }
+
+    pub fn list(&self, node: DirectoryEntry) {
+        self.view.write(|view| {
+            view.directory.insert(node.name.clone(), node);
+        });
+    }
+
+    pub fn set_leaving(&self, name: &str) {
+        self.view.write(|view| {
+            let node = view.directory.get_mut(&NodeName::from(name)).unwrap();
+            node.state = NodeState::Leaving;
+        });
+    }
+}
+
+fn is_healthy(node: &DirectoryEntry) -> bool {
+    matches!(&node.kind, NodeKind::Agent(target) if target.healthy)
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, mut check: impl FnMut() -> bool) {
+    let waiting = async {
+        while !check() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    if tokio::time::timeout(PATIENCE, waiting).await.is_err() {
+        panic!("waited in vain: {what}");
+    }
+}
+
+/// A client of the entry.
+pub struct Caller {
+    client: reqwest::Client,
+    base: String,
+}
+
+impl Caller {
+    pub fn new(entry: &EntryHandle) -> Self {
+        Self {
+            client: reqwest::Client::builder().no_proxy().build().unwrap(),
+            base: format!("http://{}", entry.http()),
+        }
+    }
+
+    pub async fn chat(&self, tokens: u64, stream: bool) -> reqwest::Response {
+        let body = serde_json::json!({
+            "model": "stone-advice",
+            "stream": stream,
+            "max_tokens": tokens,
+            "messages": [{"role": "user", "content": "advise"}],
+        });
+        let request = self
+            .client
+            .post(format!("{}/v1/chat/completions", self.base));
+        let request = request.bearer_auth(KEY).body(body.to_string());
+        request.send().await.unwrap()
+    }
+
+    pub async fn get(&self, path: &str) -> reqwest::Response {
+        let request = self.client.get(format!("{}{path}", self.base));
+        request.bearer_auth(KEY).send().await.unwrap()
+    }
+
+    pub async fn order(&self, key: &str, body: &str) -> reqwest::Response {
+        self.try_order(key, body).await.unwrap()
+    }
+
+    pub async fn try_order(&self, key: &str, body: &str) -> reqwest::Result<reqwest::Response> {
+        self.post("/services/visits/orders", body)
+            .header("idempotency-key", key)
+            .send()
+            .await
+    }
+
+    pub fn post(&self, path: &str, body: &str) -> reqwest::RequestBuilder {
+        let request = self.client.post(format!("{}{path}", self.base));
+        request.bearer_auth(KEY).body(body.to_owned())
+    }
+}
+
+/// Value of a header, empty without it.
+pub fn header(response: &reqwest::Response, name: &str) -> String {
+    let value = response.headers().get(name);
+    value.map_or(String::new(), |value| value.to_str().unwrap().into())
+}
+
+/// The tokens of an event stream, joined.
+pub fn tokens(stream: &str) -> Vec<String> {
+    stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter(|data| *data != "[DONE]")
+        .filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok())
+        .filter_map(|event| {
+            event["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        })
+        .collect()
+}
+
+/// The tokens that the fake target sends.
+pub fn expected_tokens(count: u64) -> Vec<String> {
+    (0..count).map(|number| format!("t{number} ")).collect()
+}
--- /dev/null
+++ b/components/entry/tests/common/target.rs
@@ -0,0 +1,153 @@
+//! Tiny fake target over raw HTTP/1.1: streams tokens, answers reads and counts orders.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+/// What a test sees and controls of the target.
+#[derive(Debug)]
+pub struct TargetState {
+    /// Requests that arrived.
+    pub requests: AtomicUsize,
+    /// Orders that were executed.
+    pub orders: AtomicUsize,
+    /// Connections that broke before their response was complete.
+    pub broken: AtomicUsize,
+    /// Tokens and orders that may be sent; each takes one permit.
+    pub permits: Semaphore,
+}
+
+pub struct FakeTarget {
+    pub address: SocketAddr,
+    pub state: Arc<TargetState>,
+    _tasks: JoinSet<()>,
+}
+
+impl FakeTarget {
+    /// Starts a target that sends as many tokens and order confirmations as it has permits.
+    pub async fn start(permits: usize) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(TargetState {
+            requests: AtomicUsize::new(0),
+            orders: AtomicUsize::new(0),
+            broken: AtomicUsize::new(0),
+            permits: Semaphore::new(permits),
+        });
+        let mut tasks = JoinSet::new();
+        let shared = state.clone();
+        tasks.spawn(async move {
+            let mut connections = JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                let state = shared.clone();
+                connections.spawn(async move {
+                    if serve(stream, &state).await.is_err() {
+                        state.broken.fetch_add(1, Ordering::SeqCst);
+                    }
+                });
+            }
+        });
+        Self {
+            address,
+            state,
+            _tasks: tasks,
+        }
+    }
+
+    pub fn count(&self, counter: impl Fn(&TargetState) -> &AtomicUsize) -> usize {
+        counter(&self.state).load(Ordering::SeqCst)
+    }
+}
+
+async fn serve(mut stream: TcpStream, state: &TargetState) -> std::io::Result<()> {
+    while let Some((head, body)) = read_request(&mut stream).await? {
+        state.requests.fetch_add(1, Ordering::SeqCst);
+        if head.starts_with("POST /v1/chat/completions ") {
+            chat(&mut stream, state, &body).await?;
+        } else if head.starts_with("POST /orders ") {
+            let number = state.orders.fetch_add(1, Ordering::SeqCst) + 1;
+            permit(&mut stream, state).await?;
+            whole(&mut stream, &format!("order {number}")).await?;
+        } else {
+            let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+            whole(&mut stream, &format!("read {path}")).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Takes a permit, or fails if the client closes the connection meanwhile.
+async fn permit(stream: &mut TcpStream, state: &TargetState) -> std::io::Result<()> {
+    let mut byte = [0];
+    tokio::select! {
+        permit = state.permits.acquire() => {
+            permit.unwrap().forget();
+            Ok(())
+        }
+        _ = stream.read(&mut byte) => Err(std::io::ErrorKind::ConnectionAborted.into()),
+    }
+}
+
+async fn chat(stream: &mut TcpStream, state: &TargetState, body: &str) -> std::io::Result<()> {
+    let request: serde_json::Value = serde_json::from_str(body).unwrap();
+    let count = request["max_tokens"].as_u64().unwrap();
+    if request["stream"] != true {
+        let content: String = super::expected_tokens(count).concat();
+        let response = serde_json::json!({
+            "choices": [{"message": {"role": "assistant", "content": content}}],
+            "usage": {"completion_tokens": count},
+        });
+        return whole(stream, &response.to_string()).await;
+    }
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+        transfer-encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).await?;
+    for token in super::expected_tokens(count) {
+        permit(stream, state).await?;
+        let event = serde_json::json!({"choices": [{"delta": {"content": token}}]});
+        chunk(stream, &format!("data: {event}\n\n")).await?;
+    }
+    chunk(stream, "data: [DONE]\n\n").await?;
+    stream.write_all(b"0\r\n\r\n").await
+}
+
+async fn chunk(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    let framed = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(framed.as_bytes()).await
+}
+
+async fn whole(stream: &mut TcpStream, body: &str) -> std::io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(body.as_bytes()).await
+}
+
+async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<(String, String)>> {
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            break end + 4;
+        }
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let length = head
+        .lines()
+        .filter_map(|line| line.split_once(": "))
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        .map_or(0, |(_, value)| value.trim().parse().unwrap());
+    while bytes.len() < head_end + length {
+        if stream.read_buf(&mut bytes).await? == 0 {
+            return Ok(None);
+        }
+    }
+    let body = String::from_utf8_lossy(&bytes[head_end..]).into_owned();
+    Ok(Some((head, body)))
+}
