--- /dev/null
+++ b/components/agent/tests/memory.rs
@@ -0,0 +1,108 @@
+//! Run buffer, memory of request ids and cost meters.
+
+use std::time::Duration;
+
+use agent::{MAX_SEEN, RunBuffer, SeenRequests, SeenVerdict, TargetKind, meter_for};
+use rstest::rstest;
+use units::{ClockTime, CostUnits, RequestId};
+use wire::RunStatus;
+
+/// Guards against a buffer that takes more than its bound while nothing is acknowledged.
+#[test]
+fn full_buffer_has_no_room_until_chunks_are_acknowledged() {
+    let mut buffer = RunBuffer::new(false);
+
+    while buffer.has_room() {
+        buffer.push(&[0; 64 << 10], CostUnits(0));
+    }
+    let full = buffer.next();
+    buffer.acknowledge(1);
+
+    assert_eq!(full, 16);
+    assert!(buffer.has_room());
+    assert!(buffer.get(0).is_err());
+    assert!(buffer.get(1).unwrap().is_some());
+}
+
+/// Guards against a short response that another entry cannot read although it is kept.
+#[test]
+fn kept_response_can_be_read_from_the_beginning() {
+    let mut buffer = RunBuffer::new(true);
+    buffer.push(b"order 1", CostUnits(1));
+
+    buffer.acknowledge(1);
+
+    assert!(buffer.is_acknowledged());
+    assert_eq!(&*buffer.get(0).unwrap().unwrap().bytes, b"order 1");
+}
+
+/// Guards against a start after the agent has answered that the request never ran.
+#[test]
+fn queried_request_is_barred() {
+    let mut seen = SeenRequests::default();
+
+    let status = seen.query(RequestId(1), ClockTime(0));
+    seen.forget(ClockTime(3_600_000));
+
+    assert_eq!(status, RunStatus::NotRun);
+    assert_eq!(seen.start(RequestId(1), false), SeenVerdict::Barred);
+}
+
+/// Guards against a second forward, and against an id that is forgotten while a record names it.
+#[test]
+fn ended_call_is_known_for_the_hour_of_its_record() {
+    let mut seen = SeenRequests::default();
+    seen.start(RequestId(1), false);
+    seen.ended(RequestId(1), RunStatus::Ended, ClockTime(0));
+
+    seen.forget(ClockTime(0) + Duration::from_secs(3_600));
+
+    assert_eq!(seen.start(RequestId(1), false), SeenVerdict::Attach);
+    assert_eq!(seen.query(RequestId(1), ClockTime(0)), RunStatus::Ended);
+}
+
+/// Guards against a memory that forgets old ids to make room for new ones.
+#[test]
+fn full_memory_refuses_new_requests() {
+    let mut seen = SeenRequests::default();
+    for id in 0..MAX_SEEN as u128 {
+        seen.start(RequestId(id), true);
+    }
+
+    let fresh = RequestId(u128::MAX);
+
+    assert_eq!(seen.start(fresh, true), SeenVerdict::Full);
+    assert_eq!(seen.query(fresh, ClockTime(0)), RunStatus::Unknown);
+    assert_eq!(seen.start(RequestId(0), true), SeenVerdict::Attach);
+}
+
+const EVENTS: &str = "data: {\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}\n\n\
+    data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n\
+    data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\n";
+const USAGE: &str =
+    "data: {\"choices\":[],\"usage\":{\"completion_tokens\":5}}\n\ndata: [DONE]\n\n";
+const WHOLE: &str = "{\"choices\":[{\"message\":{\"content\":\"abcdefgh\"}}]}";
+const WHOLE_USAGE: &str =
+    "{\"choices\":[{\"message\":{\"content\":\"abcdefgh\"}}],\"usage\":{\"completion_tokens\":1}}";
+
+#[rstest]
+#[case::tokens(TargetKind::Model, "text/event-stream", EVENTS.to_owned(), 2)]
+#[case::usage(TargetKind::Model, "text/event-stream", format!("{EVENTS}{USAGE}"), 5)]
+#[case::whole(TargetKind::Model, "application/json", WHOLE.to_owned(), 2)]
+#[case::whole_usage(TargetKind::Model, "application/json", WHOLE_USAGE.to_owned(), 1)]
+#[case::call(TargetKind::Plain, "text/plain", "order 1".to_owned(), 1)]
+fn cost_does_not_depend_on_how_the_body_is_split(
+    #[case] kind: TargetKind,
+    #[case] content_type: &str,
+    #[case] body: String,
+    #[case] cost: u64,
+    #[values(1, 7, 4096)] part: usize,
+) {
+    let mut meter = meter_for(kind, content_type);
+
+    for bytes in body.as_bytes().chunks(part) {
+        meter.feed(bytes);
+    }
+
+    assert_eq!(meter.finish(), CostUnits(cost));
+}
--- /dev/null
+++ b/components/entry/tests/calls.rs
@@ -0,0 +1,132 @@
+//! Calls that may not be repeated, when entries, agents and targets fail.
+
+mod common;
+
+use std::sync::atomic::Ordering;
+
+use agent::TargetKind;
+use common::recorder::RecorderLink;
+use common::target::FakeTarget;
+use common::{Caller, Fleet, header, until};
+use entry::EntryLimits;
+
+/// Guards against a second order when the entry that runs the first one dies, and against an
+/// outcome that no later resend can learn.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_of_a_dead_entry_is_found_at_its_agent() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(0).await;
+    let _agent = fleet
+        .agent("agent-1", "visits", TargetKind::Plain, target.address)
+        .await;
+    let link = RecorderLink::new(fleet.recorder.clone());
+    let first = fleet
+        .entry_over("entry-1", EntryLimits::default(), link.clone())
+        .await;
+    let caller = Caller::new(&first);
+    let broken = tokio::spawn(async move { caller.try_order("key-1", "visit").await });
+    until("the order is at the target", || {
+        target.count(|state| &state.orders) == 1
+    })
+    .await;
+
+    link.cut.store(true, Ordering::SeqCst);
+    first.kill().await;
+    let second = fleet.entry("entry-2").await;
+    let caller = Caller::new(&second);
+    let running = caller.order("key-1", "visit").await;
+    target.state.permits.add_permits(1);
+    let found = loop {
+        let response = caller.order("key-1", "visit").await;
+        if response.status() != 409 {
+            break response;
+        }
+    };
+
+    assert_eq!(running.status(), 409);
+    assert_eq!(header(&running, "bilberry-outcome"), "unknown");
+    assert_eq!(found.text().await.unwrap(), "order 1");
+    assert_eq!(target.count(|state| &state.orders), 1);
+    broken.abort();
+}
+
+/// Guards against an order that is told as not run although the target counted it, and against a
+/// repetition of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_of_a_lost_agent_is_unknown() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(0).await;
+    let agent = fleet
+        .agent("agent-1", "visits", TargetKind::Plain, target.address)
+        .await;
+    let entry = fleet.entry("entry-1").await;
+    let caller = Caller::new(&entry);
+    let order = tokio::spawn(async move { caller.order("key-1", "visit").await });
+    until("the order is at the target", || {
+        target.count(|state| &state.orders) == 1
+    })
+    .await;
+
+    agent.kill().await;
+    let lost = order.await.unwrap();
+    let _other = fleet
+        .agent("agent-2", "visits", TargetKind::Plain, target.address)
+        .await;
+    until("the outcome is recorded", || fleet.recorder.ended() == 1).await;
+    let again = Caller::new(&entry).order("key-1", "visit").await;
+
+    assert_eq!(lost.status(), 502);
+    assert_eq!(header(&lost, "bilberry-outcome"), "unknown");
+    assert_eq!(again.status(), 409);
+    assert_eq!(header(&again, "bilberry-outcome"), "unknown");
+    assert_eq!(target.count(|state| &state.orders), 1);
+}
+
+/// Guards against an order that starts without a confirmed record.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_without_record_does_not_run() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(1).await;
+    let _agent = fleet
+        .agent("agent-1", "visits", TargetKind::Plain, target.address)
+        .await;
+    let link = RecorderLink::new(fleet.recorder.clone());
+    let entry = fleet
+        .entry_over("entry-1", EntryLimits::default(), link.clone())
+        .await;
+    let caller = Caller::new(&entry);
+
+    link.cut.store(true, Ordering::SeqCst);
+    let refused = caller.order("key-1", "visit").await;
+    link.cut.store(false, Ordering::SeqCst);
+    let accepted = caller.order("key-1", "visit").await;
+
+    assert_eq!(refused.status(), 503);
+    assert_eq!(header(&refused, "bilberry-outcome"), "not-run");
+    assert_eq!(accepted.text().await.unwrap(), "order 1");
+}
+
+/// Guards against an order that dies with its caller, so that its outcome is never recorded.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_of_a_caller_that_is_gone_is_recorded() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(0).await;
+    let _agent = fleet
+        .agent("agent-1", "visits", TargetKind::Plain, target.address)
+        .await;
+    let entry = fleet.entry("entry-1").await;
+    let caller = Caller::new(&entry);
+    let order = tokio::spawn(async move { caller.try_order("key-1", "visit").await });
+    until("the order is at the target", || {
+        target.count(|state| &state.orders) == 1
+    })
+    .await;
+
+    order.abort();
+    target.state.permits.add_permits(1);
+    until("the outcome is recorded", || fleet.recorder.ended() == 1).await;
+    let again = Caller::new(&entry).order("key-1", "visit").await;
+
+    assert_eq!(again.text().await.unwrap(), "order 1");
+    assert_eq!(target.count(|state| &state.orders), 1);
+}
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
 pub mod recorder;
+pub mod relay;
 pub mod target;
 
 use std::net::SocketAddr;
@@ -12,7 +13,7 @@
 use agent::{AgentHandle, AgentParts, AgentSettings, TargetKind};
 use board::StateBoard;
 use client::FleetView;
-use entry::{EntryHandle, EntryLimits, EntryParts, EntrySettings};
+use entry::{CallRecorder, EntryHandle, EntryLimits, EntryParts, EntrySettings};
 use link::KeyAuthority;
 use manifest::FleetManifest;
 use tempfile::TempDir;
@@ -121,6 +122,16 @@
     }
 
     pub async fn entry_with(&self, name: &str, limits: EntryLimits) -> EntryHandle {
+        self.entry_over(name, limits, self.recorder.clone()).await
+    }
+
+    /// Starts an entry with its own way to control.
+    pub async fn entry_over(
+        &self,
+        name: &str,
+        limits: EntryLimits,
+        recorder: Arc<dyn CallRecorder>,
+    ) -> EntryHandle {
         let name = NodeName::from(name);
         self.authority.issue(NodeRole::Entry, &name).unwrap();
         let settings = EntrySettings {
@@ -134,7 +145,7 @@
         };
         let parts = EntryParts {
             view: Some(self.view.clone()),
-            recorder: Some(self.recorder.clone()),
+            recorder: Some(recorder),
             clock: self.clock.clone(),
             ..EntryParts::default()
         };
@@ -198,6 +209,12 @@
         });
     }
 
+    /// Lists a node under another address.
+    pub fn list_at(&self, mut node: DirectoryEntry, address: SocketAddr) {
+        node.address = address;
+        self.list(node);
+    }
+
     pub fn set_leaving(&self, name: &str) {
         self.view.write(|view| {
             let node = view.directory.get_mut(&NodeName::from(name)).unwrap();
@@ -272,6 +289,31 @@
     }
 }
 
+/// Reads an event stream until it has a count of tokens.
+pub async fn read_tokens(response: &mut reqwest::Response, text: &mut String, count: usize) {
+    let reading = async {
+        while tokens(text).len() < count {
+            let chunk = response.chunk().await.unwrap().expect("the stream goes on");
+            text.push_str(std::str::from_utf8(&chunk).unwrap());
+        }
+    };
+    tokio::time::timeout(PATIENCE, reading)
+        .await
+        .expect("tokens arrive in time");
+}
+
+/// Reads the rest of an event stream.
+pub async fn read_rest(mut response: reqwest::Response, text: &mut String) {
+    let reading = async {
+        while let Some(chunk) = response.chunk().await.unwrap() {
+            text.push_str(std::str::from_utf8(&chunk).unwrap());
+        }
+    };
+    tokio::time::timeout(PATIENCE, reading)
+        .await
+        .expect("the stream ends in time");
+}
+
 /// Value of a header, empty without it.
 pub fn header(response: &reqwest::Response, name: &str) -> String {
     let value = response.headers().get(name);
--- a/components/entry/tests/common/recorder.rs
+++ b/components/entry/tests/common/recorder.rs
@@ -1,8 +1,10 @@
 //! Fake control that keeps call records in memory.
 
+#![allow(unreachable_pub, missing_docs)]
+
 use std::collections::HashMap;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 
 use entry::CallRecorder;
 use futures_util::FutureExt;
@@ -22,8 +24,6 @@
 #[derive(Debug, Default)]
 pub struct FakeRecorder {
     records: Mutex<HashMap<CallKey, CallRecord>>,
-    /// Ends that are dropped as if the entry had died before them.
-    pub dropped_ends: AtomicUsize,
 }
 
 impl FakeRecorder {
@@ -88,15 +88,43 @@
 
     fn end(&self, call: EndCall) -> BoxFuture<'_, bool> {
         async move {
-            let drop = self
-                .dropped_ends
-                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
-                    left.checked_sub(1)
-                });
-            if drop.is_err() {
-                self.apply_end(&call);
+            self.apply_end(&call);
+            true
+        }
+        .boxed()
+    }
+}
+
+/// Way of one entry to the fake control, which can be cut.
+#[derive(Debug)]
+pub struct RecorderLink {
+    pub recorder: Arc<FakeRecorder>,
+    pub cut: AtomicBool,
+}
+
+impl RecorderLink {
+    pub fn new(recorder: Arc<FakeRecorder>) -> Arc<Self> {
+        let cut = AtomicBool::new(false);
+        Arc::new(Self { recorder, cut })
+    }
+
+    fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::SeqCst)
+    }
+}
+
+impl CallRecorder for RecorderLink {
+    fn begin(&self, call: BeginCall) -> BoxFuture<'_, Option<BeginOutcome>> {
+        async move { (!self.is_cut()).then(|| self.recorder.apply_begin(&call)) }.boxed()
+    }
+
+    fn end(&self, call: EndCall) -> BoxFuture<'_, bool> {
+        async move {
+            let open = !self.is_cut();
+            if open {
+                self.recorder.apply_end(&call);
             }
-            drop.is_err()
+            open
         }
         .boxed()
     }
--- /dev/null
+++ b/components/entry/tests/refusals.rs
@@ -0,0 +1,144 @@
+//! Refusals that callers see.
+
+mod common;
+
+use std::time::Duration;
+
+use agent::TargetKind;
+use common::target::FakeTarget;
+use common::{Caller, Fleet, header};
+use entry::EntryLimits;
+use reqwest::Response;
+use rstest::rstest;
+use units::{ByteSize, ClockTime};
+
+async fn refused(response: Response) -> (u16, String, String) {
+    let status = response.status().as_u16();
+    let outcome = header(&response, "bilberry-outcome");
+    let text = response.text().await.unwrap();
+    let body: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert!(body["error"]["message"].is_string(), "{text}");
+    (
+        status,
+        body["error"]["code"].as_str().unwrap().into(),
+        outcome,
+    )
+}
+
+#[rstest]
+#[case::service("/services/unknown/x", "", 404, "not-found")]
+#[case::path("/elsewhere", "", 404, "not-found")]
+#[case::no_target("/services/records/x", "", 503, "no-target")]
+#[case::no_dependency("/services/bookings/x", "", 503, "no-target")]
+#[case::no_key("/services/visits/orders", "", 400, "idempotency-key")]
+#[case::spelling("/services/visits//orders", "", 400, "bad-path")]
+#[case::json("/v1/chat/completions", "{", 400, "bad-request")]
+#[case::cost(
+    "/v1/chat/completions",
+    "{\"model\":\"stone-advice\",\"max_tokens\":5000}",
+    400,
+    "too-costly"
+)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_is_refused_as_not_run(
+    #[case] path: &str,
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(0).await;
+    let _visits = fleet
+        .agent("agent-1", "visits", TargetKind::Plain, target.address)
+        .await;
+    let _bookings = fleet
+        .agent("agent-2", "bookings", TargetKind::Plain, target.address)
+        .await;
+    let entry = fleet.entry("entry-1").await;
+
+    let response = Caller::new(&entry).post(path, body).send().await.unwrap();
+
+    let expected = (status, code.to_owned(), "not-run".to_owned());
+    assert_eq!(refused(response).await, expected);
+    assert_eq!(target.count(|state| &state.requests), 0);
+}
+
+/// Guards against callers without a key, oversized bodies and headers that reach a target.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bounds_and_keys_are_checked() {
+    let fleet = Fleet::new();
+    let limits = EntryLimits {
+        max_body: ByteSize(1000),
+        max_headers: ByteSize(2000),
+        ..EntryLimits::default()
+    };
+    let entry = fleet.entry_with("entry-1", limits).await;
+    let caller = Caller::new(&entry);
+    let path = "/services/visits/stones";
+
+    let unknown = caller
+        .post(path, "")
+        .header("authorization", "Bearer other");
+    let large = caller.post(path, &"x".repeat(1001));
+    let wide = caller.post(path, "").header("x-wide", "x".repeat(2000));
+
+    let unknown = reqwest::Client::new()
+        .execute({
+            let mut request = unknown.build().unwrap();
+            let value = "Bearer other".parse().unwrap();
+            request.headers_mut().insert("authorization", value);
+            request
+        })
+        .await
+        .unwrap();
+    assert_eq!(refused(unknown).await.0, 401);
+    assert_eq!(refused(large.send().await.unwrap()).await.0, 413);
+    assert_eq!(refused(wide.send().await.unwrap()).await.0, 431);
+}
+
+/// Guards against a body that never ends and holds its request for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_body_times_out() {
+    let fleet = Fleet::new();
+    let limits = EntryLimits {
+        body_timeout: Duration::from_millis(100),
+        ..EntryLimits::default()
+    };
+    let entry = fleet.entry_with("entry-1", limits).await;
+    let endless = reqwest::Body::wrap_stream(futures_util::stream::pending::<
+        Result<Vec<u8>, std::io::Error>,
+    >());
+
+    let request = Caller::new(&entry).post("/services/visits/stones", "");
+    let response = request.body(endless).send().await.unwrap();
+
+    assert_eq!(refused(response).await.0, 408);
+}
+
+/// Guards against an entry without a lease that takes new work, and against HTTP/2 callers that
+/// are not served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_without_lease_refuses_over_http2() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(0).await;
+    let _agent = fleet
+        .agent("agent-1", "visits", TargetKind::Plain, target.address)
+        .await;
+    let entry = fleet.entry("entry-1").await;
+    let client = reqwest::Client::builder()
+        .no_proxy()
+        .http2_prior_knowledge()
+        .build()
+        .unwrap();
+    let url = format!("http://{}/services/visits/stones", entry.http());
+    let read = || client.get(&url).bearer_auth(common::KEY).send();
+
+    let served = read().await.unwrap();
+    fleet.view.write(|view| view.lease_end = ClockTime(0));
+    let response = read().await.unwrap();
+
+    assert_eq!(served.text().await.unwrap(), "read /stones");
+    assert_eq!(header(&response, "retry-after"), "1");
+    let expected = (503, "not-serving".to_owned(), "not-run".to_owned());
+    assert_eq!(refused(response).await, expected);
+}
--- /dev/null
+++ b/components/entry/tests/request.rs
@@ -0,0 +1,66 @@
+//! Checks of callers' requests.
+
+use entry::{ChatBody, idempotency_key, is_canonical_path, split_service_path};
+use rstest::rstest;
+use units::{CostUnits, ServiceName};
+
+/// Guards against a path that evades a rule for calls that may not be repeated.
+#[rstest]
+#[case("/orders", true)]
+#[case("/orders/", true)]
+#[case("/orders/7/stones", true)]
+#[case("/stones/kámen%20a", true)]
+#[case("/", true)]
+#[case("//orders", false)]
+#[case("/./orders", false)]
+#[case("/a/../orders", false)]
+#[case("/%6frders", false)]
+#[case("/%2Forders", false)]
+#[case("/x%2e%2e/orders", false)]
+#[case("/orders;v=1", false)]
+#[case("\\orders", false)]
+#[case("/orders%", false)]
+#[case("orders", false)]
+fn path_with_a_plainer_spelling_is_found(#[case] path: &str, #[case] canonical: bool) {
+    assert_eq!(is_canonical_path(path), canonical);
+}
+
+#[rstest]
+#[case("/services/visits/orders/7", Some(("visits", "/orders/7")))]
+#[case("/services/visits", Some(("visits", "/")))]
+#[case("/services/visits/", Some(("visits", "/")))]
+#[case("/services//orders", None)]
+#[case("/other", None)]
+fn service_path_is_split(#[case] path: &str, #[case] expected: Option<(&str, &str)>) {
+    let expected = expected.map(|(name, rest)| (ServiceName::from(name), rest.to_owned()));
+
+    assert_eq!(split_service_path(path), expected);
+}
+
+#[rstest]
+#[case(br#"{"model":"m","max_tokens":7}"#, 7, true)]
+#[case(br#"{"model":"m","max_completion_tokens":9,"max_tokens":7}"#, 9, true)]
+#[case(br#"{"model":"m"}"#, 256, false)]
+fn hint_is_the_bound_of_the_caller(#[case] body: &[u8], #[case] hint: u64, #[case] bounded: bool) {
+    let chat = ChatBody::read(body).unwrap();
+
+    assert_eq!((chat.hint, chat.is_bounded), (CostUnits(hint), bounded));
+}
+
+/// Guards against faulty bodies and keys that are accepted or answered with anything but not-run.
+#[test]
+fn faulty_requests_are_refused_as_not_run() {
+    let long = [b'k'; 256];
+    let refusals = [
+        ChatBody::read(b"{").unwrap_err(),
+        ChatBody::read(b"{}").unwrap_err(),
+        idempotency_key(None).unwrap_err(),
+        idempotency_key(Some(b"")).unwrap_err(),
+        idempotency_key(Some(&long)).unwrap_err(),
+        idempotency_key(Some(&[0xff])).unwrap_err(),
+    ];
+
+    for refusal in refusals {
+        assert_eq!((refusal.status, refusal.outcome.as_str()), (400, "not-run"));
+    }
+}
