Decide on new work at each offer and start of an agent

Cause: the agent decided every 50 ms whether it may claim, but refused starts at once. Within that interval an agent without a lease claimed a request again and again, and the entry used up its requeues and answered 503 not-serving (seen in the body of the failing test) where the request should have waited for another agent. The decision now is also made when an offer or a start arrives.

Ruled out: the entry's own lease, which the test leaves alone.

--- a/components/agent/src/sessions.rs
+++ b/components/agent/src/sessions.rs
@@ -211,8 +211,12 @@
 
     fn receive(&self, message: EntryMessage) {
         let now = self.shared.now();
+        let permitted = self.shared.has_permission();
         match message {
             EntryMessage::Offer(offer) => self.shared.board.write(|state| {
+                // A lease that ended since the last decision must not lead to a claim whose start
+                // is then refused.
+                state.decide_serving(permitted, now);
                 let actions = state.table.offered(self.entry, offer, now);
                 state.perform(actions);
             }),
--- a/components/agent/src/state.rs
+++ b/components/agent/src/state.rs
@@ -38,6 +38,7 @@
     pub(crate) generations: u64,
     pub(crate) healthy: bool,
     pub(crate) leaving: bool,
+    serving: bool,
 }
 
 impl AgentState {
@@ -54,6 +55,17 @@
             generations: 0,
             healthy: false,
             leaving: false,
+            serving: false,
+        }
+    }
+
+    /// Lets the offer table claim only while the agent is permitted to and able to take new work.
+    pub(crate) fn decide_serving(&mut self, permitted: bool, now: ClockTime) {
+        let serving = permitted && self.healthy && !self.leaving;
+        if serving != self.serving {
+            self.serving = serving;
+            let actions = self.table.set_serving(serving, now);
+            self.perform(actions);
         }
     }
 
--- a/components/agent/src/streams.rs
+++ b/components/agent/src/streams.rs
@@ -115,6 +115,7 @@
     let permitted = shared.has_permission();
     let now = shared.now();
     let begun = shared.board.write(|state| {
+        state.decide_serving(permitted, now);
         let begun = begin(state, &start, permitted, now);
         if begun.is_err() && !start.repeatable {
             // The answer says that the request will never run here.
--- a/components/agent/src/upkeep.rs
+++ b/components/agent/src/upkeep.rs
@@ -17,7 +17,6 @@
 pub(crate) async fn decide_serving(shared: AgentShared) {
     let mut interval = tokio::time::interval(SERVING_INTERVAL);
     let mut view_changes = shared.view.changes();
-    let mut serving = false;
     loop {
         tokio::select! {
             _ = interval.tick() => {}
@@ -26,12 +25,7 @@
         let permitted = shared.has_permission();
         let now = shared.now();
         shared.board.write_quietly(|state| {
-            let wanted = permitted && state.healthy && !state.leaving;
-            if wanted != serving {
-                serving = wanted;
-                let actions = state.table.set_serving(serving, now);
-                state.perform(actions);
-            }
+            state.decide_serving(permitted, now);
             let actions = state.table.tick(now);
             state.perform(actions);
         });
--- a/components/entry/tests/stops.rs
+++ b/components/entry/tests/stops.rs
@@ -28,12 +28,9 @@
         .agent("agent-2", "stone-advice", TargetKind::Model, new.address)
         .await;
 
+    let health = format!("http://{}/readyz", leaving.health());
     let stop = tokio::spawn(leaving.leave());
-    until("the agent is not offered work", || {
-        fleet.set_leaving("agent-1");
-        true
-    })
-    .await;
+    while reqwest::get(&health).await.unwrap().status() == 200 {}
     let other = caller.chat(10, true).await.text().await.unwrap();
     old.state.permits.add_permits(25);
     read_rest(response, &mut text).await;
