Add the model engine and plain service stand-ins

Tests need targets whose answers can be checked against the request and whose faults can be switched. Tokens and records are hashes of the request.

Tests accept a cut connection before or after the response head, since the server does not flush the head of a cut body.

--- /dev/null
+++ b/components/standin/src/service/routes.rs
@@ -0,0 +1,173 @@
+//! Handlers of the plain service.
+
+use std::sync::{Arc, MutexGuard};
+use std::time::Duration;
+
+use salvo::http::StatusCode;
+use salvo::{Request, Response, Router, handler};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::{ServiceFaults, ServiceInner, ServiceState};
+use crate::content;
+use crate::http::{cut, read_json, write_error, write_json};
+
+pub(crate) fn routes(state: &Arc<ServiceState>) -> Router {
+    Router::new()
+        .push(Router::with_path("records/{**path}").get(RecordHandler(state.clone())))
+        .push(Router::with_path("orders").post(OrderHandler(state.clone())))
+        .push(Router::with_path("health").get(health))
+        .push(
+            Router::with_path("standin")
+                .push(Router::with_path("status").get(StatusHandler(state.clone())))
+                .push(
+                    Router::with_path("faults")
+                        .get(FaultsHandler(state.clone()))
+                        .put(SetFaultsHandler(state.clone())),
+                ),
+        )
+}
+
+impl ServiceState {
+    fn lock(&self) -> MutexGuard<'_, ServiceInner> {
+        self.inner
+            .lock()
+            .expect("no code panics while it holds the lock")
+    }
+
+    /// Whether a fault refuses the next call.
+    fn refuses(&self) -> bool {
+        let mut inner = self.lock();
+        let refuses = take(&mut inner.faults.refuse_calls);
+        if refuses {
+            inner.status.refused += 1;
+        }
+        refuses
+    }
+}
+
+/// Takes one off a count of faults; says whether one was left.
+fn take(count: &mut u64) -> bool {
+    let left = *count > 0;
+    *count = count.saturating_sub(1);
+    left
+}
+
+struct RecordHandler(Arc<ServiceState>);
+
+#[handler]
+impl RecordHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if self.0.refuses() {
+            return refuse(response);
+        }
+        let path = request.param::<String>("path").unwrap_or_default();
+        tokio::time::sleep(self.0.settings.call_time).await;
+        self.0.lock().status.reads += 1;
+        let body = json!({"record": path, "text": content::record(&path)});
+        write_json(response, StatusCode::OK, &body);
+    }
+}
+
+#[derive(Deserialize)]
+struct Booking {
+    id: String,
+}
+
+struct OrderHandler(Arc<ServiceState>);
+
+#[handler]
+impl OrderHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        if self.0.refuses() {
+            return refuse(response);
+        }
+        let booking: Booking = match read_json(request).await {
+            Ok(booking) => booking,
+            Err(error) => {
+                let message = format!("{error:#}");
+                return write_error(response, StatusCode::BAD_REQUEST, "bad-request", &message);
+            }
+        };
+        let (count, loses, silent, time) = self.book(&booking.id);
+        tokio::time::sleep(time).await;
+        if silent {
+            return std::future::pending().await;
+        }
+        if loses {
+            return cut(response);
+        }
+        let body = json!({
+            "booking": booking.id,
+            "count": count,
+            "text": content::record(&booking.id),
+        });
+        write_json(response, StatusCode::CREATED, &body);
+    }
+}
+
+impl OrderHandler {
+    /// Counts a booking and takes the faults that are set.
+    fn book(&self, id: &str) -> (u64, bool, bool, Duration) {
+        let mut inner = self.0.lock();
+        let count = inner.status.bookings.entry(id.to_string()).or_default();
+        *count += 1;
+        let count = *count;
+        let loses = take(&mut inner.faults.lose_replies);
+        let silent = take(&mut inner.faults.silent_calls);
+        let time = match inner.faults.booking_ms {
+            Some(ms) => Duration::from_millis(ms),
+            None => self.0.settings.call_time,
+        };
+        (count, loses, silent, time)
+    }
+}
+
+fn refuse(response: &mut Response) {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    write_error(response, status, "busy", "the service refuses calls");
+}
+
+#[handler]
+async fn health(response: &mut Response) {
+    write_json(response, StatusCode::OK, &json!({"status": "ok"}));
+}
+
+struct StatusHandler(Arc<ServiceState>);
+
+#[handler]
+impl StatusHandler {
+    async fn handle(&self, response: &mut Response) {
+        let status = self.0.lock().status.clone();
+        write_json(response, StatusCode::OK, &json!(status));
+    }
+}
+
+struct FaultsHandler(Arc<ServiceState>);
+
+#[handler]
+impl FaultsHandler {
+    async fn handle(&self, response: &mut Response) {
+        let faults = self.0.lock().faults.clone();
+        write_json(response, StatusCode::OK, &json!(faults));
+    }
+}
+
+struct SetFaultsHandler(Arc<ServiceState>);
+
+#[handler]
+impl SetFaultsHandler {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
+        match read_json::<ServiceFaults>(request).await {
+            Ok(faults) => {
+                telemetry::event!(telemetry::events::STANDIN_FAULTS, faults = ?faults);
+                self.0.lock().faults = faults.clone();
+                write_json(response, StatusCode::OK, &json!(faults));
+            }
+            Err(error) => {
+                let message = format!("{error:#}");
+                write_error(response, StatusCode::BAD_REQUEST, "bad-request", &message);
+            }
+        }
+    }
+}
