--- /dev/null
+++ b/src/options.rs
@@ -0,0 +1,228 @@
+//! Settings of a binary from flags and environment variables.
+//!
+//! Flags are read as text and converted by an [`OptionReader`], which collects every fault, so that
+//! one start shows them all.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::exit;
+use std::str::FromStr;
+use std::time::Duration;
+
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
+use eyre::Result;
+use telemetry::{LogFormat, LogSettings, MetricSettings, TraceSettings};
+
+/// Exit code for faulty settings.
+const FAULTY_SETTINGS: i32 = 2;
+/// Columns of the help text.
+const HELP_WIDTH: usize = 100;
+
+/// Flag `--name` with a default, also read from the environment variable.
+pub fn flag(
+    name: &'static str,
+    variable: &'static str,
+    meta: &'static str,
+    help: &'static str,
+    default: &str,
+) -> impl Parser<String> + use<> {
+    long(name)
+        .env(variable)
+        .help(help)
+        .argument::<String>(meta)
+        .fallback(default.to_string())
+        .display_fallback()
+}
+
+/// Flag `--name` that may be left out, also read from the environment variable.
+pub fn optional_flag(
+    name: &'static str,
+    variable: &'static str,
+    meta: &'static str,
+    help: &'static str,
+) -> impl Parser<Option<String>> {
+    long(name)
+        .env(variable)
+        .help(help)
+        .argument::<String>(meta)
+        .optional()
+}
+
+/// Reads the command line. Prints help or the fault and exits if there is nothing to run.
+pub fn parse_or_exit<T>(parser: &OptionParser<T>) -> T {
+    match parser.run_inner(Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(HELP_WIDTH);
+            exit(match failure {
+                ParseFailure::Stderr(_) => FAULTY_SETTINGS,
+                _ => 0,
+            })
+        }
+    }
+}
+
+/// Converts flags to values and collects their faults.
+#[derive(Debug, Default)]
+pub struct OptionReader {
+    faults: Vec<String>,
+}
+
+impl OptionReader {
+    /// Converts the text of a flag.
+    pub fn value<T>(&mut self, flag: &str, text: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.fault(format!("Failed to read --{flag} {text:?}: {error}"));
+                None
+            }
+        }
+    }
+
+    /// Converts the text of a flag that may be left out.
+    pub fn optional<T>(&mut self, flag: &str, text: Option<&str>) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        text.and_then(|text| self.value(flag, text))
+    }
+
+    /// Converts a number of milliseconds.
+    pub fn millis(&mut self, flag: &str, text: &str) -> Option<Duration> {
+        self.value(flag, text).map(Duration::from_millis)
+    }
+
+    /// Converts a number that must lie between two bounds, both included.
+    pub fn number(&mut self, flag: &str, text: &str, least: u64, most: u64) -> Option<u64> {
+        let number = self.value(flag, text)?;
+        if (least..=most).contains(&number) {
+            return Some(number);
+        }
+        self.fault(format!(
+            "Failed to read --{flag} {text:?}: want {least} to {most}"
+        ));
+        None
+    }
+
+    /// Adds a fault.
+    pub fn fault(&mut self, fault: String) {
+        self.faults.push(fault);
+    }
+
+    /// Returns the settings, or prints every fault and exits.
+    pub fn finish_or_exit<T>(self, settings: Option<T>) -> T {
+        match settings {
+            Some(settings) if self.faults.is_empty() => settings,
+            _ => {
+                for fault in &self.faults {
+                    eprintln!("{fault}");
+                }
+                exit(FAULTY_SETTINGS)
+            }
+        }
+    }
+}
+
+/// Flags for logs, metrics and traces, the same in each daemon.
+#[derive(Debug, Clone)]
+pub struct TelemetryOptions {
+    log_level: String,
+    log_format: String,
+    statsd: Option<String>,
+    traces: Option<String>,
+}
+
+/// Parser of [`TelemetryOptions`].
+pub fn telemetry_options() -> impl Parser<TelemetryOptions> {
+    let log_level = flag(
+        "log-level",
+        "BILBERRY_LOG_LEVEL",
+        "LEVEL",
+        "Least severe level that is logged: off, error, warn, info, debug or trace",
+        "info",
+    );
+    let log_format = flag(
+        "log-format",
+        "BILBERRY_LOG_FORMAT",
+        "FORMAT",
+        "Form of a log line on standard error: text or json",
+        "text",
+    );
+    let statsd = optional_flag(
+        "statsd",
+        "BILBERRY_STATSD",
+        "IP:PORT",
+        "Address that metrics are sent to over UDP; none are sent without it",
+    );
+    let traces = optional_flag(
+        "traces",
+        "BILBERRY_TRACES",
+        "FILE",
+        "File that trace spans are appended to as JSON lines; none are kept without it",
+    );
+    construct!(TelemetryOptions {
+        log_level,
+        log_format,
+        statsd,
+        traces,
+    })
+}
+
+/// Settings of logs, metrics and traces.
+#[derive(Debug, Clone, Default)]
+pub struct TelemetrySettings {
+    /// Logs.
+    pub logs: LogSettings,
+    /// Metrics.
+    pub metrics: MetricSettings,
+    /// Traces.
+    pub traces: TraceSettings,
+}
+
+impl TelemetryOptions {
+    /// Converts the flags; metrics begin with `prefix`.
+    pub fn read(&self, reader: &mut OptionReader, prefix: &str) -> Option<TelemetrySettings> {
+        let level = reader.value("log-level", &self.log_level);
+        let format = reader.value::<LogFormat>("log-format", &self.log_format);
+        let address: Option<SocketAddr> = reader.optional("statsd", self.statsd.as_deref());
+        Some(TelemetrySettings {
+            logs: LogSettings {
+                level: level?,
+                format: format?,
+            },
+            metrics: MetricSettings {
+                address,
+                prefix: prefix.to_string(),
+            },
+            traces: TraceSettings {
+                path: self.traces.as_ref().map(PathBuf::from),
+            },
+        })
+    }
+}
+
+impl TelemetrySettings {
+    /// Starts logs and traces; metrics are started by the daemon that sends them.
+    pub fn start(&self) -> Result<()> {
+        telemetry::start_logs(&self.logs)?;
+        telemetry::start_traces(&self.traces)
+    }
+}
+
+/// Prints the line by which a test or script learns an address that the system chose.
+///
+/// `announce("callers", address)` prints `listening callers 127.0.0.1:40001`.
+pub fn announce(role: &str, address: SocketAddr) {
+    use std::io::Write;
+    let mut output = std::io::stdout().lock();
+    // Nobody reads the line if standard output is closed.
+    let _ = writeln!(output, "listening {role} {address}");
+    let _ = output.flush();
+}
