Add the load tool and bilberry-load

Requests are planned from a seed and sent at their times. Answers are compared with the content that the stand-ins compute from a request; bookings with the services' counts, which also shows an untrue not-run.

The gap counts a pair of organisations only while both are backlogged, and starts again after a break. Callers do not see when a request starts, so the start is estimated from the shortest time to a first token of the run; the estimate is stated at service_records.

plotters draws the SVG; without its default features it needs no fonts.

--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -1,1 +1,24 @@
-//! Open-loop load with a seed, and what callers saw of it.
+//! Open-loop load with a seed, and the report of what callers saw.
+//!
+//! Requests are sent at planned times whether or not earlier ones have been answered. Answers are
+//! checked against the content that the stand-ins compute from a request, and bookings against the
+//! counts of the plain service stand-ins.
+
+mod caller;
+mod gap;
+mod plan;
+mod plot;
+mod profile;
+mod report;
+mod run;
+mod samples;
+mod sse;
+
+pub use caller::{Answer, CallKind, CallRequest, CallResult, Caller, Refusal};
+pub use gap::{GapPoint, ServicePiece, ServiceRecord, largest_gap};
+pub use plan::{PlannedCall, plan_calls};
+pub use plot::plot_gap;
+pub use profile::{LoadProfile, OrganisationLoad};
+pub use report::{LatencySummary, LoadReport};
+pub use run::{LoadTargets, run_load};
+pub use samples::UtilisationSample;
