--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -55,6 +55,8 @@
         action: RegistryAction,
         reply: oneshot::Sender<Result<RegistryOutcome, ProposeFailure>>,
     },
+    /// Confirms that the applied state is the newest.
+    Confirm { reply: oneshot::Sender<bool> },
     /// Hands leadership to another node.
     Transfer,
     /// Ends the thread.
@@ -88,6 +90,7 @@
     store: LogStore,
     pending: VecDeque<(u64, PersistBatch)>,
     waiting: BTreeMap<LogIndex, WaitingProposal>,
+    confirming: BTreeMap<u64, oneshot::Sender<bool>>,
     targets: JoinTargets,
     barriers: u64,
     last_barrier: ClockTime,
@@ -148,6 +151,7 @@
             store,
             pending: VecDeque::new(),
             waiting: BTreeMap::new(),
+            confirming: BTreeMap::new(),
             targets: JoinTargets::default(),
             barriers: 0,
             last_barrier: now,
@@ -191,6 +195,7 @@
             DriverEvent::Message { from, to, message } => self.message(from, to, message, now),
             DriverEvent::Announce { name, announce } => self.announced(name, announce, now),
             DriverEvent::Propose { action, reply } => self.propose(action, Some(reply), now),
+            DriverEvent::Confirm { reply } => self.barrier(Some(reply), now),
             DriverEvent::Transfer => self.transfer(now),
             DriverEvent::Stop => Ok(()),
         }
@@ -204,9 +209,7 @@
         }
         if now.since(self.last_barrier) >= BARRIER_INTERVAL {
             self.last_barrier = now;
-            self.barriers += 1;
-            let actions = self.node.barrier(self.barriers, now);
-            self.carry_out(actions)?;
+            self.barrier(None, now)?;
             self.change_members(now)?;
         }
         Ok(())
@@ -336,6 +339,23 @@
         }
     }
 
+    /// Starts a read barrier.
+    fn barrier(&mut self, reply: Option<oneshot::Sender<bool>>, now: ClockTime) -> Result<()> {
+        self.barriers += 1;
+        if let Some(reply) = reply {
+            self.confirming.insert(self.barriers, reply);
+        }
+        let actions = self.node.barrier(self.barriers, now);
+        self.carry_out(actions)
+    }
+
+    fn barrier_ended(&mut self, id: u64, done: bool) {
+        if let Some(reply) = self.confirming.remove(&id) {
+            // The waiting request may have timed out.
+            let _ = reply.send(done);
+        }
+    }
+
     fn transfer(&mut self, now: ClockTime) -> Result<()> {
         self.transferring = true;
         match self.node.transfer_leadership(now) {
@@ -351,10 +371,12 @@
                 RaftAction::Persist { id, batch } => self.enqueue(id, batch),
                 RaftAction::Apply { entry } => self.apply(entry)?,
                 RaftAction::Restore { snapshot } => self.restore(&snapshot)?,
-                RaftAction::BarrierDone { started, .. } => self.view.write(|view| {
-                    view.confirmed = view.confirmed.max(Some(started));
-                }),
-                RaftAction::BarrierFailed { .. } => {}
+                RaftAction::BarrierDone { id, started } => {
+                    self.view
+                        .write(|view| view.confirmed = view.confirmed.max(Some(started)));
+                    self.barrier_ended(id, true);
+                }
+                RaftAction::BarrierFailed { id } => self.barrier_ended(id, false),
             }
         }
         Ok(())
