--- a/components/registry/src/calls.rs
+++ b/components/registry/src/calls.rs
@@ -15,6 +15,10 @@
 /// 200,000 records do not need 1.6 GB of memory and snapshot.
 pub const MAX_STORED_TOTAL: usize = 64 << 20;
 
+/// Spent attempts of a key that are remembered. A command would have to be more attempts late than
+/// this to be taken for a new one.
+const MAX_SPENT: usize = 64;
+
 units::data! {
     /// Record of a call.
     pub struct CallRecord {
@@ -28,6 +32,8 @@
         pub incarnation: Incarnation,
         /// Outcome, once it has ended.
         pub outcome: Option<CallOutcome>,
+        /// Earlier attempts that ended as not run, oldest first. They are never granted again.
+        pub spent: Vec<RequestId>,
         /// Time of the last change; the record is kept for the retention from then on.
         pub changed: WallTime,
     }
@@ -92,12 +98,26 @@
             agent: begin.agent.clone(),
             incarnation: begin.incarnation,
             outcome: None,
+            spent: self.spent(&begin.call),
             changed: now,
         };
         self.insert(begin.call.clone(), record);
         BeginOutcome::Granted
     }
 
+    /// The attempts of a key that have ended as not run, the last one included.
+    fn spent(&self, key: &CallKey) -> Vec<RequestId> {
+        let Some(record) = self.records.get(key) else {
+            return Vec::new();
+        };
+        let mut spent = record.spent.clone();
+        spent.push(record.request);
+        if spent.len() > MAX_SPENT {
+            spent.remove(0);
+        }
+        spent
+    }
+
     /// Records the outcome of an attempt. The first outcome stays, but for `Unknown`, which a later
     /// report of the agent may resolve.
     pub(crate) fn end(&mut self, end: &EndCall, now: WallTime) {
@@ -149,8 +169,12 @@
 /// Reply to an attempt whose key has a record; none if the attempt may take the key over.
 fn held(record: &CallRecord, begin: &BeginCall) -> Option<BeginOutcome> {
     let same_attempt = record.request == begin.request;
-    if record.outcome == Some(CallOutcome::NotRun) {
-        return same_attempt.then_some(BeginOutcome::Ended(CallOutcome::NotRun));
+    let not_run = record.outcome == Some(CallOutcome::NotRun);
+    if record.spent.contains(&begin.request) || (not_run && same_attempt) {
+        return Some(BeginOutcome::Ended(CallOutcome::NotRun));
+    }
+    if not_run {
+        return None;
     }
     if record.body_hash != begin.body_hash {
         return Some(BeginOutcome::Mismatch);
