--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -27,8 +27,17 @@
         return ControlReply::Forbidden(peer.role);
     }
     match request {
-        ControlRequest::Renew(renewal) => renew(context, peer, renewal),
-        ControlRequest::Status => ControlReply::Status(fleet_status(context)),
+        ControlRequest::Renew(renewal) => {
+            if peer.role == NodeRole::Operator && !confirm(context).await {
+                return no_quorum(context);
+            }
+            renew(context, peer, renewal)
+        }
+        ControlRequest::Status => {
+            // Without a quorum the status still tells what this node sees, and that it is alone.
+            confirm(context).await;
+            ControlReply::Status(fleet_status(context))
+        }
         ControlRequest::Directory(entries) => {
             take_directory(context, entries);
             ControlReply::Done
@@ -42,7 +51,8 @@
 /// checked.
 fn is_allowed(role: NodeRole, request: &ControlRequest) -> bool {
     match request {
-        ControlRequest::Renew(_) => matches!(role, NodeRole::Entry | NodeRole::Agent),
+        // An operator's renewal only reads the configuration.
+        ControlRequest::Renew(_) => role != NodeRole::Control,
         ControlRequest::Begin(_) | ControlRequest::End(_) => {
             matches!(role, NodeRole::Entry | NodeRole::Control)
         }
@@ -55,11 +65,12 @@
 
 /// Grants a lease and tells the news. Without a recent confirmation by a quorum there is none.
 fn renew(context: &ControlContext, peer: &Hello, renewal: RenewRequest) -> ControlReply {
+    let is_operator = peer.role == NodeRole::Operator;
     let own_kind = match renewal.node.kind {
         NodeKind::Entry => NodeRole::Entry,
         NodeKind::Agent(_) => NodeRole::Agent,
     };
-    if renewal.node.name != peer.name || own_kind != peer.role {
+    if renewal.node.name != peer.name || (own_kind != peer.role && !is_operator) {
         let name = &renewal.node.name;
         return ControlReply::BadRequest(format!("{own_kind} {name} is not the sender"));
     }
@@ -73,8 +84,11 @@
         return no_quorum(context);
     };
     let directory = context.nodes.write_quietly(|nodes| {
-        nodes.renewed(renewal.node, now);
-        renewal.directory.map(|known| nodes.delta(known))
+        if !is_operator {
+            nodes.announce(renewal.node, now);
+        }
+        let known = renewal.directory;
+        known.map(|(source, revision)| nodes.delta_since(source, revision))
     });
     ControlReply::Renewed(RenewReply {
         age_ms: age.as_millis() as u64,
@@ -128,6 +142,24 @@
     }
 }
 
+/// Waits for a read barrier, so that an operator sees every order that was acknowledged before.
+/// The age of a lease allows for older state, but an operator's next order names its version.
+async fn confirm(context: &ControlContext) -> bool {
+    let (reply, done) = oneshot::channel();
+    if context
+        .driver
+        .send(DriverEvent::Confirm { reply })
+        .await
+        .is_err()
+    {
+        return false;
+    }
+    matches!(
+        tokio::time::timeout(COMMIT_TIMEOUT, done).await,
+        Ok(Ok(true))
+    )
+}
+
 /// Proposes an action and waits until it is committed and applied here.
 async fn propose(
     context: &ControlContext,
--- /dev/null
+++ b/components/offers/tests/common/mod.rs
@@ -0,0 +1,8 @@
+//! Small fake network that joins books, tables, ledgers and homes, for the tests of this folder.
+
+#![allow(dead_code, unreachable_pub)]
+
+pub mod first_come;
+pub mod meter;
+pub mod network;
+pub mod nodes;
