--- a/components/entry/src/settings.rs
+++ b/components/entry/src/settings.rs
@@ -56,6 +56,12 @@
     /// All faults of the settings, empty if they can be used.
     pub fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
+        if self.listen.ip().is_unspecified() {
+            let listen = self.listen;
+            faults.push(format!(
+                "Failed to use link address {listen}: other hosts need an IP address of this host"
+            ));
+        }
         if self.controls.is_empty() {
             faults.push("Failed to use the control addresses: none is given".into());
         }
--- a/src/options.rs
+++ b/src/options.rs
@@ -13,6 +13,8 @@
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
 use eyre::Result;
 use telemetry::{LogFormat, LogSettings, MetricSettings, TraceSettings};
+use tokio::signal::unix::SignalKind;
+use units::{DataCentreName, NodeName};
 
 /// Exit code for faulty settings.
 const FAULTY_SETTINGS: i32 = 2;
@@ -111,6 +113,29 @@
         None
     }
 
+    /// Converts a name that must be given: lower-case letters, digits and hyphens, since names
+    /// stand in certificates and file names.
+    pub fn name<'a, T: From<&'a str>>(&mut self, flag: &str, text: &'a str) -> Option<T> {
+        let plain = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+        if !text.is_empty() && text.bytes().all(plain) {
+            return Some(T::from(text));
+        }
+        self.fault(format!(
+            "Failed to read --{flag} {text:?}: want lower-case letters, digits and hyphens"
+        ));
+        None
+    }
+
+    /// Converts addresses that are separated by commas.
+    pub fn addresses(&mut self, flag: &str, text: &str) -> Option<Vec<SocketAddr>> {
+        let parts = text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
+        let parts: Vec<_> = parts.map(|part| self.value(flag, part)).collect();
+        parts.into_iter().collect()
+    }
+
     /// Adds a fault.
     pub fn fault(&mut self, fault: String) {
         self.faults.push(fault);
@@ -130,6 +155,105 @@
     }
 }
 
+/// Flags that entries and agents have in common.
+#[derive(Debug, Clone)]
+pub struct NodeOptions {
+    name: String,
+    listen: String,
+    data_centre: String,
+    controls: String,
+    keys: String,
+}
+
+/// Settings that entries and agents have in common.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// Name of the node.
+    pub name: NodeName,
+    /// Address for links.
+    pub listen: SocketAddr,
+    /// Data centre of the host.
+    pub data_centre: DataCentreName,
+    /// Addresses of the control nodes.
+    pub controls: Vec<SocketAddr>,
+    /// Folder with the key files.
+    pub keys: PathBuf,
+}
+
+/// Parser of [`NodeOptions`]; the help text of `--listen` depends on the daemon.
+pub fn node_options(listen_help: &'static str) -> impl Parser<NodeOptions> {
+    let name = flag(
+        "name",
+        "BILBERRY_NAME",
+        "NAME",
+        "Name of this node, unique in the fleet and as in its certificate",
+        "",
+    );
+    let listen = flag(
+        "listen",
+        "BILBERRY_LISTEN",
+        "IP:PORT",
+        listen_help,
+        "127.0.0.1:0",
+    );
+    let data_centre = flag(
+        "data-centre",
+        "BILBERRY_DATA_CENTRE",
+        "NAME",
+        "Data centre of this host, as in the services text",
+        "",
+    );
+    let controls = flag(
+        "controls",
+        "BILBERRY_CONTROLS",
+        "IP:PORT,...",
+        "Addresses of the control nodes, separated by commas",
+        "",
+    );
+    let keys = flag(
+        "keys",
+        "BILBERRY_KEYS",
+        "FOLDER",
+        "Folder with the key files",
+        "keys",
+    );
+    construct!(NodeOptions {
+        name,
+        listen,
+        data_centre,
+        controls,
+        keys,
+    })
+}
+
+impl NodeOptions {
+    /// Converts the flags. A faulty one gets a placeholder, so that the others are still checked.
+    pub fn read(&self, reader: &mut OptionReader) -> NodeSettings {
+        let local = SocketAddr::from(([127, 0, 0, 1], 0));
+        NodeSettings {
+            name: reader.name("name", &self.name).unwrap_or("none".into()),
+            listen: reader.value("listen", &self.listen).unwrap_or(local),
+            data_centre: reader
+                .name("data-centre", &self.data_centre)
+                .unwrap_or("none".into()),
+            controls: reader
+                .addresses("controls", &self.controls)
+                .unwrap_or(vec![local]),
+            keys: PathBuf::from(&self.keys),
+        }
+    }
+}
+
+/// Waits for SIGTERM or an interrupt from the keyboard.
+pub async fn wait_for_stop() -> Result<()> {
+    let mut terminate = tokio::signal::unix::signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        interrupt = tokio::signal::ctrl_c() => interrupt?,
+    }
+    Ok(())
+}
+
 /// Flags for logs, metrics and traces, the same in each daemon.
 #[derive(Debug, Clone)]
 pub struct TelemetryOptions {
