End a run whose caller does not read it before the deadline

Cause: the entry gave up passing bytes on at the deadline but could take the next reply before it noticed the deadline itself, so the response of a call that may not be repeated could go on without those bytes. Found by reading. The run now fails at that point.

--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -260,7 +260,7 @@
                 cost,
             } => match self.sequence.accept(number) {
                 Ok(ChunkVerdict::Repeated) => {}
-                Ok(ChunkVerdict::Next) => self.pass_on(writer, bytes, cost).await?,
+                Ok(ChunkVerdict::Next) => return self.pass_on(writer, bytes, cost).await,
                 Err(gap) => return Ok(Some(gap_failure(&gap))),
             },
             RunReply::End { chunks, cost } => {
@@ -292,17 +292,23 @@
         writer: &mut FrameWriter,
         bytes: Vec<u8>,
         cost: CostUnits,
-    ) -> Result<(), LinkError> {
+    ) -> Result<Option<RunResult>, LinkError> {
         self.charge(cost);
         self.unacknowledged += bytes.len();
-        // A caller that stops reading must not hold the run beyond its deadline.
-        let _ = tokio::time::timeout_at(self.job.deadline, self.sink.body(bytes)).await;
+        // A caller that stops reading must not hold the run beyond its deadline. Bytes that it did
+        // not take are missing, so the response must not go on.
+        let taken = tokio::time::timeout_at(self.job.deadline, self.sink.body(bytes)).await;
+        if taken.is_err() {
+            let message = "the caller did not read the response before the deadline";
+            let code = FailureCode::DeadlinePassed;
+            return self.stop(writer, code, message).await.map(Some);
+        }
         let next = self.sequence.next();
         if next.is_multiple_of(ACKNOWLEDGE_CHUNKS) || self.unacknowledged >= ACKNOWLEDGE_BYTES {
             self.unacknowledged = 0;
             writer.send(&RunMessage::Acknowledge(next)).await?;
         }
-        Ok(())
+        Ok(None)
     }
 
     /// Charges the flow with the growth of the run's cost. The cost of a run that another entry
--- a/components/entry/tests/common/target.rs
+++ b/components/entry/tests/common/target.rs
@@ -9,6 +9,11 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
+/// Size of the large response.
+pub const LARGE_SIZE: usize = 64 << 20;
+
+const LARGE_PART: usize = 64 << 10;
+
 /// What a test sees and controls of the target.
 #[derive(Debug)]
 pub struct TargetState {
@@ -16,6 +21,8 @@
     pub requests: AtomicUsize,
     /// Orders that were executed.
     pub orders: AtomicUsize,
+    /// Bytes of the large response that were written.
+    pub written: AtomicUsize,
     /// Connections that broke before their response was complete.
     pub broken: AtomicUsize,
     /// Tokens and orders that may be sent; each takes one permit.
@@ -36,6 +43,7 @@
         let state = Arc::new(TargetState {
             requests: AtomicUsize::new(0),
             orders: AtomicUsize::new(0),
+            written: AtomicUsize::new(0),
             broken: AtomicUsize::new(0),
             permits: Semaphore::new(permits),
         });
@@ -73,6 +81,8 @@
             let number = state.orders.fetch_add(1, Ordering::SeqCst) + 1;
             permit(&mut stream, state).await?;
             whole(&mut stream, &format!("order {number}")).await?;
+        } else if head.starts_with("GET /large ") {
+            large(&mut stream, state).await?;
         } else {
             let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
             whole(&mut stream, &format!("read {path}")).await?;
@@ -116,6 +126,17 @@
     stream.write_all(b"0\r\n\r\n").await
 }
 
+/// Sends a response that is larger than all buffers on its way.
+async fn large(stream: &mut TcpStream, state: &TargetState) -> std::io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE_SIZE}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    for _ in 0..LARGE_SIZE / LARGE_PART {
+        stream.write_all(&[b'x'; LARGE_PART]).await?;
+        state.written.fetch_add(LARGE_PART, Ordering::SeqCst);
+    }
+    Ok(())
+}
+
 async fn chunk(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
     let framed = format!("{:x}\r\n{text}\r\n", text.len());
     stream.write_all(framed.as_bytes()).await
