--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -7,6 +7,7 @@
 
 use board::StateBoard;
 use client::ControlClient;
+use directory::NodeDirectory;
 use eyre::{Result, WrapErr, eyre};
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
 use raft::NodeRole as RaftRole;
@@ -18,7 +19,6 @@
 
 use crate::driver::{DriverEvent, RaftDriver};
 use crate::health::serve_health;
-use crate::nodes::NodeTable;
 use crate::peer_link::{PeerSenders, keep_stream, pass_directory};
 use crate::server::serve;
 use crate::settings::ControlSettings;
@@ -65,7 +65,7 @@
     });
     let context = ControlContext {
         view: raft.view(),
-        nodes: StateBoard::new(NodeTable::new(incarnation())),
+        nodes: StateBoard::new(NodeDirectory::new(incarnation())),
         driver,
         forwards: Arc::new(forwards.collect()),
         clock,
