Add bilberry-dev

One process runs control, three entries, twelve engines and the plain services of an example with their agents, and prints curl commands. It waits until control has a quorum before it applies the text, since a single control node refuses orders at once before that, and until each entry serves each service, since an entry's readiness says only that it holds a lease.

The load tool reads a stream to the end of its body: an entry takes a connection that is dropped at [DONE] for a caller that has gone away and logged one warning for each stream.

--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -214,9 +214,13 @@
     let mut response = response;
     let mut reader = EventReader::default();
     let mut text = String::new();
+    let mut done = false;
     loop {
+        // The body is read to its end, since a connection dropped before it counts as a caller that
+        // has gone away.
         let bytes = match response.chunk().await {
             Ok(Some(bytes)) => bytes,
+            Ok(None) if done => return compare(&text, kind),
             Ok(None) => return Answer::Cut(format!("ended after {} tokens", result.tokens)),
             Err(error) => return broken(result, &error),
         };
@@ -228,7 +232,7 @@
                     result.parts.push(Instant::now());
                 }
                 StreamEvent::Error(error) => return Answer::Refused(stated(200, "", &error)),
-                StreamEvent::Done => return compare(&text, kind),
+                StreamEvent::Done => done = true,
             }
         }
     }
--- /dev/null
+++ b/src/bin/bilberry-dev.rs
@@ -0,0 +1,202 @@
+//! Every role and stand-in in one process on loopback, for a first look.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bilberrycrank::dev::{DevFleet, DevSettings, print_guide, read_text};
+use bilberrycrank::options::{
+    OptionReader, TelemetryOptions, TelemetrySettings, flag, optional_flag, parse_or_exit,
+    telemetry_options,
+};
+use bpaf::{OptionParser, Parser, construct};
+use eyre::Result;
+use standin::EngineSettings;
+
+/// Most nodes of a kind.
+const MOST_NODES: u64 = 50;
+/// Most control nodes.
+const MOST_CONTROLS: u64 = 7;
+
+const KAMENNY_ZUB: &str = include_str!("../../examples/kamenny-zub/services.toml");
+const KANDY: &str = include_str!("../../examples/kandy/services.toml");
+
+struct Options {
+    deployment: String,
+    text: Option<String>,
+    http: String,
+    controls: String,
+    entries: String,
+    engines: String,
+    services: String,
+    token_ms: String,
+    run_s: Option<String>,
+    telemetry: TelemetryOptions,
+}
+
+struct Settings {
+    fleet: DevSettings,
+    organisation: &'static str,
+    profile: &'static str,
+    run_time: Option<Duration>,
+    telemetry: TelemetrySettings,
+}
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let options = parse_or_exit(&options());
+    let mut reader = OptionReader::default();
+    let settings = options.read(&mut reader);
+    let settings = reader.finish_or_exit(settings);
+    settings.telemetry.start()?;
+    let fleet = DevFleet::start(settings.fleet).await?;
+    print_guide(&fleet, settings.organisation, settings.profile);
+    println!("ready");
+    match settings.run_time {
+        Some(time) => {
+            // Either end is a planned one.
+            let _ = tokio::time::timeout(time, tokio::signal::ctrl_c()).await;
+        }
+        None => tokio::signal::ctrl_c().await?,
+    }
+    telemetry::stop_traces();
+    Ok(())
+}
+
+fn options() -> OptionParser<Options> {
+    let deployment = flag(
+        "deployment",
+        "BILBERRY_DEV_DEPLOYMENT",
+        "NAME",
+        "Example: kamenny-zub or kandy",
+        "kamenny-zub",
+    );
+    let text = optional_flag(
+        "text",
+        "BILBERRY_DEV_TEXT",
+        "FILE",
+        "Services text in place of that of the example",
+    );
+    let http = flag(
+        "http",
+        "BILBERRY_DEV_HTTP",
+        "IP:PORT",
+        "Address of the first entry for callers' HTTP; port 0 lets the system choose",
+        "127.0.0.1:0",
+    );
+    let controls = flag(
+        "controls",
+        "BILBERRY_DEV_CONTROLS",
+        "COUNT",
+        "Control nodes, 1 to 7",
+        "1",
+    );
+    let entries = flag("entries", "BILBERRY_DEV_ENTRIES", "COUNT", "Entries", "3");
+    let engines = flag(
+        "engines",
+        "BILBERRY_DEV_ENGINES",
+        "COUNT",
+        "Engine stand-ins for each model service",
+        "12",
+    );
+    let services = flag(
+        "services",
+        "BILBERRY_DEV_SERVICES",
+        "COUNT",
+        "Service stand-ins for each plain service",
+        "2",
+    );
+    let token_ms = flag(
+        "token-ms",
+        "BILBERRY_DEV_TOKEN_MS",
+        "MS",
+        "Time between two tokens of an engine",
+        "20",
+    );
+    let run_s = optional_flag(
+        "run-s",
+        "BILBERRY_DEV_RUN_S",
+        "S",
+        "Time after which the fleet ends; without it, it runs until Ctrl-C",
+    );
+    let telemetry = telemetry_options();
+    construct!(Options {
+        deployment,
+        text,
+        http,
+        controls,
+        entries,
+        engines,
+        services,
+        token_ms,
+        run_s,
+        telemetry,
+    })
+    .to_options()
+    .descr("A whole fleet in one process on loopback, with keys in a temporary folder.")
+}
+
+impl Options {
+    fn read(&self, reader: &mut OptionReader) -> Option<Settings> {
+        let example = self.example(reader);
+        let text = self.text.as_ref().and_then(|path| {
+            read_text(&PathBuf::from(path))
+                .map_err(|error| reader.fault(format!("{error:#}")))
+                .ok()
+        });
+        let http = reader.value::<SocketAddr>("http", &self.http);
+        if http.is_some_and(|address| !address.ip().is_loopback()) {
+            reader.fault(format!(
+                "Failed to read --http {:?}: want a loopback address",
+                self.http
+            ));
+        }
+        let controls = reader.number("controls", &self.controls, 1, MOST_CONTROLS);
+        let entries = reader.number("entries", &self.entries, 1, MOST_NODES);
+        let engines = reader.number("engines", &self.engines, 1, MOST_NODES);
+        let services = reader.number("services", &self.services, 1, MOST_NODES);
+        let token_time = reader.millis("token-ms", &self.token_ms);
+        let run_s = reader.optional::<u64>("run-s", self.run_s.as_deref());
+        let telemetry = self.telemetry.read(reader, "bilberry.dev");
+        let (example_text, organisation, profile) = example?;
+        let fleet = DevSettings {
+            controls: controls? as usize,
+            entries: entries? as usize,
+            engines: engines? as usize,
+            services: services? as usize,
+            http: http?,
+            engine: EngineSettings {
+                token_time: token_time?,
+                ..EngineSettings::default()
+            },
+            ..DevSettings::new(
+                &text.unwrap_or_else(|| example_text.to_string()),
+                &format!("example-key-{organisation}"),
+            )
+        };
+        Some(Settings {
+            fleet,
+            organisation,
+            profile,
+            run_time: run_s.map(Duration::from_secs),
+            telemetry: telemetry?,
+        })
+    }
+
+    /// Text, organisation and load profile of the example.
+    fn example(
+        &self,
+        reader: &mut OptionReader,
+    ) -> Option<(&'static str, &'static str, &'static str)> {
+        match self.deployment.as_str() {
+            "kamenny-zub" => Some((KAMENNY_ZUB, "mlyn-hora", "examples/kamenny-zub/load.toml")),
+            "kandy" => Some((KANDY, "temple-trust", "examples/kandy/load.toml")),
+            other => {
+                reader.fault(format!(
+                    "Failed to read --deployment {other:?}: want kamenny-zub or kandy"
+                ));
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/dev/nodes.rs
@@ -0,0 +1,167 @@
+//! Start of the parts of a development fleet.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+use agent::{AgentHandle, AgentSettings, TargetKind};
+use client::ControlClient;
+use control::{ControlArguments, ControlHandle};
+use entry::{EntryHandle, EntryLimits, EntrySettings};
+use eyre::{Result, WrapErr, bail, eyre};
+use link::{KeyAuthority, LinkEndpoint, LinkIdentity};
+use manifest::ServiceKind;
+use units::{
+    ConfigVersion, DataCentreName, Incarnation, NodeName, OrderId, ServiceName, SlotCount,
+};
+use wire::{ControlReply, ControlRequest, NodeRole, OperatorOrder, OrderReply};
+
+/// Name of the operator whose keys are issued.
+const OPERATOR: &str = "dev";
+/// Attempts to apply the text; an election takes up to a second and an attempt may take as long.
+const APPLY_ATTEMPTS: usize = 20;
+
+/// Loopback address with a port that the system chooses.
+const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Key folder with its authority.
+pub(super) struct DevKeys {
+    folder: PathBuf,
+    authority: KeyAuthority,
+}
+
+impl DevKeys {
+    pub(super) fn create(folder: &Path) -> Result<Self> {
+        let authority = KeyAuthority::open(folder)?;
+        Ok(Self {
+            folder: folder.into(),
+            authority,
+        })
+    }
+
+    fn endpoint(&self, role: NodeRole, name: &NodeName) -> Result<LinkEndpoint> {
+        let files = self.authority.issue(role, name)?;
+        let identity = LinkIdentity::load(role, name, &files)
+            .wrap_err_with(|| format!("Failed to load the keys of {name}"))?;
+        Ok(LinkEndpoint::bind(ANY_PORT, &identity, Incarnation(1))?)
+    }
+}
+
+/// Starts control nodes; all endpoints are bound first, since each node lists the others.
+pub(super) async fn start_controls(
+    keys: &DevKeys,
+    folder: &Path,
+    count: usize,
+) -> Result<Vec<ControlHandle>> {
+    let mut endpoints = BTreeMap::new();
+    for index in 1..=count {
+        let name: NodeName = format!("control-{index}").as_str().into();
+        endpoints.insert(name.clone(), keys.endpoint(NodeRole::Control, &name)?);
+    }
+    let peers: Vec<String> = endpoints
+        .iter()
+        .map(|(name, endpoint)| format!("{name}={}", endpoint.address()))
+        .collect();
+    let mut controls = Vec::new();
+    for (name, endpoint) in endpoints {
+        let arguments = ControlArguments {
+            name: Some(name.to_string()),
+            listen: Some(endpoint.address().to_string()),
+            data: Some(folder.join(name.as_str())),
+            keys: Some(keys.folder.clone()),
+            peers: peers.clone(),
+            ..ControlArguments::default()
+        };
+        let settings = arguments
+            .check()
+            .map_err(|faults| eyre!("{}", faults.join("\n")))?;
+        controls.push(control::start_on(settings, endpoint).await?);
+    }
+    Ok(controls)
+}
+
+/// Puts the services text in force, as the first version.
+pub(super) async fn apply_text(
+    keys: &DevKeys,
+    controls: Vec<SocketAddr>,
+    text: &str,
+) -> Result<()> {
+    let endpoint = keys.endpoint(NodeRole::Operator, &OPERATOR.into())?;
+    let client = ControlClient::new(endpoint, controls);
+    let request = ControlRequest::Order(OperatorOrder::Apply {
+        order: OrderId::from("dev-first-text"),
+        expected: ConfigVersion(0),
+        text: text.to_string(),
+    });
+    let mut failure = eyre!("no attempt was made");
+    for _ in 0..APPLY_ATTEMPTS {
+        match client.request(&request).await {
+            Ok(ControlReply::Order(OrderReply::Accepted(_))) => return Ok(()),
+            Ok(reply) => bail!("Failed to apply the services text: {reply:?}"),
+            Err(error) => failure = error.into(),
+        }
+    }
+    Err(failure).wrap_err("Failed to apply the services text")
+}
+
+pub(super) fn entry_name(index: usize) -> NodeName {
+    format!("entry-{}", index + 1).as_str().into()
+}
+
+pub(super) async fn start_entry(
+    keys: &DevKeys,
+    index: usize,
+    http: SocketAddr,
+    data_centre: DataCentreName,
+    controls: &[SocketAddr],
+) -> Result<EntryHandle> {
+    let name = entry_name(index);
+    keys.authority.issue(NodeRole::Entry, &name)?;
+    entry::start(EntrySettings {
+        name,
+        http,
+        listen: ANY_PORT,
+        data_centre,
+        controls: controls.to_vec(),
+        keys: keys.folder.clone(),
+        limits: EntryLimits::default(),
+    })
+    .await
+}
+
+/// What an agent stands beside.
+pub(super) struct AgentPlan {
+    pub(super) name: NodeName,
+    pub(super) service: ServiceName,
+    pub(super) kind: ServiceKind,
+    pub(super) data_centre: DataCentreName,
+    pub(super) target: SocketAddr,
+    pub(super) slots: u32,
+    pub(super) cold: u32,
+}
+
+pub(super) async fn start_agent(
+    keys: &DevKeys,
+    plan: &AgentPlan,
+    controls: &[SocketAddr],
+) -> Result<AgentHandle> {
+    keys.authority.issue(NodeRole::Agent, &plan.name)?;
+    agent::start(AgentSettings {
+        name: plan.name.clone(),
+        listen: ANY_PORT,
+        data_centre: plan.data_centre.clone(),
+        controls: controls.to_vec(),
+        keys: keys.folder.clone(),
+        target: plan.name.as_str().into(),
+        service: plan.service.clone(),
+        kind: match plan.kind {
+            ServiceKind::Model => TargetKind::Model,
+            ServiceKind::Plain => TargetKind::Plain,
+        },
+        target_url: format!("http://{}", plan.target),
+        cold_limit: SlotCount(plan.cold),
+        most_slots: SlotCount(plan.slots),
+        health: ANY_PORT,
+    })
+    .await
+}
