--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -9,7 +9,6 @@
 mod handle;
 mod health;
 mod members;
-mod nodes;
 mod orders;
 mod peer_link;
 mod requests;
--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -92,13 +92,15 @@
 /// Passes the directory on and removes silent nodes, for ever.
 pub(crate) async fn pass_directory(context: ControlContext, peers: PeerSenders) {
     let mut interval = tokio::time::interval(ANNOUNCE_INTERVAL);
+    let mut last = context.clock.now();
     loop {
         interval.tick().await;
         let now = context.clock.now();
         let batch = context.nodes.write(|nodes| {
-            nodes.expire(now);
-            nodes.take_unsent()
+            nodes.tick(now);
+            nodes.announced_since(last)
         });
+        last = now;
         for part in batch.chunks(BATCH_ENTRIES) {
             peers.broadcast(&PeerFrame::Directory(part.to_vec()));
         }
@@ -199,9 +201,5 @@
 /// Takes renewals that another control node has received.
 pub(crate) fn take_directory(context: &ControlContext, entries: Vec<DirectoryEntry>) {
     let now = context.clock.now();
-    context.nodes.write(|nodes| {
-        for entry in entries {
-            nodes.announced(entry, now);
-        }
-    });
+    context.nodes.write(|nodes| nodes.passed_on(entries, now));
 }
--- /dev/null
+++ b/components/offers/tests/fairness.rs
@@ -0,0 +1,206 @@
+//! Fairness of the whole fleet, joined by a fake network with delays, partitions and restarts.
+
+mod common;
+
+use common::first_come;
+use common::meter::FleetMeter;
+use common::network::{CallerLoad, FakeNetwork, FleetSettings, SharePolicy};
+
+const ORGANISATIONS: usize = 16;
+const ENTRIES: usize = 6;
+
+/// Load of one organisation, spread over some entries, in requests for each second.
+fn load(organisation: usize, entries: &[usize], rate: u64) -> Vec<CallerLoad> {
+    let every_ms = 1000 * entries.len() as u64 / rate;
+    let loads = entries.iter().map(|entry| CallerLoad {
+        organisation,
+        entry: *entry,
+        every_ms,
+    });
+    loads.collect()
+}
+
+fn fleet(loads: Vec<CallerLoad>) -> FleetSettings {
+    FleetSettings {
+        regions: 3,
+        entries: ENTRIES,
+        agents: 12,
+        slots: 2,
+        weights: vec![1000; ORGANISATIONS],
+        loads,
+        max_waiting: 64,
+        policy: SharePolicy::Fleet,
+        seed: 7,
+    }
+}
+
+/// Three organisations offer 20 times the rest; each small one calls at two entries.
+fn three_large() -> Vec<CallerLoad> {
+    let all: Vec<usize> = (0..ENTRIES).collect();
+    let loads = (0..ORGANISATIONS).flat_map(|organisation| match organisation {
+        0..3 => load(organisation, &all, 200),
+        _ => load(
+            organisation,
+            &[organisation % ENTRIES, (organisation + 1) % ENTRIES],
+            10,
+        ),
+    });
+    loads.collect()
+}
+
+/// All callers of a large organisation are at one entry, those of small ones are spread.
+fn uneven_callers() -> Vec<CallerLoad> {
+    let all: Vec<usize> = (0..ENTRIES).collect();
+    let loads = (0..ORGANISATIONS).flat_map(|organisation| match organisation {
+        0 => load(organisation, &[0], 200),
+        1 => load(organisation, &[0], 10),
+        _ => load(organisation, &all, 12),
+    });
+    loads.collect()
+}
+
+fn all() -> Vec<usize> {
+    (0..ORGANISATIONS).collect()
+}
+
+fn print(meter: &FleetMeter, bound: f64, label: &str) {
+    println!(
+        "{label}: gap {:.0} of at most {bound:.0} at {:?}, end gap {:.0}, utilisation {:.3}, \
+         granted {}, refused {}",
+        meter.gap,
+        meter.worst,
+        meter.final_gap(&all()),
+        meter.utilisation(),
+        meter.granted,
+        meter.refused,
+    );
+}
+
+fn check(network: &FakeNetwork, bound: f64, label: &str) {
+    let meter = &network.meter;
+    print(meter, bound, label);
+    assert!(
+        meter.gap <= bound,
+        "{label}: gap {} over {bound}",
+        meter.gap
+    );
+    assert_eq!(meter.idle_faults.first(), None, "{label}");
+    let starved = meter.service.iter().position(|service| *service == 0);
+    assert_eq!(starved, None, "{label}: an organisation got no service");
+}
+
+/// Guards against large organisations taking the shares of small ones.
+#[test]
+fn three_large_organisations_leave_the_others_their_share() {
+    let settings = fleet(three_large());
+    let bound = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    network.run_until(20_000);
+
+    check(&network, bound, "three large");
+}
+
+/// Guards against shares that depend on the entries at which an organisation calls.
+#[test]
+fn callers_at_one_entry_get_no_other_share_than_spread_ones() {
+    let settings = fleet(uneven_callers());
+    let bound = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    network.run_until(20_000);
+
+    check(&network, bound, "uneven callers");
+}
+
+/// Guards against a flood that uses a partition of the entries: totals are as old as the partition
+/// then, and the shares must be made up for after it.
+#[test]
+fn flood_during_a_partition_is_made_up_for() {
+    let settings = fleet(three_large());
+    let during = settings.bound(5_000);
+    let after = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    network.run_until(3_000);
+    network.partition = [0, 3].into();
+    network.run_until(8_000);
+    network.partition.clear();
+    network.run_until(20_000);
+
+    check(&network, during, "partition");
+    let gap = network.meter.final_gap(&all());
+    assert!(gap <= after, "gap {gap} over {after} after the partition");
+}
+
+/// Guards against lost or doubled counts when an entry, and with it the homes of some flows,
+/// restarts with empty memory.
+#[test]
+fn restart_of_an_entry_keeps_the_bound() {
+    for index in 0..ENTRIES {
+        let settings = fleet(three_large());
+        let bound = settings.bound(0);
+        let mut network = FakeNetwork::new(settings);
+
+        network.run_until(6_100);
+        network.restart_entry(index);
+        network.run_until(15_000);
+
+        check(&network, bound, &format!("restart of entry {index}"));
+    }
+}
+
+/// Guards against an agent that forgets the counters and serves by age until they return.
+#[test]
+fn restart_of_an_agent_keeps_the_bound() {
+    let settings = fleet(uneven_callers());
+    let bound = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    network.run_until(6_100);
+    network.restart_agent(4);
+    network.run_until(15_000);
+
+    check(&network, bound, "restart of an agent");
+}
+
+/// Guards against requests that are lost or granted twice when connections break.
+#[test]
+fn broken_connections_lose_no_request() {
+    let settings = fleet(three_large());
+    let bound = settings.bound(0);
+    let mut network = FakeNetwork::new(settings);
+
+    for round in 1..40 {
+        network.run_until(round * 250);
+        network.reconnect(round as usize % ENTRIES, round as usize * 5 % 12);
+    }
+
+    check(&network, bound, "broken connections");
+}
+
+/// Prints what two simpler designs reach with the same load. Guards against a load that is so even
+/// that the bound would hold without a fair choice.
+#[test]
+fn first_come_first_served_breaks_the_bound() {
+    for (label, loads) in [
+        ("three large", three_large()),
+        ("uneven callers", uneven_callers()),
+    ] {
+        let mut settings = fleet(loads);
+        let bound = settings.bound(0);
+        let first_come = first_come::run(&settings, 20_000);
+        print(
+            &first_come,
+            bound,
+            &format!("{label}, first come first served"),
+        );
+        settings.policy = SharePolicy::AgentAlone;
+        let mut alone = FakeNetwork::new(settings);
+        alone.run_until(20_000);
+        print(&alone.meter, bound, &format!("{label}, each agent alone"));
+        if label == "three large" {
+            assert!(first_come.gap > bound, "{} within {bound}", first_come.gap);
+        }
+    }
+}
