--- a/src/dev/guide.rs
+++ b/src/dev/guide.rs
@@ -65,6 +65,10 @@
         .iter()
         .map(|control| control.address().to_string())
         .collect();
-    println!("# keys of the operator `dev`: {}", fleet.keys().display());
-    println!("# control nodes: {}", controls.join(" "));
+    println!("# state of the fleet; `dc out NAME` in place of `status` takes a data centre out");
+    println!(
+        "cargo run --release --bin bilberryctl -- --controls {} --keys {} --operator dev status",
+        controls.join(","),
+        fleet.keys().display()
+    );
 }
