--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -68,8 +68,10 @@
     Whole,
     /// Complete, but not what the request asks for.
     Foreign(String),
-    /// Ended before it was complete, without a stated error.
+    /// Ended as if it were complete, but it is not.
     Cut(String),
+    /// The connection broke during the answer, which the caller sees.
+    Broken(String),
     /// Refused or failed with a stated error.
     Refused(Refusal),
     /// No answer: the connection broke or the time ran out.
@@ -140,7 +142,8 @@
         result
     }
 
-    /// Sends a request until it is answered, at most `resends` times more. A refusal is an answer.
+    /// Sends a request until it is answered, at most `resends` times more, each to the next entry. A
+    /// refusal is an answer; a lost or broken one is not.
     pub async fn send_until_answered(
         &self,
         request: &CallRequest,
@@ -152,7 +155,8 @@
         loop {
             let mut result = self.send(request, entry + resent as usize).await;
             result.sent = first;
-            if !matches!(result.answer, Answer::Lost(_)) || resent == resends {
+            let is_answered = !matches!(result.answer, Answer::Lost(_) | Answer::Broken(_));
+            if is_answered || resent == resends {
                 return (result, resent);
             }
             resent += 1;
@@ -255,13 +259,13 @@
     compare(text.as_str().unwrap_or_default(), kind)
 }
 
-/// An answer that began and broke off is cut; one that ran out of time is lost.
+/// An answer whose connection broke is told from one that ran out of time.
 fn broken(result: &CallResult, error: &reqwest::Error) -> Answer {
     let message = format!("after {} tokens: {}", result.tokens, chain(error));
     if error.is_timeout() {
         Answer::Lost(message)
     } else {
-        Answer::Cut(message)
+        Answer::Broken(message)
     }
 }
 
--- a/components/load/src/report.rs
+++ b/components/load/src/report.rs
@@ -113,8 +113,10 @@
     pub whole: u64,
     /// Complete answers that are not the request's own.
     pub foreign: u64,
-    /// Answers that ended early without a stated error.
+    /// Answers that ended early as if they were complete.
     pub cut: u64,
+    /// Answers whose connection broke, after all resends.
+    pub broken: u64,
     /// Requests without an answer.
     pub lost: u64,
     /// Refusals and stated failures.
@@ -133,7 +135,7 @@
     pub gap: Vec<GapPoint>,
     /// Organisations.
     pub organisations: Vec<OrganisationReport>,
-    /// First messages of foreign, cut and lost answers.
+    /// First messages of foreign, cut, broken and lost answers.
     pub messages: Vec<String>,
 }
 
@@ -200,6 +202,10 @@
                     self.cut += 1;
                     format!("cut: {message}")
                 }
+                Answer::Broken(message) => {
+                    self.broken += 1;
+                    format!("broken: {message}")
+                }
                 Answer::Lost(message) => {
                     self.lost += 1;
                     format!("lost: {message}")
@@ -414,8 +420,8 @@
         )?;
         writeln!(
             f,
-            "answers       {:>8} whole   {} foreign   {} cut   {} lost",
-            self.whole, self.foreign, self.cut, self.lost
+            "answers       {:>8} whole   {} foreign   {} cut   {} broken   {} lost",
+            self.whole, self.foreign, self.cut, self.broken, self.lost
         )?;
         for RefusalCount { refusal, count } in &self.refused {
             let (status, code) = (refusal.status, &refusal.code);
