--- /dev/null
+++ b/components/client/tests/requests.rs
@@ -0,0 +1,128 @@
+//! Requests try each control node, and the directory follows its deltas.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use client::{ClientError, ControlClient, ControlTransport, FleetView, ReplyFuture};
+use units::{ConfigVersion, Incarnation, NodeName};
+use wire::{ControlReply, ControlRequest, DirectoryDelta, DirectoryEntry, NodeKind, NodeState};
+
+/// What a control node does.
+#[derive(Clone, Copy)]
+enum Behaviour {
+    Answers,
+    Silent,
+    NoQuorum,
+}
+
+struct FakeControls {
+    behaviours: Vec<Behaviour>,
+    asked: Mutex<Vec<u16>>,
+}
+
+impl ControlTransport for FakeControls {
+    fn exchange<'a>(
+        &'a self,
+        address: SocketAddr,
+        _request: &'a ControlRequest,
+    ) -> ReplyFuture<'a> {
+        let port = address.port();
+        self.asked.lock().unwrap().push(port);
+        let behaviour = self.behaviours[usize::from(port) - 1];
+        Box::pin(async move {
+            match behaviour {
+                Behaviour::Answers => Ok(ControlReply::Done),
+                Behaviour::NoQuorum => Ok(ControlReply::NoQuorum { leader: None }),
+                Behaviour::Silent => std::future::pending().await,
+            }
+        })
+    }
+}
+
+fn client(behaviours: &[Behaviour]) -> (ControlClient, Arc<FakeControls>) {
+    let controls = Arc::new(FakeControls {
+        behaviours: behaviours.to_vec(),
+        asked: Mutex::default(),
+    });
+    let ports = 1..=behaviours.len() as u16;
+    let addresses = ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let client = ControlClient::with_transport(controls.clone(), addresses.collect());
+    (client, controls)
+}
+
+/// Guards against requests that wait for a silent node each time.
+#[tokio::test(start_paused = true)]
+async fn client_stays_with_the_node_that_answered() {
+    let behaviours = [Behaviour::Silent, Behaviour::NoQuorum, Behaviour::Answers];
+    let (client, controls) = client(&behaviours);
+
+    for _ in 0..2 {
+        let reply = client.request(&ControlRequest::Status).await.unwrap();
+        assert_eq!(reply, ControlReply::Done);
+    }
+
+    assert_eq!(*controls.asked.lock().unwrap(), [1, 2, 3, 3]);
+}
+
+/// Guards against a request that goes on for ever.
+#[tokio::test(start_paused = true)]
+async fn attempts_are_bounded() {
+    let (silent, asked) = client(&[Behaviour::Silent; 3]);
+    let (alone, _) = client(&[Behaviour::NoQuorum; 2]);
+    let (empty, _) = client(&[]);
+
+    let unanswered = silent.request(&ControlRequest::Status).await;
+    let no_quorum = alone.request(&ControlRequest::Status).await;
+    let nobody = empty.request(&ControlRequest::Status).await;
+
+    assert!(matches!(
+        unanswered,
+        Err(ClientError::Unanswered { attempts: 6, .. })
+    ));
+    assert_eq!(asked.asked.lock().unwrap().len(), 6);
+    assert!(matches!(
+        no_quorum,
+        Err(ClientError::NoQuorum { attempts: 4 })
+    ));
+    assert!(matches!(nobody, Err(ClientError::NoControls)));
+}
+
+fn entry(name: &str) -> DirectoryEntry {
+    DirectoryEntry {
+        name: name.into(),
+        incarnation: Incarnation(1),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "praha-1".into(),
+        state: NodeState::Serving,
+        config: ConfigVersion(0),
+        kind: NodeKind::Entry,
+    }
+}
+
+fn delta(source: u64, revision: u64, whole: bool, changed: &[&str]) -> DirectoryDelta {
+    DirectoryDelta {
+        source: Incarnation(source),
+        revision,
+        whole,
+        changed: changed.iter().map(|name| entry(name)).collect(),
+        removed: Vec::new(),
+    }
+}
+
+/// Guards against a directory that is patched with the deltas of another control node.
+#[test]
+fn deltas_of_another_source_are_passed_over() {
+    let mut view = FleetView::default();
+    view.update_directory(delta(1, 4, true, &["a", "b"]));
+
+    view.update_directory(delta(2, 9, false, &["c"]));
+    view.update_directory(delta(1, 3, false, &["d"]));
+    view.update_directory(DirectoryDelta {
+        removed: vec!["a".into()],
+        ..delta(1, 6, false, &["e"])
+    });
+
+    let names: Vec<_> = view.directory.keys().map(NodeName::as_str).collect();
+    assert_eq!(names, ["b", "e"]);
+    assert_eq!(view.revision, Some((Incarnation(1), 6)));
+}
--- /dev/null
+++ b/components/ctl/tests/capacity.rs
@@ -0,0 +1,91 @@
+//! Which services lose their last capacity through an order.
+
+use control::{FleetStatus, NodeReport, ServiceReport};
+use ctl::{Exclusion, lost_services, text_table};
+use units::{ConfigVersion, SlotCount};
+use wire::TargetState;
+
+fn agent(target: &str, service: &str, data_centre: &str, healthy: bool) -> NodeReport {
+    NodeReport {
+        name: format!("agent-{target}").as_str().into(),
+        address: "127.0.0.1:1".into(),
+        data_centre: data_centre.into(),
+        leaving: false,
+        config: ConfigVersion(1),
+        lags_ms: None,
+        target: Some(TargetState {
+            target: target.into(),
+            service: service.into(),
+            limit: SlotCount(1),
+            running: SlotCount(0),
+            cold: false,
+            healthy,
+        }),
+    }
+}
+
+fn fleet() -> FleetStatus {
+    let service = |name: &str, depends_on: &[&str]| ServiceReport {
+        name: name.into(),
+        depends_on: depends_on.iter().map(|name| (*name).into()).collect(),
+    };
+    FleetStatus {
+        node: "control-1".into(),
+        leader: None,
+        term: 1,
+        commit: 1,
+        confirmed_ms: None,
+        version: ConfigVersion(1),
+        out_data_centres: Default::default(),
+        out_targets: Default::default(),
+        calls: 0,
+        controls: Vec::new(),
+        data_centres: Vec::new(),
+        services: vec![service("advice", &["records"]), service("records", &[])],
+        nodes: vec![
+            agent("a-1", "advice", "praha-1", true),
+            agent("a-2", "advice", "brno-1", true),
+            agent("r-1", "records", "praha-1", true),
+            agent("r-2", "records", "brno-1", false),
+        ],
+    }
+}
+
+fn names(status: &FleetStatus, exclusion: &Exclusion) -> Vec<String> {
+    let lost = lost_services(status, exclusion);
+    lost.iter().map(ToString::to_string).collect()
+}
+
+/// Guards against an operator who is not told that a service goes down with a data centre, itself
+/// or through a dependency.
+#[test]
+fn data_centre_with_the_last_healthy_target_is_named() {
+    let status = fleet();
+
+    let praha = names(&status, &Exclusion::DataCentre("praha-1".into()));
+    let brno = names(&status, &Exclusion::DataCentre("brno-1".into()));
+
+    assert_eq!(praha, ["advice", "records"]);
+    assert!(brno.is_empty(), "{brno:?}");
+}
+
+/// Guards against targets that are out already and count as capacity.
+#[test]
+fn targets_that_are_out_do_not_count() {
+    let mut status = fleet();
+    status.out_data_centres.insert("praha-1".into());
+    status.nodes[3].target.as_mut().unwrap().healthy = true;
+
+    let lost = names(&status, &Exclusion::Target("a-2".into()));
+
+    assert_eq!(lost, ["advice"]);
+}
+
+#[test]
+fn columns_are_as_wide_as_their_widest_cell() {
+    let rows = [vec!["agent-1".into(), "x".into()]];
+
+    let table = text_table(&["NODE", "STATE"], &rows);
+
+    assert_eq!(table, "NODE     STATE\nagent-1  x\n");
+}
