--- a/components/client/src/lease.rs
+++ b/components/client/src/lease.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use board::StateBoard;
+use telemetry::{event, events};
 use units::{ClockSource, ClockTime, ConfigVersion, Incarnation};
 use wire::{ControlReply, ControlRequest, DirectoryEntry, RenewReply, RenewRequest};
 
@@ -88,8 +89,10 @@
 ) {
     let mut interval = tokio::time::interval(RENEW_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut held = false;
     loop {
         interval.tick().await;
+        held = log_lease(held, &board, clock.now());
         // A failed renewal is repeated at once at the next control node; the lease tells the
         // node's controllers how long failures may last.
         if renew(&client, &board, &clock, node(), wants_directory)
@@ -98,9 +101,21 @@
         {
             let _ = renew(&client, &board, &clock, node(), wants_directory).await;
         }
+        held = log_lease(held, &board, clock.now());
     }
 }
 
+/// Logs a lease that was gained or lost since the last look, and tells whether there is one.
+fn log_lease(held: bool, board: &StateBoard<FleetView>, now: ClockTime) -> bool {
+    let (holds, version) = board.read(|view| (view.has_lease(now), view.config.version));
+    match (held, holds) {
+        (false, true) => event!(events::LEASE_HELD, version = version),
+        (true, false) => event!(events::LEASE_LOST, version = version),
+        _ => {}
+    }
+    holds
+}
+
 /// Renews the lease once.
 async fn renew(
     client: &ControlClient,
--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use board::StateBoard;
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, eyre};
 use raft::{
     EntryPayload, LogEntry, LogIndex, NodeRole, PersistBatch, PersistedState, ProposeError,
     RaftAction, RaftMessage, RaftNode, Snapshot, Term,
@@ -57,6 +57,8 @@
     },
     /// Confirms that the applied state is the newest.
     Confirm { reply: oneshot::Sender<bool> },
+    /// Another control node says that this folder was removed from the group.
+    Removed,
     /// Hands leadership to another node.
     Transfer,
     /// Ends the thread.
@@ -196,6 +198,10 @@
             DriverEvent::Announce { name, announce } => self.announced(name, announce, now),
             DriverEvent::Propose { action, reply } => self.propose(action, Some(reply), now),
             DriverEvent::Confirm { reply } => self.barrier(Some(reply), now),
+            DriverEvent::Removed => Err(eyre!(
+                "Failed to take part: data folder {} was replaced, start with an empty one",
+                self.settings.data.display()
+            )),
             DriverEvent::Transfer => self.transfer(now),
             DriverEvent::Stop => Ok(()),
         }
@@ -238,6 +244,10 @@
     }
 
     fn announced(&mut self, name: NodeName, announce: PeerAnnounce, now: ClockTime) -> Result<()> {
+        // A replaced folder that comes back must not hide the one that replaced it.
+        if self.node.status().membership.removed.contains(&announce.id) {
+            return Ok(());
+        }
         let seen = SeenPeer {
             announce,
             seen: now,
@@ -249,7 +259,8 @@
     /// Forms the group when all listed nodes are present and empty.
     fn form(&mut self, now: ClockTime) -> Result<()> {
         let status = self.node.status();
-        if status.last > LogIndex(0) || status.snapshot > LogIndex(0) {
+        // A leader has reached this node, so a group exists and the node joins it.
+        if status.last > LogIndex(0) || status.term > Term(0) || !self.pending.is_empty() {
             self.view.write_quietly(|view| view.announce.empty = false);
             return Ok(());
         }
--- a/components/control/src/formation.rs
+++ b/components/control/src/formation.rs
@@ -10,48 +10,44 @@
 
 units::data! {
     /// What a control node tells the others about itself.
-    pub(crate) struct PeerAnnounce {
+    pub struct PeerAnnounce {
         /// Id of its data folder.
-        pub(crate) id: DiskId,
+        pub id: DiskId,
         /// Whether it has never been part of a group.
-        pub(crate) empty: bool,
+        pub empty: bool,
         /// Names of all control nodes in its settings.
-        pub(crate) listed: BTreeSet<NodeName>,
+        pub listed: BTreeSet<NodeName>,
         /// Members that the group was formed with, while the node still knows them.
-        pub(crate) founders: Option<BTreeSet<DiskId>>,
+        pub founders: Option<BTreeSet<DiskId>>,
         /// Last entry that it has applied.
-        pub(crate) applied: LogIndex,
+        pub applied: LogIndex,
     }
 }
 
 /// Newest announcement of a node.
 #[derive(Debug, Clone)]
-pub(crate) struct SeenPeer {
+pub struct SeenPeer {
     /// The announcement.
-    pub(crate) announce: PeerAnnounce,
+    pub announce: PeerAnnounce,
     /// Time of its arrival.
-    pub(crate) seen: ClockTime,
+    pub seen: ClockTime,
 }
 
 impl SeenPeer {
     /// Whether the node was heard of lately.
-    pub(crate) fn is_present(&self, now: ClockTime) -> bool {
+    pub fn is_present(&self, now: ClockTime) -> bool {
         now.0.saturating_sub(self.seen.0) <= PRESENT_MS
     }
 }
 
 /// Newest announcement of each other control node.
-pub(crate) type SeenPeers = BTreeMap<NodeName, SeenPeer>;
+pub type SeenPeers = BTreeMap<NodeName, SeenPeer>;
 
 /// The members that an empty node forms a group with; none while it must wait or join.
 ///
 /// All listed nodes must be present, empty and list the same names. When another node was first,
 /// its members are taken over if this node is among them, so that all nodes form one group.
-pub(crate) fn founders(
-    own: &PeerAnnounce,
-    seen: &SeenPeers,
-    now: ClockTime,
-) -> Option<BTreeSet<DiskId>> {
+pub fn founders(own: &PeerAnnounce, seen: &SeenPeers, now: ClockTime) -> Option<BTreeSet<DiskId>> {
     let formed = seen
         .values()
         .filter_map(|peer| peer.announce.founders.as_ref());
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -1,5 +1,6 @@
 //! Start and end of a control node inside a process.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -9,7 +10,7 @@
 use client::ControlClient;
 use directory::NodeDirectory;
 use eyre::{Result, WrapErr, eyre};
-use link::{KeyFiles, LinkEndpoint, LinkIdentity};
+use link::{KeyFiles, LinkEndpoint, LinkError, LinkIdentity};
 use raft::NodeRole as RaftRole;
 use telemetry::{event, events};
 use tokio::sync::{mpsc, oneshot};
@@ -18,7 +19,7 @@
 use wire::NodeRole;
 
 use crate::driver::{DriverEvent, RaftDriver};
-use crate::health::serve_health;
+use crate::health::{bind_health, serve_health};
 use crate::peer_link::{PeerSenders, keep_stream, pass_directory};
 use crate::server::serve;
 use crate::settings::ControlSettings;
@@ -31,6 +32,12 @@
 /// Events that may wait for the driver.
 const MAX_EVENTS: usize = 4_096;
 
+/// Attempts to bind an address that is in use, 10 s together.
+const BIND_ATTEMPTS: u32 = 200;
+
+/// Time between two attempts to bind.
+const BIND_DELAY: Duration = Duration::from_millis(50);
+
 /// Longest wait for another leader at a planned stop.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -48,10 +55,23 @@
     let files = KeyFiles::in_folder(&settings.keys, NodeRole::Control, &settings.name);
     let identity = LinkIdentity::load(NodeRole::Control, &settings.name, &files)
         .wrap_err_with(|| format!("Failed to load the keys of {}", settings.name))?;
-    let endpoint = LinkEndpoint::bind(settings.listen, &identity, incarnation())?;
+    let endpoint = bind(settings.listen, &identity).await?;
     start_on(settings, endpoint).await
 }
 
+/// Binds the address. A process or node that has just stopped may hold it for a moment longer.
+async fn bind(address: SocketAddr, identity: &LinkIdentity) -> Result<LinkEndpoint> {
+    for _ in 1..BIND_ATTEMPTS {
+        match LinkEndpoint::bind(address, identity, incarnation()) {
+            Err(LinkError::Bind { source, .. }) if source.kind() == ErrorKind::AddrInUse => {
+                tokio::time::sleep(BIND_DELAY).await;
+            }
+            bound => return Ok(bound?),
+        }
+    }
+    Ok(LinkEndpoint::bind(address, identity, incarnation())?)
+}
+
 /// Starts a control node on an endpoint that is bound already.
 pub async fn start_on(settings: ControlSettings, endpoint: LinkEndpoint) -> Result<ControlHandle> {
     let settings = Arc::new(settings);
@@ -85,7 +105,8 @@
     tasks.spawn(tick(context.driver.clone()));
     tasks.spawn(serve(context.clone(), endpoint.clone()));
     if let Some(address) = settings.http {
-        tasks.spawn(serve_health(context.clone(), address));
+        let acceptor = bind_health(address).await?;
+        tasks.spawn(serve_health(context.clone(), acceptor));
     }
     let (end, ended) = oneshot::channel();
     let thread = std::thread::Builder::new()
--- a/components/control/src/health.rs
+++ b/components/control/src/health.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
+use eyre::{Result, eyre};
 use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::{Listener, Response, Router, Server, handler};
 
@@ -33,11 +35,18 @@
     response.render("ok\n");
 }
 
+/// Binds the address of the checks.
+pub(crate) async fn bind_health(address: SocketAddr) -> Result<TcpAcceptor> {
+    TcpListener::new(address)
+        .try_bind()
+        .await
+        .map_err(|error| eyre!("Failed to bind {address} for health checks: {error}"))
+}
+
 /// Serves the checks, for ever.
-pub(crate) async fn serve_health(context: ControlContext, address: SocketAddr) {
+pub(crate) async fn serve_health(context: ControlContext, acceptor: TcpAcceptor) {
     let router = Router::new()
         .push(Router::with_path("healthz").get(healthy))
         .push(Router::with_path("readyz").get(ReadyCheck { context }));
-    let acceptor = TcpListener::new(address).bind().await;
     Server::new(acceptor).serve(router).await;
 }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,10 +5,10 @@
 //! the status page.
 
 mod driver;
-mod formation;
+pub mod formation;
 mod handle;
 mod health;
-mod members;
+pub mod members;
 mod orders;
 mod peer_link;
 mod requests;
--- a/components/control/src/members.rs
+++ b/components/control/src/members.rs
@@ -9,7 +9,7 @@
 
 /// What the leader does next about its members.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) enum MemberStep {
+pub enum MemberStep {
     /// Record the name of a data folder.
     Record(DiskId, NodeName),
     /// Change one member.
@@ -18,7 +18,7 @@
 
 /// Commit index that each learner must reach before it may vote.
 #[derive(Debug, Default)]
-pub(crate) struct JoinTargets {
+pub struct JoinTargets {
     targets: BTreeMap<DiskId, LogIndex>,
 }
 
@@ -35,7 +35,7 @@
 /// Order for a replaced host: record the name, add the new id as a learner, wait until it holds the
 /// log, remove the old id, promote the new one. The group never has two voters of one host, so a
 /// host counts once towards a majority, and the majority never grows through a host that is gone.
-pub(crate) fn next_step(
+pub fn next_step(
     own: (DiskId, &NodeName),
     seen: &SeenPeers,
     membership: &Membership,
--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -39,6 +39,8 @@
         Announce(PeerAnnounce),
         /// Acknowledges an announcement.
         Seen,
+        /// Answers an announcement of a folder that was removed from the group.
+        Removed,
         /// Message between two data folders.
         Raft {
             /// Sender.
@@ -131,7 +133,7 @@
     let (writer, reader) = link.open(StreamKind::Raft).await?;
     let result = tokio::select! {
         result = send_frames(context, writer, queue) => result,
-        result = watch_replies(reader) => result,
+        result = watch_replies(context, reader) => result,
     };
     link.close("stream ended");
     result
@@ -158,10 +160,14 @@
 }
 
 /// Reads acknowledgements until they stay away.
-async fn watch_replies(mut reader: FrameReader) -> Result<(), LinkError> {
+async fn watch_replies(context: &ControlContext, mut reader: FrameReader) -> Result<(), LinkError> {
     loop {
         let reply = tokio::time::timeout(SILENCE_LIMIT, reader.receive::<PeerFrame>()).await;
         match reply {
+            Ok(Ok(Some(PeerFrame::Removed))) => {
+                // The driver may have ended already.
+                let _ = context.driver.send(DriverEvent::Removed).await;
+            }
             Ok(Ok(Some(_))) => {}
             Ok(Ok(None)) => return Ok(()),
             Ok(Err(error)) => return Err(error),
@@ -180,7 +186,15 @@
     while let Some(frame) = reader.receive::<PeerFrame>().await? {
         let event = match frame {
             PeerFrame::Announce(announce) => {
-                writer.send(&PeerFrame::Seen).await?;
+                let removed = context.view.read(|view| {
+                    let members = &view.status.membership;
+                    members.removed.contains(&announce.id)
+                });
+                let reply = match removed {
+                    true => PeerFrame::Removed,
+                    false => PeerFrame::Seen,
+                };
+                writer.send(&reply).await?;
                 let name = name.clone();
                 DriverEvent::Announce { name, announce }
             }
@@ -189,7 +203,7 @@
                 take_directory(&context, entries);
                 continue;
             }
-            PeerFrame::Seen => continue,
+            PeerFrame::Seen | PeerFrame::Removed => continue,
         };
         if context.driver.send(event).await.is_err() {
             return Ok(());
--- a/components/control/tests/group.rs
+++ b/components/control/tests/group.rs
@@ -4,7 +4,7 @@
 
 use registry::FleetConfig;
 use support::{TEXT, TestGroup, agent_kind, apply, node, order, renew, renew_request};
-use units::{ConfigVersion, Incarnation, OrderId, RequestId};
+use units::{ConfigVersion, FencingNumber, Incarnation, OrderId, RequestId};
 use wire::{
     BeginCall, BeginOutcome, CallKey, ControlReply, ControlRequest, NodeKind, NodeRole,
     OperatorOrder, OrderReply,
@@ -21,6 +21,13 @@
     TEXT.to_string() + &centres.collect::<String>()
 }
 
+fn fence(id: &str) -> OperatorOrder {
+    OperatorOrder::Fence {
+        order: OrderId::from(id),
+        target: "target-1".into(),
+    }
+}
+
 fn begin(key: &str) -> ControlRequest {
     ControlRequest::Begin(BeginCall {
         call: CallKey {
@@ -95,6 +102,7 @@
     let operator = group.client(NodeRole::Operator, "operator-1");
     let first = order(&operator, apply("order-1", 0, &text(1))).await;
     let leader = group.leader().await;
+    let id = group.id_of(leader);
 
     group.stop(leader).await;
     let second = order(&operator, apply("order-2", 1, &text(2))).await;
@@ -104,6 +112,52 @@
 
     assert_eq!((first, second), (accepted(1), accepted(2)));
     assert_eq!(repeated, accepted(1));
+    assert_eq!(group.id_of(leader), id);
+}
+
+/// Guards against a node that cannot return after more changes than the log keeps, and a group
+/// that loses what its snapshots hold.
+#[tokio::test(flavor = "multi_thread")]
+async fn snapshots_carry_nodes_over_many_changes() {
+    let mut group = TestGroup::start().await;
+    group.wait_ready().await;
+    let operator = group.client(NodeRole::Operator, "operator-1");
+    order(&operator, apply("order-1", 0, &text(1))).await;
+    let absent = (group.leader().await + 1) % 3;
+    group.kill(absent).await;
+
+    let mut tasks = tokio::task::JoinSet::new();
+    for worker in 0..24 {
+        let operator = operator.clone();
+        tasks.spawn(async move {
+            for number in 0..50 {
+                order(&operator, fence(&format!("fence-{worker}-{number}"))).await;
+            }
+        });
+    }
+    while let Some(result) = tasks.join_next().await {
+        result.unwrap();
+    }
+    group.restart(absent, false).await;
+    group.wait_version(1).await;
+    let commit = group.commit_of(group.leader().await);
+    for index in group.running() {
+        group
+            .wait(index, "caught up", |status| status.commit >= commit)
+            .await;
+    }
+    for index in group.running() {
+        group.kill(index).await;
+    }
+    for index in 0..3 {
+        group.restart(index, false).await;
+    }
+    group.wait_version(1).await;
+    let next = order(&operator, fence("last")).await;
+    let repeated = order(&operator, fence("fence-7-7")).await;
+
+    assert_eq!(next, OrderReply::Fenced(FencingNumber(1_201)));
+    assert!(matches!(repeated, OrderReply::Fenced(number) if number < FencingNumber(1_201)));
 }
 
 /// Guards against leases and orders without a majority.
@@ -173,10 +227,7 @@
     let agent = group.client(NodeRole::Agent, "agent-1");
     let entry = group.client(NodeRole::Entry, "entry-1");
     let operator = group.client(NodeRole::Operator, "operator-1");
-    let fence = ControlRequest::Order(OperatorOrder::Fence {
-        order: OrderId::from("order-1"),
-        target: "target-1".into(),
-    });
+    let fence = ControlRequest::Order(fence("order-1"));
 
     let agent_begins = agent.request(&begin("key-1")).await.unwrap();
     let entry_orders = entry.request(&fence).await.unwrap();
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -1,8 +1,9 @@
 //! A group of control nodes in one process.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use client::ControlClient;
@@ -38,7 +39,20 @@
     pub(crate) nodes: Vec<Option<ControlHandle>>,
 }
 
-pub(crate) fn endpoint(keys: &std::path::Path, role: NodeRole, name: &str) -> LinkEndpoint {
+/// An address of its own for each group, so that no other endpoint takes the port of a node that is
+/// down.
+fn group_address() -> IpAddr {
+    static GROUPS: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    IpAddr::from([127, high, low, GROUPS.fetch_add(1, Ordering::Relaxed)])
+}
+
+fn endpoint(
+    keys: &std::path::Path,
+    role: NodeRole,
+    name: &str,
+    address: impl Into<IpAddr>,
+) -> LinkEndpoint {
     let name = NodeName::from(name);
     let files = KeyFiles::in_folder(keys, role, &name);
     if !files.key.exists() {
@@ -48,7 +62,7 @@
             .unwrap();
     }
     let identity = LinkIdentity::load(role, &name, &files).unwrap();
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let address = SocketAddr::new(address.into(), 0);
     LinkEndpoint::bind(address, &identity, Incarnation(1)).unwrap()
 }
 
@@ -57,9 +71,10 @@
     pub(crate) async fn start() -> Self {
         let folder = tempfile::tempdir().unwrap();
         let keys = folder.path().join("keys");
+        let address = group_address();
         let endpoints: Vec<_> = NAMES
             .iter()
-            .map(|name| endpoint(&keys, NodeRole::Control, name))
+            .map(|name| endpoint(&keys, NodeRole::Control, name, address))
             .collect();
         let addresses: BTreeMap<NodeName, SocketAddr> = NAMES
             .iter()
@@ -158,6 +173,11 @@
         node.disk_id().to_string()
     }
 
+    /// Commit index of a running node.
+    pub(crate) fn commit_of(&self, index: usize) -> u64 {
+        self.nodes[index].as_ref().unwrap().status().commit
+    }
+
     pub(crate) fn running(&self) -> Vec<usize> {
         let nodes = self.nodes.iter().enumerate();
         nodes
@@ -179,7 +199,7 @@
 
     fn client_of(&self, role: NodeRole, name: &str, controls: Vec<SocketAddr>) -> ControlClient {
         let keys = self.folder.path().join("keys");
-        ControlClient::new(endpoint(&keys, role, name), controls)
+        ControlClient::new(endpoint(&keys, role, name, [127, 0, 0, 1]), controls)
     }
 }
 
