--- a/components/control/src/members.rs
+++ b/components/control/src/members.rs
@@ -8,7 +8,7 @@
 use crate::formation::{PeerAnnounce, SeenPeers};
 
 /// What the leader does next about its members.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MemberStep {
     /// Record the name of a data folder.
     Record(DiskId, NodeName),
--- /dev/null
+++ b/components/control/tests/decisions.rs
@@ -0,0 +1,208 @@
+//! When a group is formed, and in which order a replaced host comes back.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use control::formation::{PeerAnnounce, SeenPeer, SeenPeers, founders};
+use control::members::{JoinTargets, MemberStep, next_step};
+use raft::{LogIndex, MemberChange, Membership};
+use units::{ClockTime, DiskId, NodeName};
+
+const NOW: ClockTime = ClockTime(10_000);
+
+fn names(all: &[&str]) -> BTreeSet<NodeName> {
+    all.iter().map(|name| NodeName::from(*name)).collect()
+}
+
+fn ids(all: &[u128]) -> BTreeSet<DiskId> {
+    all.iter().copied().map(DiskId).collect()
+}
+
+fn empty(id: u128) -> PeerAnnounce {
+    PeerAnnounce {
+        id: DiskId(id),
+        empty: true,
+        listed: names(&["a", "b", "c"]),
+        founders: None,
+        applied: LogIndex(0),
+    }
+}
+
+fn formed(id: u128, founders: &[u128]) -> PeerAnnounce {
+    PeerAnnounce {
+        empty: false,
+        founders: (!founders.is_empty()).then(|| ids(founders)),
+        ..empty(id)
+    }
+}
+
+fn seen(peers: &[(&str, PeerAnnounce)]) -> SeenPeers {
+    let peers = peers.iter().map(|(name, announce)| {
+        let peer = SeenPeer {
+            announce: announce.clone(),
+            seen: NOW,
+        };
+        (NodeName::from(*name), peer)
+    });
+    peers.collect()
+}
+
+#[test]
+fn all_present_and_empty_nodes_form_a_group() {
+    let peers = seen(&[("b", empty(2)), ("c", empty(3))]);
+
+    assert_eq!(founders(&empty(1), &peers, NOW), Some(ids(&[1, 2, 3])));
+}
+
+/// Guards against a second group beside one that exists or may exist.
+#[test]
+fn group_is_not_formed_without_every_listed_node() {
+    let other_list = PeerAnnounce {
+        listed: names(&["a", "c"]),
+        ..empty(3)
+    };
+    let mut silent = seen(&[("b", empty(2)), ("c", empty(3))]);
+    silent.get_mut(&NodeName::from("c")).unwrap().seen = ClockTime(7_000);
+    let cases = [
+        seen(&[("b", empty(2))]),
+        seen(&[("b", empty(2)), ("d", empty(4))]),
+        seen(&[("b", empty(2)), ("c", other_list)]),
+        seen(&[("b", empty(2)), ("c", formed(3, &[]))]),
+        seen(&[("b", empty(2)), ("c", formed(3, &[2, 3, 9]))]),
+        silent,
+    ];
+
+    for peers in cases {
+        assert_eq!(founders(&empty(1), &peers, NOW), None, "{peers:?}");
+    }
+}
+
+/// Guards against a node that waits for ever since another one formed the group a moment earlier.
+#[test]
+fn founding_members_are_taken_over() {
+    let peers = seen(&[("b", formed(2, &[1, 2, 3]))]);
+
+    assert_eq!(founders(&empty(1), &peers, NOW), Some(ids(&[1, 2, 3])));
+}
+
+/// A group of a, b and c on the leader a, where the folder 3 of c was replaced by 4.
+struct ReplacedHost {
+    members: Membership,
+    names: BTreeMap<DiskId, NodeName>,
+    targets: JoinTargets,
+    applied: u64,
+}
+
+impl ReplacedHost {
+    fn new() -> Self {
+        let known = [(1, "a"), (2, "b"), (3, "c")];
+        Self {
+            members: Membership {
+                voters: ids(&[1, 2, 3]),
+                ..Membership::default()
+            },
+            names: known
+                .map(|(id, name)| (DiskId(id), NodeName::from(name)))
+                .into(),
+            targets: JoinTargets::default(),
+            applied: 0,
+        }
+    }
+
+    fn next(&mut self, commit: u64) -> Option<MemberStep> {
+        let replacement = PeerAnnounce {
+            applied: LogIndex(self.applied),
+            ..empty(4)
+        };
+        let peers = seen(&[("b", formed(2, &[])), ("c", replacement)]);
+        next_step(
+            (DiskId(1), &NodeName::from("a")),
+            &peers,
+            &self.members,
+            &self.names,
+            LogIndex(commit),
+            &mut self.targets,
+        )
+    }
+
+    fn carry_out(&mut self, step: MemberStep) {
+        match step {
+            MemberStep::Record(id, name) => {
+                self.names.insert(id, name);
+            }
+            MemberStep::Change(MemberChange::AddLearner(id)) => {
+                self.members.learners.insert(id);
+            }
+            MemberStep::Change(MemberChange::Promote(id)) => {
+                self.members.learners.remove(&id);
+                self.members.voters.insert(id);
+            }
+            MemberStep::Change(MemberChange::Remove(id)) => {
+                self.members.voters.remove(&id);
+                self.members.learners.remove(&id);
+                self.members.removed.insert(id);
+            }
+        }
+    }
+}
+
+/// Guards against two votes of one host, and against an old id that is removed before the new one
+/// holds the log: a second lost host would then take the majority with it.
+#[test]
+fn replaced_host_catches_up_before_its_old_id_is_removed() {
+    let mut host = ReplacedHost::new();
+    let (old, new) = (DiskId(3), DiskId(4));
+    let change = |change| Some(MemberStep::Change(change));
+
+    let record = host.next(50);
+    host.carry_out(record.clone().unwrap());
+    let join = host.next(50);
+    host.carry_out(join.clone().unwrap());
+    let behind = host.next(50);
+    host.applied = 49;
+    let still_behind = host.next(60);
+    host.applied = 50;
+    let remove = host.next(70);
+    host.carry_out(remove.clone().unwrap());
+    let promote = host.next(70);
+    host.carry_out(promote.clone().unwrap());
+    let settled = host.next(70);
+
+    assert_eq!(record, Some(MemberStep::Record(new, "c".into())));
+    assert_eq!(join, change(MemberChange::AddLearner(new)));
+    assert_eq!((behind, still_behind), (None, None));
+    assert_eq!(remove, change(MemberChange::Remove(old)));
+    assert_eq!(promote, change(MemberChange::Promote(new)));
+    assert_eq!(settled, None);
+}
+
+/// Guards against a replaced folder that comes back and is added again.
+#[test]
+fn removed_folder_is_not_added_again() {
+    let mut host = ReplacedHost::new();
+    host.members.removed.insert(DiskId(4));
+
+    assert_eq!(host.next(50), None);
+}
+
+/// Guards against a host that lost its disk twice and keeps both new ids as learners.
+#[test]
+fn unfinished_replacement_is_removed_too() {
+    let mut host = ReplacedHost::new();
+    for id in [5, 4] {
+        host.names.insert(DiskId(id), "c".into());
+        host.members.learners.insert(DiskId(id));
+    }
+    host.applied = 50;
+    let mut removed = Vec::new();
+
+    while let Some(step) = host.next(50) {
+        if let MemberStep::Change(MemberChange::Remove(id)) = &step {
+            removed.push(*id);
+        }
+        host.carry_out(step);
+    }
+
+    assert_eq!(removed, [DiskId(3), DiskId(5)]);
+    assert_eq!(host.members.voters, ids(&[1, 2, 4]));
+    assert!(host.members.learners.is_empty());
+}
