--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,11 +5,10 @@
 //! the status page.
 
 mod driver;
-mod formation;
+pub mod formation;
 mod handle;
 mod health;
-mod members;
-mod nodes;
+pub mod members;
 mod orders;
 mod peer_link;
 mod requests;
--- a/components/raft/tests/support/mod.rs
+++ b/components/raft/tests/support/mod.rs
@@ -240,7 +240,7 @@
         match action {
             RaftAction::Send { to, message } => self.post(id, to, message),
             RaftAction::Persist { id: write, batch } => {
-                let delay = self.rng.random_range(0..4);
+                let delay = self.write_time();
                 let host = self.host(id);
                 host.writes.push_back((write, batch));
                 let start = host.start;
@@ -282,6 +282,13 @@
         }
     }
 
+    /// Most writes are fast; with faults, some take longer than an election timeout.
+    fn write_time(&mut self) -> u64 {
+        let is_late = self.rng.random_range(0..200) < self.rates.late;
+        let slowest = if is_late { 700 } else { 4 };
+        self.rng.random_range(0..slowest)
+    }
+
     fn apply(&mut self, id: DiskId, entry: LogEntry) {
         let index = entry.id.index.0;
         match self.history.get(index as usize - 1) {
@@ -387,7 +394,10 @@
                 start,
                 id: write,
             } => {
-                let host = self.host(id);
+                // The host may have lost its disk or restarted since the write began.
+                let Some(host) = self.hosts.get_mut(&id) else {
+                    return;
+                };
                 if host.start != start || host.node.is_none() {
                     return;
                 }
@@ -415,10 +425,8 @@
 
     /// Waits for a leader that has committed an entry of its own term.
     pub(crate) fn elect(&mut self) -> DiskId {
-        let mut leader = None;
         self.run_until(10_000, "no leader", |net| net.ready_leader().is_some());
-        leader = leader.or(self.ready_leader());
-        leader.expect("a leader was found")
+        self.ready_leader().expect("a leader was found")
     }
 
     fn ready_leader(&self) -> Option<DiskId> {
