Let messages arrive before the empty-node test reuses an id

The trace shows an Append of the crashed leader that was in flight and reached the empty node under the old node's id. Ruled out: a vote or campaign of the empty node; its only answers are refusals of pre-votes. Change: the test waits 50 ms before it replaces the node. Its assertions are as before. Real nodes never reuse an id, so such a message cannot arrive. Conclusion: a fault of the test, not of the node.

--- a/components/raft/tests/scenarios.rs
+++ b/components/raft/tests/scenarios.rs
@@ -181,6 +181,8 @@
         .into_iter()
         .find(|id| *id != leader)
         .expect("a follower");
+    // The empty node reuses the id here, so messages to the old one must have arrived before.
+    net.run(50);
     net.hosts.remove(&other);
     net.add_host(other, PersistedState::default());
     net.run(5000);
