--- a/components/raft/tests/messages.rs
+++ b/components/raft/tests/messages.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use raft::{
-    AppendOutcome, EntryId, EntryPayload, LogEntry, LogIndex, NodeRole, PersistedState, RaftAction,
-    RaftMessage, RaftNode, RaftSettings, Term,
+    AppendOutcome, EntryId, EntryPayload, LogEntry, LogIndex, MemberChange, Membership, NodeRole,
+    PersistedState, ProposeError, RaftAction, RaftMessage, RaftNode, RaftSettings, SnapshotChunk,
+    Term,
 };
 use support::ids;
 use units::{ClockTime, DiskId};
@@ -62,8 +63,8 @@
     }
 }
 
-/// Node A as leader of term 2, with its log acknowledged by B but no round answered.
-fn leader() -> RaftNode {
+/// Node A as leader of term 2 before anything is committed, and the actions of its election.
+fn elected() -> (RaftNode, Vec<RaftAction>) {
     let mut node = node(A, 1);
     let now = ClockTime(1000);
     node.tick(now);
@@ -88,6 +89,13 @@
         now,
     );
     assert_eq!(node.status().role, NodeRole::Leader);
+    (node, actions)
+}
+
+/// Node A as leader of term 2, with its log acknowledged by B but no round answered.
+fn leader() -> RaftNode {
+    let (mut node, actions) = elected();
+    let now = ClockTime(1000);
     node.receive(B, accepted(2, 0), now);
     assert_eq!(
         node.status().commit,
@@ -236,3 +244,69 @@
     assert!(!confirmed(&node.receive(A, answer(old), ClockTime(110))));
     assert!(confirmed(&node.receive(A, answer(new), ClockTime(120))));
 }
+
+/// Guards against two membership changes that do not share a majority: one that an older leader
+/// left behind, and one of a new leader that does not know yet whether the other is committed.
+#[test]
+fn a_new_leader_changes_no_member_before_its_first_commit() {
+    let (mut node, _) = elected();
+    let change = MemberChange::AddLearner(DiskId(9));
+    let refused = node.change_member(change, ClockTime(1000));
+    assert_eq!(refused, Err(ProposeError::NotReady));
+}
+
+/// Guards against a candidate that deposes a working leader, by a pre-vote or by a vote.
+#[test]
+fn a_follower_that_hears_its_leader_elects_no_other() {
+    let mut node = node(B, 5);
+    node.receive(A, heartbeat(1, 1), ClockTime(100));
+    let vote = |transfer| RaftMessage::Vote {
+        term: Term(2),
+        last: last(),
+        transfer,
+    };
+    let pre_vote = RaftMessage::PreVote {
+        term: Term(2),
+        last: last(),
+    };
+    let answer = node.receive(C, pre_vote, ClockTime(500));
+    let refused = RaftMessage::PreVoteReply {
+        term: Term(1),
+        granted: false,
+    };
+    assert_eq!(sent(&answer), [&refused]);
+    assert_eq!(node.receive(C, vote(false), ClockTime(500)), []);
+    assert_ne!(node.receive(C, vote(true), ClockTime(500)), []);
+    assert_eq!(node.status().term, Term(2));
+}
+
+/// Guards against a snapshot that is put together from the parts of two leaders, which may encode
+/// the same state differently.
+#[test]
+fn parts_of_two_leaders_make_no_snapshot() {
+    let part = |term, offset: u64| RaftMessage::Snapshot {
+        term: Term(term),
+        round: 0,
+        chunk: SnapshotChunk {
+            last: EntryId {
+                index: LogIndex(9),
+                term: Term(1),
+            },
+            membership: Membership::default(),
+            size: 8,
+            offset,
+            data: vec![term as u8; 4].into(),
+        },
+    };
+    let mut node = node(B, 6);
+    let first = node.receive(A, part(1, 0), ClockTime(100));
+    let second = node.receive(C, part(2, 4), ClockTime(110));
+    let released = node.persisted(batches(&second)[0], ClockTime(110));
+    let received = |actions: &[RaftAction]| match sent(actions)[..] {
+        [RaftMessage::SnapshotReply { received, .. }] => *received,
+        ref other => panic!("unexpected messages {other:?}"),
+    };
+    assert_eq!(received(&first), 4);
+    assert_eq!(received(&released), 0);
+    assert_eq!(node.status().snapshot, LogIndex(0));
+}
--- a/components/store/tests/crash.rs
+++ b/components/store/tests/crash.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 
 use raft::{PersistBatch, PersistedState};
+use rstest::rstest;
 use store::LogStore;
 use support::{copy, entries, hard_state, names, open, segments, snapshot};
 use tempfile::TempDir;
@@ -149,3 +150,26 @@
     fs::write(write.before.path().join(newest), []).unwrap();
     assert_opens(write.before.path(), &write.old);
 }
+
+/// Guards against a deletion in the wrong order, which a crash would turn into missing entries or
+/// into entries of an old leader. A folder in the place of a segment stops the deletion there.
+#[rstest]
+#[case::compaction(snapshot(18, 1), true)]
+#[case::installation(snapshot(30, 2), false)]
+fn segments_are_deleted_in_order(#[case] batch: PersistBatch, #[case] oldest_first: bool) {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, _) = LogStore::open_with(folder.path(), 100).unwrap();
+    for batch in log() {
+        store.persist(&batch).unwrap();
+    }
+    let rows = segments(folder.path());
+    let middle = rows.len() / 2;
+    fs::remove_file(&rows[middle]).unwrap();
+    fs::create_dir(&rows[middle]).unwrap();
+
+    store.persist(&batch).unwrap_err();
+
+    let (older, newer) = (&rows[..middle], &rows[middle + 1..]);
+    assert!(older.iter().all(|path| path.exists() != oldest_first));
+    assert!(newer.iter().all(|path| path.exists() == oldest_first));
+}
