Hold the call flow against the real registry, with late commands

The tests used a hand-written model of the call records. They now use the registry itself, and the generated histories also deliver begins and ends late and twice. An attempt that control names as ended without a run was barred by another entry; repeating its begin cannot change that, so the flow ends at once.

Also tested: two entries learn the sum of their service, and the run of a dead entry is cancelled.

--- a/components/entry/src/call_flow.rs
+++ b/components/entry/src/call_flow.rs
@@ -199,7 +199,8 @@
         match outcome {
             CallOutcome::Ran(response) => self.done(CallVerdict::Recorded(response)),
             CallOutcome::Unknown => self.done(CallVerdict::EarlierUnknown),
-            CallOutcome::NotRun => self.begin_again(CallVerdict::NoRecord),
+            // Another entry has barred this attempt before it began.
+            CallOutcome::NotRun => self.done(CallVerdict::NoRecord),
         }
     }
 
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -13,8 +13,8 @@
 use salvo::server::ServerHandle;
 use salvo::{Listener, Server};
 use tokio::task::JoinSet;
-use units::{ClockSource, SystemClock};
-use wire::NodeRole;
+use units::{ClockSource, CostUnits, SystemClock};
+use wire::{FlowKey, NodeRole};
 
 use crate::recorder::{CallRecorder, ControlRecorder};
 use crate::settings::EntrySettings;
@@ -75,6 +75,11 @@
         self.shared.directory_entry()
     }
 
+    /// Service that a flow has received in the fleet, as this entry knows it.
+    pub fn usage_total(&self, flow: &FlowKey) -> CostUnits {
+        self.shared.board.read(|state| state.ledger.total(flow))
+    }
+
     /// Announces that the entry leaves, finishes its requests and stops.
     pub async fn leave(mut self) {
         telemetry::event!(telemetry::events::ENTRY_LEAVING);
--- a/components/entry/tests/call_flow.rs
+++ b/components/entry/tests/call_flow.rs
@@ -44,6 +44,9 @@
     control: FakeRecorder,
     agents: Vec<AgentModel>,
     forwards: BTreeMap<RequestId, u32>,
+    /// Commands on their way to control; one may also arrive twice.
+    late_begins: Vec<BeginCall>,
+    late_ends: Vec<EndCall>,
     choices: Choices,
 }
 
@@ -75,6 +78,8 @@
             control: FakeRecorder::default(),
             agents: (0..AGENTS).map(|_| AgentModel::default()).collect(),
             forwards: BTreeMap::new(),
+            late_begins: Vec::new(),
+            late_ends: Vec::new(),
             choices: Choices(choices.into_iter()),
         }
     }
@@ -93,8 +98,21 @@
         }
     }
 
-    /// Between two steps a late start may arrive, or an agent may restart with empty memory.
+    /// Between two steps a late message may arrive, or an agent may restart with empty memory.
     fn disturb(&mut self) {
+        match self.choices.pick(6) {
+            1 => {
+                if let Some(begin) = self.late_begins.pop() {
+                    self.control.apply_begin(&begin);
+                }
+            }
+            2 => {
+                if let Some(end) = self.late_ends.pop() {
+                    self.control.apply_end(&end);
+                }
+            }
+            _ => {}
+        }
         for agent in 0..AGENTS {
             match self.choices.pick(8) {
                 1 => {
@@ -147,30 +165,39 @@
     }
 
     fn begin(&mut self, own: &CallAttempt) -> Option<BeginOutcome> {
-        let fault = self.choices.pick(4);
-        if fault == 1 {
-            return None;
-        }
-        let outcome = self.control.apply_begin(&BeginCall {
+        let begin = BeginCall {
             call: call(),
             body_hash: [1; 32],
             request: own.request,
             agent: own.agent.clone(),
             incarnation: own.incarnation,
-        });
-        (fault != 2).then_some(outcome)
+        };
+        let fault = self.choices.pick(5);
+        if fault == 1 || fault == 2 {
+            self.late_begins.push(begin.clone());
+        }
+        if fault == 1 {
+            return None;
+        }
+        let outcome = self.control.apply_begin(&begin);
+        (fault != 3).then_some(outcome)
     }
 
     fn end(&mut self, request: RequestId, outcome: CallOutcome) -> bool {
-        let fault = self.choices.pick(4);
-        if fault != 1 {
-            self.control.apply_end(&EndCall {
-                call: call(),
-                request,
-                outcome,
-            });
+        let end = EndCall {
+            call: call(),
+            request,
+            outcome,
+        };
+        let fault = self.choices.pick(5);
+        if fault == 1 || fault == 2 {
+            self.late_ends.push(end.clone());
+        }
+        if fault == 1 {
+            return false;
         }
-        fault == 0 || fault == 3
+        self.control.apply_end(&end);
+        fault != 3
     }
 
     /// One attempt at an entry; `None` if the entry crashes.
--- a/components/entry/tests/common/recorder.rs
+++ b/components/entry/tests/common/recorder.rs
@@ -2,82 +2,50 @@
 
 #![allow(unreachable_pub, missing_docs)]
 
-use std::collections::HashMap;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 use entry::CallRecorder;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use units::{Incarnation, NodeName, RequestId};
-use wire::{BeginCall, BeginOutcome, CallKey, CallOutcome, EndCall};
+use registry::{RegistryAction, RegistryCommand, RegistryOutcome, RegistryState, WallTime};
+use wire::{BeginCall, BeginOutcome, CallKey, EndCall};
 
-#[derive(Clone, Debug)]
-struct CallRecord {
-    body_hash: [u8; 32],
-    request: RequestId,
-    agent: NodeName,
-    incarnation: Incarnation,
-    outcome: Option<CallOutcome>,
-}
-
-#[derive(Debug, Default)]
+/// Control without a network: the registry of the replicated log, in memory.
+#[derive(Default)]
 pub struct FakeRecorder {
-    records: Mutex<HashMap<CallKey, CallRecord>>,
+    state: Mutex<RegistryState>,
+    calls: Mutex<BTreeSet<CallKey>>,
 }
 
 impl FakeRecorder {
     pub fn apply_begin(&self, begin: &BeginCall) -> BeginOutcome {
-        let mut records = self.records.lock().unwrap();
-        let fresh = CallRecord {
-            body_hash: begin.body_hash,
-            request: begin.request,
-            agent: begin.agent.clone(),
-            incarnation: begin.incarnation,
-            outcome: None,
-        };
-        let Some(record) = records.get_mut(&begin.call) else {
-            records.insert(begin.call.clone(), fresh);
-            return BeginOutcome::Granted;
-        };
-        if record.body_hash != begin.body_hash {
-            return BeginOutcome::Mismatch;
-        }
-        match &record.outcome {
-            None if record.request == begin.request => BeginOutcome::Granted,
-            None => BeginOutcome::InProgress {
-                request: record.request,
-                agent: record.agent.clone(),
-                incarnation: record.incarnation,
-            },
-            Some(CallOutcome::NotRun) => {
-                *record = fresh;
-                BeginOutcome::Granted
-            }
-            Some(outcome) => BeginOutcome::Ended(outcome.clone()),
+        self.calls.lock().unwrap().insert(begin.call.clone());
+        match self.apply(RegistryAction::Begin(begin.clone())) {
+            RegistryOutcome::Begin(outcome) => outcome,
+            outcome => panic!("a begin has the outcome {outcome:?}"),
         }
     }
 
     pub fn apply_end(&self, end: &EndCall) {
-        let mut records = self.records.lock().unwrap();
-        if let Some(record) = records.get_mut(&end.call)
-            && record.request == end.request
-            && record.outcome.is_none()
-        {
-            record.outcome = Some(end.outcome.clone());
-        }
+        self.apply(RegistryAction::End(end.clone()));
     }
 
+    /// Calls whose outcome is recorded.
     pub fn ended(&self) -> usize {
-        let records = self.records.lock().unwrap();
-        records
-            .values()
-            .filter(|record| record.outcome.is_some())
-            .count()
+        let state = self.state.lock().unwrap();
+        let calls = self.calls.lock().unwrap();
+        let records = calls.iter().filter_map(|call| state.call(call));
+        records.filter(|record| record.outcome.is_some()).count()
     }
 
-    pub fn begun(&self) -> usize {
-        self.records.lock().unwrap().len()
+    fn apply(&self, action: RegistryAction) -> RegistryOutcome {
+        let at = WallTime(0);
+        self.state
+            .lock()
+            .unwrap()
+            .apply(&RegistryCommand { at, action })
     }
 }
 
@@ -96,7 +64,6 @@
 }
 
 /// Way of one entry to the fake control, which can be cut.
-#[derive(Debug)]
 pub struct RecorderLink {
     pub recorder: Arc<FakeRecorder>,
     pub cut: AtomicBool,
--- a/components/entry/tests/flow.rs
+++ b/components/entry/tests/flow.rs
@@ -7,7 +7,9 @@
 
 use agent::TargetKind;
 use common::target::{FakeTarget, LARGE_SIZE};
-use common::{Caller, Fleet};
+use common::{Caller, Fleet, until};
+use units::CostUnits;
+use wire::FlowKey;
 
 /// Time without growth after which the target counts as held.
 const HELD_TIME: Duration = Duration::from_millis(500);
@@ -36,3 +38,29 @@
     assert_eq!(body.len(), LARGE_SIZE);
     assert!(body.iter().all(|byte| *byte == b'x'));
 }
+
+/// Guards against entries that know only the service of their own callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_learn_the_sum_of_their_service() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(1000).await;
+    let _agent = fleet
+        .agent("agent-1", "stone-advice", TargetKind::Model, target.address)
+        .await;
+    let (first, second) = (fleet.entry("entry-1").await, fleet.entry("entry-2").await);
+    let flow = FlowKey {
+        organisation: "mlyn-hora".into(),
+        service: "stone-advice".into(),
+    };
+
+    let (one, two) = (Caller::new(&first), Caller::new(&second));
+    let (one, two) = tokio::join!(one.chat(100, true), two.chat(50, true));
+    one.text().await.unwrap();
+    two.text().await.unwrap();
+
+    until("both entries know the sum", || {
+        let totals = [first.usage_total(&flow), second.usage_total(&flow)];
+        totals == [CostUnits(150); 2]
+    })
+    .await;
+}
--- a/components/entry/tests/stops.rs
+++ b/components/entry/tests/stops.rs
@@ -171,3 +171,23 @@
     assert_eq!(tokens(&request.await.unwrap()), expected_tokens(10));
     assert_eq!(target.count(|state| &state.requests), 1);
 }
+
+/// Guards against runs that go on for ever after their entry died.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn run_of_a_dead_entry_is_cancelled() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(5).await;
+    let _agent = fleet
+        .agent("agent-1", "stone-advice", TargetKind::Model, target.address)
+        .await;
+    let entry = fleet.entry("entry-1").await;
+    let mut response = Caller::new(&entry).chat(10, true).await;
+    read_tokens(&mut response, &mut String::new(), 5).await;
+
+    entry.kill().await;
+
+    until("the target's connection is closed", || {
+        target.count(|state| &state.broken) == 1
+    })
+    .await;
+}
