--- a/components/fair/src/ledger.rs
+++ b/components/fair/src/ledger.rs
@@ -16,8 +16,19 @@
 
 /// Time for which a flow is reported after its last activity.
 ///
-/// Four intervals, so that the last count arrives although some reports are lost.
-pub const ACTIVE_SPAN: Duration = Duration::from_secs(2);
+/// One interval, so that its last count is reported once. If that report is lost, the count follows
+/// when the flow returns. A longer time would make an idle flow look busy at its home.
+pub const ACTIVE_SPAN: Duration = REPORT_INTERVAL;
+
+/// Count of a usage whose known total is a proposal to raise a flow that was idle at the reporter.
+///
+/// The home may refuse a proposal, but not a total that was published.
+pub const RAISE_PROPOSAL: CostUnits = CostUnits(u64::MAX);
+
+/// Totals below a proposal after which it counts as refused.
+///
+/// The first one may answer a report from before the proposal.
+const REFUSALS: u8 = 2;
 
 /// Time after which an idle flow is forgotten.
 ///
@@ -38,6 +49,8 @@
     floor: u64,
     /// The part of `floor` that is not local charges: what is proposed to the home.
     proposal: u64,
+    /// Totals below the proposal that were merged since the raise.
+    answers: u8,
     /// Requests that wait or run.
     open: u32,
     /// Last time with waiting or running requests.
@@ -48,6 +61,24 @@
     fn is_idle(&self, now: ClockTime) -> bool {
         self.open == 0 && now.since(self.active) >= IDLE_SPAN
     }
+
+    fn raise(&mut self, total: u64) {
+        self.floor = total;
+        self.proposal = total;
+        self.answers = 0;
+    }
+
+    /// Ends a raise that the home has accepted or refused.
+    fn answered(&mut self, total: u64) {
+        if self.proposal == 0 {
+            return;
+        }
+        self.answers += 1;
+        if total >= self.proposal || self.answers >= REFUSALS {
+            self.floor = 0;
+            self.proposal = 0;
+        }
+    }
 }
 
 /// Counters of all flows that an entry or agent has seen lately.
@@ -59,6 +90,8 @@
     flows: BTreeMap<FlowKey, FlowRecord>,
     /// Flows by the time of their last activity.
     by_activity: BTreeSet<(ClockTime, FlowKey)>,
+    /// Flows with waiting or running requests.
+    open: BTreeSet<FlowKey>,
     virtual_times: BTreeMap<ServiceName, u64>,
 }
 
@@ -83,8 +116,7 @@
         let record = self.touch(&total.flow, ClockTime::default());
         record.total = record.total.max(total.total.0);
         record.known = record.known.max(total.total.0);
-        record.floor = 0;
-        record.proposal = 0;
+        record.answered(total.total.0);
     }
 
     /// Merges the total of an offer, which may be older than the home's answer to a raise.
@@ -143,8 +175,7 @@
         let record = self.touch(flow, now);
         let raised = unweighted(time, weight);
         if idle && raised > record.total {
-            record.floor = raised;
-            record.proposal = raised;
+            record.raise(raised);
         }
     }
 
@@ -152,24 +183,34 @@
     pub fn opened(&mut self, flow: &FlowKey, now: ClockTime) {
         let record = self.touch(flow, now);
         record.open += 1;
+        self.open.insert(flow.clone());
     }
 
     /// Notes that a request counted by [`opened`](Self::opened) has ended.
     pub fn closed(&mut self, flow: &FlowKey, now: ClockTime) {
         let record = self.touch(flow, now);
         record.open = record.open.saturating_sub(1);
+        if record.open == 0 {
+            self.open.remove(flow);
+        }
     }
 
     /// Own cumulative counts of the flows that are active, for their homes.
+    ///
+    /// A flow that was raised provisionally is reported with [`RAISE_PROPOSAL`] until the home has
+    /// answered.
     pub fn report(&self, now: ClockTime) -> Vec<FlowUsage> {
-        self.flows
+        let recent = self
+            .by_activity
+            .iter()
+            .rev()
+            .take_while(|(active, _)| now.since(*active) <= ACTIVE_SPAN)
+            .map(|(_, flow)| flow)
+            .filter(|flow| !self.open.contains(*flow));
+        self.open
             .iter()
-            .filter(|(_, record)| record.open > 0 || now.since(record.active) <= ACTIVE_SPAN)
-            .map(|(flow, record)| FlowUsage {
-                flow: flow.clone(),
-                count: CostUnits(record.count),
-                known_total: CostUnits(record.known.max(record.proposal)),
-            })
+            .chain(recent)
+            .map(|flow| self.usage(flow))
             .collect()
     }
 
@@ -180,8 +221,7 @@
                 break;
             }
             self.by_activity.pop_first();
-            let open = self.flows.get(&flow).is_some_and(|record| record.open > 0);
-            if open {
+            if self.open.contains(&flow) {
                 self.touch(&flow, now);
             } else {
                 self.flows.remove(&flow);
@@ -199,6 +239,20 @@
         self.flows.is_empty()
     }
 
+    fn usage(&self, flow: &FlowKey) -> FlowUsage {
+        let record = &self.flows[flow];
+        let (count, known_total) = if record.proposal > record.known {
+            (RAISE_PROPOSAL, record.proposal)
+        } else {
+            (CostUnits(record.count), record.known)
+        };
+        FlowUsage {
+            flow: flow.clone(),
+            count,
+            known_total: CostUnits(known_total),
+        }
+    }
+
     fn touch(&mut self, flow: &FlowKey, now: ClockTime) -> &mut FlowRecord {
         let record = self.flows.entry(flow.clone()).or_default();
         let place = (record.active, flow.clone());
