--- a/components/ctl/src/capacity.rs
+++ b/components/ctl/src/capacity.rs
@@ -40,7 +40,8 @@
         .collect()
 }
 
-fn serves(status: &FleetStatus, node: &NodeReport) -> bool {
+/// Whether a node's target takes new work.
+pub(crate) fn serves(status: &FleetStatus, node: &NodeReport) -> bool {
     let Some(target) = &node.target else {
         return false;
     };
--- a/components/ctl/src/members.rs
+++ b/components/ctl/src/members.rs
@@ -1,5 +1,6 @@
 //! `control members`: the control nodes.
 
+use control::ControlStatus;
 use eyre::Result;
 
 use crate::commands::CommandReport;
@@ -14,6 +15,11 @@
             serde_json::to_string(&controls)? + "\n",
         ));
     }
+    Ok(CommandReport::done(members_table(&controls)))
+}
+
+/// Table of the control nodes.
+pub(crate) fn members_table(controls: &[ControlStatus]) -> String {
     let rows: Vec<Vec<String>> = controls
         .iter()
         .map(|control| {
@@ -29,7 +35,7 @@
         })
         .collect();
     let head = ["NAME", "ID", "KIND", "LEADER", "PRESENT"];
-    Ok(CommandReport::done(text_table(&head, &rows)))
+    text_table(&head, &rows)
 }
 
 fn yes_no(flag: bool) -> String {
--- a/components/ctl/src/status.rs
+++ b/components/ctl/src/status.rs
@@ -3,8 +3,10 @@
 use control::{FleetStatus, NodeReport};
 use eyre::Result;
 
+use crate::capacity::serves;
 use crate::commands::CommandReport;
 use crate::connection::ControlConnection;
+use crate::members::members_table;
 use crate::table::text_table;
 
 /// Shows the state of the fleet.
@@ -37,7 +39,7 @@
     for name in &status.out_targets {
         text += &format!("target {name} is out\n");
     }
-    let rows: Vec<Vec<String>> = status.nodes.iter().map(row).collect();
+    let nodes: Vec<Vec<String>> = status.nodes.iter().map(row).collect();
     let head = [
         "NODE",
         "DATA CENTRE",
@@ -49,7 +51,34 @@
         "SERVICE",
         "RUNNING",
     ];
-    text + &text_table(&head, &rows)
+    [
+        text,
+        members_table(&status.controls),
+        services_table(status),
+        text_table(&head, &nodes),
+    ]
+    .join("\n")
+}
+
+/// The services and their targets that take work.
+fn services_table(status: &FleetStatus) -> String {
+    let rows: Vec<Vec<String>> = status
+        .services
+        .iter()
+        .map(|service| {
+            let targets = status.nodes.iter().filter(|node| {
+                let target = node.target.as_ref();
+                serves(status, node) && target.is_some_and(|target| target.service == service.name)
+            });
+            let dependencies = service.depends_on.iter().map(ToString::to_string);
+            vec![
+                service.name.to_string(),
+                targets.count().to_string(),
+                dependencies.collect::<Vec<_>>().join(" "),
+            ]
+        })
+        .collect();
+    text_table(&["SERVICE", "LIVE TARGETS", "DEPENDS ON"], &rows)
 }
 
 fn row(node: &NodeReport) -> Vec<String> {
--- a/src/bin/bilberry-control.rs
+++ b/src/bin/bilberry-control.rs
@@ -1,106 +1,115 @@
-//! Control daemon.
+//! Control daemon: replicated state and node directory.
 
 use std::path::PathBuf;
-use std::process::ExitCode;
 
-use bpaf::{Args, Bpaf, ParseFailure};
-use control::ControlArguments;
-use telemetry::LogSettings;
-use tokio::signal::unix::{SignalKind, signal};
+use bilberrycrank::options::{
+    OptionReader, TelemetryOptions, TelemetrySettings, announce, optional_flag, parse_or_exit,
+    telemetry_options, wait_for_stop,
+};
+use bpaf::{OptionParser, Parser, construct, long};
+use control::{ControlArguments, ControlSettings};
 
-/// Exit code of faulty settings.
-const USAGE: u8 = 2;
-
-/// Width of the help text in characters.
-const HELP_WIDTH: usize = 100;
-
-/// Runs a control node of the fleet
-#[derive(Debug, Clone, Bpaf)]
-#[bpaf(options)]
 struct Options {
-    /// Name of this node, as in its certificate
-    #[bpaf(long, env("BILBERRY_NAME"), argument("NAME"))]
     name: Option<String>,
-    /// UDP address for links
-    #[bpaf(long, env("BILBERRY_LISTEN"), argument("ADDRESS"))]
     listen: Option<String>,
-    /// Data folder
-    #[bpaf(long, env("BILBERRY_DATA"), argument("FOLDER"))]
-    data: Option<PathBuf>,
-    /// Key folder
-    #[bpaf(long, env("BILBERRY_KEYS"), argument("FOLDER"))]
-    keys: Option<PathBuf>,
-    /// Another control node; BILBERRY_PEERS holds several, separated by commas
-    #[bpaf(long, argument("NAME=ADDRESS"))]
-    peer: Vec<String>,
-    /// TCP address for /healthz and /readyz
-    #[bpaf(long, env("BILBERRY_HTTP"), argument("ADDRESS"))]
+    data: Option<String>,
+    keys: Option<String>,
+    peers: Vec<String>,
     http: Option<String>,
-    /// Region of this host
-    #[bpaf(long, env("BILBERRY_REGION"), argument("NAME"))]
     region: Option<String>,
-    /// Data centre of this host
-    #[bpaf(long, env("BILBERRY_DATA_CENTRE"), argument("NAME"))]
     data_centre: Option<String>,
+    telemetry: TelemetryOptions,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let options = parse_or_exit(&options());
+    let mut reader = OptionReader::default();
+    let settings = options.read(&mut reader);
+    let (settings, telemetry) = reader.finish_or_exit(settings);
+    telemetry.start()?;
+    let mut node = control::start(settings).await?;
+    announce("control", node.address());
+    tokio::select! {
+        result = node.failed() => return result,
+        result = wait_for_stop() => result?,
+    }
+    node.stop().await;
+    telemetry::stop_traces();
+    Ok(())
+}
+
+fn options() -> OptionParser<Options> {
+    let name = optional_flag(
+        "name",
+        "BILBERRY_NAME",
+        "NAME",
+        "Name of this node, as in its certificate",
+    );
+    let listen = optional_flag(
+        "listen",
+        "BILBERRY_LISTEN",
+        "IP:PORT",
+        "Address for links of nodes and operators (UDP)",
+    );
+    let data = optional_flag("data", "BILBERRY_DATA", "FOLDER", "Data folder");
+    let keys = optional_flag("keys", "BILBERRY_KEYS", "FOLDER", "Key folder");
+    let peers = long("peer")
+        .help("A control node; give one for each, or BILBERRY_PEERS with commas between them")
+        .argument::<String>("NAME=IP:PORT")
+        .many();
+    let http = optional_flag(
+        "http",
+        "BILBERRY_HTTP",
+        "IP:PORT",
+        "Address for /healthz and /readyz (TCP); without it there are none",
+    );
+    let region = optional_flag("region", "BILBERRY_REGION", "NAME", "Region of this host");
+    let data_centre = optional_flag(
+        "data-centre",
+        "BILBERRY_DATA_CENTRE",
+        "NAME",
+        "Data centre of this host",
+    );
+    let telemetry = telemetry_options();
+    construct!(Options {
+        name,
+        listen,
+        data,
+        keys,
+        peers,
+        http,
+        region,
+        data_centre,
+        telemetry,
+    })
+    .to_options()
+    .descr("Control node. SIGTERM hands leadership to another node and ends it.")
 }
 
 impl Options {
-    fn into_arguments(self) -> ControlArguments {
-        let listed = std::env::var("BILBERRY_PEERS").ok();
-        let peers = match self.peer.is_empty() {
-            true => listed.into_iter().collect(),
-            false => self.peer,
+    fn read(self, reader: &mut OptionReader) -> Option<(ControlSettings, TelemetrySettings)> {
+        let telemetry = self.telemetry.read(reader, "bilberry.control");
+        let peers = match self.peers.is_empty() {
+            true => std::env::var("BILBERRY_PEERS").into_iter().collect(),
+            false => self.peers,
         };
-        ControlArguments {
+        let arguments = ControlArguments {
             name: self.name,
             listen: self.listen,
-            data: self.data,
-            keys: self.keys,
+            data: self.data.map(PathBuf::from),
+            keys: self.keys.map(PathBuf::from),
             peers,
             http: self.http,
             region: self.region,
             data_centre: self.data_centre,
+        };
+        match arguments.check() {
+            Ok(settings) => Some((settings, telemetry?)),
+            Err(faults) => {
+                faults.into_iter().for_each(|fault| reader.fault(fault));
+                None
+            }
         }
     }
 }
-
-#[tokio::main]
-async fn main() -> ExitCode {
-    let options = match options().run_inner(Args::current_args()) {
-        Ok(options) => options,
-        Err(failure) => {
-            failure.print_message(HELP_WIDTH);
-            return match failure {
-                ParseFailure::Stderr(_) => USAGE.into(),
-                _ => ExitCode::SUCCESS,
-            };
-        }
-    };
-    let settings = match options.into_arguments().check() {
-        Ok(settings) => settings,
-        Err(faults) => {
-            faults.iter().for_each(|fault| eprintln!("{fault}"));
-            return USAGE.into();
-        }
-    };
-    match run(settings).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:?}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-async fn run(settings: control::ControlSettings) -> eyre::Result<()> {
-    telemetry::start_logs(&LogSettings::default())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut handle = control::start(settings).await?;
-    tokio::select! {
-        result = handle.failed() => return result,
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
-    }
-    handle.stop().await;
-    Ok(())
-}
