--- a/components/agent/src/buffer.rs
+++ b/components/agent/src/buffer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use thiserror::Error;
-use units::{ByteSize, CostUnits};
+use units::ByteSize;
 
 /// Bytes of a response that are buffered.
 pub const BUFFER_SIZE: ByteSize = ByteSize(1 << 20);
@@ -16,8 +16,6 @@
     pub number: u64,
     /// Bytes of the response body.
     pub bytes: Arc<[u8]>,
-    /// Cost of the run up to this chunk.
-    pub cost: CostUnits,
 }
 
 /// The chunk asked for was dropped.
@@ -63,14 +61,13 @@
     }
 
     /// Appends a chunk and returns its number.
-    pub fn push(&mut self, bytes: &[u8], cost: CostUnits) -> u64 {
+    pub fn push(&mut self, bytes: &[u8]) -> u64 {
         let number = self.next();
         self.size += bytes.len();
         self.unacknowledged += bytes.len();
         self.chunks.push_back(BufferedChunk {
             number,
             bytes: bytes.into(),
-            cost,
         });
         self.drop_acknowledged();
         number
--- a/components/agent/src/daemon.rs
+++ b/components/agent/src/daemon.rs
@@ -12,13 +12,13 @@
 use salvo::conn::TcpListener;
 use salvo::{Listener, Server};
 use tokio::task::JoinSet;
-use units::{ClockSource, SystemClock};
-use wire::{AgentMessage, NodeRole};
+use units::{ClockSource, CostUnits, SystemClock};
+use wire::{AgentMessage, FlowKey, NodeRole};
 
 use crate::settings::AgentSettings;
 use crate::state::{AgentShared, AgentState, new_incarnation};
 use crate::target::HttpTarget;
-use crate::{health, sessions, upkeep};
+use crate::{health, sessions, upkeep, usage};
 
 /// Time for which a leaving agent goes on serving claims that it made before; a claim without an
 /// answer ends after 3 s.
@@ -71,6 +71,13 @@
         self.shared.directory_entry(self.address())
     }
 
+    /// Service that a flow has received in the fleet, as this agent knows it.
+    pub fn usage_total(&self, flow: &FlowKey) -> CostUnits {
+        self.shared
+            .board
+            .read(|state| state.table.ledger().total(flow))
+    }
+
     /// Announces that the agent leaves, finishes its runs and stops.
     pub async fn leave(mut self) {
         telemetry::event!(telemetry::events::AGENT_LEAVING);
@@ -136,8 +143,10 @@
     tasks.spawn(upkeep::decide_serving(shared.clone()));
     tasks.spawn(upkeep::probe_target(shared.clone()));
     tasks.spawn(upkeep::clean_up(shared.clone()));
+    let client = ControlClient::new(endpoint.clone(), shared.settings.controls.clone());
+    tasks.spawn(usage::report_usage(shared.clone(), client.clone()));
     if parts.view.is_none() {
-        spawn_lease(&shared, &endpoint, &mut tasks);
+        spawn_lease(&shared, client, endpoint.address(), &mut tasks);
     }
     let address = endpoint.address();
     telemetry::event!(telemetry::events::AGENT_STARTED, address = address);
@@ -163,10 +172,14 @@
     Ok(address)
 }
 
-fn spawn_lease(shared: &AgentShared, endpoint: &LinkEndpoint, tasks: &mut JoinSet<()>) {
-    let client = ControlClient::new(endpoint.clone(), shared.settings.controls.clone());
+fn spawn_lease(
+    shared: &AgentShared,
+    client: ControlClient,
+    address: SocketAddr,
+    tasks: &mut JoinSet<()>,
+) {
     let (view, clock) = (shared.view.clone(), shared.clock.clone());
-    let (node, address) = (shared.clone(), endpoint.address());
+    let node = shared.clone();
     let node = move || node.directory_entry(address);
     tasks.spawn(keep_lease(client, view, clock, node, false));
 }
--- a/components/agent/src/forward.rs
+++ b/components/agent/src/forward.rs
@@ -140,7 +140,7 @@
         }
         let cost = meter.finish();
         self.charge(cost);
-        RunEnd::Complete(cost)
+        RunEnd::Complete
     }
 
     async fn pass_on(&mut self, bytes: &[u8], meter: &mut dyn CostMeter) {
@@ -150,7 +150,7 @@
         for piece in bytes.chunks(CHUNK_BYTES) {
             let cost = meter.feed(piece);
             self.charge(cost);
-            self.run.push(piece, cost).await;
+            self.run.push(piece).await;
         }
     }
 
@@ -173,7 +173,7 @@
             state.apply_limit(now);
         });
         let outcome = match &end {
-            RunEnd::Complete(_) => "runs.complete",
+            RunEnd::Complete => "runs.complete",
             RunEnd::Failed(_) => "runs.failed",
         };
         let _ = self.shared.metrics.incr(outcome);
@@ -190,7 +190,7 @@
 
     fn adapt_limit(&self, state: &mut crate::state::AgentState, end: &RunEnd, now: ClockTime) {
         match end {
-            RunEnd::Complete(_) => {
+            RunEnd::Complete => {
                 let first_token = self.first_token.unwrap_or_else(|| now.since(self.begun));
                 state.limit.completed(self.sample(first_token), now);
             }
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -17,6 +17,7 @@
 mod streams;
 mod target;
 mod upkeep;
+mod usage;
 
 pub use buffer::{BUFFER_SIZE, BufferLost, BufferedChunk, RunBuffer};
 pub use daemon::{AgentHandle, AgentParts, start, start_with};
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use board::StateBoard;
-use units::{ClockTime, CostUnits};
+use units::ClockTime;
 use wire::{FailureCode, ResponseHead, RunReply, RunStatus};
 
 use crate::buffer::RunBuffer;
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RunEnd {
     /// The response is complete.
-    Complete(CostUnits),
+    Complete,
     /// The run failed.
     Failed(RunFailure),
 }
@@ -58,7 +58,7 @@
     /// What the memory of ids keeps of the run.
     pub(crate) fn status(&self) -> RunStatus {
         match self {
-            Self::Complete(_) => RunStatus::Ended,
+            Self::Complete => RunStatus::Ended,
             Self::Failed(failure) => failure.status,
         }
     }
@@ -120,11 +120,11 @@
     }
 
     /// Appends to the response, once the buffer has room.
-    pub(crate) async fn push(&self, bytes: &[u8], cost: CostUnits) {
+    pub(crate) async fn push(&self, bytes: &[u8]) {
         self.board
             .wait_for(|run| run.buffer.has_room().then_some(()))
             .await;
-        self.board.write(|run| run.buffer.push(bytes, cost));
+        self.board.write(|run| run.buffer.push(bytes));
     }
 
     pub(crate) fn set_end(&self, end: RunEnd) {
@@ -222,7 +222,6 @@
             Ok(Some(chunk)) => Some(ReadStep::Reply(RunReply::Chunk {
                 number: chunk.number,
                 bytes: chunk.bytes.to_vec(),
-                cost: chunk.cost,
             })),
             Ok(None) => self.end.clone().map(|end| ReadStep::Last(self.last(end))),
             Err(lost) => {
@@ -238,9 +237,8 @@
 
     fn last(&self, end: RunEnd) -> RunReply {
         match end {
-            RunEnd::Complete(cost) => RunReply::End {
+            RunEnd::Complete => RunReply::End {
                 chunks: self.buffer.next(),
-                cost,
             },
             RunEnd::Failed(failure) => failure.into_reply(),
         }
--- a/components/agent/src/sessions.rs
+++ b/components/agent/src/sessions.rs
@@ -224,13 +224,6 @@
                 let actions = state.table.withdrawn(self.entry, request, now);
                 state.perform(actions);
             }),
-            EntryMessage::Totals {
-                totals,
-                virtual_times,
-            } => self
-                .shared
-                .board
-                .write_quietly(|state| state.table.merge(&totals, &virtual_times)),
             EntryMessage::Ping(number) => {
                 let _ = self.sender.try_send(AgentMessage::Pong(number));
             }
--- a/components/agent/src/state.rs
+++ b/components/agent/src/state.rs
@@ -81,10 +81,6 @@
                     let service = self.service.clone();
                     self.send(&entry, AgentMessage::Room { service, free });
                 }
-                TableAction::VirtualTime { time } => self.broadcast(&AgentMessage::VirtualTime {
-                    service: self.service.clone(),
-                    time,
-                }),
             }
         }
     }
--- a/components/bench/src/decisions.rs
+++ b/components/bench/src/decisions.rs
@@ -49,14 +49,14 @@
             |agents| entry_cycle(256, agents),
         ),
         SlopeSeries::measure(
-            "entry: charge a chunk to a flow",
+            "agent: charge a chunk to a flow",
             "flows known",
             CostUnit::Nanoseconds,
             &SIZES,
             charge,
         ),
         SlopeSeries::measure(
-            "entry: make a usage report",
+            "agent: make a usage report",
             "active flows",
             CostUnit::Nanoseconds,
             &SIZES,
@@ -171,6 +171,16 @@
     ledger
 }
 
+/// Home to which a number of agents report the same flows.
+pub(crate) fn home(reporters: u64, flows: u64) -> UsageHome {
+    let mut home = UsageHome::new();
+    for reporter in 0..reporters {
+        let report = fixtures::usage_report(reporter, flows, 1_000);
+        home.report(&report, ClockTime(0));
+    }
+    home
+}
+
 fn charge(flows: u64) -> f64 {
     let keys: Vec<_> = (0..64)
         .map(|number| fixtures::flow(number * flows / 64))
@@ -194,7 +204,7 @@
         || ledger(flows),
         |ledger| {
             for _ in 0..REPORTS {
-                std::hint::black_box(ledger.report(ClockTime(100)));
+                std::hint::black_box(ledger.report(ClockTime(100), |_| true));
             }
         },
     )
--- a/components/bench/src/fleet.rs
+++ b/components/bench/src/fleet.rs
@@ -25,6 +25,8 @@
     pub waiting_each: f64,
     /// Share of requests that may not be repeated (assumed).
     pub recorded_share: f64,
+    /// Share of the running requests whose organisations are backlogged (assumed).
+    pub backlogged_runs: f64,
     /// Agents that a request is offered to before it is claimed (assumed).
     pub offers_each: f64,
 }
@@ -43,6 +45,7 @@
         changes: 380.0,
         waiting_each: 4.0,
         recorded_share: 0.02,
+        backlogged_runs: 0.5,
         offers_each: 4.0,
     };
 
@@ -61,9 +64,9 @@
         self.backlogged * self.waiting_each
     }
 
-    /// Flows with open requests at one entry: one for each open request, at most.
-    pub fn flows_at_entry(&self) -> f64 {
-        ((self.running() + self.waiting()) / self.entries()).min(self.organisations)
+    /// Offers that one agent holds.
+    pub fn offers_held(&self) -> f64 {
+        self.waiting() * self.offers_each / self.targets
     }
 }
 
--- a/components/bench/src/links.rs
+++ b/components/bench/src/links.rs
@@ -22,6 +22,8 @@
 pub struct LinkCosts {
     /// Bytes on the wire with all headers and acknowledgements, both directions.
     pub bytes: SlopeSeries,
+    /// Bytes of a request to control and its reply on a stream of their own, without their bodies.
+    pub request_bytes: SlopeSeries,
     /// Processor time of both ends without that of the kernel's network stack on other threads.
     pub time: SlopeSeries,
 }
@@ -62,12 +64,18 @@
             cost: (wire_bytes(&link) - before) as f64,
         });
     }
+    let requests = requests(&link).await?;
     link.close("measured");
     answering
         .await
         .wrap_err("Failed to end the answering side")??;
     Ok(LinkCosts {
         bytes: series("heartbeat and answer on a link", CostUnit::Bytes, bytes),
+        request_bytes: series(
+            "request and reply on a stream of their own",
+            CostUnit::Bytes,
+            requests,
+        ),
         time: series(
             "heartbeat and answer on a link, both ends",
             CostUnit::Nanoseconds,
@@ -102,9 +110,23 @@
         .ok_or_eyre("Failed to accept: endpoint closed")?;
     let link = endpoint.finish(incoming).await?;
     let mut stream = link.accept().await?;
-    while let Ok(Some(EntryMessage::Ping(number))) = stream.reader.receive().await {
-        stream.writer.send(&AgentMessage::Pong(number)).await?;
-    }
+    let pongs = async {
+        while let Ok(Some(EntryMessage::Ping(number))) = stream.reader.receive().await {
+            stream.writer.send(&AgentMessage::Pong(number)).await?;
+        }
+        Ok::<_, link::LinkError>(())
+    };
+    let replies = async {
+        while let Ok(mut request) = link.accept().await {
+            request.reader.receive::<EntryMessage>().await?;
+            request.writer.send(&AgentMessage::Leaving).await?;
+            request.writer.finish();
+        }
+        Ok::<_, link::LinkError>(())
+    };
+    let (pongs, replies) = tokio::join!(pongs, replies);
+    pongs?;
+    replies?;
     Ok(())
 }
 
@@ -119,6 +141,28 @@
     Ok(())
 }
 
+/// Sends small requests on streams of their own, as nodes do to control.
+async fn requests(link: &PeerLink) -> Result<Vec<SlopePoint>> {
+    let mut points = Vec::new();
+    for count in HEARTBEATS {
+        let before = wire_bytes(link);
+        for _ in 0..count {
+            let (mut writer, mut reader) = link.open(StreamKind::Control).await?;
+            writer.send(&EntryMessage::Ping(1)).await?;
+            writer.finish();
+            reader
+                .receive::<AgentMessage>()
+                .await?
+                .ok_or_eyre("Failed to receive a reply: stream ended")?;
+        }
+        points.push(SlopePoint {
+            size: count,
+            cost: (wire_bytes(link) - before) as f64,
+        });
+    }
+    Ok(points)
+}
+
 fn wire_bytes(link: &PeerLink) -> u64 {
     let traffic = link.traffic();
     let datagrams = traffic.sent_datagrams + traffic.received_datagrams;
--- a/components/bench/src/measured.rs
+++ b/components/bench/src/measured.rs
@@ -41,14 +41,14 @@
     pub call_memory: SlopeSeries,
     /// Memory of counters, by flows.
     pub flow_memory: SlopeSeries,
+    /// Memory of a usage home, by counts of a reporter for a flow.
+    pub home_memory: SlopeSeries,
     /// Memory of the directory, by nodes.
     pub node_memory: SlopeSeries,
     /// Size of a usage report, by flows.
     pub report: SlopeSeries,
     /// Size of the answer to a usage report, by flows.
     pub totals_reply: SlopeSeries,
-    /// Size of totals to an agent, by flows.
-    pub totals: SlopeSeries,
     /// Size of a directory change, by nodes.
     pub directory: SlopeSeries,
 }
@@ -65,8 +65,14 @@
             take_report,
         ] = decisions::measure();
         let [change, compare, record_call] = state::times();
-        let [text_memory, call_memory, flow_memory, node_memory] = state::memory();
-        let [report, totals_reply, totals, directory] = messages::measure();
+        let [
+            text_memory,
+            call_memory,
+            flow_memory,
+            home_memory,
+            node_memory,
+        ] = state::memory();
+        let [report, totals_reply, directory] = messages::measure();
         Ok(Self {
             reference_ns: meter::reference_time(),
             sizes: MessageSizes::measure(),
@@ -83,10 +89,10 @@
             text_memory,
             call_memory,
             flow_memory,
+            home_memory,
             node_memory,
             report,
             totals_reply,
-            totals,
             directory,
         })
     }
@@ -105,13 +111,14 @@
             &self.record_call,
             &self.link.time,
             &self.link.bytes,
+            &self.link.request_bytes,
             &self.report,
             &self.totals_reply,
-            &self.totals,
             &self.directory,
             &self.text_memory,
             &self.call_memory,
             &self.flow_memory,
+            &self.home_memory,
             &self.node_memory,
         ]
     }
@@ -132,6 +139,11 @@
         self.link.bytes.fit.slope
     }
 
+    /// Bytes of headers, first frames and acknowledgements of a request to control and its reply.
+    pub fn request_overhead_bytes(&self) -> f64 {
+        self.link.request_bytes.fit.slope
+    }
+
     /// Bytes of headers and acknowledgements of a message and its answer.
     pub fn overhead_bytes(&self) -> f64 {
         self.heartbeat_bytes() - 2.0 * self.sizes.ping
@@ -139,6 +151,6 @@
 
     /// Bytes of a renewal and its answer without news, with all headers.
     pub fn renewal_bytes(&self) -> f64 {
-        self.sizes.renew + self.sizes.renewed + self.overhead_bytes()
+        self.sizes.renew + self.sizes.renewed + self.request_overhead_bytes()
     }
 }
--- a/components/client/src/failover.rs
+++ b/components/client/src/failover.rs
@@ -114,16 +114,39 @@
         }
     }
 
+    /// Makes one attempt at a given control node, whichever one other requests stay with.
+    pub async fn request_at(
+        &self,
+        control: SocketAddr,
+        request: &ControlRequest,
+    ) -> Result<ControlReply, ClientError> {
+        self.attempt_at(control, request)
+            .await
+            .map_err(|error| ClientError::Unanswered {
+                attempts: 1,
+                address: control,
+                reason: error.to_string(),
+            })
+    }
+
     async fn attempt(
         &self,
         index: usize,
         request: &ControlRequest,
+    ) -> Result<ControlReply, LinkError> {
+        self.attempt_at(self.controls[index], request).await
+    }
+
+    async fn attempt_at(
+        &self,
+        control: SocketAddr,
+        request: &ControlRequest,
     ) -> Result<ControlReply, LinkError> {
         let timeout = match request {
             ControlRequest::Order(OperatorOrder::Apply { .. }) => APPLY_TIMEOUT,
             _ => ATTEMPT_TIMEOUT,
         };
-        let exchange = self.transport.exchange(self.controls[index], request);
+        let exchange = self.transport.exchange(control, request);
         tokio::time::timeout(timeout, exchange)
             .await
             .unwrap_or_else(|_| Err(LinkError::Stream(format!("no answer within {timeout:?}"))))
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -10,6 +10,7 @@
 use client::ControlClient;
 use directory::NodeDirectory;
 use eyre::{Result, WrapErr, eyre};
+use fair::UsageHome;
 use link::{KeyFiles, LinkEndpoint, LinkError, LinkIdentity};
 use raft::NodeRole as RaftRole;
 use telemetry::{event, events};
@@ -86,6 +87,7 @@
     let context = ControlContext {
         view: raft.view(),
         nodes: StateBoard::new(NodeDirectory::new(incarnation())),
+        usage: StateBoard::new(UsageHome::new()),
         driver,
         forwards: Arc::new(forwards.collect()),
         clock,
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -6,6 +6,7 @@
 use tokio::sync::oneshot;
 use wire::{
     ControlReply, ControlRequest, Hello, NodeKind, NodeRole, OrderReply, RenewReply, RenewRequest,
+    UsageReport,
 };
 
 use crate::driver::{DriverEvent, ProposeFailure};
@@ -42,6 +43,7 @@
             take_directory(context, entries);
             ControlReply::Done
         }
+        ControlRequest::Usage(report) => usage(context, peer, &report),
         ControlRequest::Text(_) => ControlReply::BadRequest("a text without its order".into()),
         request => commit(context, peer, request).await,
     }
@@ -60,6 +62,7 @@
             matches!(role, NodeRole::Operator | NodeRole::Control)
         }
         ControlRequest::Directory(_) => role == NodeRole::Control,
+        ControlRequest::Usage(_) => role == NodeRole::Agent,
     }
 }
 
@@ -98,6 +101,19 @@
     })
 }
 
+/// Sums the counts of an agent for the flows whose home it takes this node for.
+///
+/// A quorum is not needed: totals are soft state, and an agent without a lease starts nothing.
+fn usage(context: &ControlContext, peer: &Hello, report: &UsageReport) -> ControlReply {
+    if report.reporter != peer.name || report.incarnation != peer.incarnation {
+        let reporter = &report.reporter;
+        return ControlReply::BadRequest(format!("reporter {reporter} is not the sender"));
+    }
+    let now = context.clock.now();
+    let totals = context.usage.write_quietly(|home| home.report(report, now));
+    ControlReply::Usage(totals)
+}
+
 /// Commits a request here if this node leads, or forwards it to the leader.
 async fn commit(context: &ControlContext, peer: &Hello, request: ControlRequest) -> ControlReply {
     let own = &context.settings.name;
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -7,6 +7,7 @@
 use board::StateBoard;
 use client::{ControlClient, LEASE_TIME};
 use directory::NodeDirectory;
+use fair::UsageHome;
 use raft::NodeStatus;
 use registry::RegistryState;
 use tokio::sync::mpsc;
@@ -87,6 +88,8 @@
     pub(crate) view: StateBoard<DriverView>,
     /// Entries and agents.
     pub(crate) nodes: StateBoard<NodeDirectory>,
+    /// Sums of the flows whose home is this node.
+    pub(crate) usage: StateBoard<UsageHome>,
     /// To the driver.
     pub(crate) driver: mpsc::Sender<DriverEvent>,
     /// Clients that forward requests to the other control nodes.
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -133,7 +133,6 @@
             agent: attempt.agent.clone(),
             incarnation: attempt.incarnation,
             begin: RunBegin::Attach(attempt.request),
-            flow: self.request.checked.flow.clone(),
             stoppable: false,
             deadline: Instant::now() + CALL_GRACE,
         };
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -13,13 +13,13 @@
 use salvo::server::ServerHandle;
 use salvo::{Listener, Server};
 use tokio::task::JoinSet;
-use units::{ClockSource, CostUnits, SystemClock};
-use wire::{FlowKey, NodeRole};
+use units::{ClockSource, SystemClock};
+use wire::NodeRole;
 
 use crate::recorder::{CallRecorder, ControlRecorder};
 use crate::settings::EntrySettings;
 use crate::state::{EntryShared, EntryState, new_incarnation};
-use crate::{http, links, upkeep, usage};
+use crate::{http, links, upkeep};
 
 /// Time for which a leaving entry still answers new connections with a refusal, so that the load
 /// balancer sees the failing readiness check before connections are refused.
@@ -65,7 +65,7 @@
         self.http
     }
 
-    /// Address for links of other entries.
+    /// Address from which the entry opens links.
     pub fn address(&self) -> SocketAddr {
         self.shared.endpoint.address()
     }
@@ -75,11 +75,6 @@
         self.shared.directory_entry()
     }
 
-    /// Service that a flow has received in the fleet, as this entry knows it.
-    pub fn usage_total(&self, flow: &FlowKey) -> CostUnits {
-        self.shared.board.read(|state| state.ledger.total(flow))
-    }
-
     /// Announces that the entry leaves, finishes its requests and stops.
     pub async fn leave(mut self) {
         telemetry::event!(telemetry::events::ENTRY_LEAVING);
@@ -146,8 +141,7 @@
     tasks.spawn(links::open_links(shared.clone()));
     tasks.spawn(upkeep::tick_book(shared.clone()));
     tasks.spawn(upkeep::update_agents(shared.clone()));
-    tasks.spawn(usage::report_usage(shared.clone()));
-    tasks.spawn(usage::accept_reports(shared.clone()));
+    tasks.spawn(links::refuse_links(shared.clone()));
     if parts.view.is_none() {
         let (view, clock, node) = (shared.view.clone(), shared.clock.clone(), shared.clone());
         let entry = move || node.directory_entry();
--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -73,14 +73,6 @@
     })
 }
 
-/// Names of the entries that are live.
-pub(crate) fn live_entries(view: &FleetView) -> impl Iterator<Item = &NodeName> {
-    view.directory
-        .values()
-        .filter(|node| node.kind == NodeKind::Entry && node.state == NodeState::Serving)
-        .map(|node| &node.name)
-}
-
 /// Organisations by the hash of their key, as of one version of the configuration.
 #[derive(Debug, Default)]
 pub(crate) struct KeyIndex {
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -20,7 +20,6 @@
 mod sink;
 mod state;
 mod upkeep;
-mod usage;
 
 pub use call_flow::{CallAttempt, CallFlow, CallStep, CallVerdict};
 pub use chunks::{ChunkGap, ChunkSequence, ChunkVerdict};
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -326,14 +326,18 @@
             let actions = state.book.room(agent, free, now);
             state.perform(actions);
         }),
-        AgentMessage::VirtualTime { service, time } => shared
-            .board
-            .write_quietly(|state| state.ledger.merge_virtual_time(&service, time)),
         AgentMessage::Leaving => leaving(shared, agent),
         AgentMessage::Pong(_) => {}
     }
 }
 
+/// Refuses peers until the endpoint closes: an entry opens all its links itself.
+pub(crate) async fn refuse_links(shared: EntryShared) {
+    while let Some(incoming) = shared.endpoint.accept().await {
+        incoming.refuse();
+    }
+}
+
 /// Takes an agent that leaves off the book before the directory says so.
 fn leaving(shared: &EntryShared, agent: &NodeName) {
     let now = shared.now();
--- a/components/entry/src/run.rs
+++ b/components/entry/src/run.rs
@@ -6,8 +6,8 @@
 use link::{FrameReader, FrameWriter, LinkError};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use units::{CostUnits, Incarnation, NodeName, RequestId};
-use wire::{FailureCode, FlowKey, RunMessage, RunReply, RunStart, RunStatus, StreamKind};
+use units::{Incarnation, NodeName, RequestId};
+use wire::{FailureCode, RunMessage, RunReply, RunStart, RunStatus, StreamKind};
 
 use crate::chunks::{ChunkSequence, ChunkVerdict};
 use crate::links::{LinkActivity, LinkUse, LiveLink, use_link};
@@ -34,7 +34,6 @@
     pub(crate) agent: NodeName,
     pub(crate) incarnation: Incarnation,
     pub(crate) begin: RunBegin,
-    pub(crate) flow: FlowKey,
     /// Whether the run may be stopped: the caller is gone or the deadline has passed.
     pub(crate) stoppable: bool,
     pub(crate) deadline: Instant,
@@ -95,7 +94,6 @@
         job,
         sink,
         sequence: ChunkSequence::default(),
-        cost: 0,
         unacknowledged: 0,
         started: false,
     };
@@ -150,7 +148,6 @@
     job: RunJob,
     sink: &'a mut ResponseSink,
     sequence: ChunkSequence,
-    cost: u64,
     unacknowledged: usize,
     started: bool,
 }
@@ -254,17 +251,12 @@
     ) -> Result<Option<RunResult>, LinkError> {
         match reply {
             RunReply::Head(head) => self.sink.head(head),
-            RunReply::Chunk {
-                number,
-                bytes,
-                cost,
-            } => match self.sequence.accept(number) {
+            RunReply::Chunk { number, bytes } => match self.sequence.accept(number) {
                 Ok(ChunkVerdict::Repeated) => {}
-                Ok(ChunkVerdict::Next) => return self.pass_on(writer, bytes, cost).await,
+                Ok(ChunkVerdict::Next) => return self.pass_on(writer, bytes).await,
                 Err(gap) => return Ok(Some(gap_failure(&gap))),
             },
-            RunReply::End { chunks, cost } => {
-                self.charge(cost);
+            RunReply::End { chunks } => {
                 if let Err(gap) = self.sequence.end(chunks) {
                     return Ok(Some(gap_failure(&gap)));
                 }
@@ -291,9 +283,7 @@
         &mut self,
         writer: &mut FrameWriter,
         bytes: Vec<u8>,
-        cost: CostUnits,
     ) -> Result<Option<RunResult>, LinkError> {
-        self.charge(cost);
         self.unacknowledged += bytes.len();
         // A caller that stops reading must not hold the run beyond its deadline. Bytes that it did
         // not take are missing, so the response must not go on.
@@ -310,23 +300,6 @@
         }
         Ok(None)
     }
-
-    /// Charges the flow with the growth of the run's cost. The cost of a run that another entry
-    /// started was charged there.
-    fn charge(&mut self, cost: CostUnits) {
-        if matches!(self.job.begin, RunBegin::Attach(_)) {
-            return;
-        }
-        let growth = cost.0.saturating_sub(self.cost);
-        if growth == 0 {
-            return;
-        }
-        self.cost = cost.0;
-        let now = self.shared.now();
-        self.shared.board.write_quietly(|state| {
-            state.ledger.charge(&self.job.flow, CostUnits(growth), now);
-        });
-    }
 }
 
 fn gap_failure(gap: &crate::chunks::ChunkGap) -> RunResult {
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -91,7 +91,6 @@
             agent: grant.agent.clone(),
             incarnation: grant.incarnation,
             begin: RunBegin::Start(Box::new(start), self.body.clone()),
-            flow: self.checked.flow.clone(),
             stoppable: repeatable,
             deadline,
         }
@@ -105,13 +104,8 @@
     shared.board.write(|state| {
         state.open_requests += 1;
         state.retries.request(&flow, now);
-        state.ledger.backlogged(&flow, request.weight, now);
-        state.ledger.opened(&flow, now);
     });
-    let guard = FlowGuard {
-        shared: &shared,
-        flow,
-    };
+    let guard = OpenGuard { shared: &shared };
     match attempts(&shared, &request, &mut sink).await {
         AttemptEnd::Answered => {}
         AttemptEnd::Refused(refusal) => sink.refuse(refusal).await,
@@ -132,19 +126,14 @@
     drop(guard);
 }
 
-/// Open request of a flow, until it is dropped.
-struct FlowGuard<'a> {
+/// Open request, until it is dropped.
+struct OpenGuard<'a> {
     shared: &'a EntryShared,
-    flow: wire::FlowKey,
 }
 
-impl Drop for FlowGuard<'_> {
+impl Drop for OpenGuard<'_> {
     fn drop(&mut self) {
-        let now = self.shared.now();
-        self.shared.board.write(|state| {
-            state.open_requests -= 1;
-            state.ledger.closed(&self.flow, now);
-        });
+        self.shared.board.write(|state| state.open_requests -= 1);
     }
 }
 
@@ -282,7 +271,6 @@
     shared.board.write(|state| {
         let offer = RequestOffer {
             request: id,
-            total: state.ledger.total(&flow),
             flow,
             weight: request.weight,
             hint: request.checked.hint,
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -8,7 +8,6 @@
 use board::StateBoard;
 use cadence::StatsdClient;
 use client::FleetView;
-use fair::{UsageHome, UsageLedger};
 use limits::RetryBudget;
 use link::LinkEndpoint;
 use offers::{BookAction, BookSettings, OfferBook};
@@ -35,8 +34,6 @@
 /// State on the entry's board.
 pub(crate) struct EntryState {
     pub(crate) book: OfferBook,
-    pub(crate) ledger: UsageLedger,
-    pub(crate) home: UsageHome,
     pub(crate) retries: RetryBudget,
     pub(crate) waiting: HashMap<RequestId, oneshot::Sender<WaitEvent>>,
     pub(crate) links: HashMap<NodeName, LinkHandle>,
@@ -58,8 +55,6 @@
         };
         Self {
             book: OfferBook::new(book),
-            ledger: UsageLedger::new(),
-            home: UsageHome::new(),
             retries: RetryBudget::new(),
             waiting: HashMap::new(),
             links: HashMap::new(),
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
+pub mod home;
 pub mod recorder;
 pub mod relay;
 pub mod target;
@@ -14,12 +15,16 @@
 use board::StateBoard;
 use client::FleetView;
 use entry::{CallRecorder, EntryHandle, EntryLimits, EntryParts, EntrySettings};
-use link::KeyAuthority;
+use link::{KeyAuthority, LinkEndpoint, LinkIdentity};
 use manifest::FleetManifest;
 use tempfile::TempDir;
-use units::{ClockSource, ClockTime, DataCentreName, NodeName, ServiceName, SlotCount, TargetName};
+use units::{
+    ClockSource, ClockTime, DataCentreName, Incarnation, NodeName, ServiceName, SlotCount,
+    TargetName,
+};
 use wire::{DirectoryEntry, NodeKind, NodeRole, NodeState};
 
+use home::FakeHome;
 use recorder::FakeRecorder;
 
 /// Bearer key of the organisation in the text.
@@ -79,6 +84,8 @@
     pub agent_view: StateBoard<FleetView>,
     pub clock: Arc<dyn ClockSource>,
     pub recorder: Arc<FakeRecorder>,
+    /// Control nodes that agents report usage to.
+    pub controls: Vec<SocketAddr>,
     authority: KeyAuthority,
 }
 
@@ -113,6 +120,7 @@
             agent_view: StateBoard::new(fleet_view()),
             clock: Arc::new(units::SystemClock::start()),
             recorder: Arc::default(),
+            controls: vec![any_port()],
             authority,
         }
     }
@@ -154,6 +162,15 @@
         entry
     }
 
+    /// Starts a control node that only sums usage.
+    pub fn home(&self, name: &str) -> FakeHome {
+        let name = NodeName::from(name);
+        let files = self.authority.issue(NodeRole::Control, &name).unwrap();
+        let identity = LinkIdentity::load(NodeRole::Control, &name, &files).unwrap();
+        let endpoint = LinkEndpoint::bind(any_port(), &identity, Incarnation(1)).unwrap();
+        FakeHome::start(endpoint, self.clock.clone())
+    }
+
     /// Starts an agent and lists it once its target is healthy.
     pub async fn agent(
         &self,
@@ -181,7 +198,7 @@
             name,
             listen: any_port(),
             data_centre: DataCentreName::from("praha-1"),
-            controls: vec![any_port()],
+            controls: self.controls.clone(),
             keys: self.folder.path().into(),
             service: ServiceName::from(service),
             kind,
--- a/components/fair/src/ledger.rs
+++ b/components/fair/src/ledger.rs
@@ -1,29 +1,19 @@
-//! Counters of service received, as one entry or agent knows them.
+//! Counters of service received, as one agent knows them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use units::{ClockTime, CostUnits, FlowWeight, ServiceName};
-use wire::{FlowKey, FlowTotal, FlowUsage};
+use wire::{FlowActivity, FlowId, FlowKey, FlowTotal, FlowUsage};
 
 use crate::{unweighted, weighted};
 
 /// Time without waiting or running requests after which a flow is idle.
 pub const IDLE_SPAN: Duration = Duration::from_secs(1);
 
-/// Interval of reports to the home of a flow.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Time for which a flow is reported after its last activity.
-///
-/// One interval, so that its last count is reported once. If that report is lost, the count follows
-/// when the flow returns. A longer time would make an idle flow look busy at its home.
-pub const ACTIVE_SPAN: Duration = REPORT_INTERVAL;
-
-/// Count of a usage whose known total is a proposal to raise a flow that was idle at the reporter.
-///
-/// The home may refuse a proposal, but not a total that was published.
-pub const RAISE_PROPOSAL: CostUnits = CostUnits(u64::MAX);
+/// Interval at which a flow is reported that runs here and is backlogged nowhere: nobody chooses by
+/// its total.
+pub const RUN_INTERVAL: Duration = Duration::from_secs(4);
 
 /// Totals below a proposal after which it counts as refused.
 ///
@@ -39,12 +29,16 @@
 /// Counters of one flow.
 #[derive(Debug, Clone, Default)]
 struct FlowRecord {
-    /// Largest merged total plus the local charges since.
+    /// Largest merged total plus the local charges that it lacks.
     total: u64,
     /// Largest total that the home has published.
     known: u64,
+    /// Part of `count` that `known` contains at most.
+    counted: u64,
     /// Own charges since the start of the process.
     count: u64,
+    /// Largest `count` that was reported. No total contains more of it.
+    sent: u64,
     /// Provisional total of a flow that was idle here, until the home has answered.
     floor: u64,
     /// The part of `floor` that is not local charges: what is proposed to the home.
@@ -55,6 +49,10 @@
     open: u32,
     /// Last time with waiting or running requests.
     active: ClockTime,
+    /// Last report, none if one is due at once.
+    reported: Option<ClockTime>,
+    /// Whether another reporter holds offers of the flow.
+    elsewhere: bool,
 }
 
 impl FlowRecord {
@@ -68,8 +66,19 @@
         self.answers = 0;
     }
 
+    fn merge(&mut self, total: u64) {
+        // What was charged since the last report is in no total yet.
+        let fresh = self.count - self.sent;
+        self.total = self.total.max(total.saturating_add(fresh));
+        if total > self.known {
+            self.known = total;
+            self.counted = self.sent;
+        }
+        self.end_raise(total);
+    }
+
     /// Ends a raise that the home has accepted or refused.
-    fn answered(&mut self, total: u64) {
+    fn end_raise(&mut self, total: u64) {
         if self.proposal == 0 {
             return;
         }
@@ -79,19 +88,52 @@
             self.proposal = 0;
         }
     }
+
+    fn activity(&self, is_waiting: bool) -> FlowActivity {
+        if is_waiting {
+            FlowActivity::Waiting
+        } else if self.open > 0 {
+            FlowActivity::Running
+        } else {
+            FlowActivity::Idle
+        }
+    }
+
+    fn is_due(&self, activity: FlowActivity, now: ClockTime) -> bool {
+        let Some(reported) = self.reported else {
+            return true;
+        };
+        activity != FlowActivity::Running || self.elsewhere || now.since(reported) >= RUN_INTERVAL
+    }
+
+    fn usage(&mut self, flow: FlowId, activity: FlowActivity, now: ClockTime) -> FlowUsage {
+        self.reported = Some(now);
+        self.sent = self.count;
+        let raise = (self.proposal > self.known).then_some(CostUnits(self.proposal));
+        FlowUsage {
+            flow,
+            count: CostUnits(self.count),
+            known_total: CostUnits(self.known),
+            fresh: CostUnits(self.count - self.counted),
+            raise,
+            activity,
+        }
+    }
 }
 
-/// Counters of all flows that an entry or agent has seen lately.
+/// Counters of all flows that an agent has seen lately.
 ///
 /// A counter never exceeds the service that the flow has received in the fleet: it is the largest
-/// published total plus charges made here after it was merged.
+/// published total plus the charges made here that it lacks.
 #[derive(Debug, Clone, Default)]
 pub struct UsageLedger {
-    flows: BTreeMap<FlowKey, FlowRecord>,
+    flows: BTreeMap<FlowId, FlowRecord>,
     /// Flows by the time of their last activity.
-    by_activity: BTreeSet<(ClockTime, FlowKey)>,
+    by_activity: BTreeSet<(ClockTime, FlowId)>,
     /// Flows with waiting or running requests.
-    open: BTreeSet<FlowKey>,
+    open: BTreeSet<FlowId>,
+    /// Other flows whose last count is not yet reported.
+    ended: BTreeSet<FlowId>,
     virtual_times: BTreeMap<ServiceName, u64>,
 }
 
@@ -103,39 +145,61 @@
 
     /// Charges service that was produced here.
     pub fn charge(&mut self, flow: &FlowKey, cost: CostUnits, now: ClockTime) {
-        let record = self.touch(flow, now);
+        let id = FlowId::of(flow);
+        let record = self.touch(id, now);
         record.total = record.total.saturating_add(cost.0);
         record.count = record.count.saturating_add(cost.0);
         if record.floor > 0 {
             record.floor = record.floor.saturating_add(cost.0);
         }
+        if record.open == 0 {
+            self.ended.insert(id);
+        }
     }
 
     /// Merges a total that the home has published; it ends a provisional raise.
     pub fn merge(&mut self, total: &FlowTotal) {
-        let record = self.touch(&total.flow, ClockTime::default());
-        record.total = record.total.max(total.total.0);
-        record.known = record.known.max(total.total.0);
-        record.answered(total.total.0);
+        if let Some(record) = self.flows.get_mut(&total.flow) {
+            record.merge(total.total.0);
+            record.elsewhere = total.elsewhere;
+        }
+    }
+
+    /// Takes in the answer to a report of some flows. A flow that runs only and for which there is no
+    /// total is backlogged nowhere.
+    pub fn answered(&mut self, reported: &[FlowUsage], totals: &[FlowTotal]) {
+        for usage in reported {
+            if let Some(record) = self.flows.get_mut(&usage.flow) {
+                record.elsewhere = false;
+            }
+        }
+        for total in totals {
+            self.merge(total);
+        }
     }
 
-    /// Merges the total of an offer, which may be older than the home's answer to a raise.
-    pub fn merge_offer(&mut self, total: &FlowTotal, now: ClockTime) {
-        let record = self.touch(&total.flow, now);
-        record.total = record.total.max(total.total.0);
+    /// Has the flows of a report reported again in the next round, since it was not answered.
+    pub fn unanswered(&mut self, reported: &[FlowUsage]) {
+        for usage in reported {
+            if let Some(record) = self.flows.get_mut(&usage.flow) {
+                record.reported = None;
+                if record.open == 0 {
+                    self.ended.insert(usage.flow);
+                }
+            }
+        }
     }
 
     /// Service that the flow has received, without a provisional raise.
     pub fn total(&self, flow: &FlowKey) -> CostUnits {
-        CostUnits(self.flows.get(flow).map_or(0, |record| record.total))
+        let record = self.flows.get(&FlowId::of(flow));
+        CostUnits(record.map_or(0, |record| record.total))
     }
 
     /// Weighted counter of the flow, with a provisional raise.
     pub fn counter(&self, flow: &FlowKey, weight: FlowWeight) -> u64 {
-        let total = self
-            .flows
-            .get(flow)
-            .map_or(0, |record| record.total.max(record.floor));
+        let record = self.flows.get(&FlowId::of(flow));
+        let total = record.map_or(0, |record| record.total.max(record.floor));
         weighted(CostUnits(total), weight)
     }
 
@@ -154,25 +218,18 @@
         self.virtual_times.get(service).copied().unwrap_or(0)
     }
 
-    /// Virtual times of all services.
-    pub fn virtual_times(&self) -> Vec<(ServiceName, u64)> {
-        self.virtual_times
-            .iter()
-            .map(|(service, time)| (service.clone(), *time))
-            .collect()
-    }
-
     /// Notes that the flow has a waiting request, and raises it provisionally if it was idle here.
     ///
     /// The raise is not part of [`total`](Self::total): a flow that is idle here may be busy
     /// elsewhere, which only its home knows.
     pub fn backlogged(&mut self, flow: &FlowKey, weight: FlowWeight, now: ClockTime) {
         let time = self.virtual_time(&flow.service);
-        let idle = match self.flows.get(flow) {
+        let id = FlowId::of(flow);
+        let idle = match self.flows.get(&id) {
             Some(record) => record.is_idle(now),
             None => true,
         };
-        let record = self.touch(flow, now);
+        let record = self.touch(id, now);
         let raised = unweighted(time, weight);
         if idle && raised > record.total {
             record.raise(raised);
@@ -181,50 +238,62 @@
 
     /// Notes that a request of the flow waits or runs from now on.
     pub fn opened(&mut self, flow: &FlowKey, now: ClockTime) {
-        let record = self.touch(flow, now);
+        let id = FlowId::of(flow);
+        let record = self.touch(id, now);
         record.open += 1;
-        self.open.insert(flow.clone());
+        self.open.insert(id);
+        self.ended.remove(&id);
     }
 
     /// Notes that a request counted by [`opened`](Self::opened) has ended.
     pub fn closed(&mut self, flow: &FlowKey, now: ClockTime) {
-        let record = self.touch(flow, now);
+        let id = FlowId::of(flow);
+        let record = self.touch(id, now);
         record.open = record.open.saturating_sub(1);
+        let is_unknown = record.reported.is_none() && record.count == record.sent;
         if record.open == 0 {
-            self.open.remove(flow);
+            self.open.remove(&id);
+            // A flow that no home has heard of and that got nothing needs no report.
+            if !is_unknown {
+                self.ended.insert(id);
+            }
         }
     }
 
-    /// Own cumulative counts of the flows that are active, for their homes.
+    /// Own cumulative counts of the flows that are due for a report, for their homes.
     ///
-    /// A flow that was raised provisionally is reported with [`RAISE_PROPOSAL`] until the home has
-    /// answered.
-    pub fn report(&self, now: ClockTime) -> Vec<FlowUsage> {
-        let recent = self
-            .by_activity
-            .iter()
-            .rev()
-            .take_while(|(active, _)| now.since(*active) <= ACTIVE_SPAN)
-            .map(|(_, flow)| flow)
-            .filter(|flow| !self.open.contains(*flow));
-        self.open
-            .iter()
-            .chain(recent)
-            .map(|flow| self.usage(flow))
-            .collect()
+    /// `is_waiting` tells whether offers of a flow are held.
+    pub fn report(
+        &mut self,
+        now: ClockTime,
+        is_waiting: impl Fn(FlowId) -> bool,
+    ) -> Vec<FlowUsage> {
+        let ended = std::mem::take(&mut self.ended);
+        let mut usages = Vec::new();
+        for flow in self.open.union(&ended) {
+            let Some(record) = self.flows.get_mut(flow) else {
+                continue;
+            };
+            let activity = record.activity(is_waiting(*flow));
+            if record.is_due(activity, now) {
+                usages.push(record.usage(*flow, activity, now));
+            }
+        }
+        usages
     }
 
     /// Forgets flows that have been idle for [`LEDGER_MEMORY`].
     pub fn forget_idle(&mut self, now: ClockTime) {
-        while let Some((active, flow)) = self.by_activity.first().cloned() {
+        while let Some((active, flow)) = self.by_activity.first().copied() {
             if now.since(active) < LEDGER_MEMORY {
                 break;
             }
             self.by_activity.pop_first();
             if self.open.contains(&flow) {
-                self.touch(&flow, now);
+                self.touch(flow, now);
             } else {
                 self.flows.remove(&flow);
+                self.ended.remove(&flow);
             }
         }
     }
@@ -239,26 +308,11 @@
         self.flows.is_empty()
     }
 
-    fn usage(&self, flow: &FlowKey) -> FlowUsage {
-        let record = &self.flows[flow];
-        let (count, known_total) = if record.proposal > record.known {
-            (RAISE_PROPOSAL, record.proposal)
-        } else {
-            (CostUnits(record.count), record.known)
-        };
-        FlowUsage {
-            flow: flow.clone(),
-            count,
-            known_total: CostUnits(known_total),
-        }
-    }
-
-    fn touch(&mut self, flow: &FlowKey, now: ClockTime) -> &mut FlowRecord {
-        let record = self.flows.entry(flow.clone()).or_default();
-        let place = (record.active, flow.clone());
-        self.by_activity.remove(&place);
+    fn touch(&mut self, flow: FlowId, now: ClockTime) -> &mut FlowRecord {
+        let record = self.flows.entry(flow).or_default();
+        self.by_activity.remove(&(record.active, flow));
         record.active = record.active.max(now);
-        self.by_activity.insert((record.active, flow.clone()));
+        self.by_activity.insert((record.active, flow));
         record
     }
 }
--- a/components/fair/src/lib.rs
+++ b/components/fair/src/lib.rs
@@ -1,24 +1,24 @@
 //! Usage counters of flows, their fleet-wide sums, and fair choice.
 //!
-//! Entries and agents keep a [`UsageLedger`]. The entry that is the home of a flow keeps a
-//! [`UsageHome`], which sums the counts of all entries and decides whether a flow was idle in the
-//! whole fleet.
+//! Agents keep a [`UsageLedger`]; `offers::OfferTable` holds it. The control node that is the home
+//! of a flow keeps a [`UsageHome`], which sums the counts of all agents and decides whether a flow
+//! was idle in the whole fleet.
 //!
-//! An entry calls [`UsageLedger::backlogged`] and [`UsageLedger::opened`] when a request arrives,
-//! [`UsageLedger::charge`] for each part of an answer, and [`UsageLedger::closed`] when the request
-//! ends. Every [`REPORT_INTERVAL`] it sends [`UsageLedger::report`] to the homes of the flows
-//! ([`home_of`]), merges their answers with [`UsageLedger::merge`], and passes them on to the agents
-//! that hold offers of the flows. `offers::OfferTable` keeps the ledger of an agent.
+//! An agent calls [`UsageLedger::backlogged`] and [`UsageLedger::opened`] when a flow's offers
+//! arrive, [`UsageLedger::charge`] for each part of an answer, and [`UsageLedger::closed`] when the
+//! flow has neither offers nor runs. In each round of a [`ReportPacer`] it sends
+//! [`UsageLedger::report`] to the homes of the flows ([`HomeList`]) and takes in their answers with
+//! [`UsageLedger::answered`].
 
 mod home;
 mod ledger;
+mod pacer;
 mod rendezvous;
 
 pub use home::{HOME_MEMORY, UsageHome};
-pub use ledger::{
-    ACTIVE_SPAN, IDLE_SPAN, LEDGER_MEMORY, RAISE_PROPOSAL, REPORT_INTERVAL, UsageLedger,
-};
-pub use rendezvous::{home_of, stable_hash};
+pub use ledger::{IDLE_SPAN, LEDGER_MEMORY, RUN_INTERVAL, UsageLedger};
+pub use pacer::{REPORT_INTERVAL, REPORT_RATE, ReportPacer};
+pub use rendezvous::{HomeList, SKIP_SPAN, home_of};
 
 use units::{CostUnits, FlowWeight};
 
--- a/components/fair/src/rendezvous.rs
+++ b/components/fair/src/rendezvous.rs
@@ -1,49 +1,64 @@
-//! Choice of a flow's home by rendezvous hash.
+//! Choice of a flow's home by rendezvous hash over the control nodes that answer.
 
-use units::NodeName;
-use wire::FlowKey;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
 
-/// Offset basis of the 64-bit FNV-1a hash.
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+use units::ClockTime;
+use wire::{FlowId, stable_hash};
 
-/// Prime of the 64-bit FNV-1a hash.
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+/// Time for which a control node that did not answer is passed over.
+pub const SKIP_SPAN: Duration = Duration::from_secs(2);
 
-/// Hash that is the same in every process and version.
+/// The control node that sums the usage of a flow, none without control nodes.
 ///
-/// The hasher of the standard library may change with its version, and entries of two versions
-/// must choose the same home during an update.
-pub fn stable_hash(parts: &[&[u8]]) -> u64 {
-    let mut hash = FNV_OFFSET;
-    for part in parts {
-        for byte in *part {
-            hash = (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
-        }
-        // Ends a part, so that ("ab", "c") and ("a", "bc") differ.
-        hash = (hash ^ 0xff).wrapping_mul(FNV_PRIME);
-    }
-    finish(hash)
+/// All agents list the same addresses, so they choose the same home.
+pub fn home_of(flow: FlowId, controls: impl IntoIterator<Item = SocketAddr>) -> Option<SocketAddr> {
+    let controls = controls.into_iter();
+    controls.max_by_key(|control| (score(flow, *control), *control))
 }
 
-/// Spreads the entropy over all bits (finaliser of SplitMix64).
-fn finish(hash: u64) -> u64 {
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
+fn score(flow: FlowId, control: SocketAddr) -> u64 {
+    let port = control.port().to_le_bytes();
+    match control {
+        SocketAddr::V4(address) => stable_hash(&[flow.as_bytes(), &address.ip().octets(), &port]),
+        SocketAddr::V6(address) => stable_hash(&[flow.as_bytes(), &address.ip().octets(), &port]),
+    }
 }
 
-/// The entry that sums the usage of a flow, none without entries.
-pub fn home_of<'a>(
-    flow: &FlowKey,
-    entries: impl Iterator<Item = &'a NodeName>,
-) -> Option<&'a NodeName> {
-    entries.max_by_key(|name| (score(flow, name), *name))
+/// Control nodes as one agent sees them.
+#[derive(Debug, Clone, Default)]
+pub struct HomeList {
+    controls: Vec<SocketAddr>,
+    /// Control nodes that did not answer, and until when they are passed over.
+    skipped: BTreeMap<SocketAddr, ClockTime>,
 }
 
-fn score(flow: &FlowKey, node: &NodeName) -> u64 {
-    stable_hash(&[
-        flow.organisation.as_str().as_bytes(),
-        flow.service.as_str().as_bytes(),
-        node.as_str().as_bytes(),
-    ])
+impl HomeList {
+    /// Creates a list of control nodes that are all taken to answer.
+    pub fn new(controls: Vec<SocketAddr>) -> Self {
+        Self {
+            controls,
+            skipped: BTreeMap::new(),
+        }
+    }
+
+    /// The home of a flow, none if no control node answers.
+    pub fn home(&self, flow: FlowId, now: ClockTime) -> Option<SocketAddr> {
+        let controls = self.controls.iter().copied();
+        home_of(
+            flow,
+            controls.filter(|control| !self.is_skipped(*control, now)),
+        )
+    }
+
+    /// Notes that a control node did not answer: its flows go to the next in their order.
+    pub fn failed(&mut self, control: SocketAddr, now: ClockTime) {
+        self.skipped.insert(control, now + SKIP_SPAN);
+    }
+
+    fn is_skipped(&self, control: SocketAddr, now: ClockTime) -> bool {
+        let until = self.skipped.get(&control);
+        until.is_some_and(|until| now < *until)
+    }
 }
--- /dev/null
+++ b/components/fair/tests/rounds.rs
@@ -0,0 +1,130 @@
+//! Times of report rounds, and the choice of homes.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fair::{HomeList, REPORT_INTERVAL, REPORT_RATE, ReportPacer, SKIP_SPAN, home_of};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use units::{ClockTime, OrganisationName, ServiceName};
+use wire::{FlowId, FlowKey};
+
+fn control(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7400))
+}
+
+fn flow(number: usize) -> FlowId {
+    FlowId::of(&FlowKey {
+        organisation: OrganisationName::from(format!("org-{number}").as_str()),
+        service: ServiceName::from("stone-advice"),
+    })
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(5),
+        ..Config::default()
+    })]
+
+    /// Guards against reports that take more than their share of a node's budget, and against rounds
+    /// that follow each other faster than the interval.
+    #[test]
+    fn rounds_keep_the_rate(
+        rounds in prop::collection::vec((0u64..20_000, 0u64..20_000), 1..60),
+        late in prop::collection::vec(0u64..300, 60),
+    ) {
+        let mut pacer = ReportPacer::new();
+        let mut now = ClockTime(1_000);
+        let start = now;
+        let mut spent = 0;
+        for (round, (report, answer)) in rounds.into_iter().enumerate() {
+            let due = pacer.next_round().unwrap_or(now);
+            prop_assert!(round == 0 || due.since(now) >= REPORT_INTERVAL);
+            now = due.max(now) + Duration::from_millis(late[round]);
+            // All earlier rounds are paid for when the next one begins.
+            let paid = now.since(start).as_millis() as u64 * REPORT_RATE / 1000;
+            prop_assert!(spent <= paid, "{} bytes within {}", spent, now.since(start).as_millis());
+            pacer.begin(now);
+            pacer.spend(report);
+            pacer.spend(answer);
+            spent += report + answer;
+        }
+    }
+}
+
+/// Guards against rounds that are rarer than they need to be.
+#[test]
+fn small_rounds_take_place_at_the_interval() {
+    let mut pacer = ReportPacer::new();
+
+    assert_eq!(pacer.next_round(), None);
+    pacer.begin(ClockTime(1_000));
+    pacer.spend(REPORT_RATE / 2);
+    assert_eq!(pacer.next_round(), Some(ClockTime(1_500)));
+    pacer.spend(REPORT_RATE);
+    assert_eq!(pacer.next_round(), Some(ClockTime(2_500)));
+    assert_eq!(pacer.interval(), REPORT_INTERVAL);
+    pacer.begin(ClockTime(2_500));
+    assert_eq!(pacer.interval(), Duration::from_millis(1_500));
+}
+
+/// Guards against homes that are uneven, and against flows that change their home although it answers.
+#[test]
+fn only_the_flows_of_a_silent_control_node_move() {
+    let mut homes = HomeList::new((1..=5).map(control).collect());
+    let now = ClockTime(1_000);
+    let before: Vec<_> = (0..500)
+        .map(|number| homes.home(flow(number), now))
+        .collect();
+
+    homes.failed(control(2), now);
+
+    for (number, home) in before.iter().enumerate() {
+        let after = homes.home(flow(number), now);
+        if *home == Some(control(2)) {
+            let rest = [1, 3, 4, 5].map(control);
+            assert_eq!(after, home_of(flow(number), rest), "the next in the order");
+        } else {
+            assert_eq!(after, *home);
+        }
+        assert_eq!(homes.home(flow(number), now + SKIP_SPAN), *home);
+    }
+    for host in 1..=5 {
+        let flows = before.iter().filter(|home| **home == Some(control(host)));
+        assert!(flows.count() > 50, "few flows at {host}");
+    }
+}
+
+/// Guards against a choice by the order in which control nodes are listed.
+#[test]
+fn order_of_control_nodes_does_not_matter() {
+    for number in 0..100 {
+        let forward = home_of(flow(number), (1..=5).map(control));
+        let backward = home_of(flow(number), (1..=5).rev().map(control));
+        assert_eq!(forward, backward);
+    }
+}
+
+/// Guards against reports when no control node answers, and without any.
+#[test]
+fn no_home_without_a_control_node_that_answers() {
+    let mut homes = HomeList::new(vec![control(1)]);
+
+    homes.failed(control(1), ClockTime(0));
+
+    assert_eq!(homes.home(flow(1), ClockTime(0)), None);
+    assert_eq!(HomeList::default().home(flow(1), ClockTime(0)), None);
+}
+
+/// Guards against an id that changes with a version of the program: nodes of two versions must agree
+/// on it during an update.
+#[test]
+fn flow_id_is_stable() {
+    let ids: BTreeSet<FlowId> = (0..10_000).map(flow).collect();
+
+    assert_eq!(ids.len(), 10_000);
+    assert_eq!(flow(1).to_string(), "679ace608f60cf66");
+}
--- a/components/offers/src/book.rs
+++ b/components/offers/src/book.rs
@@ -7,10 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use fair::stable_hash;
 use slotmap::SlotMap;
 use units::{ClockTime, NodeName, RequestId, ServiceName, SlotCount};
-use wire::{EntryMessage, FlowKey, FlowTotal};
+use wire::{EntryMessage, FlowKey, stable_hash};
 
 use crate::actions::{AgentView, BookAction, BookSettings, QueueError, WaitingRequest};
 use crate::queue::{QueuedRequest, RequestKey, ServiceQueue};
@@ -198,29 +197,6 @@
         wave.into_iter().chain(deadline).min()
     }
 
-    /// Passes new totals and virtual times on to the agents that hold offers of their flows.
-    pub fn totals(
-        &mut self,
-        totals: &[FlowTotal],
-        virtual_times: &[(ServiceName, u64)],
-    ) -> Vec<BookAction> {
-        let mut by_agent: BTreeMap<AgentId, Vec<FlowTotal>> = BTreeMap::new();
-        for total in totals {
-            let queue = self.services.get_mut(&total.flow.service);
-            let Some(flow) = queue.and_then(|queue| queue.flows.get_mut(&total.flow)) else {
-                continue;
-            };
-            flow.total = flow.total.max(total.total);
-            for agent in flow.agents.keys() {
-                by_agent.entry(*agent).or_default().push(total.clone());
-            }
-        }
-        by_agent
-            .into_iter()
-            .map(|(agent, totals)| self.totals_message(agent, totals, virtual_times))
-            .collect()
-    }
-
     /// Waiting requests of a flow.
     pub fn waiting(&self, flow: &FlowKey) -> u32 {
         let queue = self.services.get(&flow.service);
@@ -243,26 +219,6 @@
         self.requests.is_empty()
     }
 
-    fn totals_message(
-        &self,
-        agent: AgentId,
-        totals: Vec<FlowTotal>,
-        virtual_times: &[(ServiceName, u64)],
-    ) -> BookAction {
-        let view = &self.agents[agent].view;
-        let times = virtual_times.iter();
-        BookAction::Send {
-            agent: view.name.clone(),
-            message: EntryMessage::Totals {
-                totals,
-                virtual_times: times
-                    .filter(|(service, _)| *service == view.service)
-                    .cloned()
-                    .collect(),
-            },
-        }
-    }
-
     /// Adds or updates an agent; returns its service if it is new.
     fn set_agent(
         &mut self,
@@ -316,7 +272,6 @@
         for key in record.offered {
             let request = &mut self.requests[key];
             request.offered.remove(&id);
-            queue.remove_agent(&request.offer.flow, id);
             if tell {
                 actions.push(withdraw(name, request.offer.request));
             }
@@ -379,7 +334,6 @@
         let queue = self.services.entry(flow.service.clone()).or_default();
         let mut actions = Vec::new();
         for agent in request.offered.keys() {
-            queue.remove_agent(flow, *agent);
             let record = &mut self.agents[*agent];
             record.offered.remove(&key);
             if Some(*agent) != granted {
@@ -452,18 +406,10 @@
     fn offer(&mut self, key: RequestKey, agent: AgentId, now: ClockTime) -> BookAction {
         let request = &mut self.requests[key];
         let record = &mut self.agents[agent];
-        let flow = &request.offer.flow;
-        let queue = self.services.entry(flow.service.clone()).or_default();
-        let is_new = request.offered.insert(agent, now).is_none();
-        if is_new {
-            record.offered.insert(key);
-            queue.add_agent(flow, agent);
-        }
+        request.offered.insert(agent, now);
+        record.offered.insert(key);
         let mut offer = request.offer.clone();
         offer.waited_ms += now.since(request.queued).as_millis() as u64;
-        if let Some(flow) = queue.flows.get(flow) {
-            offer.total = flow.total;
-        }
         BookAction::Send {
             agent: record.view.name.clone(),
             message: EntryMessage::Offer(offer),
--- a/components/offers/src/queue.rs
+++ b/components/offers/src/queue.rs
@@ -4,7 +4,7 @@
 use std::ops::Bound;
 
 use slotmap::new_key_type;
-use units::{ClockTime, CostUnits};
+use units::ClockTime;
 use wire::{FlowKey, RequestOffer};
 
 use crate::ring::{AgentId, AgentRing};
@@ -34,10 +34,6 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct FlowRequests {
     pub(crate) requests: BTreeSet<(ClockTime, RequestKey)>,
-    /// Newest total that is known.
-    pub(crate) total: CostUnits,
-    /// Number of the flow's requests that each agent is offered.
-    pub(crate) agents: BTreeMap<AgentId, u32>,
 }
 
 /// Agents and waiting requests of one service.
@@ -53,7 +49,6 @@
 impl ServiceQueue {
     pub(crate) fn insert(&mut self, offer: &RequestOffer, queued: ClockTime, key: RequestKey) {
         let flow = self.flows.entry(offer.flow.clone()).or_default();
-        flow.total = flow.total.max(offer.total);
         flow.requests.insert((queued, key));
     }
 
@@ -67,26 +62,6 @@
         }
     }
 
-    /// Notes that one more request of a flow is offered to an agent.
-    pub(crate) fn add_agent(&mut self, flow: &FlowKey, agent: AgentId) {
-        if let Some(requests) = self.flows.get_mut(flow) {
-            *requests.agents.entry(agent).or_default() += 1;
-        }
-    }
-
-    /// Notes that one request fewer of a flow is offered to an agent.
-    pub(crate) fn remove_agent(&mut self, flow: &FlowKey, agent: AgentId) {
-        let Some(requests) = self.flows.get_mut(flow) else {
-            return;
-        };
-        if let Some(count) = requests.agents.get_mut(&agent) {
-            *count -= 1;
-            if *count == 0 {
-                requests.agents.remove(&agent);
-            }
-        }
-    }
-
     /// Flow after the one that this returned last, in a circle.
     pub(crate) fn rotate(&mut self) -> Option<(&FlowKey, &FlowRequests)> {
         let next = match &self.cursor {
--- a/components/offers/src/table.rs
+++ b/components/offers/src/table.rs
@@ -5,7 +5,7 @@
 
 use fair::{UsageLedger, weighted};
 use units::{ClockTime, CostUnits, FlowWeight, NodeName, RequestId, ServiceName, SlotCount};
-use wire::{FlowKey, FlowTotal, RequestOffer};
+use wire::{FlowId, FlowKey, FlowUsage, RequestOffer, UsageTotals};
 
 use crate::runs::{SlotTable, SlotUse};
 use crate::waiting::{OfferQueue, ReserveChange};
@@ -13,9 +13,9 @@
 /// Time after which a claim without an answer ends.
 pub const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Shortest time between two tellings of `Room` or of the virtual time.
+/// Shortest time between two tellings of `Room`.
 ///
-/// Both go to every entry: at each end of a request they would be most of the control traffic.
+/// It goes to every entry: at each end of a request it would be most of the control traffic.
 const TELL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval at which `Room` is repeated while slots are free and nothing is offered.
@@ -41,11 +41,6 @@
         /// Free slots.
         free: SlotCount,
     },
-    /// Tell all connected entries the virtual time of the service.
-    VirtualTime {
-        /// Largest weighted counter at which a request was started.
-        time: u64,
-    },
 }
 
 /// What a start of a request leads to.
@@ -73,8 +68,6 @@
     room_sent: Option<ClockTime>,
     /// Whether `Room` was sent since there is room.
     room_told: bool,
-    virtual_time_sent: u64,
-    virtual_time_told: Option<ClockTime>,
     forgotten: ClockTime,
 }
 
@@ -91,8 +84,6 @@
             entries: BTreeSet::new(),
             room_sent: None,
             room_told: false,
-            virtual_time_sent: 0,
-            virtual_time_told: None,
             forgotten: ClockTime::default(),
         }
     }
@@ -123,14 +114,7 @@
         let flow = offer.flow.clone();
         let weight = offer.weight;
         self.ledger.backlogged(&flow, weight, now);
-        self.ledger.merge_offer(
-            &FlowTotal {
-                flow: flow.clone(),
-                total: offer.total,
-            },
-            now,
-        );
-        if !self.queue.has_flow(&flow) {
+        if !self.queue.has_flow(FlowId::of(&flow)) {
             self.ledger.opened(&flow, now);
         }
         let since = now - Duration::from_millis(offer.waited_ms);
@@ -210,23 +194,35 @@
         self.fill(now)
     }
 
-    /// Merges totals and virtual times that an entry has sent.
-    pub fn merge(&mut self, totals: &[FlowTotal], virtual_times: &[(ServiceName, u64)]) {
-        for (service, time) in virtual_times {
-            if *service == self.service {
-                self.ledger.merge_virtual_time(service, *time);
-            }
-        }
-        for total in totals {
-            // A flow that is not here will bring its total along with its next offer.
-            if self.queue.has_flow(&total.flow) {
-                self.ledger.merge(total);
-                self.queue.clear_elsewhere(&total.flow);
-                self.place(&total.flow);
+    /// Counts that are due for a report to the homes of the flows.
+    pub fn report(&mut self, now: ClockTime) -> Vec<FlowUsage> {
+        let queue = &self.queue;
+        self.ledger.report(now, |flow| queue.has_offers(flow))
+    }
+
+    /// Virtual time of the service, for the reports.
+    pub fn virtual_time(&self) -> u64 {
+        self.ledger.virtual_time(&self.service)
+    }
+
+    /// Takes in a home's answer to a report of some flows.
+    pub fn answered(&mut self, reported: &[FlowUsage], answer: &UsageTotals) {
+        self.ledger
+            .merge_virtual_time(&self.service, answer.virtual_time);
+        self.ledger.answered(reported, &answer.totals);
+        for total in &answer.totals {
+            self.queue.clear_elsewhere(total.flow);
+            if let Some(flow) = self.queue.key(total.flow).cloned() {
+                self.place(&flow);
             }
         }
     }
 
+    /// Has the flows of a report reported again, since no home has answered it.
+    pub fn unanswered(&mut self, reported: &[FlowUsage]) {
+        self.ledger.unanswered(reported);
+    }
+
     /// Sets the concurrency limit.
     pub fn set_limit(&mut self, limit: SlotCount, now: ClockTime) -> Vec<TableAction> {
         self.limit = limit;
@@ -307,7 +303,6 @@
             };
             actions.extend(self.claim(request, now));
         }
-        self.tell_virtual_time(&mut actions, now);
         self.tell_room(&mut actions, now);
         actions
     }
@@ -328,15 +323,6 @@
         Some(TableAction::Claim { entry, request })
     }
 
-    fn tell_virtual_time(&mut self, actions: &mut Vec<TableAction>, now: ClockTime) {
-        let time = self.ledger.virtual_time(&self.service);
-        if time > self.virtual_time_sent && is_due(self.virtual_time_told, TELL_INTERVAL, now) {
-            self.virtual_time_sent = time;
-            self.virtual_time_told = Some(now);
-            actions.push(TableAction::VirtualTime { time });
-        }
-    }
-
     fn tell_room(&mut self, actions: &mut Vec<TableAction>, now: ClockTime) {
         if !self.has_room() {
             self.room_told = false;
--- a/components/offers/src/waiting.rs
+++ b/components/offers/src/waiting.rs
@@ -5,7 +5,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 use units::{ClockTime, FlowWeight, NodeName, RequestId};
-use wire::{FlowKey, RequestOffer};
+use wire::{FlowId, FlowKey, RequestOffer};
 
 /// Time after which hints of requests that run elsewhere no longer count.
 ///
@@ -16,7 +16,7 @@
     /// Handle of a waiting offer.
     pub(crate) struct OfferId;
     /// Handle of a flow with offers or runs.
-    pub(crate) struct FlowId;
+    pub(crate) struct FlowHandle;
 }
 
 /// Offer of an entry.
@@ -24,7 +24,7 @@
 pub(crate) struct WaitingOffer {
     pub(crate) entry: NodeName,
     pub(crate) offer: RequestOffer,
-    flow: FlowId,
+    flow: FlowHandle,
     since: ClockTime,
 }
 
@@ -47,13 +47,13 @@
 }
 
 /// Place of a flow in the order of choice: counter with reserve, then age of its oldest offer.
-type FlowPlace = (u64, ClockTime, RequestId, FlowId);
+type FlowPlace = (u64, ClockTime, RequestId, FlowHandle);
 
 /// Waiting offers and the order in which they are claimed.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct OfferQueue {
-    flows: SlotMap<FlowId, FlowQueue>,
-    flow_ids: BTreeMap<FlowKey, FlowId>,
+    flows: SlotMap<FlowHandle, FlowQueue>,
+    handles: HashMap<FlowId, FlowHandle>,
     offers: SlotMap<OfferId, WaitingOffer>,
     offer_ids: HashMap<RequestId, OfferId>,
     by_entry: BTreeMap<NodeName, BTreeSet<RequestId>>,
@@ -74,8 +74,20 @@
         requests.is_some_and(|requests| requests.contains(&request))
     }
 
-    pub(crate) fn has_flow(&self, key: &FlowKey) -> bool {
-        self.flow_ids.contains_key(key)
+    pub(crate) fn has_flow(&self, flow: FlowId) -> bool {
+        self.handles.contains_key(&flow)
+    }
+
+    /// Whether offers of the flow wait here.
+    pub(crate) fn has_offers(&self, flow: FlowId) -> bool {
+        let handle = self.handles.get(&flow);
+        handle.is_some_and(|handle| !self.flows[*handle].offers.is_empty())
+    }
+
+    /// Organisation and service of a flow with offers or runs.
+    pub(crate) fn key(&self, flow: FlowId) -> Option<&FlowKey> {
+        let handle = self.handles.get(&flow)?;
+        Some(&self.flows[*handle].key)
     }
 
     pub(crate) fn insert(&mut self, entry: &NodeName, offer: RequestOffer, since: ClockTime) {
@@ -132,7 +144,7 @@
 
     /// Notes that another agent was granted a request of the flow.
     pub(crate) fn granted_elsewhere(&mut self, key: &FlowKey, hint: u64, now: ClockTime) {
-        if let Some(&id) = self.flow_ids.get(key) {
+        if let Some(&id) = self.handles.get(&FlowId::of(key)) {
             let flow = &mut self.flows[id];
             if flow.elsewhere == 0 || now.since(flow.elsewhere_since) >= ELSEWHERE_SPAN {
                 flow.elsewhere = 0;
@@ -143,8 +155,8 @@
     }
 
     /// Notes a new total, which contains what other agents have produced.
-    pub(crate) fn clear_elsewhere(&mut self, key: &FlowKey) {
-        if let Some(&id) = self.flow_ids.get(key) {
+    pub(crate) fn clear_elsewhere(&mut self, flow: FlowId) {
+        if let Some(&id) = self.handles.get(&flow) {
             self.flows[id].elsewhere = 0;
         }
     }
@@ -157,7 +169,7 @@
         key: &FlowKey,
         counter: impl Fn(u64, FlowWeight) -> u64,
     ) -> bool {
-        let Some(&id) = self.flow_ids.get(key) else {
+        let Some(&id) = self.handles.get(&FlowId::of(key)) else {
             return false;
         };
         let flow = &mut self.flows[id];
@@ -173,14 +185,14 @@
         }
         let unused = flow.running == 0;
         if unused {
-            self.flow_ids.remove(&flow.key);
+            self.handles.remove(&FlowId::of(key));
             self.flows.remove(id);
         }
         unused
     }
 
-    fn flow(&mut self, key: &FlowKey, weight: FlowWeight) -> FlowId {
-        if let Some(&id) = self.flow_ids.get(key) {
+    fn flow(&mut self, key: &FlowKey, weight: FlowWeight) -> FlowHandle {
+        if let Some(&id) = self.handles.get(&FlowId::of(key)) {
             self.flows[id].weight = weight;
             return id;
         }
@@ -194,7 +206,7 @@
             offers: BTreeSet::new(),
             place: None,
         });
-        self.flow_ids.insert(key.clone(), id);
+        self.handles.insert(FlowId::of(key), id);
         id
     }
 }
--- a/components/offers/tests/common/meter.rs
+++ b/components/offers/tests/common/meter.rs
@@ -27,6 +27,8 @@
     pub granted: u64,
     pub ended: u64,
     pub refused: u64,
+    /// Bytes of usage reports and answers of all agents, with headers.
+    pub report_bytes: u64,
 }
 
 impl FleetMeter {
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -9,6 +9,7 @@
 
 use crate::hello::NodeRole;
 use crate::run::{HeaderField, ResponseHead};
+use crate::usage::{UsageReport, UsageTotals};
 
 units::data! {
     /// State of a target as its agent reports it.
@@ -249,6 +250,8 @@
         Status,
         /// Announcements passed on by another control node.
         Directory(Vec<DirectoryEntry>),
+        /// Counts of an agent, for the homes of the flows.
+        Usage(UsageReport),
     }
 
     /// Reply of a control node.
@@ -263,6 +266,8 @@
         Order(OrderReply),
         /// Reply to [`ControlRequest::Status`], as JSON of the `control` crate.
         Status(String),
+        /// Reply to [`ControlRequest::Usage`].
+        Usage(UsageTotals),
         /// The node cannot answer with a quorum now.
         NoQuorum {
             /// The leader, if known.
--- a/components/wire/src/hello.rs
+++ b/components/wire/src/hello.rs
@@ -3,7 +3,7 @@
 use units::{Incarnation, NodeName};
 
 /// Version of the protocol; both ends must have the same.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 units::data! {
     /// Role of a process, named in its certificate.
@@ -26,8 +26,6 @@
         Session,
         /// One run of a request.
         Run,
-        /// Usage reports between entries; lasts as long as the connection.
-        Usage,
         /// One request to control and its reply.
         Control,
         /// Raft messages between control nodes; lasts as long as the connection.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod codec;
 mod control;
+mod hash;
 mod hello;
 mod run;
 mod session;
@@ -16,9 +17,10 @@
     DirectoryEntry, EndCall, NodeKind, NodeState, OperatorOrder, OrderReply, RenewReply,
     RenewRequest, StoredResponse, TargetState,
 };
+pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
 pub use run::{
     FailureCode, HeaderField, RequestHead, ResponseHead, RunMessage, RunReply, RunStart, RunStatus,
 };
-pub use session::{AgentMessage, EntryMessage, FlowKey, FlowTotal, RequestOffer};
-pub use usage::{FlowUsage, UsageReport, UsageTotals};
+pub use session::{AgentMessage, EntryMessage, FlowKey, RequestOffer};
+pub use usage::{FlowActivity, FlowId, FlowTotal, FlowUsage, UsageReport, UsageTotals};
--- a/components/wire/src/run.rs
+++ b/components/wire/src/run.rs
@@ -103,15 +103,11 @@
             number: u64,
             /// Bytes of the body.
             bytes: Vec<u8>,
-            /// Cost that the run has caused so far.
-            cost: CostUnits,
         },
         /// The answer is complete.
         End {
             /// Number of chunks in the answer.
             chunks: u64,
-            /// Cost of the whole run.
-            cost: CostUnits,
         },
         /// The run has failed.
         Failed {
--- a/components/wire/src/session.rs
+++ b/components/wire/src/session.rs
@@ -15,16 +15,6 @@
         pub service: ServiceName,
     }
 
-    /// Service that a flow has received in the whole fleet, as known at one time.
-    ///
-    /// Totals only grow, so a receiver keeps the largest that it has seen.
-    pub struct FlowTotal {
-        /// The flow.
-        pub flow: FlowKey,
-        /// Service received, in cost units and not divided by the weight.
-        pub total: CostUnits,
-    }
-
     /// A request that waits for a target.
     pub struct RequestOffer {
         /// The request.
@@ -33,8 +23,6 @@
         pub flow: FlowKey,
         /// Share of the organisation.
         pub weight: FlowWeight,
-        /// Service that the flow has received so far.
-        pub total: CostUnits,
         /// Rough cost of the request.
         pub hint: CostUnits,
         /// Hash of the start of the prompt.
@@ -49,13 +37,6 @@
         Offer(RequestOffer),
         /// A request is no longer to be had; a claim of it is void.
         Withdraw(RequestId),
-        /// Newer totals, and the virtual time of each service.
-        Totals {
-            /// Totals of flows that have offers here.
-            totals: Vec<FlowTotal>,
-            /// Largest weighted counter at which a request of a service was started.
-            virtual_times: Vec<(ServiceName, u64)>,
-        },
         /// Asks for a [`AgentMessage::Pong`] with the same number.
         Ping(u64),
     }
@@ -79,13 +60,6 @@
             /// Free slots.
             free: SlotCount,
         },
-        /// Virtual time of a service at this agent.
-        VirtualTime {
-            /// The service.
-            service: ServiceName,
-            /// Largest weighted counter at which a request was started.
-            time: u64,
-        },
         /// The agent takes no new work any more.
         Leaving,
         /// Answer to [`EntryMessage::Ping`].
