Remove the tracking of replaced entries from the batch queue of raft

Only a leader reads the durable index, and the batch with its own vote is acknowledged after every batch whose entries were replaced; each acknowledgement sets the index anew. Change: the two lines are gone and the reason is with the field. Conclusion: less state to keep right.

--- a/components/raft/src/log.rs
+++ b/components/raft/src/log.rs
@@ -198,11 +198,10 @@
     }
 
     /// Replaces the log by a snapshot from the leader. Entries after it stay if the log contains
-    /// its last entry. Returns whether they stayed.
-    pub(crate) fn restore(&mut self, snapshot: Snapshot) -> bool {
+    /// its last entry.
+    pub(crate) fn restore(&mut self, snapshot: Snapshot) {
         let last = snapshot.last;
-        let matches = self.contains(last);
-        let tail = if matches {
+        let tail = if self.contains(last) {
             self.entries
                 .iter()
                 .filter(|entry| entry.id.index > last.index)
@@ -212,6 +211,5 @@
             Vec::new()
         };
         *self = Self::new(Some(snapshot), tail);
-        matches
     }
 }
--- a/components/raft/src/node/follower.rs
+++ b/components/raft/src/node/follower.rs
@@ -96,7 +96,6 @@
         );
         if first <= self.log.last().index {
             self.log.truncate(first);
-            self.persists.truncate(LogIndex(first.0 - 1));
         }
         for entry in &entries {
             self.log.append(entry.clone());
@@ -166,9 +165,7 @@
             data: Arc::from(data),
         };
         self.removed |= snapshot.membership.removed.contains(&self.id);
-        if !self.log.restore(snapshot.clone()) {
-            self.persists.truncate(LogIndex(snapshot.last.index.0 - 1));
-        }
+        self.log.restore(snapshot.clone());
         self.persist(PersistBatch {
             snapshot: Some(snapshot.clone()),
             ..PersistBatch::default()
--- a/components/raft/src/persist.rs
+++ b/components/raft/src/persist.rs
@@ -41,7 +41,8 @@
         }
     }
 
-    /// Last index of the own log that is durable.
+    /// Last index of the own log that is durable. Valid on a leader only: the batch with its own
+    /// vote was acknowledged after all batches of entries that another leader has replaced since.
     pub(crate) fn durable(&self) -> LogIndex {
         self.durable
     }
@@ -61,14 +62,6 @@
         self.last_id
     }
 
-    /// Entries after `last` were replaced, so earlier batches no longer make them durable.
-    pub(crate) fn truncate(&mut self, last: LogIndex) {
-        self.durable = self.durable.min(last);
-        for batch in &mut self.pending {
-            batch.last = batch.last.min(last);
-        }
-    }
-
     /// Holds a message until all batches so far are durable; hands it back if they are.
     pub(crate) fn hold(&mut self, to: DiskId, message: RaftMessage) -> Option<RaftMessage> {
         if self.pending.is_empty() {
