--- /dev/null
+++ b/components/agent/src/target.rs
@@ -0,0 +1,203 @@
+//! The target behind the agent.
+
+use std::time::Duration;
+
+use eyre::WrapErr;
+use futures_util::future::BoxFuture;
+use futures_util::stream::BoxStream;
+use futures_util::{FutureExt, StreamExt};
+use http::header::{HeaderName, HeaderValue};
+use thiserror::Error;
+use wire::{HeaderField, RequestHead, ResponseHead};
+
+/// Longest wait for a connection to the target, which stands on the same host or rack.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Fault of a call to the target.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum TargetError {
+    /// No connection was established, so the target has not seen the request.
+    #[error("Failed to connect to the target: {0}")]
+    Unreachable(String),
+    /// The head of the request cannot be sent.
+    #[error("Failed to form the request: {0}")]
+    BadRequest(String),
+    /// The connection broke after the request may have been sent.
+    #[error("Failed to read the response of the target: {0}")]
+    Lost(String),
+}
+
+/// Request to the target.
+#[derive(Debug)]
+pub struct TargetRequest {
+    /// Method, path and headers.
+    pub head: RequestHead,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Whether the request may be sent more than once.
+    pub repeatable: bool,
+    /// Trace context to pass on.
+    pub trace: Option<String>,
+}
+
+/// Response of the target.
+pub struct TargetResponse {
+    /// Status and headers.
+    pub head: ResponseHead,
+    /// Body as it arrives.
+    pub body: BoxStream<'static, Result<Vec<u8>, TargetError>>,
+}
+
+/// Sends requests to one target.
+pub trait TargetClient: Send + Sync {
+    /// Sends a request and waits for the head of the response.
+    fn send(&self, request: TargetRequest) -> BoxFuture<'_, Result<TargetResponse, TargetError>>;
+
+    /// Whether the target accepts connections.
+    fn probe(&self) -> BoxFuture<'_, bool>;
+}
+
+/// Target that speaks HTTP/1.1.
+pub struct HttpTarget {
+    url: String,
+    address: String,
+    runs: reqwest::Client,
+    calls: reqwest::Client,
+}
+
+impl HttpTarget {
+    /// Creates the client of a target at a base URL.
+    pub fn new(url: &str) -> eyre::Result<Self> {
+        let url = url.trim_end_matches('/');
+        let authority = url
+            .strip_prefix("http://")
+            .and_then(|rest| rest.split('/').next())
+            .ok_or_else(|| eyre::eyre!("Failed to use target URL {url:?}"))?;
+        let address = if authority.contains(':') {
+            authority.to_owned()
+        } else {
+            format!("{authority}:80")
+        };
+        Ok(Self {
+            url: url.into(),
+            address,
+            runs: builder()
+                .build()
+                .wrap_err("Failed to create the HTTP client")?,
+            // A reused connection may close while the request is on its way, and then it is
+            // unknown whether the target has seen it. A call that may not be repeated gets a new
+            // connection.
+            calls: builder()
+                .pool_max_idle_per_host(0)
+                .build()
+                .wrap_err("Failed to create the HTTP client for calls")?,
+        })
+    }
+
+    fn request(&self, request: TargetRequest) -> Result<reqwest::RequestBuilder, TargetError> {
+        let bad = |fault: String| TargetError::BadRequest(fault);
+        let method = http::Method::from_bytes(request.head.method.as_bytes())
+            .map_err(|error| bad(error.to_string()))?;
+        let client = if request.repeatable {
+            &self.runs
+        } else {
+            &self.calls
+        };
+        let mut builder = client.request(method, format!("{}{}", self.url, request.head.path));
+        for field in &request.head.headers {
+            let name = HeaderName::from_bytes(field.name.as_bytes())
+                .map_err(|error| bad(error.to_string()))?;
+            let value =
+                HeaderValue::from_bytes(&field.value).map_err(|error| bad(error.to_string()))?;
+            builder = builder.header(name, value);
+        }
+        if let Some(trace) = request.trace {
+            builder = builder.header("traceparent", trace);
+        }
+        Ok(builder.body(request.body))
+    }
+}
+
+impl TargetClient for HttpTarget {
+    fn send(&self, request: TargetRequest) -> BoxFuture<'_, Result<TargetResponse, TargetError>> {
+        async move {
+            let response = self.request(request)?.send().await.map_err(|error| {
+                let reason = error_chain(&error);
+                if error.is_connect() {
+                    TargetError::Unreachable(reason)
+                } else if error.is_builder() {
+                    TargetError::BadRequest(reason)
+                } else {
+                    TargetError::Lost(reason)
+                }
+            })?;
+            let head = response_head(&response);
+            let body = response
+                .bytes_stream()
+                .map(|part| match part {
+                    Ok(bytes) => Ok(bytes.to_vec()),
+                    Err(error) => Err(TargetError::Lost(error_chain(&error))),
+                })
+                .boxed();
+            Ok(TargetResponse { head, body })
+        }
+        .boxed()
+    }
+
+    fn probe(&self) -> BoxFuture<'_, bool> {
+        async move {
+            let connecting = tokio::net::TcpStream::connect(&self.address);
+            matches!(
+                tokio::time::timeout(CONNECT_TIMEOUT, connecting).await,
+                Ok(Ok(_))
+            )
+        }
+        .boxed()
+    }
+}
+
+fn builder() -> reqwest::ClientBuilder {
+    reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .no_proxy()
+}
+
+fn response_head(response: &reqwest::Response) -> ResponseHead {
+    let headers = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
+        .map(|(name, value)| HeaderField {
+            name: name.as_str().into(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect();
+    ResponseHead {
+        status: response.status().as_u16(),
+        headers,
+    }
+}
+
+/// The error with its causes, since the outer ones of `reqwest` name only the URL.
+fn error_chain(error: &reqwest::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use board::StateBoard;
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, eyre};
 use raft::{
     EntryPayload, LogEntry, LogIndex, NodeRole, PersistBatch, PersistedState, ProposeError,
     RaftAction, RaftMessage, RaftNode, Snapshot, Term,
@@ -55,6 +55,10 @@
         action: RegistryAction,
         reply: oneshot::Sender<Result<RegistryOutcome, ProposeFailure>>,
     },
+    /// Confirms that the applied state is the newest.
+    Confirm { reply: oneshot::Sender<bool> },
+    /// Another control node says that this folder was removed from the group.
+    Removed,
     /// Hands leadership to another node.
     Transfer,
     /// Ends the thread.
@@ -88,6 +92,7 @@
     store: LogStore,
     pending: VecDeque<(u64, PersistBatch)>,
     waiting: BTreeMap<LogIndex, WaitingProposal>,
+    confirming: BTreeMap<u64, oneshot::Sender<bool>>,
     targets: JoinTargets,
     barriers: u64,
     last_barrier: ClockTime,
@@ -148,6 +153,7 @@
             store,
             pending: VecDeque::new(),
             waiting: BTreeMap::new(),
+            confirming: BTreeMap::new(),
             targets: JoinTargets::default(),
             barriers: 0,
             last_barrier: now,
@@ -191,6 +197,11 @@
             DriverEvent::Message { from, to, message } => self.message(from, to, message, now),
             DriverEvent::Announce { name, announce } => self.announced(name, announce, now),
             DriverEvent::Propose { action, reply } => self.propose(action, Some(reply), now),
+            DriverEvent::Confirm { reply } => self.barrier(Some(reply), now),
+            DriverEvent::Removed => Err(eyre!(
+                "Failed to take part: data folder {} was replaced, start with an empty one",
+                self.settings.data.display()
+            )),
             DriverEvent::Transfer => self.transfer(now),
             DriverEvent::Stop => Ok(()),
         }
@@ -204,9 +215,7 @@
         }
         if now.since(self.last_barrier) >= BARRIER_INTERVAL {
             self.last_barrier = now;
-            self.barriers += 1;
-            let actions = self.node.barrier(self.barriers, now);
-            self.carry_out(actions)?;
+            self.barrier(None, now)?;
             self.change_members(now)?;
         }
         Ok(())
@@ -235,6 +244,10 @@
     }
 
     fn announced(&mut self, name: NodeName, announce: PeerAnnounce, now: ClockTime) -> Result<()> {
+        // A replaced folder that comes back must not hide the one that replaced it.
+        if self.node.status().membership.removed.contains(&announce.id) {
+            return Ok(());
+        }
         let seen = SeenPeer {
             announce,
             seen: now,
@@ -246,7 +259,8 @@
     /// Forms the group when all listed nodes are present and empty.
     fn form(&mut self, now: ClockTime) -> Result<()> {
         let status = self.node.status();
-        if status.last > LogIndex(0) || status.snapshot > LogIndex(0) {
+        // A leader has reached this node, so a group exists and the node joins it.
+        if status.last > LogIndex(0) || status.term > Term(0) || !self.pending.is_empty() {
             self.view.write_quietly(|view| view.announce.empty = false);
             return Ok(());
         }
@@ -336,6 +350,23 @@
         }
     }
 
+    /// Starts a read barrier.
+    fn barrier(&mut self, reply: Option<oneshot::Sender<bool>>, now: ClockTime) -> Result<()> {
+        self.barriers += 1;
+        if let Some(reply) = reply {
+            self.confirming.insert(self.barriers, reply);
+        }
+        let actions = self.node.barrier(self.barriers, now);
+        self.carry_out(actions)
+    }
+
+    fn barrier_ended(&mut self, id: u64, done: bool) {
+        if let Some(reply) = self.confirming.remove(&id) {
+            // The waiting request may have timed out.
+            let _ = reply.send(done);
+        }
+    }
+
     fn transfer(&mut self, now: ClockTime) -> Result<()> {
         self.transferring = true;
         match self.node.transfer_leadership(now) {
@@ -351,10 +382,12 @@
                 RaftAction::Persist { id, batch } => self.enqueue(id, batch),
                 RaftAction::Apply { entry } => self.apply(entry)?,
                 RaftAction::Restore { snapshot } => self.restore(&snapshot)?,
-                RaftAction::BarrierDone { started, .. } => self.view.write(|view| {
-                    view.confirmed = view.confirmed.max(Some(started));
-                }),
-                RaftAction::BarrierFailed { .. } => {}
+                RaftAction::BarrierDone { id, started } => {
+                    self.view
+                        .write(|view| view.confirmed = view.confirmed.max(Some(started)));
+                    self.barrier_ended(id, true);
+                }
+                RaftAction::BarrierFailed { id } => self.barrier_ended(id, false),
             }
         }
         Ok(())
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -27,8 +27,17 @@
         return ControlReply::Forbidden(peer.role);
     }
     match request {
-        ControlRequest::Renew(renewal) => renew(context, peer, renewal),
-        ControlRequest::Status => ControlReply::Status(fleet_status(context)),
+        ControlRequest::Renew(renewal) => {
+            if peer.role == NodeRole::Operator && !confirm(context).await {
+                return no_quorum(context);
+            }
+            renew(context, peer, renewal)
+        }
+        ControlRequest::Status => {
+            // Without a quorum the status still tells what this node sees, and that it is alone.
+            confirm(context).await;
+            ControlReply::Status(fleet_status(context))
+        }
         ControlRequest::Directory(entries) => {
             take_directory(context, entries);
             ControlReply::Done
@@ -76,9 +85,10 @@
     };
     let directory = context.nodes.write_quietly(|nodes| {
         if !is_operator {
-            nodes.renewed(renewal.node, now);
+            nodes.announce(renewal.node, now);
         }
-        renewal.directory.map(|known| nodes.delta(known))
+        let known = renewal.directory;
+        known.map(|(source, revision)| nodes.delta_since(source, revision))
     });
     ControlReply::Renewed(RenewReply {
         age_ms: age.as_millis() as u64,
@@ -132,6 +142,24 @@
     }
 }
 
+/// Waits for a read barrier, so that an operator sees every order that was acknowledged before.
+/// The age of a lease allows for older state, but an operator's next order names its version.
+async fn confirm(context: &ControlContext) -> bool {
+    let (reply, done) = oneshot::channel();
+    if context
+        .driver
+        .send(DriverEvent::Confirm { reply })
+        .await
+        .is_err()
+    {
+        return false;
+    }
+    matches!(
+        tokio::time::timeout(COMMIT_TIMEOUT, done).await,
+        Ok(Ok(true))
+    )
+}
+
 /// Proposes an action and waits until it is committed and applied here.
 async fn propose(
     context: &ControlContext,
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -6,6 +6,7 @@
 
 use board::StateBoard;
 use client::{ControlClient, LEASE_TIME};
+use directory::NodeDirectory;
 use raft::NodeStatus;
 use registry::RegistryState;
 use tokio::sync::mpsc;
@@ -13,7 +14,6 @@
 
 use crate::driver::DriverEvent;
 use crate::formation::{PeerAnnounce, SeenPeers};
-use crate::nodes::NodeTable;
 use crate::settings::ControlSettings;
 
 /// Versions whose time of arrival is remembered, to tell since when a node lags.
@@ -86,7 +86,7 @@
     /// What the driver publishes.
     pub(crate) view: StateBoard<DriverView>,
     /// Entries and agents.
-    pub(crate) nodes: StateBoard<NodeTable>,
+    pub(crate) nodes: StateBoard<NodeDirectory>,
     /// To the driver.
     pub(crate) driver: mpsc::Sender<DriverEvent>,
     /// Clients that forward requests to the other control nodes.
--- a/components/ctl/src/apply.rs
+++ b/components/ctl/src/apply.rs
@@ -39,7 +39,8 @@
             text,
         })
         .await?;
-    Ok(order_report(&order, &reply, changes.len(), json))
+    let invalid = ExitStatus::Invalid;
+    Ok(order_report(&order, &reply, changes.len(), invalid, json))
 }
 
 /// The given id, or a random one.
@@ -62,11 +63,12 @@
     text
 }
 
-/// What an order's reply means for the operator.
+/// What an order's reply means for the operator; `invalid` is the status of a faulty order.
 pub(crate) fn order_report(
     order: &OrderId,
     reply: &OrderReply,
     changes: usize,
+    invalid: ExitStatus,
     json: bool,
 ) -> CommandReport {
     let (status, text) = match reply {
@@ -78,7 +80,7 @@
             ExitStatus::Conflict,
             format!("Failed to apply: another order came first, version {current} is in force."),
         ),
-        OrderReply::Invalid(reason) => (ExitStatus::Invalid, format!("Failed to apply: {reason}")),
+        OrderReply::Invalid(reason) => (invalid, format!("Failed to apply: {reason}")),
     };
     if json {
         let value = serde_json::json!({
--- a/components/ctl/src/orders.rs
+++ b/components/ctl/src/orders.rs
@@ -6,7 +6,7 @@
 
 use crate::apply::{order_id, order_report};
 use crate::capacity::{Exclusion, lost_services};
-use crate::commands::CommandReport;
+use crate::commands::{CommandReport, ExitStatus};
 use crate::connection::ControlConnection;
 use crate::options::{OrderOptions, OutState};
 
@@ -56,5 +56,5 @@
         },
     };
     let reply = connection.order(message).await?;
-    Ok(order_report(&order, &reply, 1, json))
+    Ok(order_report(&order, &reply, 1, ExitStatus::Failed, json))
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,33 @@
-//! Entry daemon: ends callers' HTTP and finds a target for each request.
+//! Entry daemon: ends callers' HTTP and decides which target gets a request.
+//!
+//! A request is checked, waits in the offer book until an agent claims it, and runs there. The
+//! entry passes the response on and resumes it when the connection to the agent is lost.
+
+mod call_flow;
+mod calls;
+mod chunks;
+mod daemon;
+mod fleet;
+mod http;
+mod links;
+mod recorder;
+mod refusal;
+mod reply;
+mod request;
+mod run;
+mod serve;
+mod settings;
+mod sink;
+mod state;
+mod upkeep;
+mod usage;
+
+pub use call_flow::{CallAttempt, CallFlow, CallStep, CallVerdict};
+pub use chunks::{ChunkGap, ChunkSequence, ChunkVerdict};
+pub use daemon::{EntryHandle, EntryParts, start, start_with};
+pub use recorder::{CallRecorder, ControlRecorder};
+pub use refusal::{Refusal, RequestOutcome};
+pub use request::{
+    ChatBody, CheckedRequest, idempotency_key, is_canonical_path, split_service_path,
+};
+pub use settings::{EntryLimits, EntrySettings};
