Carry wall time on by the process clock; split the driver's events off

A host clock that is set forward would end the retention of call records early, and a resend would run again. The wall time is now read once at the start.

--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{mpsc, oneshot};
 use units::{ClockSource, ClockTime, DiskId, NodeName};
 
+use crate::driver_event::{DriverEvent, ProposeFailure};
 use crate::formation::{PeerAnnounce, SeenPeer, founders};
 use crate::members::{JoinTargets, MemberStep, next_step};
 use crate::peer_link::{PeerFrame, PeerSenders};
@@ -35,47 +36,6 @@
 /// Events handled before a sync.
 const MAX_EVENTS: usize = 256;
 
-/// What happens to the driver.
-pub(crate) enum DriverEvent {
-    /// Time has passed.
-    Tick,
-    /// A message of another control node.
-    Message {
-        from: DiskId,
-        to: DiskId,
-        message: RaftMessage,
-    },
-    /// Another control node tells about itself.
-    Announce {
-        name: NodeName,
-        announce: PeerAnnounce,
-    },
-    /// A command for the log.
-    Propose {
-        action: RegistryAction,
-        reply: oneshot::Sender<Result<RegistryOutcome, ProposeFailure>>,
-    },
-    /// Confirms that the applied state is the newest.
-    Confirm { reply: oneshot::Sender<bool> },
-    /// Another control node says that this folder was removed from the group.
-    Removed,
-    /// Hands leadership to another node.
-    Transfer,
-    /// Ends the thread.
-    Stop,
-}
-
-/// Why a proposal has no outcome.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum ProposeFailure {
-    /// This node does not lead; nothing was proposed.
-    NotLeader,
-    /// The node refused it; nothing was proposed.
-    Refused(String),
-    /// It is not known whether the proposal is committed.
-    Unknown,
-}
-
 /// A proposal whose entry is not committed yet.
 struct WaitingProposal {
     term: Term,
@@ -86,6 +46,7 @@
 pub(crate) struct RaftDriver {
     settings: Arc<ControlSettings>,
     clock: Arc<dyn ClockSource>,
+    wall_start: WallTime,
     view: StateBoard<DriverView>,
     peers: PeerSenders,
     node: RaftNode,
@@ -147,6 +108,7 @@
         Ok(Self {
             settings,
             clock,
+            wall_start: wall_start(now),
             view,
             peers,
             node,
@@ -292,7 +254,7 @@
         now: ClockTime,
     ) -> Result<()> {
         let command = RegistryCommand {
-            at: wall_time(),
+            at: self.wall_time(now),
             action,
         };
         let bytes = postcard::to_stdvec(&command).wrap_err("Failed to encode a command")?;
@@ -317,6 +279,12 @@
         }
     }
 
+    /// Wall time of a command. It is read once at the start and carried on by the clock of the
+    /// process, so that a host clock that is set forward does not end the retention of call records.
+    fn wall_time(&self, now: ClockTime) -> WallTime {
+        WallTime(self.wall_start.0 + now.0)
+    }
+
     /// Makes the next membership change, if this node leads and one is due.
     fn change_members(&mut self, now: ClockTime) -> Result<()> {
         let status = self.node.status();
@@ -507,7 +475,9 @@
     }
 }
 
-fn wall_time() -> WallTime {
+/// Wall time at which the clock of the process was zero.
+fn wall_start(now: ClockTime) -> WallTime {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    WallTime(since.map_or(0, |since| since.as_millis() as u64))
+    let wall = since.map_or(0, |since| since.as_millis() as u64);
+    WallTime(wall.saturating_sub(now.0))
 }
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -18,7 +18,8 @@
 use units::{ClockSource, DiskId, Incarnation, NodeName, SystemClock};
 use wire::NodeRole;
 
-use crate::driver::{DriverEvent, RaftDriver};
+use crate::driver::RaftDriver;
+use crate::driver_event::DriverEvent;
 use crate::health::{bind_health, serve_health};
 use crate::peer_link::{PeerSenders, keep_stream, pass_directory};
 use crate::server::serve;
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! the status page.
 
 mod driver;
+mod driver_event;
 pub mod formation;
 mod handle;
 mod health;
--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -13,7 +13,7 @@
 use units::{DiskId, NodeName};
 use wire::{DirectoryEntry, NodeRole, StreamKind};
 
-use crate::driver::DriverEvent;
+use crate::driver_event::DriverEvent;
 use crate::formation::PeerAnnounce;
 use crate::state::ControlContext;
 
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -8,7 +8,7 @@
     ControlReply, ControlRequest, Hello, NodeKind, NodeRole, OrderReply, RenewReply, RenewRequest,
 };
 
-use crate::driver::{DriverEvent, ProposeFailure};
+use crate::driver_event::{DriverEvent, ProposeFailure};
 use crate::orders::order_actions;
 use crate::peer_link::take_directory;
 use crate::state::ControlContext;
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use units::{ClockSource, ClockTime, ConfigVersion, NodeName};
 
-use crate::driver::DriverEvent;
+use crate::driver_event::DriverEvent;
 use crate::formation::{PeerAnnounce, SeenPeers};
 use crate::settings::ControlSettings;
 
