--- a/components/client/src/lease.rs
+++ b/components/client/src/lease.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use board::StateBoard;
+use registry::ConfigError;
 use telemetry::{event, events};
+use thiserror::Error;
 use units::{ClockSource, ClockTime, ConfigVersion, Incarnation};
 use wire::{ControlReply, ControlRequest, DirectoryEntry, RenewReply, RenewRequest};
 
@@ -60,11 +62,7 @@
 impl FleetView {
     /// Installs a reply to the renewal that was sent at `sent`, and tells whether the lease grew.
     /// A configuration that cannot be installed leaves the lease as it is.
-    pub fn renewed(
-        &mut self,
-        sent: ClockTime,
-        reply: RenewReply,
-    ) -> Result<bool, registry::ConfigError> {
+    pub fn renewed(&mut self, sent: ClockTime, reply: RenewReply) -> Result<bool, ConfigError> {
         self.config.install(&reply.changes)?;
         if let Some(delta) = reply.directory {
             self.update_directory(delta);
@@ -89,31 +87,64 @@
 ) {
     let mut interval = tokio::time::interval(RENEW_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut held = false;
+    let mut report = LeaseReport::default();
     loop {
         interval.tick().await;
-        held = log_lease(held, &board, clock.now());
+        report.look(&board, clock.now());
         // A failed renewal is repeated at once at the next control node; the lease tells the
         // node's controllers how long failures may last.
-        if renew(&client, &board, &clock, node(), wants_directory)
-            .await
-            .is_err()
-        {
-            let _ = renew(&client, &board, &clock, node(), wants_directory).await;
+        let mut result = renew(&client, &board, &clock, node(), wants_directory).await;
+        if result.is_err() {
+            result = renew(&client, &board, &clock, node(), wants_directory).await;
         }
-        held = log_lease(held, &board, clock.now());
+        report.renewed(&result);
+        report.look(&board, clock.now());
     }
 }
 
-/// Logs a lease that was gained or lost since the last look, and tells whether there is one.
-fn log_lease(held: bool, board: &StateBoard<FleetView>, now: ClockTime) -> bool {
-    let (holds, version) = board.read(|view| (view.has_lease(now), view.config.version));
-    match (held, holds) {
-        (false, true) => event!(events::LEASE_HELD, version = version),
-        (true, false) => event!(events::LEASE_LOST, version = version),
-        _ => {}
+/// What was logged about the lease; only changes are.
+#[derive(Debug, Default)]
+struct LeaseReport {
+    held: bool,
+    failed: bool,
+}
+
+impl LeaseReport {
+    /// Logs a lease that was gained or lost since the last look.
+    fn look(&mut self, board: &StateBoard<FleetView>, now: ClockTime) {
+        let (holds, version) = board.read(|view| (view.has_lease(now), view.config.version));
+        match (self.held, holds) {
+            (false, true) => event!(events::LEASE_HELD, version = version),
+            (true, false) => event!(events::LEASE_LOST, version = version),
+            _ => {}
+        }
+        self.held = holds;
+    }
+
+    /// Logs the first of several failed renewals.
+    fn renewed(&mut self, result: &Result<(), RenewError>) {
+        if let Err(error) = result
+            && !self.failed
+        {
+            event!(events::RENEWAL_FAILED, error = error);
+        }
+        self.failed = result.is_err();
     }
-    holds
+}
+
+/// Why a renewal gave no lease.
+#[derive(Debug, Error)]
+enum RenewError {
+    /// No control node has answered.
+    #[error(transparent)]
+    Client(#[from] ClientError),
+    /// The update of the reply cannot be installed; the next renewal names the installed version
+    /// again.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// Control does not accept the request.
+    #[error("Failed to renew: control answered {0}")]
+    Refused(String),
 }
 
 /// Renews the lease once.
@@ -123,7 +154,7 @@
     clock: &Arc<dyn ClockSource>,
     mut node: DirectoryEntry,
     wants_directory: bool,
-) -> Result<(), ClientError> {
+) -> Result<(), RenewError> {
     let (config, revision) = board.read(|view| (view.config.version, view.revision));
     node.config = config;
     // A revision of no control node asks for the whole directory.
@@ -134,10 +165,11 @@
         directory,
     });
     let sent = clock.now();
-    if let ControlReply::Renewed(reply) = client.request_once(&request).await? {
-        // An update that does not fit leaves the lease as it is; the next renewal names the
-        // installed version again.
-        let _ = board.write(|view| view.renewed(sent, reply));
+    match client.request_once(&request).await? {
+        ControlReply::Renewed(reply) => {
+            board.write(|view| view.renewed(sent, reply))?;
+            Ok(())
+        }
+        reply => Err(RenewError::Refused(format!("{reply:?}"))),
     }
-    Ok(())
 }
