--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -120,12 +120,15 @@
             code,
             message,
         } => {
-            telemetry::event!(
-                telemetry::events::ENTRY_RUN_FAILED,
-                code = ?code,
-                status = ?status,
-                reason = message
-            );
+            // A caller that went away needs no answer, and is no fault.
+            if code != FailureCode::Cancelled {
+                telemetry::event!(
+                    telemetry::events::ENTRY_RUN_FAILED,
+                    code = ?code,
+                    status = ?status,
+                    reason = message
+                );
+            }
             sink.refuse(Refusal::of_run(status, code, &message)).await;
         }
     }
