Show that whole answers drop the limit of a healthy target

Ruled out: cold engines (none fell over, all carried 8) and late claims (streamed load alone fills them).

The agent measures the time to the first byte. That of a whole answer arrives with its last token, so answers of different lengths exceed four times the best latency and drop the limit to cold.

--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use bilberrycrank::dev::{DevFleet, DevSettings};
-use load::{LoadProfile, LoadTargets, run_load};
+use load::{Answer, CallKind, CallRequest, Caller, LoadProfile, LoadTargets, run_load};
 use manifest::ServiceKind;
 use rstest::rstest;
 use standin::EngineSettings;
+use tokio::task::JoinSet;
 
 /// Load of each example, and the key that its fleet is probed with.
 const EXAMPLES: [(&str, &str, &str); 2] = [
@@ -22,13 +23,13 @@
     ),
 ];
 
-async fn start_fleet(text: &str, key: &str) -> DevFleet {
+async fn start_fleet(text: &str, key: &str, engines: usize) -> DevFleet {
     let settings = DevSettings {
         entries: 2,
-        engines: 3,
+        engines,
         services: 1,
         engine: EngineSettings {
-            token_time: Duration::from_millis(5),
+            token_time: Duration::from_millis(3),
             prefill_time: Duration::from_millis(10),
             ..EngineSettings::default()
         },
@@ -61,7 +62,7 @@
     let mut profile = LoadProfile::parse(profile).unwrap();
     profile.duration_s = 3;
     profile.requests_per_s = 30.0;
-    let fleet = start_fleet(text, key).await;
+    let fleet = start_fleet(text, key, 3).await;
 
     let report = run_load(&profile, &load_targets(&fleet)).await.unwrap();
 
@@ -72,3 +73,52 @@
     assert_eq!(bookings.confirmed, bookings.asked, "{report}");
     assert_eq!(bookings.unread_services, 0, "{report}");
 }
+
+/// Sends whole chat completions of different lengths, eight at a time, until an agent's limit has
+/// reached the batch limit of its engine.
+async fn limit_after_whole_answers(fleet: &DevFleet, requests: usize) -> u32 {
+    let entries = fleet.entries.iter().map(|entry| entry.http()).collect();
+    let caller = Caller::new(entries, Duration::from_secs(20)).unwrap();
+    let mut most = 0;
+    for round in 0..requests / 8 {
+        let calls: JoinSet<_> = (0..8)
+            .map(|number| {
+                let request = whole_chat(round * 8 + number);
+                let caller = caller.clone();
+                async move { caller.send(&request, number).await.answer }
+            })
+            .collect();
+        for answer in calls.join_all().await {
+            assert_eq!(answer, Answer::Whole);
+        }
+        let status = fleet.controls[0].status();
+        let limits = status.nodes.iter().filter_map(|node| node.target.as_ref());
+        let limits = limits.filter(|target| target.service.as_str() == "stone-advice");
+        most = limits.map(|target| target.limit.0).fold(most, u32::max);
+    }
+    most
+}
+
+fn whole_chat(number: usize) -> CallRequest {
+    CallRequest {
+        key: EXAMPLES[0].2.into(),
+        kind: CallKind::Chat {
+            service: "stone-advice".into(),
+            prompt: format!("question {number}"),
+            max_tokens: 8 + 11 * (number as u64 % 8),
+            stream: false,
+        },
+    }
+}
+
+/// Guards against capacity that stays idle while work waits: a whole answer arrives when its last
+/// token is produced, so its length must not count as a slow first token.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn whole_answers_raise_the_limit() {
+    let (text, _, key) = EXAMPLES[0];
+    let fleet = start_fleet(text, key, 1).await;
+
+    let limit = limit_after_whole_answers(&fleet, 240).await;
+
+    assert_eq!(limit, 8);
+}
