Keep an engine at full use in the test of its limit

A trace of each run showed why: callers were as many as the places, half of them behind an entry of another region whose offers arrive 150 ms later, so the engine was rarely at full use and the limit had no reason to grow.

Now 16 callers use one entry of the agent's region.

--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bilberrycrank::dev::{DevFleet, DevSettings};
+use control::FleetStatus;
 use load::{Answer, CallKind, CallRequest, Caller, LoadProfile, LoadTargets, run_load};
 use manifest::ServiceKind;
 use rstest::rstest;
@@ -23,9 +24,9 @@
     ),
 ];
 
-async fn start_fleet(text: &str, key: &str, engines: usize) -> DevFleet {
+async fn start_fleet(text: &str, key: &str, entries: usize, engines: usize) -> DevFleet {
     let settings = DevSettings {
-        entries: 2,
+        entries,
         engines,
         services: 1,
         engine: EngineSettings {
@@ -62,7 +63,7 @@
     let mut profile = LoadProfile::parse(profile).unwrap();
     profile.duration_s = 3;
     profile.requests_per_s = 30.0;
-    let fleet = start_fleet(text, key, 3).await;
+    let fleet = start_fleet(text, key, 2, 3).await;
 
     let report = run_load(&profile, &load_targets(&fleet)).await.unwrap();
 
@@ -74,29 +75,33 @@
     assert_eq!(bookings.unread_services, 0, "{report}");
 }
 
-/// Sends whole chat completions of different lengths, eight at a time, until an agent's limit has
-/// reached the batch limit of its engine.
-async fn limit_after_whole_answers(fleet: &DevFleet, requests: usize) -> u32 {
+/// Places in an engine's batch.
+const PLACES: u32 = 8;
+/// Callers that each wait for an answer before they ask again; twice the places, so that work waits.
+const CALLERS: usize = 16;
+
+/// Sends whole chat completions of different lengths at full use.
+async fn send_whole_chats(fleet: &DevFleet, each: usize) {
     let entries = fleet.entries.iter().map(|entry| entry.http()).collect();
     let caller = Caller::new(entries, Duration::from_secs(20)).unwrap();
-    let mut most = 0;
-    for round in 0..requests / 8 {
-        let calls: JoinSet<_> = (0..8)
-            .map(|number| {
-                let request = whole_chat(round * 8 + number);
-                let caller = caller.clone();
-                async move { caller.send(&request, number).await.answer }
-            })
-            .collect();
-        for answer in calls.join_all().await {
-            assert_eq!(answer, Answer::Whole);
-        }
-        let status = fleet.controls[0].status();
-        let limits = status.nodes.iter().filter_map(|node| node.target.as_ref());
-        let limits = limits.filter(|target| target.service.as_str() == "stone-advice");
-        most = limits.map(|target| target.limit.0).fold(most, u32::max);
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let caller = caller.clone();
+        callers.spawn(async move {
+            for round in 0..each {
+                let request = whole_chat(round * CALLERS + number);
+                assert_eq!(caller.send(&request, number).await.answer, Answer::Whole);
+            }
+        });
     }
-    most
+    callers.join_all().await;
+}
+
+/// Limit of the one agent of the model service, as control reports it.
+fn advice_limit(status: &FleetStatus) -> u32 {
+    let targets = status.nodes.iter().filter_map(|node| node.target.as_ref());
+    let mut advice = targets.filter(|target| target.service.as_str() == "stone-advice");
+    advice.next().map_or(0, |target| target.limit.0)
 }
 
 fn whole_chat(number: usize) -> CallRequest {
@@ -116,9 +121,16 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn whole_answers_raise_the_limit() {
     let (text, _, key) = EXAMPLES[0];
-    let fleet = start_fleet(text, key, 1).await;
+    let fleet = start_fleet(text, key, 1, 1).await;
 
-    let limit = limit_after_whole_answers(&fleet, 240).await;
+    send_whole_chats(&fleet, 15).await;
 
-    assert_eq!(limit, 8);
+    // The agent reports its limit with its next renewal.
+    let raised = fleet.controls[0].wait_until(|status| advice_limit(status) == PLACES);
+    let waited = tokio::time::timeout(Duration::from_secs(2), raised).await;
+    let limit = advice_limit(&fleet.controls[0].status());
+    assert!(
+        waited.is_ok(),
+        "the limit is {limit} after 240 whole answers"
+    );
 }
