Test planned stops of separate processes

An entry, an agent and the leading control node get SIGTERM while requests are open: every answer must be whole and each process must end with success.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -209,3 +209,27 @@
         })
         .await;
 }
+
+/// Guards against a planned stop that interrupts a request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn terminated_processes_interrupt_no_request() {
+    let _gate = one_at_a_time().await;
+    let mut fleet = TestFleet::start().await;
+    let open = OpenRequests::send(&fleet, "stop").await;
+    let leader = fleet.leader();
+
+    fleet.entries[0].terminate();
+    fleet.agents[0].terminate();
+    fleet.controls[leader].terminate();
+
+    for (kind, result) in open.check(&fleet).await {
+        assert_eq!(result.answer, Answer::Whole, "{kind:?}");
+    }
+    fleet.wait_stopped(|fleet| &mut fleet.entries[0]).await;
+    fleet.wait_stopped(|fleet| &mut fleet.agents[0]).await;
+    fleet
+        .wait_stopped(move |fleet| &mut fleet.controls[leader])
+        .await;
+    fleet.entries[0].restart();
+    check_serving(&fleet, "stop").await;
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -268,6 +268,15 @@
         status(self.engines[index].address("engine")).await
     }
 
+    /// Waits until a terminated process has ended.
+    pub(crate) async fn wait_stopped(&mut self, pick: impl Fn(&mut Self) -> &mut FleetProcess) {
+        let start = Instant::now();
+        while !pick(self).has_stopped() {
+            assert!(start.elapsed() < PATIENCE, "the process does not end");
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
     /// Waits until a condition holds, which is looked at again and again.
     pub(crate) async fn wait_until<F: Future<Output = bool>>(
         &self,
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -67,6 +67,24 @@
         self.child.wait().unwrap();
     }
 
+    /// Sends SIGTERM, as the host's init system does for a planned stop.
+    pub(crate) fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        assert!(status.success());
+    }
+
+    /// Whether the process has ended by itself without a failure.
+    pub(crate) fn has_stopped(&mut self) -> bool {
+        match self.child.try_wait().unwrap() {
+            Some(status) => {
+                assert!(status.success(), "{} ended with {status}", self.name);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Starts a killed process again, as the host's init system does.
     pub(crate) fn restart(&mut self) {
         let (child, lines) = spawn(&self.binary, &self.arguments, &self.log);
