Test a data centre that leaves and returns under load

A data centre is taken out while 40 requests/s run: 3 s later its engine starts nothing more, it gets work again after it was brought back, and every answer of the load is whole. DevFleet keeps an operator's client for orders.

--- a/src/dev/mod.rs
+++ b/src/dev/mod.rs
@@ -10,13 +10,15 @@
 use std::time::Duration;
 
 use agent::AgentHandle;
+use client::ControlClient;
 use control::{ControlHandle, FleetStatus};
 use entry::EntryHandle;
 use eyre::{Result, WrapErr, bail, ensure, eyre};
 use manifest::{FleetManifest, ServiceKind};
 use standin::{EngineSettings, RunningStandin, ServiceSettings, start_engine, start_service};
 use tempfile::TempDir;
-use units::{DataCentreName, NodeName, ServiceName};
+use units::{ConfigVersion, DataCentreName, NodeName, OrderId, ServiceName};
+use wire::OperatorOrder;
 
 pub use guide::print_guide;
 
@@ -91,6 +93,7 @@
     pub entries: Vec<EntryHandle>,
     /// Targets.
     pub targets: Vec<DevTarget>,
+    operator: ControlClient,
     folder: TempDir,
 }
 
@@ -103,13 +106,20 @@
         let controls = nodes::start_controls(&keys, folder.path(), settings.controls).await?;
         let addresses: Vec<SocketAddr> = controls.iter().map(ControlHandle::address).collect();
         wait_quorum(&controls).await?;
-        nodes::apply_text(&keys, addresses.clone(), &settings.text).await?;
+        let operator = nodes::operator_client(&keys, addresses.clone())?;
+        let first_text = OperatorOrder::Apply {
+            order: OrderId::from("dev-first-text"),
+            expected: ConfigVersion(0),
+            text: settings.text.clone(),
+        };
+        nodes::send_order(&operator, first_text).await?;
         let data_centres: Vec<_> = manifest.data_centres.keys().cloned().collect();
         let mut fleet = Self {
             manifest,
             controls,
             entries: Vec::new(),
             targets: Vec::new(),
+            operator,
             folder,
         };
         fleet
@@ -134,6 +144,12 @@
         self.folder.path().join("keys")
     }
 
+    /// Sends an operator's order until it is answered, and returns the version from which on it is
+    /// in force.
+    pub async fn order(&self, order: OperatorOrder) -> Result<ConfigVersion> {
+        nodes::send_order(&self.operator, order).await
+    }
+
     async fn start_targets(
         &mut self,
         settings: &DevSettings,
--- a/src/dev/nodes.rs
+++ b/src/dev/nodes.rs
@@ -11,15 +11,13 @@
 use eyre::{Result, WrapErr, bail, eyre};
 use link::{KeyAuthority, LinkEndpoint, LinkIdentity};
 use manifest::ServiceKind;
-use units::{
-    ConfigVersion, DataCentreName, Incarnation, NodeName, OrderId, ServiceName, SlotCount,
-};
+use units::{ConfigVersion, DataCentreName, Incarnation, NodeName, ServiceName, SlotCount};
 use wire::{ControlReply, ControlRequest, NodeRole, OperatorOrder, OrderReply};
 
 /// Name of the operator whose keys are issued.
 const OPERATOR: &str = "dev";
-/// Attempts to apply the text; an election takes up to a second and an attempt may take as long.
-const APPLY_ATTEMPTS: usize = 20;
+/// Attempts to send an order; an election takes up to a second and an attempt may take as long.
+const ORDER_ATTEMPTS: usize = 20;
 
 /// Loopback address with a port that the system chooses.
 const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -80,28 +78,27 @@
     Ok(controls)
 }
 
-/// Puts the services text in force, as the first version.
-pub(super) async fn apply_text(
-    keys: &DevKeys,
-    controls: Vec<SocketAddr>,
-    text: &str,
-) -> Result<()> {
+/// Opens the operator's client.
+pub(super) fn operator_client(keys: &DevKeys, controls: Vec<SocketAddr>) -> Result<ControlClient> {
     let endpoint = keys.endpoint(NodeRole::Operator, &OPERATOR.into())?;
-    let client = ControlClient::new(endpoint, controls);
-    let request = ControlRequest::Order(OperatorOrder::Apply {
-        order: OrderId::from("dev-first-text"),
-        expected: ConfigVersion(0),
-        text: text.to_string(),
-    });
+    Ok(ControlClient::new(endpoint, controls))
+}
+
+/// Sends an order until it is answered; its id makes that safe.
+pub(super) async fn send_order(
+    client: &ControlClient,
+    order: OperatorOrder,
+) -> Result<ConfigVersion> {
+    let request = ControlRequest::Order(order);
     let mut failure = eyre!("no attempt was made");
-    for _ in 0..APPLY_ATTEMPTS {
+    for _ in 0..ORDER_ATTEMPTS {
         match client.request(&request).await {
-            Ok(ControlReply::Order(OrderReply::Accepted(_))) => return Ok(()),
-            Ok(reply) => bail!("Failed to apply the services text: {reply:?}"),
+            Ok(ControlReply::Order(OrderReply::Accepted(version))) => return Ok(version),
+            Ok(reply) => bail!("Failed to send an order: {reply:?}"),
             Err(error) => failure = error.into(),
         }
     }
-    Err(failure).wrap_err("Failed to apply the services text")
+    Err(failure).wrap_err("Failed to send an order")
 }
 
 pub(super) fn entry_name(index: usize) -> NodeName {
--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -7,8 +7,10 @@
 use load::{Answer, CallKind, CallRequest, Caller, LoadProfile, LoadTargets, run_load};
 use manifest::ServiceKind;
 use rstest::rstest;
-use standin::EngineSettings;
+use standin::{EngineSettings, EngineStatus};
 use tokio::task::JoinSet;
+use units::ConfigVersion;
+use wire::OperatorOrder;
 
 /// Load of each example, and the key that its fleet is probed with.
 const EXAMPLES: [(&str, &str, &str); 2] = [
@@ -28,7 +30,7 @@
     let settings = DevSettings {
         entries,
         engines,
-        services: 1,
+        services: 2,
         engine: EngineSettings {
             token_time: Duration::from_millis(3),
             prefill_time: Duration::from_millis(10),
@@ -75,6 +77,70 @@
     assert_eq!(bookings.unread_services, 0, "{report}");
 }
 
+/// Time after which a data centre that was taken out gets no new work.
+const OUT_TIME: Duration = Duration::from_secs(3);
+
+async fn order_data_centre(fleet: &DevFleet, expected: u64, out: bool) {
+    let order = OperatorOrder::DataCentre {
+        order: format!("brno-2-{out}").as_str().into(),
+        expected: ConfigVersion(expected),
+        data_centre: "brno-2".into(),
+        out,
+    };
+    fleet.order(order).await.unwrap();
+}
+
+/// Requests that the engine in the data centre has started.
+async fn started(fleet: &DevFleet) -> u64 {
+    let mut engines = fleet.targets.iter().filter(|target| {
+        target.kind == ServiceKind::Model && target.data_centre.as_str() == "brno-2"
+    });
+    let address = engines.next().unwrap().standin.address();
+    let url = format!("http://{address}/standin/status");
+    let status: EngineStatus = reqwest::get(url).await.unwrap().json().await.unwrap();
+    status.started
+}
+
+async fn wait_started(fleet: &DevFleet, more_than: u64) {
+    let waiting = async {
+        while started(fleet).await <= more_than {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(20), waiting).await;
+    assert!(waited.is_ok(), "the engine got no work");
+}
+
+/// Guards against work for a data centre that is out, and against requests that are lost while it
+/// leaves and returns.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn data_centre_leaves_and_returns_under_load() {
+    let (text, profile, key) = EXAMPLES[0];
+    let mut profile = LoadProfile::parse(profile).unwrap();
+    profile.duration_s = 10;
+    profile.requests_per_s = 40.0;
+    let fleet = start_fleet(text, key, 2, 6).await;
+    let targets = load_targets(&fleet);
+    let load = tokio::spawn(async move { run_load(&profile, &targets).await.unwrap() });
+
+    wait_started(&fleet, 0).await;
+    order_data_centre(&fleet, 1, true).await;
+    tokio::time::sleep(OUT_TIME).await;
+    let at_out = started(&fleet).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let while_out = started(&fleet).await;
+    order_data_centre(&fleet, 2, false).await;
+    wait_started(&fleet, while_out).await;
+
+    assert_eq!(
+        while_out, at_out,
+        "the data centre got work while it was out"
+    );
+    let report = load.await.unwrap();
+    assert_eq!(report.whole, report.requests, "{report}");
+    assert!(!report.has_violation(), "{report}");
+}
+
 /// Places in an engine's batch.
 const PLACES: u32 = 8;
 /// Callers that each wait for an answer before they ask again; twice the places, so that work waits.
