--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cadence::prelude::*;
 use fastrace::Span;
 use fastrace::collector::SpanContext;
 use fastrace::future::FutureExt as _;
@@ -205,12 +206,14 @@
     request: &OpenRequest,
     sink: &mut ResponseSink,
 ) -> AttemptEnd {
+    let begun = Instant::now();
     let waiting = wait_for_slot(shared, request, sink);
     let span = Span::enter_with_local_parent("entry.offer-wait");
     let grant = match waiting.in_span(span).await {
         Ok(grant) => grant,
         Err(end) => return end,
     };
+    let _ = shared.metrics.time("offer-wait", begun.elapsed());
     if let Some(key) = &request.checked.call {
         return calls::run_call(shared, request, key, grant, sink).await;
     }
@@ -244,6 +247,8 @@
     enqueue(shared, request, id, sender).map_err(AttemptEnd::Refused)?;
     let waiting = WaitGuard { shared, id };
     let event = tokio::select! {
+        // A grant that is already there must be used or given back.
+        biased;
         event = granted => event,
         () = sink.closed() => {
             return Err(AttemptEnd::Refused(Refusal::not_run(
