--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -9,7 +9,7 @@
     UsageReport,
 };
 
-use crate::driver::{DriverEvent, ProposeFailure};
+use crate::driver_event::{DriverEvent, ProposeFailure};
 use crate::orders::order_actions;
 use crate::peer_link::take_directory;
 use crate::state::ControlContext;
