Measure usage homes on control nodes; correct the rows of offers and heartbeats

Reading the mechanisms behind its rows showed two that do not exist: pings are sent to every connected agent while a request waits, not only where a run waits for its first token, and a request that waits is offered to all agents of its service (a wave each 20 ms), not to 4.

Rows of offers and heartbeats follow the code.

--- a/components/bench/src/capacity.rs
+++ b/components/bench/src/capacity.rs
@@ -80,7 +80,7 @@
             requests,
             measured.entry_decision(size, waiting),
         ),
-        heartbeats(size, measured, size.running() / size.entries()),
+        heartbeats(measured, size.entry_connections()),
         renewal(measured, size.targets * TARGET_CHANGES),
         configuration(size, measured),
     ];
@@ -97,7 +97,7 @@
     let rows = vec![
         late_binding(size, measured, requests, measured.agent_decision.at(held)),
         usage(size, measured),
-        heartbeats(size, measured, size.running() / size.targets),
+        heartbeats(measured, size.agent_connections()),
         renewal(measured, 0.0),
         configuration(size, measured),
     ];
@@ -167,8 +167,8 @@
 }
 
 fn late_binding(size: &FleetSize, measured: &Measured, requests: f64, decision: f64) -> WorkRow {
-    let messages = 2.0 * size.offers_each + 1.0;
-    let bytes = size.offers_each * (measured.sizes.offer + measured.sizes.withdraw)
+    let messages = 2.0 * size.offers_each() + 1.0;
+    let bytes = size.offers_each() * (measured.sizes.offer + measured.sizes.withdraw)
         + measured.sizes.withdraw
         + messages * measured.overhead_bytes() / 2.0;
     WorkRow {
@@ -195,18 +195,16 @@
 impl ReportRound {
     /// Works out a round at the size of the fleet.
     pub(crate) fn of(size: &FleetSize, measured: &Measured) -> Self {
-        // Each offer held and each run is taken to be of another flow.
-        let waiting = size.offers_held();
-        let running = size.running() / size.targets;
-        let backlogged = running * size.backlogged_runs;
-        let flows = waiting + backlogged;
+        // A run of a backlogged organisation belongs to one of the flows with offers: waiting
+        // requests are offered to all agents of the service.
+        let flows = size.flows_held();
+        let others = size.running() / size.targets * (1.0 - size.backlogged_runs);
         let flow_bytes = measured.report.fit.slope + measured.totals_reply.fit.slope;
         let message_bytes = measured.report.fit.base
             + measured.totals_reply.fit.base
             + measured.request_overhead_bytes();
         // The other runs are reported by time, whatever the interval of rounds.
-        let slow =
-            (running - backlogged) * measured.report.fit.slope / fair::RUN_INTERVAL.as_secs_f64();
+        let slow = others * measured.report.fit.slope / fair::RUN_INTERVAL.as_secs_f64();
         let bytes = flows * flow_bytes + size.controls * message_bytes;
         let rate = fair::REPORT_RATE as f64 - slow;
         let interval_s = (bytes / rate).max(fair::REPORT_INTERVAL.as_secs_f64());
@@ -221,7 +219,7 @@
 fn usage(size: &FleetSize, measured: &Measured) -> WorkRow {
     let round = ReportRound::of(size, measured);
     let rate = 1.0 / round.interval_s;
-    let flows = size.offers_held() + size.running() / size.targets;
+    let flows = size.flows_held() + size.running() / size.targets;
     let tokens = size.tokens / size.targets;
     WorkRow {
         work: "usage reports, and charges of tokens",
@@ -239,7 +237,7 @@
     let round = ReportRound::of(size, measured);
     // Each agent asks each control node in each round.
     let rate = size.targets / round.interval_s;
-    let counts = size.targets * (size.offers_held() + size.running() / size.targets);
+    let counts = size.targets * (size.flows_held() + size.running() / size.targets);
     WorkRow {
         work: "usage homes of its share of the flows",
         mechanism: "`UsageReport`, `UsageTotals`",
@@ -251,14 +249,10 @@
     }
 }
 
-fn heartbeats(size: &FleetSize, measured: &Measured, running: f64) -> WorkRow {
-    // A stream that produces tokens proves its connection alive; only requests that wait for their
-    // first token need heartbeats: 1.2 s of the duration of a request at most.
-    let duration_s = size.running() / size.requests;
-    let silent = running * (1.2 / duration_s).min(1.0);
-    let rate = silent * ROUNDS;
+fn heartbeats(measured: &Measured, connections: f64) -> WorkRow {
+    let rate = connections * ROUNDS;
     WorkRow {
-        work: "heartbeats on connections that are silent while requests run",
+        work: "heartbeats on connections on which requests run or wait",
         mechanism: "`Ping`, `Pong`",
         rate,
         time_ns: rate * measured.exchange_ns() / 2.0,
--- a/components/bench/src/fleet.rs
+++ b/components/bench/src/fleet.rs
@@ -25,10 +25,12 @@
     pub waiting_each: f64,
     /// Share of requests that may not be repeated (assumed).
     pub recorded_share: f64,
-    /// Share of the running requests whose organisations are backlogged (assumed).
+    /// Share of the requests whose organisations are backlogged (assumed).
     pub backlogged_runs: f64,
-    /// Agents that a request is offered to before it is claimed (assumed).
-    pub offers_each: f64,
+    /// Services, each with as many targets.
+    pub services: f64,
+    /// Agents that a request is offered to if it is claimed in the first wave.
+    pub wave_size: f64,
 }
 
 impl FleetSize {
@@ -46,7 +48,8 @@
         waiting_each: 4.0,
         recorded_share: 0.02,
         backlogged_runs: 0.5,
-        offers_each: 4.0,
+        services: 24.0,
+        wave_size: 4.0,
     };
 
     /// Entries.
@@ -64,10 +67,41 @@
         self.backlogged * self.waiting_each
     }
 
+    /// Agents of one service. A request that waits is offered to all of them: a wave each 20 ms.
+    pub fn service_agents(&self) -> f64 {
+        self.targets / self.services
+    }
+
+    /// Agents that a request is offered to, in the mean.
+    pub fn offers_each(&self) -> f64 {
+        (1.0 - self.backlogged_runs) * self.wave_size + self.backlogged_runs * self.service_agents()
+    }
+
     /// Offers that one agent holds.
     pub fn offers_held(&self) -> f64 {
-        self.waiting() * self.offers_each / self.targets
+        self.waiting() * self.service_agents() / self.targets
+    }
+
+    /// Flows with offers at one agent: at most the backlogged ones of its service.
+    pub fn flows_held(&self) -> f64 {
+        self.offers_held().min(self.backlogged / self.services)
     }
+
+    /// Connections of an entry on which requests run or wait, of one for each agent.
+    pub fn entry_connections(&self) -> f64 {
+        let open = self.running() + self.waiting() * self.service_agents();
+        distinct(open / self.entries(), self.targets)
+    }
+
+    /// Connections of an agent on which requests run or wait.
+    pub fn agent_connections(&self) -> f64 {
+        self.entry_connections() * self.entries() / self.targets
+    }
+}
+
+/// Number of places that are taken when items are put on random ones.
+fn distinct(items: f64, places: f64) -> f64 {
+    places * (1.0 - (-items / places).exp())
 }
 
 /// What control work may cost on one node.
--- a/components/bench/src/links.rs
+++ b/components/bench/src/links.rs
@@ -14,6 +14,9 @@
 /// Heartbeats in one measurement.
 const HEARTBEATS: [u64; 4] = [500, 1000, 2000, 4000];
 
+/// Messages in one batch.
+const BATCH: u64 = 4;
+
 /// Bytes of the headers of IPv4 and UDP in front of each datagram.
 const HEADER_BYTES: u64 = 28;
 
@@ -24,6 +27,8 @@
     pub bytes: SlopeSeries,
     /// Bytes of a request to control and its reply on a stream of their own, without their bodies.
     pub request_bytes: SlopeSeries,
+    /// Bytes of heartbeats and answers that are sent four at a time.
+    pub batch_bytes: SlopeSeries,
     /// Processor time of both ends without that of the kernel's network stack on other threads.
     pub time: SlopeSeries,
 }
@@ -64,6 +69,7 @@
             cost: (wire_bytes(&link) - before) as f64,
         });
     }
+    let batches = batches(&link, &mut writer, &mut reader).await?;
     let requests = requests(&link).await?;
     link.close("measured");
     answering
@@ -71,6 +77,11 @@
         .wrap_err("Failed to end the answering side")??;
     Ok(LinkCosts {
         bytes: series("heartbeat and answer on a link", CostUnit::Bytes, bytes),
+        batch_bytes: series(
+            "heartbeat and answer on a link, four at a time",
+            CostUnit::Bytes,
+            batches,
+        ),
         request_bytes: series(
             "request and reply on a stream of their own",
             CostUnit::Bytes,
@@ -141,6 +152,34 @@
     Ok(())
 }
 
+/// Sends heartbeats in batches, to see what headers messages share in one datagram.
+async fn batches(
+    link: &PeerLink,
+    writer: &mut FrameWriter,
+    reader: &mut FrameReader,
+) -> Result<Vec<SlopePoint>> {
+    let mut points = Vec::new();
+    for count in HEARTBEATS {
+        let before = wire_bytes(link);
+        for _ in 0..count / BATCH {
+            for number in 0..BATCH {
+                writer.send(&EntryMessage::Ping(number)).await?;
+            }
+            for _ in 0..BATCH {
+                reader
+                    .receive::<AgentMessage>()
+                    .await?
+                    .ok_or_eyre("Failed to receive a heartbeat's answer: stream ended")?;
+            }
+        }
+        points.push(SlopePoint {
+            size: count,
+            cost: (wire_bytes(link) - before) as f64,
+        });
+    }
+    Ok(points)
+}
+
 /// Sends small requests on streams of their own, as nodes do to control.
 async fn requests(link: &PeerLink) -> Result<Vec<SlopePoint>> {
     let mut points = Vec::new();
--- a/components/bench/src/measured.rs
+++ b/components/bench/src/measured.rs
@@ -49,6 +49,8 @@
     pub report: SlopeSeries,
     /// Size of the answer to a usage report, by flows.
     pub totals_reply: SlopeSeries,
+    /// Size of the whole configuration, by organisations.
+    pub whole_configuration: SlopeSeries,
     /// Size of a directory change, by nodes.
     pub directory: SlopeSeries,
 }
@@ -93,6 +95,7 @@
             node_memory,
             report,
             totals_reply,
+            whole_configuration: state::whole_configuration(),
             directory,
         })
     }
@@ -111,10 +114,12 @@
             &self.record_call,
             &self.link.time,
             &self.link.bytes,
+            &self.link.batch_bytes,
             &self.link.request_bytes,
             &self.report,
             &self.totals_reply,
             &self.directory,
+            &self.whole_configuration,
             &self.text_memory,
             &self.call_memory,
             &self.flow_memory,
--- a/components/bench/src/page.rs
+++ b/components/bench/src/page.rs
@@ -87,20 +87,31 @@
             size.recorded_share,
             "assumed",
         ),
+        ("services", size.services, "goal (models)"),
         (
-            "agents that a request is offered to",
-            size.offers_each,
+            "agents that a request is offered to if it is claimed at once",
+            size.wave_size,
             "wave size",
         ),
         (
-            "share of the running requests whose organisations are backlogged",
+            "agents that a waiting request is offered to",
+            size.service_agents(),
+            "all of its service, a wave each 20 ms",
+        ),
+        (
+            "connections of an entry with open requests",
+            size.entry_connections(),
+            "running and offered requests at random agents",
+        ),
+        (
+            "share of the requests whose organisations are backlogged",
             size.backlogged_runs,
             "assumed",
         ),
         (
             "flows in a report round of an agent",
             round.flows,
-            "one for each offer held and each run that is backlogged elsewhere",
+            "one for each backlogged organisation of the service",
         ),
         (
             "bytes of a report round of an agent",
--- a/components/bench/src/state.rs
+++ b/components/bench/src/state.rs
@@ -86,6 +86,20 @@
     ]
 }
 
+/// Measures the whole configuration as a node gets it that has none.
+pub(crate) fn whole_configuration() -> SlopeSeries {
+    SlopeSeries::measure(
+        "whole configuration in a renewal",
+        "organisations",
+        CostUnit::Bytes,
+        &ORGANISATIONS,
+        |size| {
+            let state = registry_with_organisations(size);
+            state.changes_since(ConfigVersion(0)).len() as f64
+        },
+    )
+}
+
 fn registry_with_organisations(organisations: u64) -> RegistryState {
     let empty = fixtures::manifest(0);
     let changes = empty.diff(&fixtures::manifest(organisations));
--- a/components/entry/src/settings.rs
+++ b/components/entry/src/settings.rs
@@ -38,6 +38,8 @@
     pub request_timeout: Duration,
     /// Wait after which a request is offered to other regions.
     pub spill_after: Duration,
+    /// Agents that a request is offered to in one wave.
+    pub wave_size: usize,
 }
 
 impl Default for EntryLimits {
@@ -48,6 +50,7 @@
             body_timeout: Duration::from_secs(30),
             request_timeout: Duration::from_secs(300),
             spill_after: Duration::from_millis(150),
+            wave_size: usize::MAX,
         }
     }
 }
@@ -71,6 +74,9 @@
         if self.limits.request_timeout.is_zero() {
             faults.push("Failed to use request timeout 0: expected at least 1 ms".into());
         }
+        if self.limits.wave_size == 0 {
+            faults.push("Failed to use wave size 0: expected at least 1 agent".into());
+        }
         if !self.keys.is_dir() {
             let keys = self.keys.display();
             faults.push(format!("Failed to use keys folder {keys}: no such folder"));
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -50,6 +50,7 @@
 impl EntryState {
     pub(crate) fn new(settings: &EntrySettings) -> Self {
         let book = BookSettings {
+            wave_size: settings.limits.wave_size,
             spill_after: settings.limits.spill_after,
             ..BookSettings::default()
         };
--- a/components/offers/tests/common/meter.rs
+++ b/components/offers/tests/common/meter.rs
@@ -23,6 +23,8 @@
     slots: u64,
     /// Longest time that a request waited although an agent that knew of it was free.
     pub idle_faults: Vec<String>,
+    /// Offers that agents were sent.
+    pub offered: u64,
     pub claimed: u64,
     pub granted: u64,
     pub ended: u64,
--- a/components/offers/tests/common/network.rs
+++ b/components/offers/tests/common/network.rs
@@ -276,6 +276,7 @@
         for action in actions {
             match action {
                 BookAction::Send { agent, message } => {
+                    self.meter.offered += u64::from(matches!(message, EntryMessage::Offer(_)));
                     let agent = self.agent_index(&agent);
                     let link = self.link(entry, agent);
                     let event = Event::ToAgent(entry, agent, link, message);
--- a/components/offers/tests/fairness.rs
+++ b/components/offers/tests/fairness.rs
@@ -73,11 +73,12 @@
 fn print(meter: &FleetMeter, bound: f64, label: &str) {
     println!(
         "{label}: gap {:.0} of at most {bound:.0} at {:?}, end gap {:.0}, utilisation {:.3}, \
-         claimed {}, granted {}, refused {}, reports {} B",
+         offered {}, claimed {}, granted {}, refused {}, reports {} B",
         meter.gap,
         meter.worst,
         meter.final_gap(&all()),
         meter.utilisation(),
+        meter.offered,
         meter.claimed,
         meter.granted,
         meter.refused,
--- a/src/bin/bilberry-entry.rs
+++ b/src/bin/bilberry-entry.rs
@@ -17,6 +17,7 @@
     body_timeout_ms: String,
     request_timeout_ms: String,
     spill_after_ms: String,
+    wave_size: String,
     telemetry: TelemetryOptions,
 }
 
@@ -84,6 +85,13 @@
         "Wait after which a request is offered to other regions",
         "150",
     );
+    let wave_size = flag(
+        "wave-size",
+        "BILBERRY_WAVE_SIZE",
+        "AGENTS",
+        "Agents that a request is offered to at once; the next ones follow after 20 ms",
+        "100000",
+    );
     let telemetry = telemetry_options();
     construct!(Options {
         node,
@@ -93,6 +101,7 @@
         body_timeout_ms,
         request_timeout_ms,
         spill_after_ms,
+        wave_size,
         telemetry,
     })
     .to_options()
@@ -138,6 +147,9 @@
             spill_after: reader
                 .millis("spill-after-ms", &self.spill_after_ms)
                 .unwrap_or(usual.spill_after),
+            wave_size: reader
+                .value("wave-size", &self.wave_size)
+                .unwrap_or(usual.wave_size),
         }
     }
 }
