Send the small parts of a stand-in's answers at once

Cause: the stand-in's listener left Nagle's algorithm on. On a connection that was used before, the first token waits for the delayed acknowledgement of the head, so the agent measured three times the latency of the first request on a new connection and stopped raising the limit. Found by a trace of the samples that the agent takes: the first sample of a connection was 14 ms, the 127 later ones 41 to 52 ms.

Ruled out: the engine's own times (prefill 10 ms, cached prefill 20 ms) and the queue (at most 2 requests ran).

Change: the listener sets TCP_NODELAY, which accepted connections take over. salvo's listener has no such option, so the socket is opened with tokio.

The entry's own HTTP listener has the same default and is not changed here.

--- a/components/standin/src/http.rs
+++ b/components/standin/src/http.rs
@@ -3,14 +3,15 @@
 use std::net::SocketAddr;
 
 use eyre::{Result, WrapErr};
-use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::http::body::{BodySender, ResBody};
 use salvo::http::header::{CONTENT_TYPE, HeaderValue};
 use salvo::server::ServerHandle;
-use salvo::{Listener, Request, Response, Router, Server};
+use salvo::{Request, Response, Router, Server};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
 /// Largest request body, in bytes.
@@ -52,16 +53,31 @@
     }
 }
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Opens a listener whose connections send small parts at once.
+///
+/// An accepted connection takes this option from the listener. Without it, the first token on a
+/// connection that was used before waits 40 ms for the delayed acknowledgement of the head.
+fn listen(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    TcpAcceptor::try_from(socket.listen(BACKLOG)?)
+}
+
 /// Listens on an address and serves a router; `helpers` end with it.
 pub(crate) async fn serve(
     address: SocketAddr,
     router: Router,
     helpers: Vec<JoinHandle<()>>,
 ) -> Result<RunningStandin> {
-    let acceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .wrap_err_with(|| format!("Failed to listen on {address}"))?;
+    let acceptor = listen(address).wrap_err_with(|| format!("Failed to listen on {address}"))?;
     let address = acceptor
         .local_addr()
         .wrap_err("Failed to read the address of a listener")?;
