Judge whole answers by their length

Cause: the agent took the first byte of a whole answer, which arrives with the last token, for its first token, so a long answer after a short one looked like a cold target. Requests that the engine rejects at once (status 400, 0 or 1 ms in the trace) counted as the best latency, and all real work looked slow after them.

Ruled out: time per token alone, since a short answer after long ones carries the whole time before the first token and would look cold; buckets of length with their own best, since each new bucket starts without a bound.

Change: a sample says how many tokens the latency covers (1 for a stream, all for a whole answer). A target that produced k tokens in a time t is expected to produce n in at most max(1, n/k) * t, and the least bound over all samples is the expected latency. `limits` keeps it by length to 3 significant bits. Answers with another status than 2xx are no samples.

Not covered: plain services whose calls differ in latency by more than 4 times still drop to cold, since a plain answer counts as one unit.

--- a/components/agent/src/forward.rs
+++ b/components/agent/src/forward.rs
@@ -11,7 +11,7 @@
 use units::{ClockTime, CostUnits, RequestId};
 use wire::{FailureCode, RunStart, RunStatus};
 
-use crate::meter::{CostMeter, meter_for};
+use crate::meter::{CostMeter, is_event_stream, meter_for};
 use crate::run::{AgentRun, RunEnd, RunFailure};
 use crate::settings::TargetKind;
 use crate::state::AgentShared;
@@ -45,7 +45,8 @@
         id,
         running,
         begun: shared.now(),
-        first_token: None,
+        first_byte: None,
+        answer: AnswerForm::default(),
     };
     let span = run_span(&start);
     let limit = time_limit(&start);
@@ -89,7 +90,18 @@
     id: RequestId,
     running: u32,
     begun: ClockTime,
-    first_token: Option<Duration>,
+    first_byte: Option<Duration>,
+    answer: AnswerForm,
+}
+
+/// What the head of a response says about its latency.
+#[derive(Debug, Clone, Copy, Default)]
+struct AnswerForm {
+    /// Whether the response arrives when all its tokens are produced.
+    whole: bool,
+    /// Whether the target did the work. A request that it rejects costs it no time, and would make
+    /// all others look slow.
+    success: bool,
 }
 
 impl Forward<'_> {
@@ -130,7 +142,12 @@
             .find(|field| field.name == "content-type")
             .map(|field| String::from_utf8_lossy(&field.value).into_owned())
             .unwrap_or_default();
-        let mut meter = meter_for(self.shared.settings.kind, &content_type);
+        let kind = self.shared.settings.kind;
+        self.answer = AnswerForm {
+            whole: kind == TargetKind::Model && !is_event_stream(&content_type),
+            success: (200..300).contains(&head.status),
+        };
+        let mut meter = meter_for(kind, &content_type);
         self.run.set_head(head);
         while let Some(part) = body.next().await {
             match part {
@@ -146,7 +163,7 @@
     async fn pass_on(&mut self, bytes: &[u8], meter: &mut dyn CostMeter) {
         let begun = self.begun;
         let now = self.shared.now();
-        self.first_token.get_or_insert_with(|| now.since(begun));
+        self.first_byte.get_or_insert_with(|| now.since(begun));
         for piece in bytes.chunks(CHUNK_BYTES) {
             let cost = meter.feed(piece);
             self.charge(cost);
@@ -190,10 +207,7 @@
 
     fn adapt_limit(&self, state: &mut crate::state::AgentState, end: &RunEnd, now: ClockTime) {
         match end {
-            RunEnd::Complete(_) => {
-                let first_token = self.first_token.unwrap_or_else(|| now.since(self.begun));
-                state.limit.completed(self.sample(first_token), now);
-            }
+            RunEnd::Complete(cost) => state.limit.completed(self.sample(*cost, now), now),
             RunEnd::Failed(failure) => match failure.code {
                 FailureCode::TargetUnreachable
                 | FailureCode::TargetLost
@@ -203,11 +217,13 @@
         }
     }
 
-    fn sample(&self, first_token: Duration) -> RunSample {
+    fn sample(&self, cost: CostUnits, now: ClockTime) -> RunSample {
+        let tokens = if self.answer.whole { cost.0 } else { 1 };
         RunSample {
             running: units::SlotCount(self.running),
-            first_token,
-            ok: true,
+            latency: self.first_byte.unwrap_or_else(|| now.since(self.begun)),
+            tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            ok: self.answer.success,
         }
     }
 }
--- a/components/agent/src/meter.rs
+++ b/components/agent/src/meter.rs
@@ -24,13 +24,16 @@
 pub fn meter_for(kind: TargetKind, content_type: &str) -> Box<dyn CostMeter> {
     match kind {
         TargetKind::Plain => Box::new(CallMeter),
-        TargetKind::Model if content_type.starts_with("text/event-stream") => {
-            Box::new(EventMeter::default())
-        }
+        TargetKind::Model if is_event_stream(content_type) => Box::new(EventMeter::default()),
         TargetKind::Model => Box::new(BodyMeter::default()),
     }
 }
 
+/// Whether a response streams its tokens as server-sent events.
+pub(crate) fn is_event_stream(content_type: &str) -> bool {
+    content_type.starts_with("text/event-stream")
+}
+
 /// One unit for each call.
 struct CallMeter;
 
--- a/components/limits/examples/cold_target.rs
+++ b/components/limits/examples/cold_target.rs
@@ -12,7 +12,8 @@
     for _ in 0..20 {
         let sample = RunSample {
             running: limit.limit(),
-            first_token: Duration::from_millis(40),
+            latency: Duration::from_millis(40),
+            tokens: 1,
             ok: true,
         };
         limit.completed(sample, now);
--- a/components/limits/src/target.rs
+++ b/components/limits/src/target.rs
@@ -4,28 +4,26 @@
 
 use units::{ClockTime, SlotCount};
 
-/// First-token latency, as a multiple of the best seen, at which a target counts as cold.
+use crate::latency::BestLatency;
+
+/// Latency, as a multiple of what the best seen lets expect, at which a target counts as cold.
 const COLD_LATENCY_FACTOR: u32 = 4;
 
-/// First-token latency, as a multiple of the best seen, up to which the limit grows.
+/// Latency, as a multiple of what the best seen lets expect, up to which the limit grows.
 ///
 /// Half of [`COLD_LATENCY_FACTOR`]: latency rises with the load, and a limit that grew until the
 /// target looked cold would drop again and again.
 const NORMAL_LATENCY_FACTOR: u32 = 2;
 
-/// Smallest latency that is taken as the best.
-///
-/// Latencies are measured in milliseconds, and below this a few milliseconds of scheduling delay
-/// already exceed [`COLD_LATENCY_FACTOR`].
-const LEAST_BEST_LATENCY: Duration = Duration::from_millis(5);
-
 /// What is measured of one run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunSample {
     /// Requests that ran when it started, itself included.
     pub running: SlotCount,
-    /// Time from the start to the first token.
-    pub first_token: Duration,
+    /// Time from the start to the first byte of the answer.
+    pub latency: Duration,
+    /// Tokens that the target had produced by then: 1 for a stream, all of them for a whole answer.
+    pub tokens: u32,
     /// Whether it ended well.
     pub ok: bool,
 }
@@ -37,7 +35,7 @@
     most: SlotCount,
     limit: SlotCount,
     successes: u32,
-    best: Option<Duration>,
+    best: BestLatency,
 }
 
 impl TargetLimit {
@@ -49,7 +47,7 @@
             most: most.max(cold),
             limit: cold,
             successes: 0,
-            best: None,
+            best: BestLatency::default(),
         }
     }
 
@@ -71,13 +69,12 @@
             self.successes = 0;
             return;
         }
-        if self.is_above(sample.first_token, COLD_LATENCY_FACTOR) {
+        if self.is_above(sample, COLD_LATENCY_FACTOR) {
             self.drop_to_cold();
             return;
         }
-        let is_normal = !self.is_above(sample.first_token, NORMAL_LATENCY_FACTOR);
-        let latency = sample.first_token.max(LEAST_BEST_LATENCY);
-        self.best = Some(self.best.map_or(latency, |best| best.min(latency)));
+        let is_normal = !self.is_above(sample, NORMAL_LATENCY_FACTOR);
+        self.best.note(sample.tokens, sample.latency);
         if is_normal && sample.running >= self.limit {
             self.count_success();
         }
@@ -88,8 +85,9 @@
         self.drop_to_cold();
     }
 
-    fn is_above(&self, latency: Duration, factor: u32) -> bool {
-        self.best.is_some_and(|best| latency > best * factor)
+    fn is_above(&self, sample: RunSample, factor: u32) -> bool {
+        let expected = self.best.expected(sample.tokens);
+        expected.is_some_and(|expected| sample.latency > expected * factor)
     }
 
     fn count_success(&mut self) {
--- a/components/limits/tests/limits.rs
+++ b/components/limits/tests/limits.rs
@@ -14,7 +14,8 @@
 fn sample(running: u32, first_token_ms: u64) -> RunSample {
     RunSample {
         running: SlotCount(running),
-        first_token: Duration::from_millis(first_token_ms),
+        latency: Duration::from_millis(first_token_ms),
+        tokens: 1,
         ok: true,
     }
 }
--- /dev/null
+++ b/components/limits/tests/whole_answers.rs
@@ -0,0 +1,139 @@
+//! Limit of a target that gives whole answers of different lengths.
+
+use std::time::Duration;
+
+use limits::{RunSample, TargetLimit};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rstest::rstest;
+use units::{ClockTime, SlotCount};
+
+const NOW: ClockTime = ClockTime(1000);
+
+/// Largest limit of the targets here.
+const MOST: u32 = 6;
+
+fn config(seed: u64) -> Config {
+    Config {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..Config::default()
+    }
+}
+
+fn new_limit() -> TargetLimit {
+    TargetLimit::new(SlotCount(1), SlotCount(MOST))
+}
+
+/// Takes in an answer at full use and returns the limit.
+fn answered(limit: &mut TargetLimit, tokens: u32, latency: Duration) -> u32 {
+    let sample = RunSample {
+        running: limit.limit(),
+        latency,
+        tokens,
+        ok: true,
+    };
+    limit.completed(sample, NOW);
+    limit.limit().0
+}
+
+/// A target that needs a fixed time and a time for each token.
+#[derive(Debug, Clone, Copy)]
+struct Speed {
+    fixed_ms: u64,
+    token_us: u64,
+}
+
+impl Speed {
+    fn latency(self, tokens: u32) -> Duration {
+        let micros = self.fixed_ms * 1000 + self.token_us * u64::from(tokens);
+        Duration::from_micros(micros)
+    }
+}
+
+fn speed() -> impl Strategy<Value = Speed> {
+    (0u64..1000, 10u64..100_000).prop_map(|(fixed_ms, token_us)| Speed { fixed_ms, token_us })
+}
+
+proptest! {
+    #![proptest_config(config(53))]
+
+    /// Guards against lengths that count as latency: a healthy target, whatever its speed, reaches
+    /// its largest limit and never drops, with streams (1 token) between whole answers, and with
+    /// latency that varies by less than twice.
+    #[test]
+    fn healthy_target_never_drops(
+        speed in speed(),
+        answers in prop::collection::vec((0u32..4000, 100u32..200, any::<bool>()), 60),
+    ) {
+        let mut limit = new_limit();
+        let mut most = 1;
+        for (tokens, percent, stream) in answers {
+            let tokens = if stream { 1 } else { tokens };
+            let latency = speed.latency(tokens.max(1)) * percent / 100;
+            let after = answered(&mut limit, tokens, latency);
+            prop_assert!(after >= most, "dropped from {most} to {after}");
+            most = after;
+        }
+        prop_assert_eq!(most, MOST);
+    }
+}
+
+/// The same rule over all samples, without classes of lengths.
+#[derive(Default)]
+struct ExactRule {
+    samples: Vec<(u32, Duration)>,
+}
+
+impl ExactRule {
+    fn expected(&self, tokens: u32) -> Option<Duration> {
+        let bounds = self.samples.iter();
+        bounds
+            .map(|(known, latency)| *latency * tokens.max(*known) / *known)
+            .min()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(54))]
+
+    /// Guards against a rule that differs from the exact one by more than the 25% that its classes
+    /// of lengths allow: a target that is not slow must not drop, a slow one must.
+    #[test]
+    fn classes_follow_the_exact_rule(
+        answers in prop::collection::vec((1u32..3000, 5u64..4000), 1..120),
+    ) {
+        let mut limit = new_limit();
+        let mut exact = ExactRule::default();
+        for (tokens, millis) in answers {
+            let latency = Duration::from_millis(millis);
+            let before = limit.limit().0;
+            let expected = exact.expected(tokens).unwrap_or(latency);
+            if latency <= expected * 4 {
+                prop_assert!(answered(&mut limit, tokens, latency) >= before);
+                exact.samples.push((tokens, latency));
+            } else if latency > expected * 5 {
+                prop_assert_eq!(answered(&mut limit, tokens, latency), 1);
+            }
+        }
+    }
+}
+
+/// Guards against a target that becomes slow and keeps its limit because its answers are whole.
+#[rstest]
+fn slow_whole_answer_drops_the_limit(#[values(1, 7, 40, 333, 2000)] tokens: u32) {
+    let speed = Speed {
+        fixed_ms: 100,
+        token_us: 20_000,
+    };
+    let mut limit = new_limit();
+    for known in [8, 30, 85, 400, 1500, tokens].repeat(10) {
+        answered(&mut limit, known, speed.latency(known));
+    }
+    assert_eq!(limit.limit(), SlotCount(MOST));
+
+    let after = answered(&mut limit, tokens, speed.latency(tokens) * 6);
+
+    assert_eq!(after, 1);
+}
--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -146,8 +146,8 @@
 /// Callers that each wait for an answer before they ask again; twice the places, so that work waits.
 const CALLERS: usize = 16;
 
-/// Sends whole chat completions of different lengths at full use.
-async fn send_whole_chats(fleet: &DevFleet, each: usize) {
+/// Sends chat completions at full use.
+async fn send_chats(fleet: &DevFleet, each: usize, chat: fn(usize) -> CallRequest) {
     let entries = fleet.entries.iter().map(|entry| entry.http()).collect();
     let caller = Caller::new(entries, Duration::from_secs(20)).unwrap();
     let mut callers = JoinSet::new();
@@ -155,7 +155,7 @@
         let caller = caller.clone();
         callers.spawn(async move {
             for round in 0..each {
-                let request = whole_chat(round * CALLERS + number);
+                let request = chat(round * CALLERS + number);
                 assert_eq!(caller.send(&request, number).await.answer, Answer::Whole);
             }
         });
@@ -163,6 +163,18 @@
     callers.join_all().await;
 }
 
+/// Waits until control reports the largest limit.
+async fn assert_limit_raised(fleet: &DevFleet, answers: usize) {
+    // The agent reports its limit with its next renewal.
+    let raised = fleet.controls[0].wait_until(|status| advice_limit(status) == PLACES);
+    let waited = tokio::time::timeout(Duration::from_secs(2), raised).await;
+    let limit = advice_limit(&fleet.controls[0].status());
+    assert!(
+        waited.is_ok(),
+        "the limit is {limit} after {answers} answers"
+    );
+}
+
 /// Limit of the one agent of the model service, as control reports it.
 fn advice_limit(status: &FleetStatus) -> u32 {
     let targets = status.nodes.iter().filter_map(|node| node.target.as_ref());
@@ -170,18 +182,27 @@
     advice.next().map_or(0, |target| target.limit.0)
 }
 
-fn whole_chat(number: usize) -> CallRequest {
+fn chat(number: usize, max_tokens: u64, stream: bool) -> CallRequest {
     CallRequest {
         key: EXAMPLES[0].2.into(),
         kind: CallKind::Chat {
             service: "stone-advice".into(),
             prompt: format!("question {number}"),
-            max_tokens: 8 + 11 * (number as u64 % 8),
-            stream: false,
+            max_tokens,
+            stream,
         },
     }
 }
 
+/// Chat completions of different lengths.
+fn whole_chat(number: usize) -> CallRequest {
+    chat(number, 8 + 11 * (number as u64 % 8), false)
+}
+
+fn streamed_chat(number: usize) -> CallRequest {
+    chat(number, 8, true)
+}
+
 /// Guards against capacity that stays idle while work waits: a whole answer arrives when its last
 /// token is produced, so its length must not count as a slow first token.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -189,14 +210,31 @@
     let (text, _, key) = EXAMPLES[0];
     let fleet = start_fleet(text, key, 1, 1).await;
 
-    send_whole_chats(&fleet, 15).await;
+    send_chats(&fleet, 15, whole_chat).await;
 
-    // The agent reports its limit with its next renewal.
-    let raised = fleet.controls[0].wait_until(|status| advice_limit(status) == PLACES);
-    let waited = tokio::time::timeout(Duration::from_secs(2), raised).await;
-    let limit = advice_limit(&fleet.controls[0].status());
-    assert!(
-        waited.is_ok(),
-        "the limit is {limit} after 240 whole answers"
-    );
+    assert_limit_raised(&fleet, 15 * CALLERS).await;
+}
+
+/// Sends a request that the engine rejects at once, since it lacks the messages.
+async fn send_rejected_chat(fleet: &DevFleet) {
+    let url = format!("http://{}/v1/chat/completions", fleet.entries[0].http());
+    let request = reqwest::Client::new().post(url).bearer_auth(EXAMPLES[0].2);
+    let body = r#"{"model": "stone-advice"}"#;
+    let response = request.body(body).send().await.unwrap();
+    assert_eq!(response.status(), 400);
+}
+
+/// Guards against requests that an engine rejects and that make all others look slow, since they
+/// cost it no time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn rejected_requests_leave_the_limit() {
+    let (text, _, key) = EXAMPLES[0];
+    let fleet = start_fleet(text, key, 1, 1).await;
+
+    for _ in 0..4 {
+        send_rejected_chat(&fleet).await;
+    }
+    send_chats(&fleet, 8, streamed_chat).await;
+
+    assert_limit_raised(&fleet, 8 * CALLERS).await;
 }
