--- a/components/agent/src/forward.rs
+++ b/components/agent/src/forward.rs
@@ -157,7 +157,7 @@
         }
         let cost = meter.finish();
         self.charge(cost);
-        RunEnd::Complete(cost)
+        RunEnd::Complete
     }
 
     async fn pass_on(&mut self, bytes: &[u8], meter: &mut dyn CostMeter) {
@@ -167,7 +167,7 @@
         for piece in bytes.chunks(CHUNK_BYTES) {
             let cost = meter.feed(piece);
             self.charge(cost);
-            self.run.push(piece, cost).await;
+            self.run.push(piece).await;
         }
     }
 
@@ -190,7 +190,7 @@
             state.apply_limit(now);
         });
         let outcome = match &end {
-            RunEnd::Complete(_) => "runs.complete",
+            RunEnd::Complete => "runs.complete",
             RunEnd::Failed(_) => "runs.failed",
         };
         let _ = self.shared.metrics.incr(outcome);
