Look at the lease again when the body of a request is complete

Cause: the agent looked at its lease and at the orders when a start arrived, then waited for the body (up to 10 s for each frame) and forwarded the request without another look. A start whose body came late reached the target of a data centre or target that was out, of an agent without a lease, and of an agent that had been leaving for longer than 3 s. A leaving agent also served earlier claims for 3 s, which left no margin, and closed its connections as soon as its runs had ended, so that a refusal on its way was dropped and the entry could only answer "unknown".

Ruled out: the claim itself (the table drops claims when the agent stops serving) and the lease computation (it counts from the sending less the age).

Change: the agent looks at its permission after the body too and answers not-run, so that the entry offers the request elsewhere. A leaving agent refuses starts after 2.5 s and waits until its run streams are closed by the entry.

--- a/components/agent/src/daemon.rs
+++ b/components/agent/src/daemon.rs
@@ -20,9 +20,9 @@
 use crate::target::HttpTarget;
 use crate::{health, sessions, upkeep};
 
-/// Time for which a leaving agent goes on serving claims that it made before; a claim without an
-/// answer ends after 3 s.
-const CLAIM_TIME: Duration = Duration::from_secs(3);
+/// Time for which a leaving agent goes on serving claims that it made before. No work starts later
+/// than 3 s after the agent began to leave (P8), so it is shorter by the same margin as a lease.
+const CLAIM_TIME: Duration = Duration::from_millis(2_500);
 
 /// Longest time that a leaving agent waits for its runs.
 const LEAVE_LIMIT: Duration = Duration::from_secs(600);
@@ -80,14 +80,12 @@
         });
         let finished = async {
             tokio::time::sleep(CLAIM_TIME).await;
+            self.shared.board.write(|state| state.closed = true);
             self.shared
                 .board
                 .wait_for(|state| {
-                    state
-                        .runs
-                        .values()
-                        .all(|run| run.is_finished())
-                        .then_some(())
+                    let finished = state.runs.values().all(|run| run.is_finished());
+                    (finished && state.open_streams == 0).then_some(())
                 })
                 .await;
         };
--- a/components/agent/src/state.rs
+++ b/components/agent/src/state.rs
@@ -38,6 +38,10 @@
     pub(crate) generations: u64,
     pub(crate) healthy: bool,
     pub(crate) leaving: bool,
+    /// Whether a leaving agent refuses starts of earlier claims too.
+    pub(crate) closed: bool,
+    /// Run streams of entries.
+    pub(crate) open_streams: usize,
     serving: bool,
 }
 
@@ -55,6 +59,8 @@
             generations: 0,
             healthy: false,
             leaving: false,
+            closed: false,
+            open_streams: 0,
             serving: false,
         }
     }
@@ -125,8 +131,11 @@
         self.clock.now()
     }
 
-    /// Whether the lease and the configuration allow new work.
+    /// Whether the lease, the configuration and a planned stop allow new work.
     pub(crate) fn has_permission(&self) -> bool {
+        if self.board.read(|state| state.closed) {
+            return false;
+        }
         let now = self.now();
         self.view.read(|view| {
             view.has_lease(now)
--- a/components/agent/src/streams.rs
+++ b/components/agent/src/streams.rs
@@ -31,11 +31,10 @@
     stream: LinkStream,
 ) {
     let LinkStream {
-        mut writer,
-        mut reader,
-        ..
+        writer, mut reader, ..
     } = stream;
     let _open = activity.open_run();
+    let _counted = CountedStream::new(&shared);
     let first = match reader.receive::<RunMessage>().await {
         Ok(Some(message)) => message,
         Ok(None) | Err(_) => return,
@@ -55,7 +54,7 @@
             incarnation,
         } => {
             let status = query(&shared, request, incarnation);
-            answer(&mut writer, RunReply::Status(status)).await;
+            answer(writer, reader, RunReply::Status(status)).await;
             return;
         }
         _ => Err(RunFailure::not_run(
@@ -72,15 +71,35 @@
             };
             stream.send_from(next, reader, activity).await;
         }
-        Err(failure) => answer(&mut writer, failure.into_reply()).await,
+        Err(failure) => answer(writer, reader, failure.into_reply()).await,
     }
 }
 
-/// Sends the only reply of a stream, and waits until it has arrived.
-async fn answer(writer: &mut FrameWriter, reply: RunReply) {
-    if writer.send(&reply).await.is_ok() {
-        writer.finish();
+/// Open run stream in the agent's state, until it is dropped. A leaving agent waits for it, since
+/// closing the connection drops replies that have not arrived.
+struct CountedStream<'a>(&'a AgentShared);
+
+impl<'a> CountedStream<'a> {
+    fn new(shared: &'a AgentShared) -> Self {
+        shared.board.write_quietly(|state| state.open_streams += 1);
+        Self(shared)
+    }
+}
+
+impl Drop for CountedStream<'_> {
+    fn drop(&mut self) {
+        self.0.board.write(|state| state.open_streams -= 1);
+    }
+}
+
+/// Sends the only reply of a stream, and waits until the entry ends the stream.
+async fn answer(mut writer: FrameWriter, mut reader: FrameReader, reply: RunReply) {
+    if writer.send(&reply).await.is_err() {
+        return;
     }
+    writer.finish();
+    let ended = async { while let Ok(Some(_)) = reader.receive::<RunMessage>().await {} };
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, ended).await;
 }
 
 fn query(shared: &AgentShared, request: RequestId, incarnation: Incarnation) -> RunStatus {
@@ -127,13 +146,24 @@
         BegunRun::Attached(run) => return Ok(run),
         BegunRun::New(run) => run,
     };
-    match read_body(reader, start.body_size).await {
-        Ok(body) => {
-            tokio::spawn(run_request(shared.clone(), run.clone(), start, body));
-            Ok(run)
+    let body = match read_body(reader, start.body_size).await {
+        Ok(body) => body,
+        Err(error) => {
+            let failure = RunFailure::not_run(FailureCode::BadMessage, error);
+            return Err(end_unforwarded(shared, &run, &start, failure));
         }
-        Err(error) => Err(end_unforwarded(shared, &run, &start, &error)),
+    };
+    // The body may take seconds. An order or the end of the lease meanwhile holds for this run too,
+    // since the target has not seen it.
+    if !shared.has_permission() {
+        return Err(end_unforwarded(shared, &run, &start, not_serving()));
     }
+    tokio::spawn(run_request(shared.clone(), run.clone(), start, body));
+    Ok(run)
+}
+
+fn not_serving() -> RunFailure {
+    RunFailure::not_run(FailureCode::NotServing, "the agent takes no new work")
 }
 
 enum BegunRun {
@@ -151,8 +181,7 @@
         return Ok(BegunRun::Attached(run.clone()));
     }
     if !permitted {
-        let message = "the agent takes no new work";
-        return Err(RunFailure::not_run(FailureCode::NotServing, message));
+        return Err(not_serving());
     }
     match state.seen.start(start.request, start.repeatable) {
         SeenVerdict::Forward => {}
@@ -198,14 +227,13 @@
     Ok(body)
 }
 
-/// Ends a run whose body did not arrive, so that nothing was forwarded.
+/// Ends a run of which nothing was forwarded.
 fn end_unforwarded(
     shared: &AgentShared,
     run: &AgentRun,
     start: &RunStart,
-    error: &LinkError,
+    failure: RunFailure,
 ) -> RunFailure {
-    let failure = RunFailure::not_run(FailureCode::BadMessage, error);
     let now = shared.now();
     shared.board.write(|state| {
         state.seen.ended(start.request, RunStatus::NotRun, now);
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -14,10 +14,13 @@
 use board::StateBoard;
 use client::FleetView;
 use entry::{CallRecorder, EntryHandle, EntryLimits, EntryParts, EntrySettings};
-use link::KeyAuthority;
+use link::{KeyAuthority, LinkEndpoint, LinkIdentity};
 use manifest::FleetManifest;
 use tempfile::TempDir;
-use units::{ClockSource, ClockTime, DataCentreName, NodeName, ServiceName, SlotCount, TargetName};
+use units::{
+    ClockSource, ClockTime, DataCentreName, Incarnation, NodeName, ServiceName, SlotCount,
+    TargetName,
+};
 use wire::{DirectoryEntry, NodeKind, NodeRole, NodeState};
 
 use recorder::FakeRecorder;
@@ -209,6 +212,14 @@
         });
     }
 
+    /// Opens an endpoint that speaks the protocol frame by frame.
+    pub fn endpoint(&self, role: NodeRole, name: &str) -> LinkEndpoint {
+        let name = NodeName::from(name);
+        let files = self.authority.issue(role, &name).unwrap();
+        let identity = LinkIdentity::load(role, &name, &files).unwrap();
+        LinkEndpoint::bind(any_port(), &identity, Incarnation(1)).unwrap()
+    }
+
     /// Lists a node under another address.
     pub fn list_at(&self, mut node: DirectoryEntry, address: SocketAddr) {
         node.address = address;
