--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -226,6 +226,14 @@
         });
     }
 
+    /// Opens an endpoint that speaks the protocol frame by frame.
+    pub fn endpoint(&self, role: NodeRole, name: &str) -> LinkEndpoint {
+        let name = NodeName::from(name);
+        let files = self.authority.issue(role, &name).unwrap();
+        let identity = LinkIdentity::load(role, &name, &files).unwrap();
+        LinkEndpoint::bind(any_port(), &identity, Incarnation(1)).unwrap()
+    }
+
     /// Lists a node under another address.
     pub fn list_at(&self, mut node: DirectoryEntry, address: SocketAddr) {
         node.address = address;
