--- a/components/agent/src/forward.rs
+++ b/components/agent/src/forward.rs
@@ -157,7 +157,7 @@
         }
         let cost = meter.finish();
         self.charge(cost);
-        RunEnd::Complete
+        RunEnd::Complete(cost)
     }
 
     async fn pass_on(&mut self, bytes: &[u8], meter: &mut dyn CostMeter) {
@@ -190,7 +190,7 @@
             state.apply_limit(now);
         });
         let outcome = match &end {
-            RunEnd::Complete => "runs.complete",
+            RunEnd::Complete(_) => "runs.complete",
             RunEnd::Failed(_) => "runs.failed",
         };
         let _ = self.shared.metrics.incr(outcome);
--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use board::StateBoard;
-use units::ClockTime;
+use units::{ClockTime, CostUnits};
 use wire::{FailureCode, ResponseHead, RunReply, RunStatus};
 
 use crate::buffer::RunBuffer;
@@ -17,8 +17,8 @@
 /// How a run ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RunEnd {
-    /// The response is complete.
-    Complete,
+    /// The response is complete; what it cost.
+    Complete(CostUnits),
     /// The run failed.
     Failed(RunFailure),
 }
@@ -58,7 +58,7 @@
     /// What the memory of ids keeps of the run.
     pub(crate) fn status(&self) -> RunStatus {
         match self {
-            Self::Complete => RunStatus::Ended,
+            Self::Complete(_) => RunStatus::Ended,
             Self::Failed(failure) => failure.status,
         }
     }
@@ -237,7 +237,7 @@
 
     fn last(&self, end: RunEnd) -> RunReply {
         match end {
-            RunEnd::Complete => RunReply::End {
+            RunEnd::Complete(_) => RunReply::End {
                 chunks: self.buffer.next(),
             },
             RunEnd::Failed(failure) => failure.into_reply(),
