--- a/components/entry/tests/late_start.rs
+++ b/components/entry/tests/late_start.rs
@@ -32,7 +32,6 @@
         request: REQUEST,
         flow: flow(),
         weight: FlowWeight(1),
-        total: CostUnits(0),
         hint: CostUnits(1),
         prefix: PrefixHash(0),
         waited_ms: 0,
