--- a/components/agent/src/run.rs
+++ b/components/agent/src/run.rs
@@ -17,7 +17,7 @@
 /// How a run ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RunEnd {
-    /// The response is complete.
+    /// The response is complete; what it cost.
     Complete(CostUnits),
     /// The run failed.
     Failed(RunFailure),
