Ping only silent connections, and pace the pings of offers

Ruled out: longer intervals for all, since a run on a silent connection must be found within 2 s. Change: PingPlan, a pure state machine: any frame counts as proof of life; a connection with a run is pinged after 500 ms of silence and dead after 1.5 s, as before; the pings of connections that only carry offers share 2 KB/s.

--- a/components/bench/src/capacity.rs
+++ b/components/bench/src/capacity.rs
@@ -1,14 +1,19 @@
 //! What the measured slopes come to for each role at the size of the fleet.
 
+use entry::{LinkDuty, PING_INTERVAL};
+
 use crate::fleet::FleetSize;
 use crate::measured::Measured;
 
-/// Interval of renewals and of heartbeats, in milliseconds.
+/// Interval of renewals, in milliseconds.
 const CONTROL_INTERVAL_MS: f64 = 500.0;
 
-/// Renewals or heartbeats each second.
+/// Renewals each second.
 const ROUNDS: f64 = 1000.0 / CONTROL_INTERVAL_MS;
 
+/// Longest time to the first token, in which a run may be silent.
+const FIRST_TOKEN_SECONDS: f64 = 1.2;
+
 /// Changes of a target's state that are worth a line in the directory, for each target each second:
 /// a change of the limit each 10 s.
 const TARGET_CHANGES: f64 = 0.1;
@@ -80,7 +85,12 @@
             requests,
             measured.entry_decision(size, waiting),
         ),
-        heartbeats(measured, size.entry_connections()),
+        heartbeats(
+            size,
+            measured,
+            size.running() / size.entries(),
+            size.entry_connections(),
+        ),
         renewal(measured, size.targets * TARGET_CHANGES),
         configuration(size, measured),
     ];
@@ -97,7 +107,12 @@
     let rows = vec![
         late_binding(size, measured, requests, measured.agent_decision.at(held)),
         usage(size, measured),
-        heartbeats(measured, size.agent_connections()),
+        heartbeats(
+            size,
+            measured,
+            size.running() / size.targets,
+            size.agent_connections(),
+        ),
         renewal(measured, 0.0),
         configuration(size, measured),
     ];
@@ -249,11 +264,21 @@
     }
 }
 
-fn heartbeats(measured: &Measured, connections: f64) -> WorkRow {
-    let rate = connections * ROUNDS;
+fn heartbeats(size: &FleetSize, measured: &Measured, running: f64, connections: f64) -> WorkRow {
+    // Tokens prove a connection alive, so that only requests before their first token need pings.
+    let duration_s = size.running() / size.requests;
+    let silent = running * (FIRST_TOKEN_SECONDS / duration_s).min(1.0);
+    let paced = connections
+        / LinkDuty::Offers {
+            links: size.entry_connections() as usize,
+        }
+        .interval()
+        .expect("connections with offers are pinged")
+        .as_secs_f64();
+    let rate = silent / PING_INTERVAL.as_secs_f64() + paced;
     WorkRow {
-        work: "heartbeats on connections on which requests run or wait",
-        mechanism: "`Ping`, `Pong`",
+        work: "heartbeats on connections that are silent while requests run or wait",
+        mechanism: "`Ping`, `Pong` (`PingPlan`)",
         rate,
         time_ns: rate * measured.exchange_ns() / 2.0,
         traffic: rate * measured.heartbeat_bytes(),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod http;
 mod links;
+mod ping_plan;
 mod recorder;
 mod refusal;
 mod reply;
@@ -24,6 +25,9 @@
 pub use call_flow::{CallAttempt, CallFlow, CallStep, CallVerdict};
 pub use chunks::{ChunkGap, ChunkSequence, ChunkVerdict};
 pub use daemon::{EntryHandle, EntryParts, start, start_with};
+pub use ping_plan::{
+    LinkDuty, MAX_PING_INTERVAL, PING_INTERVAL, PingPlan, PingStep, SILENT_INTERVALS,
+};
 pub use recorder::{CallRecorder, ControlRecorder};
 pub use refusal::{Refusal, RequestOutcome};
 pub use request::{
--- a/components/entry/src/links.rs
+++ b/components/entry/src/links.rs
@@ -11,17 +11,12 @@
 use units::{ClockTime, Incarnation, NodeName};
 use wire::{AgentMessage, EntryMessage, NodeRole, StreamKind};
 
+use crate::ping_plan::{LinkDuty, PingPlan, PingStep};
 use crate::state::EntryShared;
 
 /// Messages that wait for a link.
 const LINK_QUEUE: usize = 8_192;
 
-/// Interval of pings while requests are open.
-const PING_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Time without any frame after which a connection with open requests is dead.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
-
 /// Interval in which silence is checked.
 const SILENCE_CHECK: Duration = Duration::from_millis(100);
 
@@ -237,22 +232,16 @@
 impl SessionWriter<'_> {
     /// Sends messages and pings until the connection is dead.
     async fn run(mut self, mut messages: mpsc::Receiver<EntryMessage>) {
-        let mut pings = tokio::time::interval(PING_INTERVAL);
         let mut checks = tokio::time::interval(SILENCE_CHECK);
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut count = 0;
-        let mut busy_since = None;
+        let mut plan = PingPlan::default();
         loop {
             let sent = tokio::select! {
                 message = messages.recv() => match message {
                     Some(message) => self.writer.send(&message).await,
                     None => return,
                 },
-                _ = pings.tick(), if busy_since.is_some() => {
-                    count += 1;
-                    self.writer.send(&EntryMessage::Ping(count)).await
-                }
-                _ = checks.tick() => self.check(&mut busy_since),
+                _ = checks.tick() => self.check(&mut plan).await,
             };
             if sent.is_err() {
                 return;
@@ -260,25 +249,31 @@
         }
     }
 
-    /// Fails if the connection has been silent for too long while requests were open.
-    fn check(&self, busy_since: &mut Option<ClockTime>) -> Result<(), LinkError> {
+    /// Pings a connection that is silent; fails if it has been silent for too long.
+    async fn check(&mut self, plan: &mut PingPlan) -> Result<(), LinkError> {
         let now = self.shared.now();
-        if !self.is_busy() {
-            *busy_since = None;
-            return Ok(());
-        }
-        let begun = *busy_since.get_or_insert(now);
-        if now.since(self.activity.last_frame().max(begun)) <= SILENCE_LIMIT {
-            return Ok(());
+        match plan.step(self.duty(), self.activity.last_frame(), now) {
+            PingStep::Wait => Ok(()),
+            PingStep::Ping(count) => self.writer.send(&EntryMessage::Ping(count)).await,
+            PingStep::Dead => {
+                telemetry::event!(telemetry::events::ENTRY_SILENT_LINK, agent = self.agent);
+                Err(LinkError::Stream("the connection is silent".into()))
+            }
         }
-        telemetry::event!(telemetry::events::ENTRY_SILENT_LINK, agent = self.agent);
-        Err(LinkError::Stream("the connection is silent".into()))
     }
 
-    fn is_busy(&self) -> bool {
+    fn duty(&self) -> LinkDuty {
         self.shared.board.read(|state| {
             let link = state.links.get(self.agent);
-            !state.book.is_empty() || link.is_some_and(LinkHandle::is_used)
+            if link.is_some_and(LinkHandle::is_used) {
+                return LinkDuty::Runs;
+            }
+            if state.book.is_empty() {
+                return LinkDuty::Idle;
+            }
+            LinkDuty::Offers {
+                links: state.links.len(),
+            }
         })
     }
 }
