Let a follower that lost its log tail get it again

The restarted node was never confirmed again. The leader's progress still said that the peer holds the entries it had acknowledged: it took the refusals of its probes for late ones and probed again from the same entry at once. Ruled out: the store, which cuts off a torn record as designed; elections, since the leader stays. Change: when a peer has refused an entry that it once held, and has accepted nothing for as long as an election takes, the leader counts nothing that it held before and searches from the refusal's hint. A refusal at or before the matched entry no longer causes an immediate probe. Conclusion: a log that was cut off is repaired while its leader lives. A node in this state may still vote for a candidate that lacks the entries; a cut at the end of a record cannot be told from a crash during a write.

--- a/components/raft/src/node/leader.rs
+++ b/components/raft/src/node/leader.rs
@@ -211,7 +211,7 @@
     }
 
     pub(super) fn append_answered(&mut self, from: DiskId, round: u64, outcome: AppendOutcome) {
-        let first = self.log.first_index();
+        let (first, patience) = (self.log.first_index(), self.settings.election_max);
         let RoleState::Leader(state) = &mut self.role else {
             return;
         };
@@ -221,13 +221,18 @@
         peer.answered(round, self.now);
         match outcome {
             AppendOutcome::Accepted { matched } => {
-                peer.accepted(matched, first);
+                peer.accepted(matched, first, self.now);
                 self.resend_chunk(from);
                 self.send_entries(from);
                 self.advance_commit();
                 self.continue_transfer();
             }
-            AppendOutcome::Rejected { prev, hint } if peer.is_rejection_new(prev) => {
+            AppendOutcome::Rejected { prev, hint }
+                if peer.is_rejection_new(prev) || peer.has_lost(prev, self.now, patience) =>
+            {
+                if prev <= peer.matched {
+                    peer.forget_matched();
+                }
                 let candidate = self.log.newest_within(hint.index, hint.term).index;
                 peer.probe_from(candidate.min(LogIndex(prev.0.saturating_sub(1))));
                 self.send_heartbeat(from);
--- a/components/raft/src/progress.rs
+++ b/components/raft/src/progress.rs
@@ -1,6 +1,7 @@
 //! What a leader knows about one peer.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use units::ClockTime;
 
@@ -31,6 +32,8 @@
     pub(crate) mode: SendMode,
     /// Time of the last answer.
     pub(crate) heard: ClockTime,
+    /// Time of the last answer that accepted a message.
+    pub(crate) accepted: ClockTime,
     /// Newest heartbeat round that the peer answered.
     pub(crate) round: u64,
     /// Newest commit index that the peer was told.
@@ -44,6 +47,7 @@
             next: LogIndex(last.0 + 1),
             mode: SendMode::Probe,
             heard: now,
+            accepted: now,
             round: 0,
             told_commit: LogIndex(0),
         }
@@ -61,7 +65,8 @@
     }
 
     /// The peer holds the leader's log up to `matched`.
-    pub(crate) fn accepted(&mut self, matched: LogIndex, first: LogIndex) {
+    pub(crate) fn accepted(&mut self, matched: LogIndex, first: LogIndex, now: ClockTime) {
+        self.accepted = now;
         self.matched = self.matched.max(matched);
         let after = LogIndex(self.matched.0 + 1);
         match &mut self.mode {
@@ -89,12 +94,26 @@
     /// Whether a refusal of `prev` is news. Late and repeated refusals are not.
     pub(crate) fn is_rejection_new(&self, prev: LogIndex) -> bool {
         match self.mode {
-            SendMode::Probe => prev == self.prev_index(),
+            SendMode::Probe => prev == self.prev_index() && prev > self.matched,
             SendMode::Replicate { .. } => prev > self.matched,
             SendMode::Snapshot { .. } => false,
         }
     }
 
+    /// Whether a refusal of `prev` shows that the peer has lost entries which it held durably, as a
+    /// log file does that was cut off while the peer was down. A peer with its log accepts each
+    /// heartbeat, so refusals alone for `patience` are no late messages.
+    pub(crate) fn has_lost(&self, prev: LogIndex, now: ClockTime, patience: Duration) -> bool {
+        !matches!(self.mode, SendMode::Snapshot { .. })
+            && prev <= self.matched
+            && now.since(self.accepted) >= patience
+    }
+
+    /// Counts nothing that the peer held before.
+    pub(crate) fn forget_matched(&mut self) {
+        self.matched = LogIndex(0);
+    }
+
     /// Searches on from an entry that may agree.
     pub(crate) fn probe_from(&mut self, candidate: LogIndex) {
         self.next = LogIndex(candidate.max(self.matched).0 + 1);
--- a/components/raft/tests/scenarios.rs
+++ b/components/raft/tests/scenarios.rs
@@ -316,3 +316,34 @@
     assert_eq!(itself, Err(ProposeError::IsLeader { id: leader }));
     assert!(matches!(second, Some(ProposeError::ChangePending { .. })));
 }
+
+/// Guards against a follower whose log file was cut off while it was down, and which its leader
+/// then asks again and again without end for entries that it once held.
+#[rstest]
+#[case::nothing_written_meanwhile(0)]
+#[case::entries_written_meanwhile(5)]
+fn a_follower_that_lost_its_log_tail_gets_it_again(#[case] meanwhile: u64) {
+    const HEALING_MS: u64 = 3_000;
+    let mut net = net(3);
+    let leader = elect_without_old(&mut net);
+    net.write(1, &[OLD]);
+    net.crash(OLD);
+    for value in 0..meanwhile {
+        net.write(10 + value, &[leader]);
+    }
+    let entries = &mut net.host(OLD).disk.entries;
+    entries.truncate(entries.len() / 2);
+    let messages = net.messages;
+
+    net.start(OLD);
+    net.run(HEALING_MS);
+
+    let sent = net.messages - messages;
+    println!("{sent} messages in {HEALING_MS} ms");
+    let (expected, healed) = (net.hosts[&leader].value, net.hosts[&OLD].value);
+    assert_eq!(healed, expected);
+    assert_eq!(net.elect(), leader, "the leader goes on");
+    // Ten times the heartbeats and answers of two followers.
+    let heartbeats = HEALING_MS / small_settings().heartbeat.as_millis() as u64;
+    assert!(sent < 10 * 4 * heartbeats, "{sent} messages");
+}
