Replace a control host that was lost before its name was recorded

Cause: a test lost a control host within a second of the formation of its group. Its new folder was added and promoted, but the old one stayed a voter: the leader finds it by its recorded name, records one name every 250 ms, and never got to this one. The group had four voters, one of them gone for ever, so it halted when one more host was lost. Ruled out: the removal itself, which works once the name is recorded. Change: a voter without a recorded name is taken for the old folder once every other listed name is held by a recorded member. Until then nothing is removed and the new folder is not promoted, since the nameless voter may be a live node that the leader has not heard of.

--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -292,11 +292,20 @@
             return Ok(());
         }
         let own = (status.id, &self.settings.name);
+        let listed = self.settings.listed();
         let targets = &mut self.targets;
         let step = self.view.read(|view| {
             let names = view.registry.controls();
             let members = &status.membership;
-            next_step(own, &view.seen, members, names, status.commit, targets)
+            next_step(
+                own,
+                &listed,
+                &view.seen,
+                members,
+                names,
+                status.commit,
+                targets,
+            )
         });
         match step {
             None => Ok(()),
--- a/components/control/src/members.rs
+++ b/components/control/src/members.rs
@@ -1,6 +1,6 @@
 //! Which membership change comes next when a control host was replaced.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use raft::{LogIndex, MemberChange, Membership};
 use units::{DiskId, NodeName};
@@ -35,8 +35,11 @@
 /// Order for a replaced host: record the name, add the new id as a learner, wait until it holds the
 /// log, remove the old id, promote the new one. The group never has two voters of one host, so a
 /// host counts once towards a majority, and the majority never grows through a host that is gone.
+///
+/// `listed` are the names of all control nodes in the settings.
 pub fn next_step(
     own: (DiskId, &NodeName),
+    listed: &BTreeSet<NodeName>,
     seen: &SeenPeers,
     membership: &Membership,
     names: &BTreeMap<DiskId, NodeName>,
@@ -63,22 +66,48 @@
             MemberChange::AddLearner(id)
         } else if !targets.reached(announce, commit) {
             return None;
-        } else if let Some(old) = predecessor(id, name, membership, names) {
-            MemberChange::Remove(old)
         } else {
-            MemberChange::Promote(id)
+            match predecessor(id, name, listed, membership, names) {
+                Predecessor::Known(old) => MemberChange::Remove(old),
+                Predecessor::Undecided => return None,
+                Predecessor::None => MemberChange::Promote(id),
+            }
         };
         Some(MemberStep::Change(change))
     })
 }
 
-/// Another member with the same name, which a new data folder replaces.
+/// The member that a new data folder replaces.
+enum Predecessor {
+    /// No member has to leave.
+    None,
+    /// This member.
+    Known(DiskId),
+    /// A member without a name may be the one, or may be a node that is not heard of yet.
+    Undecided,
+}
+
+/// Another member with the same name. A host that was lost before its name was recorded has left a
+/// voter without a name: it is one of the lost hosts as soon as every other listed name is that of
+/// a member. Until then it may be a live node, which must not be removed.
 fn predecessor(
     id: DiskId,
     name: &NodeName,
+    listed: &BTreeSet<NodeName>,
     membership: &Membership,
     names: &BTreeMap<DiskId, NodeName>,
-) -> Option<DiskId> {
-    let mut members = membership.members();
-    members.find(|member| *member != id && names.get(member) == Some(name))
+) -> Predecessor {
+    let others = || membership.members().filter(|member| *member != id);
+    if let Some(old) = others().find(|member| names.get(member) == Some(name)) {
+        return Predecessor::Known(old);
+    }
+    let Some(nameless) = others().find(|member| !names.contains_key(member)) else {
+        return Predecessor::None;
+    };
+    let held: BTreeSet<&NodeName> = others().filter_map(|member| names.get(&member)).collect();
+    let mut rest = listed.iter().filter(|other| *other != name);
+    match rest.all(|other| held.contains(other)) {
+        true => Predecessor::Known(nameless),
+        false => Predecessor::Undecided,
+    }
 }
--- a/components/control/tests/decisions.rs
+++ b/components/control/tests/decisions.rs
@@ -116,6 +116,7 @@
         let peers = seen(&[("b", formed(2, &[])), ("c", replacement)]);
         next_step(
             (DiskId(1), &NodeName::from("a")),
+            &["a", "b", "c"].map(NodeName::from).into(),
             &peers,
             &self.members,
             &self.names,
@@ -206,3 +207,46 @@
     assert_eq!(host.members.voters, ids(&[1, 2, 4]));
     assert!(host.members.learners.is_empty());
 }
+
+/// Guards against a voter that nobody can remove: its host was lost before its name was recorded.
+#[test]
+fn host_lost_before_its_name_was_recorded_is_replaced() {
+    let mut host = ReplacedHost::new();
+    host.names.remove(&DiskId(3));
+    host.applied = 50;
+
+    while let Some(step) = host.next(50) {
+        host.carry_out(step);
+    }
+
+    assert_eq!(host.members.voters, ids(&[1, 2, 4]));
+    assert!(host.members.removed.contains(&DiskId(3)));
+}
+
+/// Guards against the removal of a live voter: the leader has not heard of it yet, so it has no
+/// name, and it could be mistaken for the old folder of a replaced host.
+#[test]
+fn voter_that_is_not_heard_of_yet_is_not_removed() {
+    let mut host = ReplacedHost::new();
+    host.names.remove(&DiskId(3));
+    host.names.remove(&DiskId(2));
+    host.members.learners.insert(DiskId(4));
+    host.names.insert(DiskId(4), "c".into());
+    host.applied = 50;
+    let replacement = PeerAnnounce {
+        applied: LogIndex(50),
+        ..empty(4)
+    };
+
+    let step = next_step(
+        (DiskId(1), &NodeName::from("a")),
+        &["a", "b", "c"].map(NodeName::from).into(),
+        &seen(&[("c", replacement)]),
+        &host.members,
+        &host.names,
+        LogIndex(50),
+        &mut host.targets,
+    );
+
+    assert_eq!(step, None);
+}
