Show a status that could not be confirmed as without a quorum

Cause: with a control process killed during an order, a follower answered status with version 15 and "confirmed 1069 ms ago" after version 16 had been accepted. The read barrier before the answer had failed, and its result was dropped: the age shown was that of the last barrier before the election. Ruled out: the replicated state, which held the order at every node after the election, and the leases, whose age allows for an older version. Change: a status whose barrier failed carries no confirmation; bilberryctl shows it as no quorum. Conclusion: a confirmed status shows every order accepted before it was asked for.

--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -143,7 +143,7 @@
 
     /// State of the fleet as this node sees it.
     pub fn status(&self) -> FleetStatus {
-        let text = fleet_status(&self.context);
+        let text = fleet_status(&self.context, true);
         serde_json::from_str(&text).expect("the report is JSON of this type")
     }
 
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -35,8 +35,8 @@
         }
         ControlRequest::Status => {
             // Without a quorum the status still tells what this node sees, and that it is alone.
-            confirm(context).await;
-            ControlReply::Status(fleet_status(context))
+            let is_newest = confirm(context).await;
+            ControlReply::Status(fleet_status(context, is_newest))
         }
         ControlRequest::Directory(entries) => {
             take_directory(context, entries);
--- a/components/control/src/status.rs
+++ b/components/control/src/status.rs
@@ -72,7 +72,8 @@
     pub term: u64,
     /// Commit index of the log.
     pub commit: u64,
-    /// Time since the last confirmation by a quorum, in milliseconds; none if it is too long ago.
+    /// Time since the last confirmation by a quorum, in milliseconds; none if it is too long ago,
+    /// or if an operator's request could not be confirmed: orders may be missing then.
     pub confirmed_ms: Option<u64>,
     /// Configuration in force.
     pub version: ConfigVersion,
@@ -92,12 +93,13 @@
     pub nodes: Vec<NodeReport>,
 }
 
-/// The state of the fleet as JSON.
-pub(crate) fn fleet_status(context: &ControlContext) -> String {
+/// The state of the fleet as JSON; `is_newest` tells whether every accepted order is in it.
+pub(crate) fn fleet_status(context: &ControlContext, is_newest: bool) -> String {
     let entries: Vec<DirectoryEntry> = context
         .nodes
         .read(|nodes| nodes.entries().cloned().collect());
-    let status = context.view.read(|view| report(context, view, &entries));
+    let mut status = context.view.read(|view| report(context, view, &entries));
+    status.confirmed_ms = status.confirmed_ms.filter(|_| is_newest);
     serde_json::to_string(&status).expect("a report has only text keys")
 }
 
