--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -1,5 +1,7 @@
 //! One process of the fleet.
 
+#![allow(dead_code, reason = "each test binary uses a part of this module")]
+
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader};
@@ -13,7 +15,7 @@
 use super::PATIENCE;
 
 /// Log lines that are printed after a failed test.
-const LOG_LINES: usize = 15;
+const LOG_LINES: usize = 40;
 
 /// A started binary. It is killed when it is dropped.
 pub(crate) struct FleetProcess {
@@ -67,6 +69,28 @@
         self.child.wait().unwrap();
     }
 
+    /// Stops the process without a chance to react, or lets it go on.
+    pub(crate) fn set_frozen(&self, frozen: bool) {
+        let signal = if frozen { "-STOP" } else { "-CONT" };
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([signal, &id]).status().unwrap();
+        assert!(status.success(), "{} got no signal", self.name);
+    }
+
+    /// Whether the process has ended by itself; waits until it has or announces an address.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        // The channel closes when the process closes its output.
+        match self.lines.recv_timeout(PATIENCE) {
+            Ok(_) => false,
+            Err(_) => !self.child.wait().unwrap().success(),
+        }
+    }
+
+    /// Text of the log.
+    pub(crate) fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// Starts a killed process again, as the host's init system does.
     pub(crate) fn restart(&mut self) {
         let (child, lines) = spawn(&self.binary, &self.arguments, &self.log);
