Hold requests back from a target that has just become cold

Cause, from a trace of starts, ends and falls: - A claim that was granted before the limit dropped was still started: "running 3 limit 1" right before a fall. - An answer that the target completed before its restart, read after the drop, raised the limit of the cold target from 1 to 2. - The stand-in counted runs that a restart had cut until their tasks ended, so the first request after a restart made it fall over although no run was open.

Ruled out: load reports. The agent does not read them, and TargetLimit has no input for them.

Change: the agent takes a place under the present limit before it forwards a request; without one the run ends as not run and the entry queues it again. A sample says when its run began, and TargetLimit ignores runs from before its last drop. The stand-in counts open runs. The generated history limit_is_earned and the new ones advance the time with each run, since a constant time would hide all runs after a drop.

--- a/components/agent/src/forward.rs
+++ b/components/agent/src/forward.rs
@@ -35,10 +35,9 @@
     body: Vec<u8>,
 ) {
     let id = start.request;
-    let running = shared.board.write_quietly(|state| {
-        state.running += 1;
-        state.running
-    });
+    let Some(running) = take_place(&shared, &run, &start) else {
+        return;
+    };
     let mut forward = Forward {
         shared: &shared,
         run: &run,
@@ -60,6 +59,28 @@
     forward.finish(end);
 }
 
+/// Takes one of the target's places and returns how many are taken; none if the limit has dropped
+/// since the claim was made. The run then ends without being forwarded, and its entry queues it again.
+fn take_place(shared: &AgentShared, run: &AgentRun, start: &RunStart) -> Option<u32> {
+    let now = shared.now();
+    let place = shared.board.write_quietly(|state| {
+        if state.running < state.limit.limit().0 {
+            state.running += 1;
+            return Some(state.running);
+        }
+        state.seen.ended(start.request, RunStatus::NotRun, now);
+        let actions = state.table.ended(start.request, now);
+        state.perform(actions);
+        None
+    });
+    if place.is_none() {
+        let message = "the target's limit has dropped since the claim";
+        let failure = RunFailure::not_run(FailureCode::NotClaimed, message);
+        run.set_end(RunEnd::Failed(failure));
+    }
+    place
+}
+
 fn stopped(code: FailureCode, message: &str) -> RunEnd {
     RunEnd::Failed(RunFailure::new(RunStatus::Unknown, code, message))
 }
@@ -220,6 +241,7 @@
     fn sample(&self, cost: CostUnits, now: ClockTime) -> RunSample {
         let tokens = if self.answer.whole { cost.0 } else { 1 };
         RunSample {
+            begun: self.begun,
             running: units::SlotCount(self.running),
             latency: self.first_byte.unwrap_or_else(|| now.since(self.begun)),
             tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
--- a/components/limits/examples/cold_target.rs
+++ b/components/limits/examples/cold_target.rs
@@ -11,6 +11,7 @@
     let mut limit = TargetLimit::new(SlotCount(1), SlotCount(16));
     for _ in 0..20 {
         let sample = RunSample {
+            begun: now,
             running: limit.limit(),
             latency: Duration::from_millis(40),
             tokens: 1,
--- a/components/limits/src/target.rs
+++ b/components/limits/src/target.rs
@@ -18,6 +18,8 @@
 /// What is measured of one run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunSample {
+    /// When it started.
+    pub begun: ClockTime,
     /// Requests that ran when it started, itself included.
     pub running: SlotCount,
     /// Time from the start to the first byte of the answer.
@@ -36,6 +38,7 @@
     limit: SlotCount,
     successes: u32,
     best: BestLatency,
+    dropped: Option<ClockTime>,
 }
 
 impl TargetLimit {
@@ -48,6 +51,7 @@
             limit: cold,
             successes: 0,
             best: BestLatency::default(),
+            dropped: None,
         }
     }
 
@@ -63,14 +67,18 @@
 
     /// Takes in the end of a run.
     ///
-    /// A run that failed for another reason than the target's load neither raises nor drops it.
-    pub fn completed(&mut self, sample: RunSample, _now: ClockTime) {
+    /// A run that failed for another reason than the target's load neither raises nor drops it. Nor
+    /// does one that started before the last drop: it says nothing of the target since then.
+    pub fn completed(&mut self, sample: RunSample, now: ClockTime) {
+        if self.dropped.is_some_and(|dropped| sample.begun <= dropped) {
+            return;
+        }
         if !sample.ok {
             self.successes = 0;
             return;
         }
         if self.is_above(sample, COLD_LATENCY_FACTOR) {
-            self.drop_to_cold();
+            self.drop_to_cold(now);
             return;
         }
         let is_normal = !self.is_above(sample, NORMAL_LATENCY_FACTOR);
@@ -81,8 +89,8 @@
     }
 
     /// Notes that the target refused a request, restarted or was lost.
-    pub fn refused(&mut self, _now: ClockTime) {
-        self.drop_to_cold();
+    pub fn refused(&mut self, now: ClockTime) {
+        self.drop_to_cold(now);
     }
 
     fn is_above(&self, sample: RunSample, factor: u32) -> bool {
@@ -98,7 +106,8 @@
         }
     }
 
-    fn drop_to_cold(&mut self) {
+    fn drop_to_cold(&mut self, now: ClockTime) {
+        self.dropped = Some(now);
         self.limit = self.cold;
         self.successes = 0;
     }
--- a/components/limits/tests/limits.rs
+++ b/components/limits/tests/limits.rs
@@ -13,6 +13,7 @@
 
 fn sample(running: u32, first_token_ms: u64) -> RunSample {
     RunSample {
+        begun: NOW,
         running: SlotCount(running),
         latency: Duration::from_millis(first_token_ms),
         tokens: 1,
@@ -119,6 +120,24 @@
     assert_eq!(limit.limit(), SlotCount(8));
 }
 
+/// Guards against answers of runs that started before the target became cold and that raise the
+/// limit of the cold target.
+#[test]
+fn run_from_before_a_drop_does_not_raise_the_limit() {
+    let mut limit = warm(1, 8);
+    limit.refused(NOW);
+
+    limit.completed(sample(8, 20), NOW + Duration::from_millis(5));
+    assert_eq!(limit.limit(), SlotCount(1));
+
+    let later = RunSample {
+        begun: NOW + Duration::from_millis(1),
+        ..sample(1, 20)
+    };
+    limit.completed(later, NOW + Duration::from_millis(5));
+    assert_eq!(limit.limit(), SlotCount(2));
+}
+
 #[derive(Debug, Clone)]
 enum LimitStep {
     Completed {
@@ -147,17 +166,19 @@
     fn limit_is_earned(steps in prop::collection::vec(limit_step(), 1..200)) {
         let mut limit = TargetLimit::new(SlotCount(2), SlotCount(8));
         let mut full_runs = 0;
-        for step in steps {
+        // Each run starts after the end of the one before, and so after any drop.
+        let times = (NOW.0..).map(ClockTime);
+        for (step, now) in steps.into_iter().zip(times) {
             let before = limit.limit().0;
             match step {
                 LimitStep::Completed { running, first_token_ms, ok } => {
                     full_runs += u32::from(ok && running >= before);
                     limit.completed(
-                        RunSample { ok, ..sample(running, first_token_ms) },
-                        NOW,
+                        RunSample { begun: now, ok, ..sample(running, first_token_ms) },
+                        now,
                     );
                 }
-                LimitStep::Refused => limit.refused(NOW),
+                LimitStep::Refused => limit.refused(now),
             }
             let after = limit.limit().0;
             prop_assert!((2..=8).contains(&after));
--- a/components/limits/tests/whole_answers.rs
+++ b/components/limits/tests/whole_answers.rs
@@ -8,8 +8,6 @@
 use rstest::rstest;
 use units::{ClockTime, SlotCount};
 
-const NOW: ClockTime = ClockTime(1000);
-
 /// Largest limit of the targets here.
 const MOST: u32 = 6;
 
@@ -22,20 +20,37 @@
     }
 }
 
-fn new_limit() -> TargetLimit {
-    TargetLimit::new(SlotCount(1), SlotCount(MOST))
+/// A target at full use, whose runs start one after the other.
+struct BusyTarget {
+    limit: TargetLimit,
+    now: ClockTime,
 }
 
-/// Takes in an answer at full use and returns the limit.
-fn answered(limit: &mut TargetLimit, tokens: u32, latency: Duration) -> u32 {
-    let sample = RunSample {
-        running: limit.limit(),
-        latency,
-        tokens,
-        ok: true,
-    };
-    limit.completed(sample, NOW);
-    limit.limit().0
+impl BusyTarget {
+    fn new() -> Self {
+        Self {
+            limit: TargetLimit::new(SlotCount(1), SlotCount(MOST)),
+            now: ClockTime(1000),
+        }
+    }
+
+    fn limit(&self) -> u32 {
+        self.limit.limit().0
+    }
+
+    /// Takes in an answer and returns the limit.
+    fn answered(&mut self, tokens: u32, latency: Duration) -> u32 {
+        self.now = self.now + Duration::from_millis(1);
+        let sample = RunSample {
+            begun: self.now,
+            running: self.limit.limit(),
+            latency,
+            tokens,
+            ok: true,
+        };
+        self.limit.completed(sample, self.now);
+        self.limit()
+    }
 }
 
 /// A target that needs a fixed time and a time for each token.
@@ -67,12 +82,12 @@
         speed in speed(),
         answers in prop::collection::vec((0u32..4000, 100u32..200, any::<bool>()), 60),
     ) {
-        let mut limit = new_limit();
+        let mut target = BusyTarget::new();
         let mut most = 1;
         for (tokens, percent, stream) in answers {
             let tokens = if stream { 1 } else { tokens };
             let latency = speed.latency(tokens.max(1)) * percent / 100;
-            let after = answered(&mut limit, tokens, latency);
+            let after = target.answered(tokens, latency);
             prop_assert!(after >= most, "dropped from {most} to {after}");
             most = after;
         }
@@ -104,17 +119,17 @@
     fn classes_follow_the_exact_rule(
         answers in prop::collection::vec((1u32..3000, 5u64..4000), 1..120),
     ) {
-        let mut limit = new_limit();
+        let mut target = BusyTarget::new();
         let mut exact = ExactRule::default();
         for (tokens, millis) in answers {
             let latency = Duration::from_millis(millis);
-            let before = limit.limit().0;
+            let before = target.limit();
             let expected = exact.expected(tokens).unwrap_or(latency);
             if latency <= expected * 4 {
-                prop_assert!(answered(&mut limit, tokens, latency) >= before);
+                prop_assert!(target.answered(tokens, latency) >= before);
                 exact.samples.push((tokens, latency));
             } else if latency > expected * 5 {
-                prop_assert_eq!(answered(&mut limit, tokens, latency), 1);
+                prop_assert_eq!(target.answered(tokens, latency), 1);
             }
         }
     }
@@ -127,13 +142,13 @@
         fixed_ms: 100,
         token_us: 20_000,
     };
-    let mut limit = new_limit();
+    let mut target = BusyTarget::new();
     for known in [8, 30, 85, 400, 1500, tokens].repeat(10) {
-        answered(&mut limit, known, speed.latency(known));
+        target.answered(known, speed.latency(known));
     }
-    assert_eq!(limit.limit(), SlotCount(MOST));
+    assert_eq!(target.limit(), MOST);
 
-    let after = answered(&mut limit, tokens, speed.latency(tokens) * 6);
+    let after = target.answered(tokens, speed.latency(tokens) * 6);
 
     assert_eq!(after, 1);
 }
--- a/components/standin/src/engine/state.rs
+++ b/components/standin/src/engine/state.rs
@@ -76,7 +76,7 @@
             inner.status.refused += 1;
             return Err(AdmitError::Busy);
         }
-        let admitted = inner.status.running + inner.status.waiting;
+        let admitted = inner.open_runs();
         if admitted >= self.settings.batch_limit + self.settings.queue_limit {
             inner.status.refused += 1;
             return Err(AdmitError::Busy);
@@ -178,6 +178,13 @@
 }
 
 impl EngineInner {
+    /// Runs that wait or produce tokens. The counts still hold runs that a restart has cut until
+    /// their tasks end, and those must not make a cold engine fall over.
+    fn open_runs(&self) -> usize {
+        let runs = self.runs.values();
+        runs.filter(|run| run.state() == RunState::Open).count()
+    }
+
     pub(crate) fn is_down(&mut self) -> bool {
         if self.down_until.is_some_and(|end| end <= Instant::now()) {
             self.down_until = None;
--- a/src/dev/mod.rs
+++ b/src/dev/mod.rs
@@ -46,6 +46,8 @@
     pub http: SocketAddr,
     /// How the engines work.
     pub engine: EngineSettings,
+    /// Requests that an agent lets a cold engine run at once; without it, the engine's cold limit.
+    pub cold_slots: Option<u32>,
     /// How the plain services work.
     pub service: ServiceSettings,
 }
@@ -62,6 +64,7 @@
             services: 1,
             http: (Ipv4Addr::LOCALHOST, 0).into(),
             engine: EngineSettings::default(),
+            cold_slots: None,
             service: ServiceSettings::default(),
         }
     }
@@ -163,7 +166,9 @@
                 ServiceKind::Model => (
                     settings.engines,
                     settings.engine.batch_limit as u32,
-                    settings.engine.cold_limit as u32,
+                    settings
+                        .cold_slots
+                        .unwrap_or(settings.engine.cold_limit as u32),
                 ),
                 ServiceKind::Plain => (settings.services, PLAIN_SLOTS, PLAIN_SLOTS),
             };
