Refuse requests that wait for a service without targets

Test first: waiting_request_is_refused_when_the_last_target_is_gone failed after its patience of 20 s, since the request waited for its timeout of 300 s.

Cause: an entry checks for a live target only when a request arrives. A request that waits already stays in the offer book, which has nobody to offer it to, until its deadline.

Ruled out: expiry in the offer book, which knows only the agents that it may offer to; those exclude an agent for 1 s after a failed connection, so the wait would begin anew each second.

Change: the controller that updates the agents every 100 ms notes for each waiting request since when its service has had no live target in the view, and after 5 s (2 s expiry of an announcement and 3 s) refuses it with 503, not-run and Retry-After. A target that returns ends the count.

Conclusion: waiting and new requests get the same refusal. Waiting requests whose dependency, and not their own service, has lost its last target still wait. The test waits 1 s until the request is queued, as nothing outside the entry shows it.

--- a/components/entry/src/fleet.rs
+++ b/components/entry/src/fleet.rs
@@ -52,6 +52,15 @@
     }
 }
 
+/// Services with a target that may get new work.
+pub(crate) fn served_services(view: &FleetView) -> HashSet<ServiceName> {
+    let targets = view.directory.values();
+    targets
+        .filter_map(|node| serving_target(view, node))
+        .map(|target| target.service.clone())
+        .collect()
+}
+
 /// Whether a service has a target that may get new work.
 pub(crate) fn has_target(view: &FleetView, service: &ServiceName) -> bool {
     view.directory
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -19,7 +19,7 @@
 use crate::request::CheckedRequest;
 use crate::run::{RunBegin, RunJob, RunResult, run};
 use crate::sink::ResponseSink;
-use crate::state::{EntryShared, WaitEvent};
+use crate::state::{EntryShared, WaitEvent, WaitingCaller};
 
 /// Retries of a request whose run failed.
 const MAX_RETRIES: u32 = 2;
@@ -259,10 +259,19 @@
         }
     };
     drop(waiting);
-    let Ok(WaitEvent::Granted(agent)) = event else {
-        let message = "Failed to find a free target before the deadline";
-        let refusal = Refusal::not_run(504, "deadline-passed", message);
-        return Err(AttemptEnd::Refused(refusal.retry_after(RETRY_AFTER)));
+    let agent = match event {
+        Ok(WaitEvent::Granted(agent)) => agent,
+        Ok(WaitEvent::NoTarget) => {
+            let service = &request.checked.flow.service;
+            let message = format!("Failed to find a target: service {service} has no live target");
+            let refusal = Refusal::not_run(503, "no-target", message);
+            return Err(AttemptEnd::Refused(refusal.retry_after(RETRY_AFTER)));
+        }
+        Ok(WaitEvent::Expired) | Err(_) => {
+            let message = "Failed to find a free target before the deadline";
+            let refusal = Refusal::not_run(504, "deadline-passed", message);
+            return Err(AttemptEnd::Refused(refusal.retry_after(RETRY_AFTER)));
+        }
     };
     let live = use_link(shared, &agent).live.borrow().clone();
     match live {
@@ -306,7 +315,10 @@
             .book
             .enqueue(waiting, now)
             .map_err(|error| Refusal::not_run(429, "queue-full", error).retry_after(RETRY_AFTER))?;
-        state.waiting.insert(id, sender);
+        let service = request.checked.flow.service.clone();
+        state
+            .waiting
+            .insert(id, WaitingCaller::new(service, sender));
         state.perform(actions);
         Ok(())
     })
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -13,7 +13,7 @@
 use link::LinkEndpoint;
 use offers::{BookAction, BookSettings, OfferBook};
 use tokio::sync::{mpsc, oneshot};
-use units::{ClockSource, ClockTime, Incarnation, NodeName, RequestId};
+use units::{ClockSource, ClockTime, Incarnation, NodeName, RequestId, ServiceName};
 use wire::{DirectoryEntry, EntryMessage, NodeKind, NodeState};
 
 use crate::links::LinkHandle;
@@ -23,6 +23,10 @@
 /// Time for which an agent is not offered anything after its connection failed.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time for which a request waits for a service without a live target: an announcement expires
+/// after 2 s, and a target that restarts may take 3 s more.
+const TARGETLESS_TIME: Duration = Duration::from_secs(5);
+
 /// What a waiting request is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum WaitEvent {
@@ -30,6 +34,36 @@
     Granted(NodeName),
     /// The deadline has passed.
     Expired,
+    /// The service has had no live target for [`TARGETLESS_TIME`].
+    NoTarget,
+}
+
+/// A request that waits for a slot.
+pub(crate) struct WaitingCaller {
+    service: ServiceName,
+    sender: oneshot::Sender<WaitEvent>,
+    /// Since when the service has had no live target.
+    targetless: Option<ClockTime>,
+}
+
+impl WaitingCaller {
+    pub(crate) fn new(service: ServiceName, sender: oneshot::Sender<WaitEvent>) -> Self {
+        Self {
+            service,
+            sender,
+            targetless: None,
+        }
+    }
+
+    /// Whether the service has had no live target for too long.
+    fn is_targetless(&mut self, served: &HashSet<ServiceName>, now: ClockTime) -> bool {
+        if served.contains(&self.service) {
+            self.targetless = None;
+            return false;
+        }
+        let since = *self.targetless.get_or_insert(now);
+        now.since(since) >= TARGETLESS_TIME
+    }
 }
 
 /// State on the entry's board.
@@ -38,7 +72,7 @@
     pub(crate) ledger: UsageLedger,
     pub(crate) home: UsageHome,
     pub(crate) retries: RetryBudget,
-    pub(crate) waiting: HashMap<RequestId, oneshot::Sender<WaitEvent>>,
+    pub(crate) waiting: HashMap<RequestId, WaitingCaller>,
     pub(crate) links: HashMap<NodeName, LinkHandle>,
     /// Links that the link controller has to open.
     pub(crate) to_open: Vec<(NodeName, mpsc::Receiver<EntryMessage>)>,
@@ -79,13 +113,23 @@
                 BookAction::Grant { agent, request } => self.grant(agent, request),
                 BookAction::Expire { request } => {
                     if let Some(waiter) = self.waiting.remove(&request) {
-                        let _ = waiter.send(WaitEvent::Expired);
+                        let _ = waiter.sender.send(WaitEvent::Expired);
                     }
                 }
             }
         }
     }
 
+    /// Refuses requests that have waited too long for a service without a live target.
+    pub(crate) fn refuse_targetless(&mut self, served: &HashSet<ServiceName>, now: ClockTime) {
+        let refused = self
+            .waiting
+            .extract_if(|_, caller| caller.is_targetless(served, now));
+        for (_, caller) in refused {
+            let _ = caller.sender.send(WaitEvent::NoTarget);
+        }
+    }
+
     /// Forgets an agent whose connection is lost or cannot be opened.
     pub(crate) fn agent_lost(&mut self, agent: &NodeName, now: ClockTime) {
         let actions = self.book.agent_lost(agent, now);
@@ -111,7 +155,7 @@
     fn grant(&mut self, agent: NodeName, request: RequestId) {
         let waiter = self.waiting.remove(&request);
         let event = WaitEvent::Granted(agent.clone());
-        let taken = waiter.is_some_and(|waiter| waiter.send(event).is_ok());
+        let taken = waiter.is_some_and(|waiter| waiter.sender.send(event).is_ok());
         if !taken {
             self.send(&agent, EntryMessage::Withdraw(request));
         }
--- a/components/entry/src/upkeep.rs
+++ b/components/entry/src/upkeep.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::fleet::serving_agents;
+use crate::fleet::{served_services, serving_agents};
 use crate::state::EntryShared;
 
 /// Interval in which waiting requests are offered again or expire.
@@ -51,6 +51,8 @@
             });
             let actions = state.book.set_agents(agents, now);
             state.perform(actions);
+            let served = shared.view.read(served_services);
+            state.refuse_targetless(&served, now);
         });
     }
 }
--- a/components/entry/tests/refusals.rs
+++ b/components/entry/tests/refusals.rs
@@ -6,11 +6,11 @@
 
 use agent::TargetKind;
 use common::target::FakeTarget;
-use common::{Caller, Fleet, header};
+use common::{Caller, Fleet, PATIENCE, header, until};
 use entry::EntryLimits;
 use reqwest::Response;
 use rstest::rstest;
-use units::{ByteSize, ClockTime};
+use units::{ByteSize, ClockTime, NodeName};
 
 async fn refused(response: Response) -> (u16, String, String) {
     let status = response.status().as_u16();
@@ -142,3 +142,41 @@
     let expected = (503, "not-serving".to_owned(), "not-run".to_owned());
     assert_eq!(refused(response).await, expected);
 }
+
+/// Guards against requests that wait until their timeout for a service whose last target is gone,
+/// while new ones are refused at once; and against a refusal before a target may have come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn waiting_request_is_refused_when_the_last_target_is_gone() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(0).await;
+    let _agent = fleet
+        .agent("agent-1", "stone-advice", TargetKind::Model, target.address)
+        .await;
+    let entry = fleet.entry("entry-1").await;
+    let mut running = tokio::task::JoinSet::new();
+    for _ in 0..4 {
+        let caller = Caller::new(&entry);
+        running.spawn(async move { caller.chat(10, true).await });
+    }
+    until("the target is full", || {
+        target.count(|state| &state.requests) == 4
+    })
+    .await;
+    let caller = Caller::new(&entry);
+    let waiting = tokio::spawn(async move { caller.chat(10, true).await });
+    // Nothing outside the entry shows that the fifth request waits.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    let gone = std::time::Instant::now();
+    fleet
+        .view
+        .write(|view| view.directory.remove(&NodeName::from("agent-1")));
+    let response = tokio::time::timeout(PATIENCE, waiting).await;
+    let response = response.expect("the request is refused").unwrap();
+
+    assert!(gone.elapsed() >= Duration::from_secs(5));
+    assert_eq!(header(&response, "retry-after"), "1");
+    let expected = (503, "no-target".to_owned(), "not-run".to_owned());
+    assert_eq!(refused(response).await, expected);
+    assert_eq!(target.count(|state| &state.requests), 4);
+}
