Retry past a dead target, and let the error event reach the caller

Two faults were found: - A request whose target died before its answer failed with target-unreachable. Cause: both retries went to the same agent, which claims until the next probe (up to 500 ms later) finds its target dead; a retry takes a few milliseconds. A lost target is now suspect: the agent claims nothing until a probe, which starts at once, has found it. - The error event of a broken stream did not reach the caller, who saw only a broken connection without an outcome. Cause: the event and the failure of the body follow each other without a pause, and the HTTP server drops what it has not written when a body fails. A pause of 20 ms makes it write the event first.

Ruled out: silence detection, resume and the recorded response of calls; these 15 cases passed without a change.

Conclusion: a caller gets its whole response, or an explicit end that says what became of it.

--- a/components/agent/src/forward.rs
+++ b/components/agent/src/forward.rs
@@ -168,6 +168,9 @@
             state.running -= 1;
             state.seen.ended(self.id, end.status(), now);
             self.adapt_limit(state, &end, now);
+            if is_target_lost(&end) {
+                state.suspect_target(now);
+            }
             let actions = state.table.ended(self.id, now);
             state.perform(actions);
             state.apply_limit(now);
@@ -212,6 +215,17 @@
     }
 }
 
+/// Whether the target may be dead: a retry must then not come back to it.
+fn is_target_lost(end: &RunEnd) -> bool {
+    let RunEnd::Failed(failure) = end else {
+        return false;
+    };
+    matches!(
+        failure.code,
+        FailureCode::TargetUnreachable | FailureCode::TargetLost
+    )
+}
+
 fn target_failure(error: &TargetError) -> RunFailure {
     match error {
         TargetError::Unreachable(_) => RunFailure::not_run(FailureCode::TargetUnreachable, error),
--- a/components/agent/src/state.rs
+++ b/components/agent/src/state.rs
@@ -37,6 +37,8 @@
     pub(crate) sessions: HashMap<NodeName, SessionHandle>,
     pub(crate) generations: u64,
     pub(crate) healthy: bool,
+    /// Whether the target was lost since the last probe.
+    pub(crate) suspect: bool,
     pub(crate) leaving: bool,
     /// Whether a leaving agent refuses starts of earlier claims too.
     pub(crate) closed: bool,
@@ -58,6 +60,7 @@
             sessions: HashMap::new(),
             generations: 0,
             healthy: false,
+            suspect: false,
             leaving: false,
             closed: false,
             open_streams: 0,
@@ -75,6 +78,13 @@
         }
     }
 
+    /// Takes no new work after the loss of the target until a probe finds it.
+    pub(crate) fn suspect_target(&mut self, now: ClockTime) {
+        self.healthy = false;
+        self.suspect = true;
+        self.decide_serving(false, now);
+    }
+
     /// Sends what the offer table asks for. A message to a session that is gone or too slow is
     /// dropped: the claim ends by itself after its time.
     pub(crate) fn perform(&mut self, actions: Vec<TableAction>) {
--- a/components/agent/src/upkeep.rs
+++ b/components/agent/src/upkeep.rs
@@ -32,12 +32,18 @@
     }
 }
 
-/// Notes whether the target accepts connections. A target that comes back is cold.
+/// Notes whether the target accepts connections, at intervals and at once after a run lost it. A
+/// target that comes back is cold.
 pub(crate) async fn probe_target(shared: AgentShared) {
     let mut interval = tokio::time::interval(PROBE_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
+        let suspected = shared.board.wait_for(|state| state.suspect.then_some(()));
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = suspected => {}
+        }
+        shared.board.write_quietly(|state| state.suspect = false);
         let healthy = shared.target.probe().await;
         let before = shared.board.read(|state| state.healthy);
         if healthy == before {
--- a/components/entry/src/reply.rs
+++ b/components/entry/src/reply.rs
@@ -16,6 +16,9 @@
 /// what became of the request.
 pub(crate) const DEADLINE_SLACK: Duration = Duration::from_millis(500);
 
+/// Pause between the error event of a stream and its broken end.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
 /// Answers with a refusal.
 pub(crate) fn refuse(res: &mut Response, refusal: &Refusal) {
     let status = StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -62,6 +65,9 @@
 /// sees a truncated body; an event stream gets an event that says so before.
 async fn next_part(mut state: BodyState) -> Option<(Result<Vec<u8>, io::Error>, BodyState)> {
     if state.failed {
+        // The server drops what it has not yet written when a body fails. It writes when the body
+        // has nothing ready, so a pause lets the error event reach the caller.
+        tokio::time::sleep(FLUSH_TIME).await;
         return Some((Err(broken()), state));
     }
     match state.parts.recv().await {
--- a/components/entry/tests/common/target.rs
+++ b/components/entry/tests/common/target.rs
@@ -81,6 +81,9 @@
             let number = state.orders.fetch_add(1, Ordering::SeqCst) + 1;
             permit(&mut stream, state).await?;
             whole(&mut stream, &format!("order {number}")).await?;
+        } else if head.starts_with("GET /held") {
+            permit(&mut stream, state).await?;
+            whole(&mut stream, "held").await?;
         } else if head.starts_with("GET /large ") {
             large(&mut stream, state).await?;
         } else {
