Give up a call whose agent stays lost for longer than it can run

Cause: a resend of a call asks the agent of the earlier attempt, and takes an agent that cannot be reached for one that still runs the call.

Ruled out: ending the record from control, which would need the deadline in the record and a timer in the replicated state; and giving up as soon as the directory has lost the agent, since a call may run on for its deadline and 30 s while its agent is cut off from control, and an agent that returns still gives the answer.

Change: an entry counts how long its directory has not listed the attempt's agent, from the first resend that found it missing and only while it has a lease. After the lease, the deadline and 30 s together it records the outcome as unknown. An agent that is listed but cannot be reached stays in progress.

--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use client::LEASE_TIME;
 use fastrace::Span;
 use fastrace::future::FutureExt as _;
 use tokio::time::Instant;
-use units::{IdempotencyKey, RequestId};
+use units::{IdempotencyKey, NodeName, RequestId};
 use wire::{BeginCall, CallKey, CallOutcome, EndCall, FailureCode, RunStatus, StoredResponse};
 
 use crate::call_flow::{CallAttempt, CallFlow, CallStep, CallVerdict};
@@ -118,13 +119,40 @@
 
     async fn query(&self, attempt: &CallAttempt) -> Option<RunStatus> {
         tokio::time::sleep(QUERY_DELAY).await;
-        query(
+        let status = query(
             self.shared,
             &attempt.agent,
             attempt.incarnation,
             attempt.request,
         )
-        .await
+        .await;
+        status.or_else(|| self.is_lost(attempt).then_some(RunStatus::Unknown))
+    }
+
+    /// Whether the attempt's agent has been missing for longer than the attempt can run, so that
+    /// nobody will learn its outcome.
+    fn is_lost(&self, attempt: &CallAttempt) -> bool {
+        let shared = self.shared;
+        let now = shared.now();
+        let limit = LEASE_TIME + shared.settings.limits.request_timeout + CALL_GRACE;
+        shared.board.write_quietly(|state| {
+            shared.view.read(|view| {
+                if !view.has_lease(now) {
+                    state.lost_agents.clear();
+                    return false;
+                }
+                let is_listed = |name: &NodeName, incarnation| {
+                    let node = view.directory.get(name);
+                    node.is_some_and(|node| node.incarnation == incarnation)
+                };
+                state.lost_agents.retain_missing(is_listed);
+                !is_listed(&attempt.agent, attempt.incarnation)
+                    && state
+                        .lost_agents
+                        .missing(&attempt.agent, attempt.incarnation, now)
+                        >= limit
+            })
+        })
     }
 
     /// Reads the response of another attempt.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod http;
 mod links;
+mod lost_agents;
 mod recorder;
 mod refusal;
 mod reply;
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -17,6 +17,7 @@
 use wire::{DirectoryEntry, EntryMessage, NodeKind, NodeState};
 
 use crate::links::LinkHandle;
+use crate::lost_agents::LostAgents;
 use crate::recorder::CallRecorder;
 use crate::settings::EntrySettings;
 
@@ -46,6 +47,8 @@
     pub(crate) failed: HashMap<NodeName, ClockTime>,
     /// Agents that announced on their session that they leave.
     pub(crate) leaving_agents: HashSet<(NodeName, Incarnation)>,
+    /// Missing agents that calls wait for.
+    pub(crate) lost_agents: LostAgents,
     pub(crate) open_requests: usize,
     pub(crate) leaving: bool,
 }
@@ -66,6 +69,7 @@
             to_open: Vec::new(),
             failed: HashMap::new(),
             leaving_agents: HashSet::new(),
+            lost_agents: LostAgents::default(),
             open_requests: 0,
             leaving: false,
         }
--- a/components/entry/tests/calls.rs
+++ b/components/entry/tests/calls.rs
@@ -2,13 +2,17 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use agent::TargetKind;
+use client::LEASE_TIME;
 use common::recorder::RecorderLink;
 use common::target::FakeTarget;
 use common::{Caller, Fleet, header, until};
 use entry::EntryLimits;
+use units::{ManualClock, NodeName};
 
 /// Guards against a second order when the entry that runs the first one dies, and against an
 /// outcome that no later resend can learn.
@@ -130,3 +134,64 @@
     assert_eq!(again.text().await.unwrap(), "order 1");
     assert_eq!(target.count(|state| &state.orders), 1);
 }
+
+/// Longest time that a call can run at its agent: its deadline, and 30 s in which its outcome is
+/// still learned.
+const REQUEST_TIME: Duration = Duration::from_secs(10);
+const RUN_TIME: Duration = Duration::from_secs(10 + 30);
+
+/// Code of an error.
+async fn code(response: reqwest::Response) -> String {
+    let body: serde_json::Value = response.json().await.unwrap();
+    body["error"]["code"].as_str().unwrap().into()
+}
+
+/// Guards against a call that stays in progress for an hour after its agent was lost for good, and
+/// against one that is given up while its agent may still run it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_of_an_agent_that_stays_lost_becomes_unknown() {
+    let clock = ManualClock::default();
+    let mut fleet = Fleet::new();
+    fleet.clock = Arc::new(clock.clone());
+    let (target, other) = (FakeTarget::start(0).await, FakeTarget::start(9).await);
+    let agent = fleet
+        .agent("agent-1", "visits", TargetKind::Plain, target.address)
+        .await;
+    let limits = EntryLimits {
+        request_timeout: REQUEST_TIME,
+        ..EntryLimits::default()
+    };
+    let link = RecorderLink::new(fleet.recorder.clone());
+    let first = fleet
+        .entry_over("entry-1", limits.clone(), link.clone())
+        .await;
+    let caller = Caller::new(&first);
+    let broken = tokio::spawn(async move { caller.try_order("key-1", "visit").await });
+    until("the order is at the target", || {
+        target.count(|state| &state.orders) == 1
+    })
+    .await;
+
+    link.cut.store(true, Ordering::SeqCst);
+    first.kill().await;
+    agent.kill().await;
+    fleet.view.write(|view| {
+        view.directory.remove(&NodeName::from("agent-1"));
+    });
+    let _other = fleet
+        .agent("agent-2", "visits", TargetKind::Plain, other.address)
+        .await;
+    let second = fleet.entry_with("entry-2", limits).await;
+    let caller = Caller::new(&second);
+    let found_lost = code(caller.order("key-1", "visit").await).await;
+    clock.advance(RUN_TIME);
+    let while_it_may_run = code(caller.order("key-1", "visit").await).await;
+    clock.advance(LEASE_TIME);
+    let after = code(caller.order("key-1", "visit").await).await;
+
+    assert_eq!([found_lost, while_it_may_run], ["in-progress"; 2]);
+    assert_eq!(after, "unknown");
+    assert_eq!(fleet.recorder.ended(), 1);
+    assert_eq!(other.count(|state| &state.orders), 0);
+    broken.abort();
+}
