--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cadence::prelude::*;
+use client::LEASE_TIME;
 use fastrace::Span;
 use fastrace::collector::SpanContext;
 use fastrace::future::FutureExt as _;
@@ -257,6 +258,11 @@
                 "the caller is gone",
             )));
         }
+        () = lease_lost(shared) => {
+            let message = "Failed to find a target: the entry lost its lease while the request waited";
+            let refusal = Refusal::not_run(503, "not-serving", message);
+            return Err(AttemptEnd::Refused(refusal.retry_after(RETRY_AFTER)));
+        }
     };
     drop(waiting);
     let Ok(WaitEvent::Granted(agent)) = event else {
@@ -279,6 +285,19 @@
     }
 }
 
+/// Waits until the entry has no lease. It then knows neither orders nor agents, and the request may
+/// find a target through another entry.
+async fn lease_lost(shared: &EntryShared) {
+    loop {
+        let now = shared.now();
+        let left = shared.view.read(|view| view.lease_end.since(now));
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left.min(LEASE_TIME)).await;
+    }
+}
+
 fn enqueue(
     shared: &EntryShared,
     request: &OpenRequest,
--- a/components/entry/tests/stops.rs
+++ b/components/entry/tests/stops.rs
@@ -191,3 +191,40 @@
     })
     .await;
 }
+
+/// Guards against a request that waits for minutes at an entry that is cut off from control, while
+/// other entries could serve it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_that_loses_its_lease_refuses_what_waits() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(100).await;
+    let _agent = fleet
+        .agent("agent-1", "stone-advice", TargetKind::Model, target.address)
+        .await;
+    let entry = fleet.entry("entry-1").await;
+    fleet.agent_view.write(|view| view.lease_end = ClockTime(0));
+
+    let refusing = async {
+        loop {
+            fleet
+                .view
+                .write(|view| view.lease_end = ClockTime(u64::MAX));
+            let caller = Caller::new(&entry);
+            let request = tokio::spawn(async move { caller.chat(10, true).await });
+            tokio::task::yield_now().await;
+            Caller::new(&entry).get("/readyz").await;
+            fleet.view.write(|view| view.lease_end = ClockTime(0));
+            let refused = request.await.unwrap();
+            let (status, outcome) = (refused.status(), header(&refused, "bilberry-outcome"));
+            // A request that comes after the loss is refused at once, and is asked again.
+            if refused.text().await.unwrap().contains("waited") {
+                return (status, outcome);
+            }
+        }
+    };
+    let refused = tokio::time::timeout(Duration::from_secs(10), refusing).await;
+
+    let (status, outcome) = refused.expect("the waiting request is refused");
+    assert_eq!((status.as_u16(), outcome.as_str()), (503, "not-run"));
+    assert_eq!(target.count(|state| &state.requests), 0);
+}
