Report nodes that fell silent with an old version

Cause: status listed only nodes that were heard within 2 s, so an agent that was cut off, the one that matters after an order, was not among those that had not confirmed the newest version.

Ruled out: the lag of listed nodes, which is right; with only the answers cut, a node cannot open a new connection and so is not heard either.

Change: the directory remembers the last announcement of a removed node for its minute of memory, and status reports those that did not leave in the planned way: since when and with which version.

--- a/components/control/src/status.rs
+++ b/components/control/src/status.rs
@@ -61,6 +61,19 @@
     pub target: Option<TargetState>,
 }
 
+/// Entry or agent that fell silent without leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MissingReport {
+    /// Name.
+    pub name: NodeName,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentreName,
+    /// Configuration that it had installed when it was last heard.
+    pub config: ConfigVersion,
+    /// Time since it was last heard, in milliseconds.
+    pub silent_ms: u64,
+}
+
 /// State of the fleet as one control node sees it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetStatus {
@@ -90,6 +103,9 @@
     pub services: Vec<ServiceReport>,
     /// Entries and agents.
     pub nodes: Vec<NodeReport>,
+    /// Entries and agents that fell silent in the last minute.
+    #[serde(default)]
+    pub missing: Vec<MissingReport>,
 }
 
 /// The state of the fleet as JSON.
@@ -97,7 +113,19 @@
     let entries: Vec<DirectoryEntry> = context
         .nodes
         .read(|nodes| nodes.entries().cloned().collect());
-    let status = context.view.read(|view| report(context, view, &entries));
+    let mut status = context.view.read(|view| report(context, view, &entries));
+    let now = context.clock.now();
+    status.missing = context.nodes.read(|nodes| {
+        let missing = nodes.missing(now);
+        missing
+            .map(|(entry, silent)| MissingReport {
+                name: entry.name.clone(),
+                data_centre: entry.data_centre.clone(),
+                config: entry.config,
+                silent_ms: silent.as_millis() as u64,
+            })
+            .collect()
+    });
     serde_json::to_string(&status).expect("a report has only text keys")
 }
 
@@ -147,6 +175,7 @@
                 },
             })
             .collect(),
+        missing: Vec::new(),
     }
 }
 
--- a/components/ctl/src/status.rs
+++ b/components/ctl/src/status.rs
@@ -33,6 +33,11 @@
         status.calls
     );
     text += &format!("{} nodes, {} lag\n", status.nodes.len(), lagging.count());
+    for node in &status.missing {
+        let (name, place) = (&node.name, &node.data_centre);
+        let (version, silent) = (node.config, node.silent_ms);
+        text += &format!("{name} in {place} silent for {silent} ms, had version {version}\n");
+    }
     for name in &status.out_data_centres {
         text += &format!("data centre {name} is out\n");
     }
--- a/components/ctl/tests/capacity.rs
+++ b/components/ctl/tests/capacity.rs
@@ -42,6 +42,7 @@
         controls: Vec::new(),
         data_centres: Vec::new(),
         services: vec![service("advice", &["records"]), service("records", &[])],
+        missing: Vec::new(),
         nodes: vec![
             agent("a-1", "advice", "praha-1", true),
             agent("a-2", "advice", "brno-1", true),
--- a/components/directory/src/directory.rs
+++ b/components/directory/src/directory.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use units::{ClockTime, Incarnation, NodeName};
-use wire::{DirectoryDelta, DirectoryEntry};
+use wire::{DirectoryDelta, DirectoryEntry, NodeState};
 
 use crate::record::{AnnouncementSource, NodeRecord, is_meaningful};
 
@@ -17,9 +17,10 @@
 pub const REMOVED_MEMORY: Duration = Duration::from_secs(60);
 
 /// Node that was removed.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct RemovedNode {
     incarnation: Incarnation,
+    entry: DirectoryEntry,
     revision: u64,
     time: ClockTime,
 }
@@ -96,6 +97,15 @@
         }
     }
 
+    /// Nodes that fell silent without leaving, as they announced themselves last, and for how long
+    /// they have been silent.
+    pub fn missing(&self, now: ClockTime) -> impl Iterator<Item = (&DirectoryEntry, Duration)> {
+        let removed = self.removed.values();
+        removed
+            .filter(|node| node.entry.state == NodeState::Serving)
+            .map(move |node| (&node.entry, now.since(node.time) + SILENT_SPAN))
+    }
+
     /// Changes since a revision; the whole directory if the source differs or the revision is not
     /// known any more.
     pub fn delta_since(&self, source: Incarnation, revision: u64) -> DirectoryDelta {
@@ -211,6 +221,7 @@
         let revision = self.next_revision(name);
         let removed = RemovedNode {
             incarnation: record.entry.incarnation,
+            entry: record.entry,
             revision,
             time: now,
         };
--- a/tests/network/mod.rs
+++ b/tests/network/mod.rs
@@ -185,6 +185,27 @@
             .expect("the leader is a member")
     }
 
+    /// Waits until exactly these nodes are reported to lack the newest version, or to be silent with
+    /// an older one, for at least some time.
+    pub(crate) async fn wait_unconfirmed(&self, names: &[&str], least: Duration) {
+        let control = &self.controls[0];
+        let waiting = control.wait_until(|status| {
+            let lagging = status.nodes.iter().filter_map(|node| {
+                let lag = node.lags_ms?;
+                Some((node.name.as_str(), lag))
+            });
+            let missing = status.missing.iter();
+            let missing = missing.filter(|node| node.config < status.version);
+            let missing = missing.map(|node| (node.name.as_str(), node.silent_ms));
+            let found: Vec<_> = lagging.chain(missing).collect();
+            let found_names: Vec<&str> = found.iter().map(|(name, _)| *name).collect();
+            let is_long = |(_, time): &(&str, u64)| Duration::from_millis(*time) >= least;
+            found_names == names && found.iter().all(is_long)
+        });
+        let waited = tokio::time::timeout(PATIENCE, waiting).await;
+        assert!(waited.is_ok(), "{names:?}: {:?}", control.status());
+    }
+
     /// Cuts the ways between one control node and the others.
     pub(crate) fn cut_control(&self, index: usize) {
         for ((from, to), way) in &self.control_ways {
--- a/tests/partitions.rs
+++ b/tests/partitions.rs
@@ -152,6 +152,19 @@
     assert!(counts.is_all_whole(), "{counts:?}");
 }
 
+/// Guards against a report that hides which node lacks the newest version, or since when.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn status_names_the_node_that_lacks_the_newest_version() {
+    let fleet = RegionFleet::start().await;
+    let ways = &fleet.regions[0].agent_ways;
+    ways.iter().for_each(|way| way.cut(&[Direction::Back]));
+    fleet.order(data_centre(0, true, 1)).await;
+
+    fleet.wait_unconfirmed(&["agent-1"], OUT_TIME).await;
+    fleet.heal();
+    fleet.wait_unconfirmed(&[], Duration::ZERO).await;
+}
+
 /// Guards against a region that, cut off for long, goes on with its old configuration, or takes
 /// work when it returns before it has the order.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
