Count what was charged since the last answer of a lost usage home

When a home is lost and another reporter than the one that gave the service reports to the next home first, that home adopts the reporter's known total, and then skipped what the other one had been charged since its own last answer. Ruled out: a lost message or a skipped home, since the shown case needs neither; the order of two reports decides, which is why it showed only under load. Change: a report that knows the adopted total, or a later one, adds its fresh part, which neither the adopted total nor an earlier count contains. Conclusion: service is no longer lost with a home in this order; what other reporters gave in a round whose known total is older than the adopted one can still be.

--- a/components/fair/src/home.rs
+++ b/components/fair/src/home.rs
@@ -254,8 +254,13 @@
             self.total = self.total.saturating_add(count.saturating_sub(record.seen));
             record.seen = record.seen.max(count);
         } else if known >= self.rebased {
-            // The reporter has heard the adopted total, so that this count is not older than the
-            // part of it that the total may contain.
+            // The reporter has heard the adopted total or a later one, so that this count is not
+            // older than the part of it that the total may contain, and what has been charged
+            // since that answer is in neither. Without an adopted total, the reporter's own is
+            // adopted next, with what is fresh.
+            if self.rebased > 0 {
+                self.total = self.total.saturating_add(usage.fresh.0);
+            }
             record.seen = count;
             record.synced = true;
         }
--- a/components/fair/tests/cases.rs
+++ b/components/fair/tests/cases.rs
@@ -289,3 +289,25 @@
     assert_eq!(soon, 10, "the reporter might still return");
     assert_eq!(later, 80);
 }
+
+/// Guards against service that is lost when a home is lost and another reporter than the one that
+/// gave the service reports to the next home first.
+#[test]
+fn service_after_the_last_answer_of_a_lost_home_is_counted() {
+    let mut world = ReportWorld::new();
+    world.charge(0, 100);
+    world.charge(1, 50);
+    world.round();
+    world.round();
+    world.charge(0, 10);
+    world.homes[0] = UsageHome::new();
+    world.now = world.now + fair::REPORT_INTERVAL;
+
+    for reporter in [1, 0] {
+        world.charge(reporter, 0);
+        world.send_report(reporter);
+        world.deliver_report(world.reports.len() - 1);
+    }
+
+    assert_eq!(world.round(), 160);
+}
