Do not take a completed response for a caller that left

Change: the sink counts the bytes that the head announces, and reports no caller that left once they are all passed on. Measured: the case of a complete body fails with the count switched off and passes with it; the tests of entry pass. Conclusion: whole answers end as complete; a caller that leaves early is still noticed.

--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -35,3 +35,4 @@
     ChatBody, CheckedRequest, idempotency_key, is_canonical_path, split_service_path,
 };
 pub use settings::{EntryLimits, EntrySettings};
+pub use sink::{ResponsePart, ResponseSink};
--- a/components/entry/src/sink.rs
+++ b/components/entry/src/sink.rs
@@ -13,7 +13,7 @@
 
 /// Part of the answer to a caller.
 #[derive(Debug)]
-pub(crate) enum ResponsePart {
+pub enum ResponsePart {
     /// Head of the response; the first part.
     Head(ResponseHead),
     /// Bytes of the body.
@@ -26,16 +26,19 @@
 
 /// Passes a response on to the caller. The head is held back until the first byte or the end, so
 /// that a run that produced nothing can be repeated.
-pub(crate) struct ResponseSink {
+pub struct ResponseSink {
     sender: mpsc::Sender<ResponsePart>,
     head: Option<ResponseHead>,
     sent: bool,
     record: Option<StoredResponse>,
     too_large: bool,
+    /// Bytes of the body that the head announces and that were not passed on yet.
+    missing: Option<u64>,
 }
 
 impl ResponseSink {
-    pub(crate) fn new() -> (Self, mpsc::Receiver<ResponsePart>) {
+    /// Creates a sink and the parts that come out of it.
+    pub fn new() -> (Self, mpsc::Receiver<ResponsePart>) {
         let (sender, parts) = mpsc::channel(SINK_QUEUE);
         let sink = Self {
             sender,
@@ -43,6 +46,7 @@
             sent: false,
             record: None,
             too_large: false,
+            missing: None,
         };
         (sink, parts)
     }
@@ -53,7 +57,13 @@
     }
 
     /// Waits until the caller is gone.
-    pub(crate) async fn closed(&self) {
+    ///
+    /// An HTTP server drops the parts once the announced length is written. That is no sign of a
+    /// caller that left: the run is complete and must not be cancelled.
+    pub async fn closed(&self) {
+        if self.missing == Some(0) {
+            std::future::pending::<()>().await;
+        }
         self.sender.closed().await;
     }
 
@@ -62,10 +72,11 @@
     }
 
     /// Takes the head; a repeated one is dropped.
-    pub(crate) fn head(&mut self, head: ResponseHead) {
+    pub fn head(&mut self, head: ResponseHead) {
         if self.sent || self.head.is_some() {
             return;
         }
+        self.missing = announced_length(&head);
         self.record = Some(StoredResponse {
             head: head.clone(),
             body: Vec::new(),
@@ -74,8 +85,11 @@
     }
 
     /// Passes bytes on. A caller that is gone is noticed through [`closed`](Self::closed).
-    pub(crate) async fn body(&mut self, bytes: Vec<u8>) {
+    pub async fn body(&mut self, bytes: Vec<u8>) {
         self.keep(&bytes);
+        self.missing = self
+            .missing
+            .map(|length| length.saturating_sub(bytes.len() as u64));
         self.send_head().await;
         let _ = self.sender.send(ResponsePart::Body(bytes)).await;
     }
@@ -103,6 +117,7 @@
         self.head = None;
         self.record = None;
         self.too_large = false;
+        self.missing = None;
     }
 
     /// The whole response, unless it is too large to be recorded.
@@ -128,3 +143,11 @@
         }
     }
 }
+
+fn announced_length(head: &ResponseHead) -> Option<u64> {
+    let field = head
+        .headers
+        .iter()
+        .find(|field| field.name == "content-length")?;
+    std::str::from_utf8(&field.value).ok()?.parse().ok()
+}
