List the limit's fault with prompts that miss the prefix cache

First tokens take 20 ms from the prefix cache and 100 ms without it, and each miss exceeds 4 times the best latency. Conclusion: open. The rule needs the spread of normal latencies in place of the best one.

--- a/components/limits/tests/whole_answers.rs
+++ b/components/limits/tests/whole_answers.rs
@@ -152,3 +152,18 @@
 
     assert_eq!(after, 1);
 }
+
+/// Guards against a healthy target that drops to cold whenever a prompt is not in its prefix cache:
+/// with the stand-in's times, a first token takes 20 ms from the cache and 100 ms without it.
+#[test]
+fn misses_of_the_prefix_cache_leave_the_limit() {
+    let mut target = BusyTarget::new();
+
+    for round in 0..400_u64 {
+        let is_cached = !round.is_multiple_of(3);
+        let latency = if is_cached { 20 } else { 100 };
+        target.answered(1, Duration::from_millis(latency));
+    }
+
+    assert_eq!(target.limit(), MOST);
+}
