--- a/components/entry/src/settings.rs
+++ b/components/entry/src/settings.rs
@@ -13,7 +13,7 @@
     pub name: NodeName,
     /// Address for callers' HTTP.
     pub http: SocketAddr,
-    /// Address for links of other entries.
+    /// Local address of the links to agents and control nodes.
     pub listen: SocketAddr,
     /// Data centre of the host.
     pub data_centre: DataCentreName,
--- a/src/bin/bilberry-entry.rs
+++ b/src/bin/bilberry-entry.rs
@@ -34,7 +34,7 @@
     };
     let entry = entry::start_with(settings, parts).await?;
     bilberrycrank::options::announce("callers", entry.http());
-    bilberrycrank::options::announce("entries", entry.address());
+    bilberrycrank::options::announce("links", entry.address());
     wait_for_stop().await?;
     entry.leave().await;
     telemetry::stop_traces();
@@ -42,7 +42,7 @@
 }
 
 fn options() -> OptionParser<Options> {
-    let node = node_options("Address for links of other entries (UDP)");
+    let node = node_options("Local address of the links to agents and control nodes (UDP)");
     let http = flag(
         "http",
         "BILBERRY_HTTP",
