Tell false alarms of the latency from a cold target

Ruled out: a larger factor, which lets a target that really turns cold at 5 times its latency keep its limit; several slow answers in a row, which random misses reach too. Change: a drop between two normal answers is a false alarm; for the next 128 to 256 answers only slowness above twice the alarm's counts as cold. A cold target answers slowly again after the drop, which proves the alarm true.

--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -1,5 +1,6 @@
 //! Concurrency limit of a target, and retry budgets.
 
+mod alarms;
 mod latency;
 mod retry;
 mod target;
--- a/components/limits/src/target.rs
+++ b/components/limits/src/target.rs
@@ -4,16 +4,21 @@
 
 use units::{ClockTime, SlotCount};
 
+use crate::alarms::FalseAlarms;
 use crate::latency::BestLatency;
 
 /// Latency, as a multiple of what the best seen lets expect, at which a target counts as cold.
-const COLD_LATENCY_FACTOR: u32 = 4;
+const COLD_LATENCY_FACTOR: f64 = 4.0;
 
 /// Latency, as a multiple of what the best seen lets expect, up to which the limit grows.
 ///
 /// Half of [`COLD_LATENCY_FACTOR`]: latency rises with the load, and a limit that grew until the
 /// target looked cold would drop again and again.
-const NORMAL_LATENCY_FACTOR: u32 = 2;
+const NORMAL_LATENCY_FACTOR: f64 = 2.0;
+
+/// Latency, as a multiple of a slowness that was a false alarm lately, at which a target counts as
+/// cold.
+const ALARM_FACTOR: f64 = 2.0;
 
 /// What is measured of one run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +43,7 @@
     limit: SlotCount,
     successes: u32,
     best: BestLatency,
+    alarms: FalseAlarms,
     dropped: Option<ClockTime>,
 }
 
@@ -51,6 +57,7 @@
             limit: cold,
             successes: 0,
             best: BestLatency::default(),
+            alarms: FalseAlarms::default(),
             dropped: None,
         }
     }
@@ -77,11 +84,14 @@
             self.successes = 0;
             return;
         }
-        if self.is_above(sample, COLD_LATENCY_FACTOR) {
+        let slowness = self.slowness(sample);
+        let is_normal = slowness <= NORMAL_LATENCY_FACTOR;
+        self.alarms.answer(is_normal);
+        if slowness > COLD_LATENCY_FACTOR && slowness > ALARM_FACTOR * self.alarms.largest() {
+            self.alarms.raise(slowness);
             self.drop_to_cold(now);
             return;
         }
-        let is_normal = !self.is_above(sample, NORMAL_LATENCY_FACTOR);
         self.best.note(sample.tokens, sample.latency);
         if is_normal && sample.running >= self.limit {
             self.count_success();
@@ -90,12 +100,16 @@
 
     /// Notes that the target refused a request, restarted or was lost.
     pub fn refused(&mut self, now: ClockTime) {
+        self.alarms.confirm();
         self.drop_to_cold(now);
     }
 
-    fn is_above(&self, sample: RunSample, factor: u32) -> bool {
-        let expected = self.best.expected(sample.tokens);
-        expected.is_some_and(|expected| sample.latency > expected * factor)
+    /// Latency as a multiple of what the best seen lets expect.
+    fn slowness(&self, sample: RunSample) -> f64 {
+        match self.best.expected(sample.tokens) {
+            Some(expected) => sample.latency.as_secs_f64() / expected.as_secs_f64(),
+            None => 1.0,
+        }
     }
 
     fn count_success(&mut self) {
