--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -6,7 +6,7 @@
 
 use load::{Answer, CallKind, CallResult};
 use serde_json::json;
-use support::{CONTROLS, TestFleet, booking, chat, is_honest, record, request};
+use support::{CONTROLS, TestFleet, booking, chat, has_stated_outcome, record, request};
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinSet;
 
@@ -59,7 +59,7 @@
     async fn check(self, fleet: &TestFleet) -> Vec<(CallKind, CallResult)> {
         let answers = self.tasks.join_all().await;
         for (kind, result) in &answers {
-            assert!(is_honest(result), "{kind:?}: {:?}", result.answer);
+            assert!(has_stated_outcome(result), "{kind:?}: {:?}", result.answer);
         }
         check_bookings(fleet, &answers).await;
         answers
@@ -94,7 +94,7 @@
     for (kind, _) in answers {
         if matches!(kind, CallKind::Booking { .. }) {
             let result = caller.send(&request(kind.clone()), 0).await;
-            assert!(is_honest(&result), "{kind:?}: {:?}", result.answer);
+            assert!(has_stated_outcome(&result), "{kind:?}: {:?}", result.answer);
             again.push((kind.clone(), result));
         }
     }
@@ -133,7 +133,7 @@
 
 /// Guards against callers that are stuck or told a lie when their entry dies.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn killed_entry_leaves_whole_or_honest_answers() {
+async fn killed_entry_leaves_whole_or_stated_answers() {
     let _gate = one_at_a_time().await;
     let mut fleet = TestFleet::start().await;
     let open = OpenRequests::send(&fleet, "entry").await;
@@ -148,7 +148,7 @@
 
 /// Guards against runs that an agent takes with it without an outcome.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn killed_agents_leave_whole_or_honest_answers() {
+async fn killed_agents_leave_whole_or_stated_answers() {
     let _gate = one_at_a_time().await;
     let mut fleet = TestFleet::start().await;
     let open = OpenRequests::send(&fleet, "agent").await;
@@ -184,7 +184,7 @@
 
 /// Guards against a dead target that gets work, or whose runs end without an outcome.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn killed_target_leaves_whole_or_honest_answers() {
+async fn killed_target_leaves_whole_or_stated_answers() {
     let _gate = one_at_a_time().await;
     let mut fleet = TestFleet::start().await;
     let open = OpenRequests::send(&fleet, "target").await;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -424,7 +424,7 @@
 }
 
 /// Whether an answer tells its caller the truth: whole, or a stated outcome.
-pub(crate) fn is_honest(result: &CallResult) -> bool {
+pub(crate) fn has_stated_outcome(result: &CallResult) -> bool {
     match &result.answer {
         Answer::Whole => true,
         Answer::Refused(refusal) => {
