Replace fastrace by tracing spans

Cause: fastant, which fastrace brings in, calibrates the time-stamp counter before main in a loop that reads the clock.

Change: spans of the tracing crate, with a recorder that writes the same JSON lines. The hop's place in a caller's trace comes from the field traceparent.

--- a/components/agent/src/forward.rs
+++ b/components/agent/src/forward.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use cadence::prelude::*;
-use fastrace::Span;
-use fastrace::collector::SpanContext;
-use fastrace::future::FutureExt as _;
 use futures_util::StreamExt;
 use limits::RunSample;
+use telemetry::TraceContext;
+use tracing::{Instrument, Span, info_span};
 use units::{ClockTime, CostUnits, RequestId};
 use wire::{FailureCode, RunStart, RunStatus};
 
@@ -50,7 +49,7 @@
     let span = run_span(&start);
     let limit = time_limit(&start);
     let end = tokio::select! {
-        end = forward.run(start, body).in_span(span) => end,
+        end = forward.run(start, body).instrument(span) => end,
         () = run.cancelled() => stopped(FailureCode::Cancelled, "the run was cancelled"),
         () = tokio::time::sleep(limit) => {
             stopped(FailureCode::DeadlinePassed, "the deadline has passed")
@@ -95,13 +94,9 @@
 }
 
 fn run_span(start: &RunStart) -> Span {
-    let parent = start
-        .trace
-        .as_deref()
-        .and_then(SpanContext::decode_w3c_traceparent);
-    match parent {
-        Some(parent) => Span::root("agent.run", parent),
-        None => Span::noop(),
+    match start.trace.as_deref() {
+        Some(trace) => info_span!(parent: None, "agent.run", traceparent = trace),
+        None => Span::none(),
     }
 }
 
@@ -127,9 +122,9 @@
 
 impl Forward<'_> {
     async fn run(&mut self, start: RunStart, body: Vec<u8>) -> RunEnd {
-        let span = Span::enter_with_local_parent("target.call");
-        let trace = SpanContext::from_span(&span)
-            .map(|context| context.encode_w3c_traceparent())
+        let span = info_span!("target.call");
+        let trace = TraceContext::of(&span)
+            .map(|context| context.to_string())
             .or(start.trace);
         let request = TargetRequest {
             head: start.head,
@@ -137,7 +132,7 @@
             repeatable: start.repeatable,
             trace,
         };
-        let response = self.shared.target.send(request).in_span(span).await;
+        let response = self.shared.target.send(request).instrument(span).await;
         match response {
             Ok(response) if self.is_busy(&response) => RunEnd::Failed(RunFailure::new(
                 RunStatus::Unknown,
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use client::LEASE_TIME;
-use fastrace::Span;
-use fastrace::future::FutureExt as _;
 use tokio::time::Instant;
+use tracing::{Instrument, info_span};
 use units::{IdempotencyKey, NodeName, RequestId};
 use wire::{BeginCall, CallKey, CallOutcome, EndCall, FailureCode, RunStatus, StoredResponse};
 
@@ -90,7 +89,7 @@
     }
 
     async fn begin(&self) -> Option<wire::BeginOutcome> {
-        let span = Span::enter_with_local_parent("entry.control-call");
+        let span = info_span!("entry.control-call");
         let begin = BeginCall {
             call: self.call.clone(),
             body_hash: self.request.checked.body_hash(),
@@ -98,14 +97,14 @@
             agent: self.grant.agent.clone(),
             incarnation: self.grant.incarnation,
         };
-        self.shared.recorder.begin(begin).in_span(span).await
+        self.shared.recorder.begin(begin).instrument(span).await
     }
 
     async fn start(&mut self) -> RunStatus {
         self.started = true;
-        let span = Span::enter_with_local_parent("entry.run");
+        let span = info_span!("entry.run");
         let job = self.request.job(&self.grant);
-        let result = run(self.shared, job, self.sink).in_span(span).await;
+        let result = run(self.shared, job, self.sink).instrument(span).await;
         let status = result.status();
         match result {
             // The end is sent before the outcome is recorded: the caller need not wait for it.
@@ -181,7 +180,7 @@
     }
 
     async fn end(&self, request: RequestId, outcome: CallOutcome) -> bool {
-        let span = Span::enter_with_local_parent("entry.control-call");
+        let span = info_span!("entry.control-call");
         let end = EndCall {
             call: self.call.clone(),
             request,
@@ -199,7 +198,7 @@
             telemetry::event!(telemetry::events::ENTRY_CALL_UNRECORDED, request = request);
             false
         }
-        .in_span(span)
+        .instrument(span)
         .await
     }
 
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -3,13 +3,11 @@
 use std::sync::{Arc, Mutex};
 
 use cadence::prelude::*;
-use fastrace::Span;
-use fastrace::collector::SpanContext;
-use fastrace::future::FutureExt as _;
 use salvo::http::HeaderMap;
 use salvo::prelude::*;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tracing::{Instrument, Span, info_span};
 use units::{CostUnits, FlowWeight, OrganisationName, PrefixHash, ServiceName};
 use wire::{FlowKey, HeaderField, RequestHead};
 
@@ -305,7 +303,7 @@
     async fn answer(&self, request: OpenRequest, span: Span, res: &mut Response) {
         let deadline = request.deadline;
         let (sink, parts) = ResponseSink::new();
-        tokio::spawn(serve(self.shared.clone(), request, sink).in_span(span));
+        tokio::spawn(serve(self.shared.clone(), request, sink).instrument(span));
         respond(res, parts, deadline).await;
     }
 }
@@ -327,10 +325,10 @@
 }
 
 fn request_span(trace: Option<&str>) -> Span {
-    let parent = trace
-        .and_then(SpanContext::decode_w3c_traceparent)
-        .unwrap_or_else(SpanContext::random);
-    Span::root("entry.request", parent)
+    match trace {
+        Some(trace) => info_span!(parent: None, "entry.request", traceparent = trace),
+        None => info_span!(parent: None, "entry.request"),
+    }
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -5,12 +5,11 @@
 
 use cadence::prelude::*;
 use client::LEASE_TIME;
-use fastrace::Span;
-use fastrace::collector::SpanContext;
-use fastrace::future::FutureExt as _;
 use offers::WaitingRequest;
+use telemetry::TraceContext;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tracing::{Instrument, Span, info_span};
 use units::{FlowWeight, Incarnation, NodeName, RequestId};
 use wire::{EntryMessage, FailureCode, RequestOffer, RunStart, RunStatus};
 
@@ -77,8 +76,8 @@
             repeatable,
             hint: self.checked.hint,
             deadline_ms: self.time_left().as_millis() as u64,
-            trace: SpanContext::current_local_parent()
-                .map(|context| context.encode_w3c_traceparent())
+            trace: TraceContext::of(&Span::current())
+                .map(|context| context.to_string())
                 .or_else(|| self.trace.clone()),
             head: self.checked.head.clone(),
             body_size: self.body.len() as u64,
@@ -198,8 +197,8 @@
 ) -> AttemptEnd {
     let begun = Instant::now();
     let waiting = wait_for_slot(shared, request, sink);
-    let span = Span::enter_with_local_parent("entry.offer-wait");
-    let grant = match waiting.in_span(span).await {
+    let span = info_span!("entry.offer-wait");
+    let grant = match waiting.instrument(span).await {
         Ok(grant) => grant,
         Err(end) => return end,
     };
@@ -207,9 +206,9 @@
     if let Some(key) = &request.checked.call {
         return calls::run_call(shared, request, key, grant, sink).await;
     }
-    let span = Span::enter_with_local_parent("entry.run");
+    let span = info_span!("entry.run");
     let job = request.job(&grant);
-    match run(shared, job, sink).in_span(span).await {
+    match run(shared, job, sink).instrument(span).await {
         RunResult::Complete => {
             sink.end().await;
             AttemptEnd::Answered
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -13,6 +13,6 @@
 pub use event::{LogEvent, log_event};
 pub use events::ALL_EVENTS;
 pub use log::{Level, LevelFilter};
-pub use logs::{LogFormat, LogSettings, start_logs};
+pub use logs::{LogFormat, LogOutput, LogSettings, start_logs};
 pub use metrics::{MetricSettings, start_metrics};
-pub use traces::{TraceSettings, start_traces, stop_traces};
+pub use traces::{TraceContext, TraceSettings, start_traces, stop_traces};
--- a/components/telemetry/src/traces.rs
+++ b/components/telemetry/src/traces.rs
@@ -1,12 +1,25 @@
 //! Trace spans as JSON lines in a file.
+//!
+//! Spans are those of the `tracing` crate. A [`SpanRecorder`] gives each one the ids of the W3C trace
+//! context and writes it when it closes. Without a file no subscriber is set and spans cost nothing.
 
+use std::fmt;
 use std::fs::{File, OpenOptions};
 use std::io::{BufWriter, Write};
 use std::path::PathBuf;
+use std::sync::{Mutex, OnceLock};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use eyre::{Result, WrapErr};
-use fastrace::collector::{Config, Reporter, SpanRecord};
 use serde_json::{Map, Value, json};
+use tracing::field::{Field, Visit};
+use tracing::span::{Attributes, Id};
+use tracing_subscriber::Layer;
+use tracing_subscriber::layer::{Context, SubscriberExt};
+use tracing_subscriber::registry::{LookupSpan, Registry};
+
+/// Field of a span that holds the trace context of a caller in another process.
+const REMOTE_FIELD: &str = "traceparent";
 
 /// Where spans go.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -15,6 +28,9 @@
     pub path: Option<PathBuf>,
 }
 
+/// Writer of the spans of this process; set once by [`start_traces`].
+static SPAN_WRITER: OnceLock<Mutex<BufWriter<File>>> = OnceLock::new();
+
 /// Starts collecting spans. Without a path nothing is collected.
 pub fn start_traces(settings: &TraceSettings) -> Result<()> {
     let Some(path) = &settings.path else {
@@ -25,45 +41,151 @@
         .append(true)
         .open(path)
         .wrap_err_with(|| format!("Failed to open trace file {}", path.display()))?;
-    let reporter = FileReporter {
-        writer: BufWriter::new(file),
-    };
-    fastrace::set_reporter(reporter, Config::default());
-    Ok(())
+    SPAN_WRITER.get_or_init(|| Mutex::new(BufWriter::new(file)));
+    let subscriber = Registry::default().with(SpanRecorder);
+    tracing::subscriber::set_global_default(subscriber)
+        .wrap_err("Failed to start traces: the process already collects spans")
 }
 
 /// Writes the spans collected so far; called before the process exits.
 pub fn stop_traces() {
-    fastrace::flush();
+    if let Some(writer) = SPAN_WRITER.get() {
+        let mut writer = writer.lock().expect("no holder of the span writer panics");
+        // A full disk must not stop the daemon, so spans that cannot be written are dropped.
+        let _ = writer.flush();
+    }
 }
 
-struct FileReporter {
-    writer: BufWriter<File>,
+/// Place in a trace, as in the header `traceparent`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TraceContext {
+    /// Id of the trace.
+    pub trace: u128,
+    /// Id of the span.
+    pub span: u64,
 }
 
-impl Reporter for FileReporter {
-    fn report(&mut self, spans: Vec<SpanRecord>) {
-        // A full disk must not stop the daemon, so spans that cannot be written are dropped.
-        for span in spans {
-            let _ = writeln!(self.writer, "{}", span_line(&span));
+impl TraceContext {
+    /// Reads the value of the header `traceparent`.
+    pub fn decode(text: &str) -> Option<Self> {
+        let mut parts = text.split('-');
+        let (version, trace, span) = (parts.next()?, parts.next()?, parts.next()?);
+        if version != "00" || trace.len() != 32 || span.len() != 16 {
+            return None;
+        }
+        Some(Self {
+            trace: u128::from_str_radix(trace, 16).ok()?,
+            span: u64::from_str_radix(span, 16).ok()?,
+        })
+    }
+
+    /// The context of a span of this process; none while no spans are collected.
+    pub fn of(span: &tracing::Span) -> Option<Self> {
+        span.with_subscriber(|(id, dispatch)| {
+            let registry = dispatch.downcast_ref::<Registry>()?;
+            let record = registry.span(id)?;
+            let extensions = record.extensions();
+            extensions.get::<SpanRecord>().map(SpanRecord::context)
+        })
+        .flatten()
+    }
+}
+
+impl fmt::Display for TraceContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "00-{:032x}-{:016x}-01", self.trace, self.span)
+    }
+}
+
+/// What is kept of an open span.
+struct SpanRecord {
+    trace: u128,
+    span: u64,
+    parent: u64,
+    begun: Instant,
+    begun_at: SystemTime,
+    fields: Map<String, Value>,
+}
+
+impl SpanRecord {
+    fn context(&self) -> TraceContext {
+        TraceContext {
+            trace: self.trace,
+            span: self.span,
+        }
+    }
+
+    fn line(&self, name: &str) -> Value {
+        let since = self.begun_at.duration_since(UNIX_EPOCH).unwrap_or_default();
+        json!({
+            "trace": format!("{:032x}", self.trace),
+            "span": format!("{:016x}", self.span),
+            "parent": format!("{:016x}", self.parent),
+            "name": name,
+            "begin_ns": since.as_nanos() as u64,
+            "duration_ns": self.begun.elapsed().as_nanos() as u64,
+            "fields": self.fields,
+        })
+    }
+}
+
+/// Layer that writes each span when it closes.
+struct SpanRecorder;
+
+impl<S> Layer<S> for SpanRecorder
+where
+    S: tracing::Subscriber + for<'a> LookupSpan<'a>,
+{
+    fn on_new_span(&self, attributes: &Attributes<'_>, id: &Id, context: Context<'_, S>) {
+        let Some(span) = context.span(id) else {
+            return;
+        };
+        let mut fields = FieldReader::default();
+        attributes.record(&mut fields);
+        let local = span.parent().and_then(|parent| {
+            let extensions = parent.extensions();
+            extensions.get::<SpanRecord>().map(SpanRecord::context)
+        });
+        let parent = fields.remote.or(local);
+        span.extensions_mut().insert(SpanRecord {
+            trace: parent.map_or_else(rand::random, |parent| parent.trace),
+            span: rand::random(),
+            parent: parent.map_or(0, |parent| parent.span),
+            begun: Instant::now(),
+            begun_at: SystemTime::now(),
+            fields: fields.values,
+        });
+    }
+
+    fn on_close(&self, id: Id, context: Context<'_, S>) {
+        let Some(span) = context.span(&id) else {
+            return;
+        };
+        let extensions = span.extensions();
+        if let (Some(record), Some(writer)) = (extensions.get::<SpanRecord>(), SPAN_WRITER.get()) {
+            let mut writer = writer.lock().expect("no holder of the span writer panics");
+            let _ = writeln!(writer, "{}", record.line(span.name()));
         }
-        let _ = self.writer.flush();
     }
 }
 
-fn span_line(span: &SpanRecord) -> Value {
-    let fields: Map<String, Value> = span
-        .properties
-        .iter()
-        .map(|(key, value)| (key.to_string(), Value::from(value.as_ref())))
-        .collect();
-    json!({
-        "trace": format!("{:032x}", span.trace_id.0),
-        "span": format!("{:016x}", span.span_id.0),
-        "parent": format!("{:016x}", span.parent_id.0),
-        "name": span.name,
-        "begin_ns": span.begin_time_unix_ns,
-        "duration_ns": span.duration_ns,
-        "fields": fields,
-    })
+/// Reads the fields of a span.
+#[derive(Default)]
+struct FieldReader {
+    remote: Option<TraceContext>,
+    values: Map<String, Value>,
+}
+
+impl Visit for FieldReader {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        if field.name() == REMOTE_FIELD {
+            self.remote = TraceContext::decode(value);
+        } else {
+            self.values.insert(field.name().into(), value.into());
+        }
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        self.record_str(field, &format!("{value:?}"));
+    }
 }
