Publish plans of routes and let targets announce themselves

The product lacked all three.

- registry: a plan with a higher number is in force, an older one is accepted and changes nothing; a data centre is taken out whatever the version is.
- directory: announcements of targets carry a number, so late ones change nothing; a target is removed after a silence of its own.
- control: ControlPort, what an interface of another protocol asks of a control node.
- link: one certificate for all processes of a role (bilberryctl keys issue-role).
- units: the system clock counts suspended time, so that a lease ends while a host is suspended.

--- a/components/client/src/lease.rs
+++ b/components/client/src/lease.rs
@@ -21,15 +21,22 @@
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 
 /// End of a lease, which never moves back.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseState {
     end: ClockTime,
+    span: Duration,
+}
+
+impl Default for LeaseState {
+    fn default() -> Self {
+        Self::until(ClockTime::default(), LEASE_TIME)
+    }
 }
 
 impl LeaseState {
-    /// A lease that ends at a time.
-    pub fn until(end: ClockTime) -> Self {
-        Self { end }
+    /// A lease that ends at a time, and that each confirmation prolongs by a span.
+    pub fn until(end: ClockTime, span: Duration) -> Self {
+        Self { end, span }
     }
 
     /// End of the lease.
@@ -50,7 +57,7 @@
     ) -> bool {
         // The age is subtracted last: subtracted from a sending time near the start of the clock it
         // would be cut off at zero, and the lease would be too long.
-        let end = sent + LEASE_TIME - age;
+        let end = sent + self.span - age;
         if installed < version || end <= self.end {
             return false;
         }
@@ -67,7 +74,7 @@
         if let Some(delta) = reply.directory {
             self.update_directory(delta);
         }
-        let mut lease = LeaseState::until(self.lease_end);
+        let mut lease = LeaseState::until(self.lease_end, self.lease_time);
         let age = Duration::from_millis(reply.age_ms);
         let grew = lease.renewed(sent, age, reply.version, self.config.version);
         self.lease_end = lease.end();
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -23,6 +23,7 @@
 use crate::driver_event::DriverEvent;
 use crate::health::{bind_health, serve_health};
 use crate::peer_link::{PeerSenders, keep_stream, pass_directory};
+use crate::port::ControlPort;
 use crate::server::serve;
 use crate::settings::ControlSettings;
 use crate::state::ControlContext;
@@ -46,6 +47,7 @@
 /// A running control node.
 pub struct ControlHandle {
     context: ControlContext,
+    peers: PeerSenders,
     endpoint: LinkEndpoint,
     tasks: JoinSet<()>,
     thread: Option<JoinHandle<()>>,
@@ -87,7 +89,9 @@
     });
     let context = ControlContext {
         view: raft.view(),
-        nodes: StateBoard::new(NodeDirectory::new(incarnation())),
+        nodes: StateBoard::new(
+            NodeDirectory::new(incarnation()).with_target_silence(settings.target_silence),
+        ),
         usage: StateBoard::new(UsageHome::new()),
         driver,
         forwards: Arc::new(forwards.collect()),
@@ -104,7 +108,7 @@
             queue,
         ));
     }
-    tasks.spawn(pass_directory(context.clone(), peers));
+    tasks.spawn(pass_directory(context.clone(), peers.clone()));
     tasks.spawn(tick(context.driver.clone()));
     tasks.spawn(serve(context.clone(), endpoint.clone()));
     if let Some(address) = settings.http {
@@ -130,6 +134,7 @@
     );
     Ok(ControlHandle {
         context,
+        peers,
         endpoint,
         tasks,
         thread: Some(thread),
@@ -143,6 +148,11 @@
         self.endpoint.address()
     }
 
+    /// Handle for an interface towards operators and targets.
+    pub fn port(&self) -> ControlPort {
+        ControlPort::new(self.context.clone(), self.peers.clone())
+    }
+
     /// State of the fleet as this node sees it.
     pub fn status(&self) -> FleetStatus {
         let text = fleet_status(&self.context, true);
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod members;
 mod orders;
 mod peer_link;
+mod port;
 mod requests;
 mod server;
 mod settings;
@@ -19,5 +20,6 @@
 mod status;
 
 pub use handle::{ControlHandle, start, start_on};
+pub use port::{ControlPort, PortError, PublishedText};
 pub use settings::{ControlArguments, ControlSettings};
 pub use status::{ControlStatus, DataCentreReport, FleetStatus, NodeReport, ServiceReport};
--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Passes announcements on to all peers.
+    pub(crate) fn pass_on(&self, entries: Vec<DirectoryEntry>) {
+        self.broadcast(&PeerFrame::Directory(entries));
+    }
+
     /// Queues a frame for all peers.
     pub(crate) fn broadcast(&self, frame: &PeerFrame) {
         for queue in self.queues.values() {
--- /dev/null
+++ b/components/control/src/port.rs
@@ -0,0 +1,114 @@
+//! What an interface towards operators and targets asks of a control node.
+//!
+//! The node's own operators and nodes come over links. An interface that speaks another protocol
+//! holds a [`ControlPort`] and translates; all decisions are made behind it.
+
+use routes::PublishedPlan;
+use thiserror::Error;
+use units::{DataCentreName, Incarnation, NodeName, PlanNumber};
+use wire::{
+    ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeState, OperatorOrder, OrderReply,
+};
+
+use crate::peer_link::PeerSenders;
+use crate::requests::{commit, confirm};
+use crate::state::ControlContext;
+
+/// Why an order has no outcome.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum PortError {
+    /// The order is faulty, and no repetition helps.
+    #[error("{0}")]
+    Invalid(String),
+    /// No quorum has confirmed; the order may or may not be in force.
+    #[error("Failed to reach a quorum of the control nodes")]
+    NoQuorum,
+}
+
+/// Published plan in force, as its operator wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PublishedText {
+    /// Number of the plan.
+    pub number: PlanNumber,
+    /// The text.
+    pub text: String,
+}
+
+/// Handle of a control node for an interface in the same process.
+#[derive(Clone)]
+pub struct ControlPort {
+    context: ControlContext,
+    peers: PeerSenders,
+}
+
+impl ControlPort {
+    pub(crate) fn new(context: ControlContext, peers: PeerSenders) -> Self {
+        Self { context, peers }
+    }
+
+    /// Publishes a plan, unless one with the same or a higher number is in force.
+    pub async fn publish(&self, plan: &PublishedPlan, text: String) -> Result<(), PortError> {
+        let faults = plan.plan.faults();
+        if !faults.is_empty() {
+            let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
+            return Err(PortError::Invalid(lines.join("; ")));
+        }
+        let plan =
+            postcard::to_stdvec(plan).map_err(|error| PortError::Invalid(error.to_string()))?;
+        self.order(OperatorOrder::Publish { plan, text }).await
+    }
+
+    /// The published plan in force, confirmed by a quorum; none if none was published.
+    pub async fn published(&self) -> Result<Option<PublishedText>, PortError> {
+        if !confirm(&self.context).await {
+            return Err(PortError::NoQuorum);
+        }
+        Ok(self.context.view.read(|view| {
+            let number = view.registry.config().published.as_ref()?.number;
+            let text = view.registry.published_text()?.into();
+            Some(PublishedText { number, text })
+        }))
+    }
+
+    /// Takes a data centre out, or back in.
+    pub async fn evacuate(&self, data_centre: DataCentreName, out: bool) -> Result<(), PortError> {
+        self.order(OperatorOrder::Evacuate { data_centre, out })
+            .await
+    }
+
+    /// Takes in the announcement of a target, and passes it on to the other control nodes at once.
+    pub fn announce(&self, entry: DirectoryEntry) {
+        let now = self.context.clock.now();
+        let accepted = self
+            .context
+            .nodes
+            .write(|nodes| nodes.announce(entry.clone(), now));
+        if accepted {
+            self.peers.pass_on(vec![entry]);
+        }
+    }
+
+    /// Takes in the last call of a target: it gets no new work, and late announcements of the same
+    /// process do not bring it back. A call about another process than the listed one is late.
+    pub fn depart(&self, name: &NodeName, incarnation: Option<Incarnation>) {
+        let Some(mut entry) = self.context.nodes.read(|nodes| nodes.get(name).cloned()) else {
+            return;
+        };
+        let is_late = incarnation.is_some_and(|incarnation| incarnation != entry.incarnation);
+        if let (false, NodeKind::Target(target)) = (is_late, &mut entry.kind) {
+            target.sequence = u64::MAX;
+            entry.state = NodeState::Leaving;
+            self.announce(entry);
+        }
+    }
+
+    async fn order(&self, order: OperatorOrder) -> Result<(), PortError> {
+        match commit(&self.context, false, ControlRequest::Order(order)).await {
+            ControlReply::Order(OrderReply::Accepted(_)) => Ok(()),
+            ControlReply::Order(OrderReply::Invalid(reason)) | ControlReply::BadRequest(reason) => {
+                Err(PortError::Invalid(reason))
+            }
+            _ => Err(PortError::NoQuorum),
+        }
+    }
+}
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -45,7 +45,7 @@
         }
         ControlRequest::Usage(report) => usage(context, peer, &report),
         ControlRequest::Text(_) => ControlReply::BadRequest("a text without its order".into()),
-        request => commit(context, peer, request).await,
+        request => commit(context, peer.role == NodeRole::Control, request).await,
     }
 }
 
@@ -62,7 +62,7 @@
             matches!(role, NodeRole::Operator | NodeRole::Control)
         }
         ControlRequest::Directory(_) => role == NodeRole::Control,
-        ControlRequest::Usage(_) => role == NodeRole::Agent,
+        ControlRequest::Usage(_) => matches!(role, NodeRole::Agent | NodeRole::Entry),
     }
 }
 
@@ -72,6 +72,9 @@
     let own_kind = match renewal.node.kind {
         NodeKind::Entry => NodeRole::Entry,
         NodeKind::Agent(_) => NodeRole::Agent,
+        NodeKind::Target(_) => {
+            return ControlReply::BadRequest("a target without an agent has no lease".into());
+        }
     };
     if renewal.node.name != peer.name || (own_kind != peer.role && !is_operator) {
         let name = &renewal.node.name;
@@ -115,14 +118,19 @@
 }
 
 /// Commits a request here if this node leads, or forwards it to the leader.
-async fn commit(context: &ControlContext, peer: &Hello, request: ControlRequest) -> ControlReply {
+///
+/// A request that another control node has `forwarded` is not forwarded again: the nodes disagree
+/// about the leader for a moment, and the client tries again.
+pub(crate) async fn commit(
+    context: &ControlContext,
+    forwarded: bool,
+    request: ControlRequest,
+) -> ControlReply {
     let own = &context.settings.name;
     let leader = context.view.read(|view| view.leader(own));
     match leader {
         Some(leader) if leader == *own => commit_here(context, request).await,
-        // A request that another control node has forwarded is not forwarded again: the nodes
-        // disagree about the leader for a moment, and the client tries again.
-        Some(leader) if peer.role != NodeRole::Control => match context.forwards.get(&leader) {
+        Some(leader) if !forwarded => match context.forwards.get(&leader) {
             Some(client) => match client.request_once(&request).await {
                 Ok(reply) => reply,
                 Err(_) => no_quorum(context),
@@ -160,7 +168,7 @@
 
 /// Waits for a read barrier, so that an operator sees every order that was acknowledged before.
 /// The age of a lease allows for older state, but an operator's next order names its version.
-async fn confirm(context: &ControlContext) -> bool {
+pub(crate) async fn confirm(context: &ControlContext) -> bool {
     let (reply, done) = oneshot::channel();
     if context
         .driver
--- a/components/control/src/settings.rs
+++ b/components/control/src/settings.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use raft::RaftSettings;
 use units::{DataCentreName, NodeName, RegionName};
@@ -28,6 +29,8 @@
     pub data_centre: Option<DataCentreName>,
     /// Timeouts of the replicated log.
     pub raft: RaftSettings,
+    /// Time without announcements after which a target without an agent is removed.
+    pub target_silence: Duration,
 }
 
 impl ControlSettings {
@@ -89,6 +92,7 @@
             region: self.region.map(|name| name.as_str().into()),
             data_centre: self.data_centre.map(|name| name.as_str().into()),
             raft: RaftSettings::default(),
+            target_silence: directory::SILENT_SPAN,
         })
     }
 }
--- a/components/control/src/status.rs
+++ b/components/control/src/status.rs
@@ -172,7 +172,7 @@
                     .lag(entry.config, now)
                     .map(|lag| lag.as_millis() as u64),
                 target: match &entry.kind {
-                    NodeKind::Entry => None,
+                    NodeKind::Entry | NodeKind::Target(_) => None,
                     NodeKind::Agent(target) => Some(target.clone()),
                 },
             })
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -99,6 +99,7 @@
                 region: None,
                 data_centre: None,
                 raft: RaftSettings::default(),
+                target_silence: directory::SILENT_SPAN,
             };
             let handle = start_on(settings.clone(), endpoint).await.unwrap();
             group.settings.push(settings);
--- a/components/ctl/src/keys.rs
+++ b/components/ctl/src/keys.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use eyre::{Result, WrapErr, eyre};
-use link::KeyAuthority;
+use link::{KeyAuthority, KeyFiles};
 use units::NodeName;
 use wire::NodeRole;
 
@@ -22,23 +22,34 @@
                 folder.display()
             )))
         }
-        KeyCommand::Issue { role, name } => {
-            let role: NodeRole = match role.parse() {
-                Ok(role) => role,
-                Err(fault) => return Ok(CommandReport::usage(fault)),
-            };
-            if !folder.join("authority.pem").exists() {
-                return Err(eyre!(
-                    "Failed to issue: {} has no authority, run `keys init` first",
-                    folder.display()
-                ));
-            }
-            let files = KeyAuthority::open(folder)?.issue(role, &NodeName::from(name.as_str()))?;
-            Ok(CommandReport::done(format!(
-                "{}\n{}\n",
-                files.certificate.display(),
-                files.key.display()
-            )))
-        }
+        KeyCommand::Issue { role, name } => issue(folder, role, |authority, role| {
+            Ok(authority.issue(role, &NodeName::from(name.as_str()))?)
+        }),
+        KeyCommand::IssueRole { role } => issue(folder, role, |authority, role| {
+            Ok(authority.issue_role(role)?)
+        }),
+    }
+}
+
+fn issue(
+    folder: &Path,
+    role: &str,
+    issue: impl FnOnce(&KeyAuthority, NodeRole) -> Result<KeyFiles>,
+) -> Result<CommandReport> {
+    let role: NodeRole = match role.parse() {
+        Ok(role) => role,
+        Err(fault) => return Ok(CommandReport::usage(fault)),
+    };
+    if !folder.join("authority.pem").exists() {
+        return Err(eyre!(
+            "Failed to issue: {} has no authority, run `keys init` first",
+            folder.display()
+        ));
     }
+    let files = issue(&KeyAuthority::open(folder)?, role)?;
+    Ok(CommandReport::done(format!(
+        "{}\n{}\n",
+        files.certificate.display(),
+        files.key.display()
+    )))
 }
--- a/components/ctl/src/options.rs
+++ b/components/ctl/src/options.rs
@@ -95,6 +95,13 @@
         #[bpaf(positional("NAME"))]
         name: String,
     },
+    /// Issue one certificate and key for all processes of a role
+    #[bpaf(command)]
+    IssueRole {
+        /// entry, agent, control or operator
+        #[bpaf(positional("ROLE"))]
+        role: String,
+    },
 }
 
 /// What to show of the control nodes.
--- a/components/directory/src/directory.rs
+++ b/components/directory/src/directory.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use units::{ClockTime, Incarnation, NodeName};
-use wire::{DirectoryDelta, DirectoryEntry, NodeState};
+use wire::{DirectoryDelta, DirectoryEntry, NodeKind, NodeState};
 
 use crate::record::{AnnouncementSource, NodeRecord, is_meaningful};
 
@@ -25,6 +25,20 @@
     time: ClockTime,
 }
 
+impl RemovedNode {
+    /// Whether an announcement is newer than the removal. One of a target that was sent before its
+    /// last one may still be on its way.
+    fn may_return_as(&self, entry: &DirectoryEntry) -> bool {
+        if entry.incarnation != self.incarnation {
+            return entry.incarnation > self.incarnation;
+        }
+        match (&self.entry.kind, &entry.kind) {
+            (NodeKind::Target(old), NodeKind::Target(new)) => new.sequence > old.sequence,
+            _ => true,
+        }
+    }
+}
+
 /// Live nodes, with a revision for each meaningful change.
 #[derive(Debug, Clone)]
 pub struct NodeDirectory {
@@ -34,10 +48,12 @@
     removed: BTreeMap<NodeName, RemovedNode>,
     /// Nodes and removed nodes by the revision of their last change.
     by_revision: BTreeMap<u64, NodeName>,
-    by_heard: BTreeSet<(ClockTime, NodeName)>,
+    by_expiry: BTreeSet<(ClockTime, NodeName)>,
     by_removal: BTreeSet<(ClockTime, NodeName)>,
     /// Largest revision of a removal that is forgotten: older deltas would lack it.
     forgotten: u64,
+    /// Time without announcements after which a target without an agent is removed.
+    target_silence: Duration,
 }
 
 impl NodeDirectory {
@@ -49,9 +65,25 @@
             nodes: BTreeMap::new(),
             removed: BTreeMap::new(),
             by_revision: BTreeMap::new(),
-            by_heard: BTreeSet::new(),
+            by_expiry: BTreeSet::new(),
             by_removal: BTreeSet::new(),
             forgotten: 0,
+            target_silence: SILENT_SPAN,
+        }
+    }
+
+    /// Sets the time without announcements after which a target without an agent is removed.
+    pub fn with_target_silence(self, span: Duration) -> Self {
+        Self {
+            target_silence: span,
+            ..self
+        }
+    }
+
+    fn expiry(&self, entry: &DirectoryEntry, heard: ClockTime) -> ClockTime {
+        match entry.kind {
+            NodeKind::Target(_) => heard + self.target_silence,
+            NodeKind::Entry | NodeKind::Agent(_) => heard + SILENT_SPAN,
         }
     }
 
@@ -81,8 +113,8 @@
 
     /// Removes silent nodes.
     pub fn tick(&mut self, now: ClockTime) {
-        while let Some((heard, name)) = self.by_heard.first().cloned() {
-            if now.since(heard) < SILENT_SPAN {
+        while let Some((expiry, name)) = self.by_expiry.first().cloned() {
+            if now < expiry {
                 break;
             }
             self.remove(&name, now);
@@ -167,7 +199,7 @@
             None => self
                 .removed
                 .get(&entry.name)
-                .is_none_or(|removed| entry.incarnation >= removed.incarnation),
+                .is_none_or(|removed| removed.may_return_as(&entry)),
         };
         if is_accepted {
             self.replace(entry, source, now);
@@ -194,7 +226,8 @@
         }
         let old_revision = old.as_ref().map_or(0, |old| old.revision);
         if let Some(old) = old {
-            self.by_heard.remove(&(old.heard, name.clone()));
+            let expiry = self.expiry(&old.entry, old.heard);
+            self.by_expiry.remove(&(expiry, name.clone()));
         }
         let revision = if is_changed {
             self.by_revision.remove(&old_revision);
@@ -202,7 +235,8 @@
         } else {
             old_revision
         };
-        self.by_heard.insert((now, name.clone()));
+        let expiry = self.expiry(&entry, now);
+        self.by_expiry.insert((expiry, name.clone()));
         let record = NodeRecord {
             entry,
             revision,
@@ -216,7 +250,8 @@
         let Some(record) = self.nodes.remove(name) else {
             return;
         };
-        self.by_heard.remove(&(record.heard, name.clone()));
+        let expiry = self.expiry(&record.entry, record.heard);
+        self.by_expiry.remove(&(expiry, name.clone()));
         self.by_revision.remove(&record.revision);
         let revision = self.next_revision(name);
         let removed = RemovedNode {
--- a/components/directory/src/record.rs
+++ b/components/directory/src/record.rs
@@ -35,8 +35,8 @@
 impl NodeRecord {
     /// Whether an announcement is newer than this record.
     ///
-    /// Announcements of one incarnation carry no number, but an installed configuration only grows,
-    /// and a node that is leaving does not come back without a restart.
+    /// Those of a target carry a number. Those of other nodes do not, but an installed configuration
+    /// only grows, and a node that is leaving does not come back without a restart.
     pub(crate) fn is_replaced_by(
         &self,
         entry: &DirectoryEntry,
@@ -46,6 +46,9 @@
         if entry.incarnation != self.entry.incarnation {
             return entry.incarnation > self.entry.incarnation;
         }
+        if let (NodeKind::Target(old), NodeKind::Target(new)) = (&self.entry.kind, &entry.kind) {
+            return new.sequence > old.sequence;
+        }
         let comes_back =
             self.entry.state == NodeState::Leaving && entry.state == NodeState::Serving;
         let is_known_better = source == AnnouncementSource::PassedOn
@@ -71,6 +74,11 @@
 fn is_kind_changed(old: &NodeKind, new: &NodeKind) -> bool {
     match (old, new) {
         (NodeKind::Entry, NodeKind::Entry) => false,
+        (NodeKind::Target(old), NodeKind::Target(new)) => {
+            old.service != new.service
+                || old.slots != new.slots
+                || (old.cold_ms > 0) != (new.cold_ms > 0)
+        }
         (NodeKind::Agent(old), NodeKind::Agent(new)) => {
             old.target != new.target
                 || old.service != new.service
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -4,6 +4,8 @@
 mod latency;
 mod retry;
 mod target;
+mod window;
 
 pub use retry::{RETRY_MEMORY, RetryBudget};
 pub use target::{RunSample, TargetLimit};
+pub use window::{WindowBound, WindowBudget};
--- a/components/link/src/keys.rs
+++ b/components/link/src/keys.rs
@@ -43,12 +43,21 @@
 }
 
 impl KeyFiles {
-    /// The files of a process in a key folder, as [`KeyAuthority::issue`] names them.
+    /// The files of a process in a key folder: those of its name, or else those of its role, as
+    /// [`KeyAuthority::issue`] and [`KeyAuthority::issue_role`] name them.
     pub fn in_folder(folder: &Path, role: NodeRole, name: &NodeName) -> Self {
+        let named = Self::with_stem(folder, &format!("{role}-{name}"));
+        match named.certificate.exists() {
+            true => named,
+            false => Self::with_stem(folder, &role.to_string()),
+        }
+    }
+
+    fn with_stem(folder: &Path, stem: &str) -> Self {
         Self {
             authority: folder.join("authority.pem"),
-            certificate: folder.join(format!("{role}-{name}.pem")),
-            key: folder.join(format!("{role}-{name}.key")),
+            certificate: folder.join(format!("{stem}.pem")),
+            key: folder.join(format!("{stem}.key")),
         }
     }
 }
@@ -77,7 +86,24 @@
 
     /// Issues the certificate and key of a process, and writes them to the folder.
     pub fn issue(&self, role: NodeRole, name: &NodeName) -> Result<KeyFiles, KeyError> {
-        let domains = vec![role_domain(role), node_domain(role, name)];
+        let files = KeyFiles::with_stem(&self.folder, &format!("{role}-{name}"));
+        self.issue_for(node_domain(role, name), role, files)
+    }
+
+    /// Issues a certificate and key that all processes of a role share, for deployments that give
+    /// their hosts new names at each start.
+    pub fn issue_role(&self, role: NodeRole) -> Result<KeyFiles, KeyError> {
+        let files = KeyFiles::with_stem(&self.folder, &role.to_string());
+        self.issue_for(node_domain(role, &NodeName::from("*")), role, files)
+    }
+
+    fn issue_for(
+        &self,
+        domain: String,
+        role: NodeRole,
+        files: KeyFiles,
+    ) -> Result<KeyFiles, KeyError> {
+        let domains = vec![role_domain(role), domain];
         let mut params = CertificateParams::new(domains)?;
         params.extended_key_usages = vec![
             ExtendedKeyUsagePurpose::ServerAuth,
@@ -85,7 +111,6 @@
         ];
         let pair = KeyPair::generate()?;
         let certificate = params.signed_by(&pair, &self.issuer)?;
-        let files = KeyFiles::in_folder(&self.folder, role, name);
         write(&files.certificate, &certificate.pem())?;
         write(&files.key, &pair.serialize_pem())?;
         Ok(files)
--- a/components/registry/src/command.rs
+++ b/components/registry/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands of the replicated log and their outcomes.
 
 use manifest::ManifestChange;
+use routes::PublishedPlan;
 use units::{ConfigVersion, DataCentreName, DiskId, NodeName, OrderId, TargetName};
 use wire::{BeginCall, BeginOutcome, EndCall, OrderReply};
 
@@ -75,6 +76,20 @@
             /// The target.
             target: TargetName,
         },
+        /// Publishes a plan of routes; an older number than the one in force changes nothing.
+        Publish {
+            /// The plan.
+            plan: Box<PublishedPlan>,
+            /// The operator's own text of it.
+            text: String,
+        },
+        /// Takes a data centre out, or back in, whatever the version is.
+        Evacuate {
+            /// The data centre.
+            data_centre: DataCentreName,
+            /// Whether it is out.
+            out: bool,
+        },
         /// Records that a call is about to run.
         Begin(BeginCall),
         /// Records the outcome of a call.
--- a/components/registry/src/config.rs
+++ b/components/registry/src/config.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use manifest::{FleetManifest, ManifestChange};
+use routes::PublishedPlan;
 use thiserror::Error;
 use units::{ConfigVersion, DataCentreName, TargetName};
 
@@ -18,6 +19,8 @@
         pub out_data_centres: BTreeSet<DataCentreName>,
         /// Targets that get no new work.
         pub out_targets: BTreeSet<TargetName>,
+        /// Published plan with the highest number.
+        pub published: Option<PublishedPlan>,
     }
 
     /// One step of the configuration.
@@ -38,6 +41,8 @@
             /// Whether it is out.
             out: bool,
         },
+        /// Puts a published plan in force.
+        Publish(Box<PublishedPlan>),
     }
 
     /// What leads a node to a newer configuration.
@@ -129,6 +134,7 @@
             ConfigChange::Target { target, out } => {
                 set_member(&mut self.out_targets, target, *out);
             }
+            ConfigChange::Publish(published) => self.published = Some(published.as_ref().clone()),
         }
     }
 
--- a/components/registry/src/history.rs
+++ b/components/registry/src/history.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Forgets all steps, so that nodes get the whole configuration. A published plan is as large
+    /// as the rest together, and its steps would be kept in memory once more for each version.
+    pub(crate) fn clear(&mut self) {
+        *self = Self::default();
+    }
+
     /// The steps after a version; none if they are no longer kept.
     pub(crate) fn since(&self, version: ConfigVersion) -> Option<Vec<ConfigChange>> {
         let first = self.versions.front()?;
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use manifest::ManifestChange;
+use routes::PublishedPlan;
 use thiserror::Error;
 use units::{ConfigVersion, DataCentreName, DiskId, FencingNumber, NodeName, OrderId, TargetName};
 use wire::{CallKey, OrderReply};
@@ -54,6 +55,7 @@
         staged: VecDeque<StagedChange>,
         controls: BTreeMap<DiskId, NodeName>,
         calls: CallTable,
+        published_text: Option<String>,
     }
 }
 
@@ -109,6 +111,12 @@
                 self.calls.end(end, self.now);
                 RegistryOutcome::Done
             }
+            RegistryAction::Publish { plan, text } => {
+                RegistryOutcome::Order(self.publish(plan, text))
+            }
+            RegistryAction::Evacuate { data_centre, out } => {
+                RegistryOutcome::Order(self.evacuate(data_centre, *out))
+            }
             RegistryAction::Control { id, name } => {
                 self.controls.insert(*id, name.clone());
                 RegistryOutcome::Done
@@ -248,6 +256,29 @@
         }])
     }
 
+    /// Puts a plan in force if its number is the highest so far. An older one is accepted as well,
+    /// since it was overtaken, and so is the same one again.
+    fn publish(&mut self, plan: &PublishedPlan, text: &str) -> OrderReply {
+        let newest = self.config.published.as_ref();
+        if newest.is_some_and(|newest| newest.number >= plan.number) {
+            return OrderReply::Accepted(self.config.version);
+        }
+        self.published_text = Some(text.into());
+        let reply = self.advance(vec![ConfigChange::Publish(Box::new(plan.clone()))]);
+        self.history.clear();
+        reply
+    }
+
+    fn evacuate(&mut self, data_centre: &DataCentreName, out: bool) -> OrderReply {
+        if self.config.out_data_centres.contains(data_centre) == out {
+            return OrderReply::Accepted(self.config.version);
+        }
+        self.advance(vec![ConfigChange::DataCentre {
+            data_centre: data_centre.clone(),
+            out,
+        }])
+    }
+
     fn fence(&mut self, target: &TargetName) -> OrderReply {
         if !self.fencing.contains_key(target) && self.fencing.len() >= MAX_FENCED {
             return OrderReply::Invalid(format!("{MAX_FENCED} targets have numbers already"));
@@ -277,6 +308,11 @@
         &self.config
     }
 
+    /// The operator's own text of the published plan in force.
+    pub fn published_text(&self) -> Option<&str> {
+        self.published_text.as_deref()
+    }
+
     /// Newest fencing number of a target; 0 if none was drawn.
     pub fn fencing(&self, target: &TargetName) -> FencingNumber {
         self.fencing.get(target).copied().unwrap_or_default()
--- a/components/units/src/clock.rs
+++ b/components/units/src/clock.rs
@@ -5,8 +5,9 @@
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// Point in time of a monotonic clock, in milliseconds.
@@ -62,26 +63,34 @@
 }
 
 /// Clock of the operating system, which starts at zero when it is created.
+///
+/// It counts the time for which the host is suspended, so that a lease that ends meanwhile is over
+/// when the process goes on.
 #[derive(Debug, Clone)]
 pub struct SystemClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl SystemClock {
     /// Starts the clock.
     pub fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: boot_time() }
     }
 }
 
 impl ClockSource for SystemClock {
     fn now(&self) -> ClockTime {
-        ClockTime(self.start.elapsed().as_millis() as u64)
+        ClockTime(boot_time().saturating_sub(self.start).as_millis() as u64)
     }
 }
 
+/// Time since the host was started, with the time for which it was suspended.
+fn boot_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .expect("the boot clock can be read on every Linux kernel")
+        .into()
+}
+
 /// Clock that tests set by hand.
 #[derive(Debug, Clone, Default)]
 pub struct ManualClock {
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -10,12 +10,12 @@
 
 pub use clock::{ClockSource, ClockTime, ManualClock, SystemClock};
 pub use names::{
-    DataCentreName, IdempotencyKey, NodeName, OrderId, OrganisationName, RegionName, ServiceName,
-    TargetName,
+    DataCentreName, IdempotencyKey, NodeName, OrderId, OrganisationName, RegionName, RouteName,
+    ServiceName, TargetName,
 };
 pub use numbers::{
-    ByteSize, ConfigVersion, CostUnits, DiskId, FencingNumber, FlowWeight, Incarnation, PrefixHash,
-    RequestId, SlotCount,
+    ByteSize, ConfigVersion, CostUnits, DiskId, FencingNumber, FlowWeight, Incarnation, MilliRate,
+    PlanNumber, PrefixHash, RequestId, SlotCount,
 };
 
 #[doc(hidden)]
--- a/components/units/src/names.rs
+++ b/components/units/src/names.rs
@@ -18,6 +18,10 @@
     /// Name of a service.
     ServiceName
 );
+crate::name!(
+    /// Name of a published route.
+    RouteName
+);
 crate::name!(
     /// Name of a target.
     TargetName
--- a/components/units/src/numbers.rs
+++ b/components/units/src/numbers.rs
@@ -20,6 +20,14 @@
     /// Version of the configuration; it only grows.
     ConfigVersion(u64)
 );
+crate::number!(
+    /// Number that an operator gives to a published plan; the highest one is in force.
+    PlanNumber(u64)
+);
+crate::number!(
+    /// Rate in thousandths per second.
+    MilliRate(u64)
+);
 crate::number!(
     /// Number that orders to a target carry; a target refuses an older one.
     FencingNumber(u64)
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -28,12 +28,26 @@
         pub healthy: bool,
     }
 
+    /// A target that announces itself and has no agent.
+    pub struct AnnouncedTarget {
+        /// The service that it serves.
+        pub service: ServiceName,
+        /// Requests that it runs at once.
+        pub slots: SlotCount,
+        /// Time for which it stays cold, in milliseconds; 0 once it is warm.
+        pub cold_ms: u64,
+        /// Number of the announcement; grows with each one of an incarnation.
+        pub sequence: u64,
+    }
+
     /// Kind of a node in the directory, with what only that kind has.
     pub enum NodeKind {
         /// An entry.
         Entry,
         /// An agent and its target.
         Agent(TargetState),
+        /// A target without an agent; entries send requests to its address themselves.
+        Target(AnnouncedTarget),
     }
 
     /// Whether a node takes new work.
@@ -217,6 +231,20 @@
             /// The target.
             target: TargetName,
         },
+        /// Publishes a plan of routes. The highest number is in force, so a repeated order is safe.
+        Publish {
+            /// Encoded `PublishedPlan` of the `routes` crate.
+            plan: Vec<u8>,
+            /// The operator's own text of the plan, which is given back when it is read.
+            text: String,
+        },
+        /// Takes a data centre out, or back in, whatever the version is.
+        Evacuate {
+            /// The data centre.
+            data_centre: DataCentreName,
+            /// Whether it is out.
+            out: bool,
+        },
     }
 
     /// Reply to an operator's order.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -13,9 +13,9 @@
 
 pub use codec::{CodecError, MAX_FRAME, decode, encode};
 pub use control::{
-    BeginCall, BeginOutcome, CallKey, CallOutcome, ControlReply, ControlRequest, DirectoryDelta,
-    DirectoryEntry, EndCall, NodeKind, NodeState, OperatorOrder, OrderReply, RenewReply,
-    RenewRequest, StoredResponse, TargetState,
+    AnnouncedTarget, BeginCall, BeginOutcome, CallKey, CallOutcome, ControlReply, ControlRequest,
+    DirectoryDelta, DirectoryEntry, EndCall, NodeKind, NodeState, OperatorOrder, OrderReply,
+    RenewReply, RenewRequest, StoredResponse, TargetState,
 };
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
