--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -215,7 +215,7 @@
 }
 
 /// Incarnation of a process that starts now.
-pub(crate) fn new_incarnation() -> Incarnation {
+pub fn new_incarnation() -> Incarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     Incarnation(since.map_or(0, |since| since.as_millis() as u64))
 }
--- /dev/null
+++ b/components/relay/src/daemon.rs
@@ -0,0 +1,149 @@
+//! Start and planned stop of a relay.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use board::StateBoard;
+use client::{ControlClient, FleetView, keep_lease};
+use eyre::WrapErr;
+use link::{KeyFiles, LinkEndpoint, LinkIdentity};
+use place::{PlaceSettings, PlaceTable, WaitQueue};
+use salvo::server::ServerHandle;
+use salvo::{Router, Server};
+use telemetry::{event, events};
+use tokio::task::JoinSet;
+use units::SystemClock;
+use wire::NodeRole;
+
+use crate::dialect::CallerDialect;
+use crate::door::{ReadyCheck, RelayDoor};
+use crate::follow::{follow_view, prune_pool, serve_queue};
+use crate::pool::TargetPool;
+use crate::settings::RelaySettings;
+use crate::state::{RelayShared, RelayState};
+
+/// Load above the average, in percent, up to which a target keeps its sessions.
+const AFFINITY_SLACK: u64 = 100;
+
+/// Time for which a target is passed over after a failed connection; an announcement that shows it
+/// alive comes about once in this time.
+const AVOID_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which a leaving relay still accepts connections: the load balancer asks once a second
+/// and takes it out after two failures.
+const LEAVE_NOTICE: Duration = Duration::from_millis(2_500);
+
+/// Part of the stop time that is kept for the end of the process itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// A running relay. Dropping it stops the relay at once.
+pub struct RelayHandle {
+    shared: RelayShared,
+    http: SocketAddr,
+    server: ServerHandle,
+    tasks: JoinSet<()>,
+}
+
+/// Starts a relay.
+pub async fn start(
+    settings: RelaySettings,
+    dialect: Arc<dyn CallerDialect>,
+) -> eyre::Result<RelayHandle> {
+    let incarnation = entry::new_incarnation();
+    let files = KeyFiles::in_folder(&settings.keys, NodeRole::Entry, &settings.name);
+    let identity = LinkIdentity::load(NodeRole::Entry, &settings.name, &files)
+        .wrap_err("Failed to load the keys of the relay")?;
+    let endpoint = LinkEndpoint::bind(settings.listen, &identity, incarnation)
+        .wrap_err("Failed to open the link address")?;
+    let client = ControlClient::new(endpoint.clone(), settings.controls.clone());
+    let table = PlaceTable::new(PlaceSettings {
+        region: settings.region().cloned(),
+        affinity_slack: AFFINITY_SLACK,
+        avoid_time: AVOID_TIME,
+    });
+    let shared = RelayShared {
+        board: StateBoard::new(RelayState {
+            index: None,
+            table,
+            queue: WaitQueue::new(),
+            waiting: Default::default(),
+            budgets: Default::default(),
+            entries: 1,
+            open_requests: 0,
+            leaving: false,
+        }),
+        incarnation,
+        view: StateBoard::new(FleetView::with_lease_time(settings.lease_time)),
+        settings: Arc::new(settings),
+        clock: Arc::new(SystemClock::start()),
+        endpoint,
+        dialect,
+        pool: TargetPool::default(),
+    };
+    let mut tasks = JoinSet::new();
+    let (http, server) = serve_http(&shared, &mut tasks).await?;
+    tasks.spawn(follow_view(shared.clone()));
+    tasks.spawn(serve_queue(shared.clone()));
+    tasks.spawn(prune_pool(shared.clone()));
+    let (view, clock, node) = (shared.view.clone(), shared.clock.clone(), shared.clone());
+    let entry = move || node.directory_entry();
+    tasks.spawn(keep_lease(client, view, clock, entry, true));
+    event!(events::RELAY_STARTED, address = http);
+    Ok(RelayHandle {
+        shared,
+        http,
+        server,
+        tasks,
+    })
+}
+
+async fn serve_http(
+    shared: &RelayShared,
+    tasks: &mut JoinSet<()>,
+) -> eyre::Result<(SocketAddr, ServerHandle)> {
+    let address = shared.settings.http;
+    let acceptor = listener::listen(address)
+        .await
+        .wrap_err_with(|| format!("Failed to open the HTTP address {address}"))?;
+    let address = acceptor
+        .local_addr()
+        .wrap_err("Failed to read the HTTP address")?;
+    let router = Router::with_path("{**rest}").goal(RelayDoor::new(shared.clone()));
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    tasks.spawn(async move { server.serve(router).await });
+    Ok((address, handle))
+}
+
+impl RelayHandle {
+    /// Address for callers' HTTP.
+    pub fn http(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// Handler that tells whether new callers should come.
+    pub fn ready_check(&self) -> impl salvo::Handler {
+        ReadyCheck::new(self.shared.clone())
+    }
+
+    /// Announces that the relay leaves, finishes its requests and stops.
+    pub async fn leave(mut self) {
+        event!(events::RELAY_LEAVING);
+        self.shared.board.write(|state| state.leaving = true);
+        let stop_time = self.shared.settings.stop_time.saturating_sub(STOP_MARGIN);
+        let notice = LEAVE_NOTICE.min(stop_time);
+        tokio::time::sleep(notice).await;
+        // Connections without a request end now, the others with their answer.
+        self.server.stop_graceful(Some(stop_time - notice));
+        while let Some(ended) = self.tasks.join_next().await {
+            // The HTTP server is the only task that ends by itself.
+            if ended.is_ok() {
+                break;
+            }
+        }
+        self.shared.endpoint.close().await;
+        self.tasks.shutdown().await;
+        event!(events::RELAY_STOPPED);
+    }
+}
--- /dev/null
+++ b/components/relay/src/dialect.rs
@@ -0,0 +1,93 @@
+//! Border towards callers and targets: how they write what a request means.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, request, response};
+use manifest::KeyHash;
+use thiserror::Error;
+use units::{NodeName, OrganisationName};
+
+/// What a caller's request says about itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerTerms {
+    /// Id of the attempt, which targets repeat in their answers.
+    pub attempt: String,
+    /// Host that the caller names.
+    pub host: String,
+    /// Hash of the caller's key, if it shows one.
+    pub key: Option<KeyHash>,
+    /// Time for which the caller waits, if it says so.
+    pub remaining: Option<Duration>,
+    /// What the request asks of a model, if it says so.
+    pub model: Option<ModelTerms>,
+}
+
+/// What a request asks of a model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelTerms {
+    /// Tokens of the prompt.
+    pub tokens_in: u64,
+    /// Most tokens of the answer.
+    pub tokens_out: u64,
+    /// Parts of the prompt in order. Requests share parts; the last one is the request's own.
+    pub parts: Vec<PromptPart>,
+}
+
+/// Part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Id of the part.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+impl ModelTerms {
+    /// The last part that other requests share: requests of one session have the same.
+    pub fn session(&self) -> Option<u64> {
+        let shared = self.parts.len().checked_sub(2)?;
+        Some(self.parts[shared].id)
+    }
+}
+
+/// What a target is told with a request.
+#[derive(Debug, Clone, Copy)]
+pub struct TargetTerms<'a> {
+    /// The target that may run the request; any other refuses it.
+    pub instance: &'a NodeName,
+    /// The organisation that calls, if it is known.
+    pub organisation: Option<&'a OrganisationName>,
+    /// Time after which nobody waits for the answer.
+    pub remaining: Duration,
+}
+
+/// What the head of an answer means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerVerdict {
+    /// It answers the request.
+    Answer,
+    /// The target says that it has not run the request and will not.
+    NotRun,
+    /// It belongs to another request, or is none that a sound target gives.
+    Unsound,
+}
+
+/// Fault of a request's own words.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0}")]
+pub struct TermsError(pub String);
+
+/// How callers and targets write what a request means.
+pub trait CallerDialect: Send + Sync {
+    /// Reads the head of a request.
+    fn read(&self, head: &request::Parts) -> Result<CallerTerms, TermsError>;
+
+    /// Headers of the request for a target, from those of the caller.
+    fn target_headers(&self, headers: &HeaderMap, terms: &TargetTerms<'_>) -> HeaderMap;
+
+    /// Judges the head of an answer to an attempt.
+    fn judge(&self, attempt: &str, head: &response::Parts) -> AnswerVerdict;
+
+    /// Value of `Retry-After` for a wait.
+    fn retry_after(&self, wait: Duration) -> HeaderValue;
+}
--- /dev/null
+++ b/components/relay/src/door.rs
@@ -0,0 +1,156 @@
+//! HTTP towards callers.
+
+use salvo::prelude::*;
+use telemetry::{event, events};
+use tokio::time::Instant;
+use tracing::{Instrument, info_span};
+
+use entry::Refusal;
+
+use crate::backend::CallerRequest;
+use crate::flight::{FlightAnswer, RequestFlight, admit};
+use crate::respond;
+use crate::state::RelayShared;
+
+/// Serves callers' requests.
+pub(crate) struct RelayDoor {
+    shared: RelayShared,
+}
+
+impl RelayDoor {
+    pub(crate) fn new(shared: RelayShared) -> Self {
+        Self { shared }
+    }
+
+    async fn serve(
+        &self,
+        req: &mut Request,
+        attempt: &mut String,
+    ) -> Result<FlightAnswer, Refusal> {
+        let arrived = Instant::now();
+        let head = head_of(req);
+        let terms = self
+            .shared
+            .dialect
+            .read(&head)
+            .map_err(|error| Refusal::not_run(400, "bad-request", error))?;
+        attempt.clone_from(&terms.attempt);
+        let index = self.shared.board.read(|state| state.index.clone());
+        let Some(index) = index else {
+            let message = "Failed to find a route: no plan is known yet";
+            let refusal = Refusal::not_run(503, "no-plan", message);
+            return Err(refusal.retry_after(std::time::Duration::from_millis(500)));
+        };
+        let grant = admit(&self.shared, &index, &terms, head.uri.path())?;
+        let limit = index.plan.bounds.max_body.0;
+        let body = req
+            .payload_with_max_size(limit as usize)
+            .await
+            .map_err(|error| body_refusal(&error, limit))?;
+        let request = CallerRequest {
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body: body.clone(),
+        };
+        let span = info_span!("relay.request", request = terms.attempt.as_str());
+        let flight = RequestFlight::new(self.shared.clone(), terms, request, grant, arrived)?;
+        flight.fly().instrument(span).await
+    }
+}
+
+fn head_of(req: &Request) -> http::request::Parts {
+    let (mut head, ()) = http::Request::new(()).into_parts();
+    head.method = req.method().clone();
+    head.uri = req.uri().clone();
+    head.version = req.version();
+    head.headers = req.headers().clone();
+    head
+}
+
+fn body_refusal(error: &salvo::http::ParseError, limit: u64) -> Refusal {
+    match error {
+        salvo::http::ParseError::PayloadTooLarge => {
+            let message = format!("Failed to accept the body: the limit is {limit} bytes");
+            Refusal::not_run(413, "body-too-large", message)
+        }
+        error => Refusal::not_run(
+            400,
+            "bad-request",
+            format!("Failed to read the body: {error}"),
+        ),
+    }
+}
+
+/// Open request, until it is dropped.
+struct OpenGuard<'a> {
+    shared: &'a RelayShared,
+}
+
+impl<'a> OpenGuard<'a> {
+    fn new(shared: &'a RelayShared) -> Self {
+        shared.board.write_quietly(|state| state.open_requests += 1);
+        Self { shared }
+    }
+}
+
+impl Drop for OpenGuard<'_> {
+    fn drop(&mut self) {
+        self.shared.board.write(|state| state.open_requests -= 1);
+    }
+}
+
+#[async_trait]
+impl Handler for RelayDoor {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let _guard = OpenGuard::new(&self.shared);
+        let mut attempt = String::new();
+        match self.serve(req, &mut attempt).await {
+            Ok(answer) => respond::answer(&self.shared, res, answer),
+            Err(refusal) => {
+                event!(
+                    events::RELAY_REFUSED,
+                    request = attempt,
+                    status = refusal.status,
+                    code = refusal.code,
+                    outcome = refusal.outcome.as_str(),
+                    reason = refusal.message
+                );
+                respond::refuse(&self.shared, res, &refusal);
+            }
+        }
+    }
+}
+
+/// Tells the load balancer whether new callers should come.
+pub(crate) struct ReadyCheck {
+    shared: RelayShared,
+}
+
+impl ReadyCheck {
+    pub(crate) fn new(shared: RelayShared) -> Self {
+        Self { shared }
+    }
+}
+
+#[async_trait]
+impl Handler for ReadyCheck {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        res.status_code(match self.shared.is_ready() {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        });
+    }
+}
--- /dev/null
+++ b/components/relay/src/flight.rs
@@ -0,0 +1,362 @@
+//! Way of one request: find its route, take a place, send, retry.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{StatusCode, response};
+use hyper::body::Bytes;
+use place::PlaceRequest;
+use routes::{KeyHolder, RouteIndex, RouteMatch};
+use telemetry::{event, events};
+use tokio::time::Instant;
+use tracing::{Instrument, info_span};
+use units::{NodeName, OrganisationName, ServiceName};
+use wire::{FlowKey, stable_hash};
+
+use entry::Refusal;
+
+use crate::attempt::{HeldPlace, NoPlace, take_place, wait_limit};
+use crate::backend::{CallerRequest, ExchangeStart, OpenAnswer, exchange};
+use crate::dialect::{CallerTerms, ModelTerms, TargetTerms};
+use crate::pool::ExchangeError;
+use crate::state::RelayShared;
+
+/// Wait that a caller is asked for where nothing tells when a target has room.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Wait that a caller is asked for while the entry has no confirmed plan.
+const PLAN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Work of a produced token against a read one.
+const OUTPUT_WORK: u64 = 10;
+
+/// A request on its way to a target.
+pub(crate) struct RequestFlight {
+    shared: RelayShared,
+    terms: CallerTerms,
+    request: CallerRequest,
+    route: RouteMatch,
+    service: ServiceName,
+    organisation: Option<OrganisationName>,
+    place: PlaceRequest,
+    arrived: Instant,
+    /// Time at which nobody waits for the answer any more.
+    caller_limit: Instant,
+    /// Time at which the caller must have an answer.
+    limit: Instant,
+    sends: u32,
+}
+
+/// Answer to a caller.
+pub(crate) enum FlightAnswer {
+    /// A complete answer.
+    Whole(response::Parts, Bytes),
+    /// An answer that is passed on as it comes; the place is held until it ends.
+    Stream(Box<StreamAnswer>),
+}
+
+/// An answer that is passed on as it comes.
+pub(crate) struct StreamAnswer {
+    pub(crate) answer: OpenAnswer,
+    pub(crate) first: Option<Bytes>,
+    /// Given back when the stream ends.
+    pub(crate) _place: HeldPlace,
+    pub(crate) limit: Instant,
+    pub(crate) attempt: String,
+}
+
+/// Result of one send.
+enum SendEnd {
+    Answer(FlightAnswer),
+    /// The request has not run and will not run at that target.
+    NotRun(String),
+    /// The request may have run.
+    Unknown(String),
+    /// The target answered with a fault of its own.
+    Faulty(response::Parts, Bytes),
+}
+
+/// What a request is owed, from the published plan.
+pub(crate) struct RequestGrant {
+    pub(crate) route: RouteMatch,
+    pub(crate) holder: Option<Arc<KeyHolder>>,
+}
+
+/// Finds the route of a request and checks its key.
+pub(crate) fn admit(
+    shared: &RelayShared,
+    index: &RouteIndex,
+    terms: &CallerTerms,
+    path: &str,
+) -> Result<RequestGrant, Refusal> {
+    let Some(route) = index.find(&terms.host, path) else {
+        let message = format!("Failed to find a route for {}{path}", terms.host);
+        return Err(Refusal::not_run(404, "no-route", message));
+    };
+    if !index.needs_keys() || (route.anonymous && terms.key.is_none()) {
+        return Ok(RequestGrant {
+            route,
+            holder: None,
+        });
+    }
+    if !shared.has_lease() {
+        let message = "Failed to check the key: the newest keys are not confirmed";
+        let refusal = Refusal::not_run(503, "no-lease", message);
+        return Err(refusal.retry_after(PLAN_RETRY_AFTER));
+    }
+    let holder = terms.key.as_ref().and_then(|key| index.holder(key));
+    if holder.is_none() && !route.anonymous {
+        let message = "Failed to identify the caller: unknown or missing key";
+        return Err(Refusal::not_run(401, "unauthorised", message));
+    }
+    Ok(RequestGrant { route, holder })
+}
+
+impl RequestFlight {
+    /// Prepares a request that was admitted.
+    pub(crate) fn new(
+        shared: RelayShared,
+        terms: CallerTerms,
+        request: CallerRequest,
+        grant: RequestGrant,
+        arrived: Instant,
+    ) -> Result<Self, Refusal> {
+        let route = grant.route;
+        let draw = stable_hash(&[terms.attempt.as_bytes()]);
+        let Some(service) = route.service(draw).cloned() else {
+            let message = format!("Failed to find a service for route {}", route.name);
+            return Err(Refusal::not_run(503, "no-service", message));
+        };
+        let affinity = terms.model.as_ref().and_then(ModelTerms::session);
+        let work = terms.model.as_ref().map_or(1, model_work);
+        let regions = grant.holder.iter().map(|holder| holder.regions.clone());
+        let place = PlaceRequest {
+            service: service.clone(),
+            affinity: affinity.filter(|_| route.affinity),
+            work,
+            regions: regions.chain([route.regions.clone()]).collect(),
+            tried: Vec::new(),
+        };
+        let remaining = terms.remaining.unwrap_or(route.timeout());
+        let caller_limit = arrived + remaining;
+        Ok(Self {
+            limit: caller_limit.min(arrived + route.timeout()),
+            caller_limit,
+            organisation: grant.holder.map(|holder| holder.organisation.clone()),
+            shared,
+            terms,
+            request,
+            route,
+            service,
+            place,
+            arrived,
+            sends: 0,
+        })
+    }
+
+    /// Sends the request until it is answered or nothing more may be tried.
+    pub(crate) async fn fly(mut self) -> Result<FlightAnswer, Refusal> {
+        self.note_request();
+        loop {
+            let place = self.wait().await?;
+            let end = self.send(place).await;
+            let (reason, outcome) = match end {
+                SendEnd::Answer(answer) => return Ok(answer),
+                SendEnd::Faulty(head, body) => {
+                    if !self.may_repeat() {
+                        return Ok(FlightAnswer::Whole(head, body));
+                    }
+                    continue;
+                }
+                SendEnd::NotRun(reason) => (reason, true),
+                SendEnd::Unknown(reason) => (reason, false),
+            };
+            event!(
+                events::RELAY_SEND_FAILED,
+                request = self.terms.attempt,
+                route = self.route.name,
+                target = self.last_target(),
+                not_run = outcome,
+                sends = self.sends,
+                reason = reason
+            );
+            let allowed = (outcome || self.route.repeat.is_repeatable()) && self.may_repeat();
+            if !allowed {
+                return Err(self.failure(outcome, &reason));
+            }
+        }
+    }
+
+    fn last_target(&self) -> String {
+        let last = self.place.tried.last();
+        last.map(NodeName::to_string).unwrap_or_default()
+    }
+
+    fn flow(&self) -> FlowKey {
+        let none = || OrganisationName::from("");
+        FlowKey {
+            organisation: self.organisation.clone().unwrap_or_else(none),
+            service: self.service.clone(),
+        }
+    }
+
+    fn note_request(&self) {
+        let now = self.shared.now();
+        let settings = &self.shared.settings;
+        self.shared
+            .board
+            .write_quietly(|state| state.budget(&self.service, settings).request(now));
+    }
+
+    /// Waits for a place at a target.
+    async fn wait(&mut self) -> Result<HeldPlace, Refusal> {
+        let limit = wait_limit(Instant::now(), self.route.objective(), self.limit);
+        let flow = self.flow();
+        let span = info_span!("relay.wait", request = self.terms.attempt.as_str());
+        let taking = take_place(&self.shared, &flow, self.place.clone(), limit);
+        match taking.instrument(span).await {
+            Ok(place) => Ok(place),
+            Err(reason) if self.sends == 0 => Err(self.no_place(reason)),
+            Err(_) => Err(Refusal::unknown(
+                502,
+                "no-other-target",
+                "Failed to find another target for the request",
+            )),
+        }
+    }
+
+    fn no_place(&self, reason: NoPlace) -> Refusal {
+        let message = match reason {
+            NoPlace::Nowhere => format!("service {} has no live target", self.service),
+            NoPlace::Full => format!("all targets of service {} are full", self.service),
+        };
+        let message = format!("Failed to find a target: {message}");
+        Refusal::not_run(503, "no-target", message).retry_after(RETRY_AFTER)
+    }
+
+    /// Sends the request to one target.
+    async fn send(&mut self, place: HeldPlace) -> SendEnd {
+        let Some(target) = self.shared.target(place.target) else {
+            return SendEnd::NotRun("the target is gone".into());
+        };
+        let name = target.seen.name.clone();
+        self.place.tried.push(name.clone());
+        let span = info_span!(
+            "relay.send",
+            request = self.terms.attempt.as_str(),
+            target = name.as_str()
+        );
+        let sending = self.exchange(&target.seen.name, target.seen.address, place);
+        let limit = self.limit;
+        match tokio::time::timeout_at(limit, sending.instrument(span)).await {
+            Ok(end) => {
+                self.sends += 1;
+                end
+            }
+            Err(_) => {
+                self.sends += 1;
+                SendEnd::Unknown("no answer before the deadline".into())
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        name: &NodeName,
+        address: std::net::SocketAddr,
+        place: HeldPlace,
+    ) -> SendEnd {
+        let connection = match self.shared.pool.connect(address).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.avoid(&place);
+                return SendEnd::NotRun(error.to_string());
+            }
+        };
+        let terms = TargetTerms {
+            instance: name,
+            organisation: self.organisation.as_ref(),
+            remaining: self.caller_limit.saturating_duration_since(Instant::now()),
+        };
+        let dialect = self.shared.dialect.as_ref();
+        let attempt = &self.terms.attempt;
+        let pool = &self.shared.pool;
+        let started = exchange(pool, dialect, connection, &self.request, attempt, &terms).await;
+        match started {
+            Ok(ExchangeStart::Answer(answer)) => self.read(answer, place).await,
+            Ok(ExchangeStart::NotRun(status)) => {
+                SendEnd::NotRun(format!("the target refused with status {status}"))
+            }
+            Ok(ExchangeStart::Unsound(reason)) => SendEnd::Unknown(reason),
+            Err(ExchangeError::NotSent(reason)) => SendEnd::NotRun(reason),
+            Err(ExchangeError::Broken(reason)) => SendEnd::Unknown(reason),
+        }
+    }
+
+    fn avoid(&self, place: &HeldPlace) {
+        let now = self.shared.now();
+        self.shared
+            .board
+            .write_quietly(|state| state.table.failed(place.target, now));
+    }
+
+    /// Reads a whole answer, or the first bytes of a stream.
+    async fn read(&self, mut answer: OpenAnswer, place: HeldPlace) -> SendEnd {
+        let is_good = answer.head.status.is_success();
+        if self.route.repeat.is_stream() && is_good {
+            let first = match answer.next().await {
+                Some(Ok(bytes)) => Some(bytes),
+                Some(Err(reason)) => return SendEnd::Unknown(reason),
+                None => None,
+            };
+            return SendEnd::Answer(FlightAnswer::Stream(Box::new(StreamAnswer {
+                answer,
+                first,
+                _place: place,
+                limit: self.caller_limit,
+                attempt: self.terms.attempt.clone(),
+            })));
+        }
+        match answer.whole().await {
+            Ok((head, body))
+                if head.status.is_server_error() && self.route.repeat.is_repeatable() =>
+            {
+                SendEnd::Faulty(head, body)
+            }
+            Ok((head, body)) => SendEnd::Answer(FlightAnswer::Whole(head, body)),
+            Err(reason) => SendEnd::Unknown(reason),
+        }
+    }
+
+    /// Whether another target may get the request: the route, the retry budget and the time allow.
+    fn may_repeat(&self) -> bool {
+        let now = self.shared.now();
+        let settings = &self.shared.settings;
+        self.place.tried.len() < self.route.max_targets as usize
+            && Instant::now() < self.limit
+            && self
+                .shared
+                .board
+                .write_quietly(|state| state.budget(&self.service, settings).try_retry(now))
+    }
+
+    /// The failure that the caller is told. Only what certainly has not run says so.
+    fn failure(&self, not_run: bool, reason: &str) -> Refusal {
+        let ran_before = self.sends > 1 && self.route.repeat.is_repeatable();
+        let waited = self.arrived.elapsed().as_millis();
+        if not_run && !ran_before {
+            let message = format!("Failed to run the request after {waited} ms: {reason}");
+            return Refusal::not_run(503, "not-run", message).retry_after(RETRY_AFTER);
+        }
+        let status = match Instant::now() >= self.limit {
+            true => StatusCode::GATEWAY_TIMEOUT,
+            false => StatusCode::BAD_GATEWAY,
+        };
+        let message = format!("Failed to get an answer after {waited} ms: {reason}");
+        Refusal::unknown(status.as_u16(), "target-lost", message)
+    }
+}
+
+fn model_work(model: &ModelTerms) -> u64 {
+    model.tokens_in + OUTPUT_WORK * model.tokens_out
+}
--- /dev/null
+++ b/components/relay/src/lib.rs
@@ -0,0 +1,24 @@
+//! Way from callers to targets that have no agent beside them.
+//!
+//! A relay is an entry that sends requests to targets itself. It finds the route of a request in the
+//! published plan, chooses a target with the `place` crate, and passes the answer on: whole once it
+//! is complete, or event by event. How callers and targets write ids, keys, deadlines and refusals
+//! is left to a [`CallerDialect`].
+
+mod attempt;
+mod backend;
+mod daemon;
+mod dialect;
+mod door;
+mod flight;
+mod follow;
+mod pool;
+mod respond;
+mod settings;
+mod state;
+
+pub use daemon::{RelayHandle, start};
+pub use dialect::{
+    AnswerVerdict, CallerDialect, CallerTerms, ModelTerms, PromptPart, TargetTerms, TermsError,
+};
+pub use settings::{RelaySettings, RetryBound};
--- /dev/null
+++ b/components/relay/src/settings.rs
@@ -0,0 +1,51 @@
+//! Settings of a relay.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use units::{DataCentreName, NodeName, RegionName};
+
+/// Bound on requests that are sent to a second target, over all entries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RetryBound {
+    /// Retries for each thousand requests.
+    pub per_thousand: u64,
+    /// Retries beside these.
+    pub slack: u64,
+    /// Window in which both are counted.
+    pub window: Duration,
+}
+
+/// Settings of a relay.
+#[derive(Debug, Clone)]
+pub struct RelaySettings {
+    /// Name of the node, unique in the fleet.
+    pub name: NodeName,
+    /// Address for callers' HTTP.
+    pub http: SocketAddr,
+    /// Local address of the links to control nodes.
+    pub listen: SocketAddr,
+    /// Data centre of the host.
+    pub data_centre: DataCentreName,
+    /// Regions of all data centres.
+    pub regions: BTreeMap<DataCentreName, RegionName>,
+    /// Addresses of the control nodes.
+    pub controls: Vec<SocketAddr>,
+    /// Folder with the key files.
+    pub keys: PathBuf,
+    /// Time from a confirmation by the quorum after which keys are not accepted any more.
+    pub lease_time: Duration,
+    /// Bound on retries.
+    pub retries: RetryBound,
+    /// Time that a planned stop may take.
+    pub stop_time: Duration,
+}
+
+impl RelaySettings {
+    /// Region of the host, if its data centre is listed.
+    pub fn region(&self) -> Option<&RegionName> {
+        self.regions.get(&self.data_centre)
+    }
+}
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -9,5 +9,7 @@
     SNAPSHOT_WRITTEN = 3013, Info, "snapshot-written", "The log up to this entry is replaced by a snapshot.";
     PEER_REFUSED = 3020, Warn, "peer-refused", "A connection or stream was refused. Check the peer's keys, role and version.";
     STREAM_REFUSED = 3021, Warn, "stream-refused", "A peer opened a stream that its role may not open.";
+    CALL_INVALID = 3040, Warn, "call-invalid", "A call of an operator or target is faulty and changed nothing; the field reason tells why.";
+    CALL_UNAVAILABLE = 3041, Warn, "call-unavailable", "A call had no confirmation by a quorum; the caller may repeat it.";
     DRIVER_FAILED = 3030, Error, "driver-failed", "The data folder cannot be written or read. If it is corrupt, start with an empty folder.";
 }
--- a/components/telemetry/src/events/entry.rs
+++ b/components/telemetry/src/events/entry.rs
@@ -1,4 +1,4 @@
-//! Events of the entry, 1000 to 1999.
+//! Events of the entry, 1000 to 1499.
 
 log_events! {
     ENTRY_STARTED = 1000, Info, "entry-started", "The entry listens for callers.";
--- a/components/telemetry/src/events/mod.rs
+++ b/components/telemetry/src/events/mod.rs
@@ -1,6 +1,6 @@
 //! Every log event, in one module for each daemon.
 //!
-//! Numbers: entry 1000 to 1999, agent 2000 to 2999, control 3000 to 3899, client 3900 to 3999,
+//! Numbers: entry 1000 to 1499, relay 1500 to 1999, agent 2000 to 2999, control 3000 to 3899, client 3900 to 3999,
 //! stand-ins and tools 4000 to 4999. A number is never reused. `docs/EVENTS.md` is written by
 //! `cargo run -p telemetry --example catalogue > docs/EVENTS.md`.
 
@@ -26,12 +26,14 @@
 mod client;
 mod control;
 mod entry;
+mod relay;
 mod tools;
 
 pub use agent::*;
 pub use client::*;
 pub use control::*;
 pub use entry::*;
+pub use relay::*;
 pub use tools::*;
 
 /// Events of one daemon, whose numbers lie in one range.
@@ -46,8 +48,9 @@
 }
 
 /// Every event, by daemon.
-pub const EVENT_GROUPS: [EventGroup; 5] = [
-    group(1000, 1999, entry::LIST),
+pub const EVENT_GROUPS: [EventGroup; 6] = [
+    group(1000, 1499, entry::LIST),
+    group(1500, 1999, relay::LIST),
     group(2000, 2999, agent::LIST),
     group(3000, 3899, control::LIST),
     group(3900, 3999, client::LIST),
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -1,8 +1,9 @@
-//! Log lines on standard error.
+//! Log lines on standard error or standard output.
 
 use eyre::{Result, WrapErr};
 use log::LevelFilter;
-use logforth::append::Stderr;
+use logforth::Append;
+use logforth::append::{Stderr, Stdout};
 use logforth::bridge::log::LogBridge;
 use logforth::layout::{JsonLayout, TextLayout};
 
@@ -39,6 +40,16 @@
     }
 }
 
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LogOutput {
+    /// Standard error.
+    #[default]
+    Error,
+    /// Standard output.
+    Standard,
+}
+
 /// What is logged, and how.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LogSettings {
@@ -46,6 +57,8 @@
     pub level: LevelFilter,
     /// Form of a line.
     pub format: LogFormat,
+    /// Where lines go.
+    pub output: LogOutput,
 }
 
 impl Default for LogSettings {
@@ -53,15 +66,26 @@
         Self {
             level: LevelFilter::Info,
             format: LogFormat::Text,
+            output: LogOutput::Error,
         }
     }
 }
 
-/// Starts writing logs to standard error. Fails if the process already has a logger.
+/// Starts writing logs. Fails if the process already has a logger.
 pub fn start_logs(settings: &LogSettings) -> Result<()> {
-    let append = match settings.format {
-        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
-        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    let append: Box<dyn Append> = match (settings.output, settings.format) {
+        (LogOutput::Error, LogFormat::Text) => {
+            Box::new(Stderr::default().with_layout(TextLayout::default().no_color()))
+        }
+        (LogOutput::Error, LogFormat::Json) => {
+            Box::new(Stderr::default().with_layout(JsonLayout::default()))
+        }
+        (LogOutput::Standard, LogFormat::Text) => {
+            Box::new(Stdout::default().with_layout(TextLayout::default().no_color()))
+        }
+        (LogOutput::Standard, LogFormat::Json) => {
+            Box::new(Stdout::default().with_layout(JsonLayout::default()))
+        }
     };
     let logger = logforth::core::builder()
         .dispatch(|dispatch| dispatch.append(append))
--- a/src/options.rs
+++ b/src/options.rs
@@ -12,7 +12,7 @@
 
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
 use eyre::Result;
-use telemetry::{LogFormat, LogSettings, MetricSettings, TraceSettings};
+use telemetry::{LogFormat, LogOutput, LogSettings, MetricSettings, TraceSettings};
 use tokio::signal::unix::SignalKind;
 use units::{DataCentreName, NodeName};
 
@@ -320,6 +320,7 @@
             logs: LogSettings {
                 level: level?,
                 format: format?,
+                output: LogOutput::Error,
             },
             metrics: MetricSettings {
                 address,
