--- a/components/bench/src/fixtures.rs
+++ b/components/bench/src/fixtures.rs
@@ -16,6 +16,9 @@
 const MAX_COST: CostUnits = CostUnits(4096);
 
 /// Name of a model service.
+/// Most hosts that may be set aside for control.
+pub(crate) const CONTROLS: usize = 7;
+
 pub(crate) fn service() -> ServiceName {
     ServiceName::from("repair-drafts")
 }
--- a/components/bench/src/messages.rs
+++ b/components/bench/src/messages.rs
@@ -1,5 +1,7 @@
 //! Sizes of messages between processes, and the cost of sending one.
 
+use std::net::SocketAddr;
+
 use eyre::{Result, WrapErr};
 use units::{ConfigVersion, CostUnits, Incarnation};
 use wire::{
@@ -107,6 +109,7 @@
         age_ms: 120,
         version: ConfigVersion(4711),
         changes: Vec::new(),
+        controls: vec![SocketAddr::from(([10, 0, 0, 1], 7400)); fixtures::CONTROLS],
         directory: Some(DirectoryDelta {
             source: Incarnation(1_700_000_000_000),
             revision: 100_000,
--- a/components/client/src/failover.rs
+++ b/components/client/src/failover.rs
@@ -1,8 +1,8 @@
 //! Requests that try each control node in turn.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use link::{LinkEndpoint, LinkError};
@@ -49,10 +49,35 @@
 #[derive(Clone)]
 pub struct ControlClient {
     transport: Arc<dyn ControlTransport>,
-    controls: Arc<[SocketAddr]>,
+    controls: Arc<Mutex<ControlList>>,
     current: Arc<AtomicUsize>,
 }
 
+/// Addresses of control nodes.
+#[derive(Debug, Default)]
+struct ControlList {
+    /// From the settings.
+    configured: Vec<SocketAddr>,
+    /// From the control nodes themselves.
+    learned: Vec<SocketAddr>,
+    /// Both, each address once.
+    all: Arc<[SocketAddr]>,
+}
+
+impl ControlList {
+    fn update(&mut self, configured: Option<Vec<SocketAddr>>, learned: Option<Vec<SocketAddr>>) {
+        self.configured = configured.unwrap_or(std::mem::take(&mut self.configured));
+        self.learned = learned.unwrap_or(std::mem::take(&mut self.learned));
+        let mut all: Vec<SocketAddr> = Vec::new();
+        for address in self.configured.iter().chain(&self.learned) {
+            if !all.contains(address) {
+                all.push(*address);
+            }
+        }
+        self.all = all.into();
+    }
+}
+
 impl ControlClient {
     /// Creates a client over links.
     pub fn new(endpoint: LinkEndpoint, controls: Vec<SocketAddr>) -> Self {
@@ -61,29 +86,53 @@
 
     /// Creates a client over another transport.
     pub fn with_transport(transport: Arc<dyn ControlTransport>, controls: Vec<SocketAddr>) -> Self {
+        let mut list = ControlList::default();
+        list.update(Some(controls), None);
         Self {
             transport,
-            controls: controls.into(),
+            controls: Arc::new(Mutex::new(list)),
             current: Arc::default(),
         }
     }
 
+    /// Takes over changed addresses from the settings.
+    pub fn configure(&self, controls: Vec<SocketAddr>) {
+        self.list().update(Some(controls), None);
+    }
+
+    /// Takes over the addresses that control nodes know of each other.
+    pub fn learn(&self, controls: Vec<SocketAddr>) {
+        if !controls.is_empty() {
+            self.list().update(None, Some(controls));
+        }
+    }
+
+    fn list(&self) -> MutexGuard<'_, ControlList> {
+        self.controls.lock().expect("no holder of the list panics")
+    }
+
+    /// Addresses of all control nodes that are known.
+    pub fn controls(&self) -> Arc<[SocketAddr]> {
+        self.list().all.clone()
+    }
+
     /// Sends a request. Nodes that do not answer or have no quorum are passed over; every request
     /// may reach several nodes, so it must be safe to repeat.
     pub async fn request(&self, request: &ControlRequest) -> Result<ControlReply, ClientError> {
         let mut failure = ClientError::NoControls;
-        for attempt in 1..=self.controls.len() * MAX_ROUNDS {
-            let index = self.current.load(Ordering::Relaxed) % self.controls.len();
-            failure = match self.attempt(index, request).await {
+        let controls = self.controls();
+        for attempt in 1..=controls.len() * MAX_ROUNDS {
+            let index = self.current.load(Ordering::Relaxed) % controls.len();
+            failure = match self.attempt_at(controls[index], request).await {
                 Ok(ControlReply::NoQuorum { .. }) => ClientError::NoQuorum { attempts: attempt },
                 Ok(reply) => return Ok(reply),
                 Err(error) => ClientError::Unanswered {
                     attempts: attempt,
-                    address: self.controls[index],
+                    address: controls[index],
                     reason: error.to_string(),
                 },
             };
-            self.leave(index);
+            self.leave(index, controls.len());
         }
         Err(failure)
     }
@@ -93,21 +142,22 @@
         &self,
         request: &ControlRequest,
     ) -> Result<ControlReply, ClientError> {
-        if self.controls.is_empty() {
+        let controls = self.controls();
+        if controls.is_empty() {
             return Err(ClientError::NoControls);
         }
-        let index = self.current.load(Ordering::Relaxed) % self.controls.len();
-        match self.attempt(index, request).await {
+        let index = self.current.load(Ordering::Relaxed) % controls.len();
+        match self.attempt_at(controls[index], request).await {
             Ok(ControlReply::NoQuorum { .. }) => {
-                self.leave(index);
+                self.leave(index, controls.len());
                 Err(ClientError::NoQuorum { attempts: 1 })
             }
             Ok(reply) => Ok(reply),
             Err(error) => {
-                self.leave(index);
+                self.leave(index, controls.len());
                 Err(ClientError::Unanswered {
                     attempts: 1,
-                    address: self.controls[index],
+                    address: controls[index],
                     reason: error.to_string(),
                 })
             }
@@ -129,14 +179,6 @@
             })
     }
 
-    async fn attempt(
-        &self,
-        index: usize,
-        request: &ControlRequest,
-    ) -> Result<ControlReply, LinkError> {
-        self.attempt_at(self.controls[index], request).await
-    }
-
     async fn attempt_at(
         &self,
         control: SocketAddr,
@@ -153,9 +195,12 @@
     }
 
     /// Goes on to the next node, unless another request has done so since.
-    fn leave(&self, index: usize) {
-        let next = (index + 1) % self.controls.len();
+    fn leave(&self, index: usize, count: usize) {
+        let next = (index + 1) % count;
         let current = &self.current;
-        let _ = current.compare_exchange(index, next, Ordering::Relaxed, Ordering::Relaxed);
+        // The stored index may be that of a longer list.
+        let _ = current.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |stored| {
+            (stored % count == index).then_some(next)
+        });
     }
 }
--- a/components/client/src/lease.rs
+++ b/components/client/src/lease.rs
@@ -173,7 +173,8 @@
     });
     let sent = clock.now();
     match client.request_once(&request).await? {
-        ControlReply::Renewed(reply) => {
+        ControlReply::Renewed(mut reply) => {
+            client.learn(std::mem::take(&mut reply.controls));
             board.write(|view| view.renewed(sent, reply))?;
             Ok(())
         }
--- a/components/client/tests/lease.rs
+++ b/components/client/tests/lease.rs
@@ -51,6 +51,7 @@
         version: ConfigVersion(version),
         changes: registry(version).changes_since(ConfigVersion(installed)),
         directory: None,
+        controls: Vec::new(),
     }
 }
 
--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -4,11 +4,12 @@
 //! durable with one sync, so that proposals that arrive together share its cost.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use board::StateBoard;
-use eyre::{Result, WrapErr, eyre};
+use eyre::{Result, WrapErr};
 use raft::{
     EntryPayload, LogEntry, LogIndex, NodeRole, PersistBatch, PersistedState, ProposeError,
     RaftAction, RaftMessage, RaftNode, Snapshot, Term,
@@ -21,8 +22,9 @@
 
 use crate::driver_event::{DriverEvent, ProposeFailure};
 use crate::formation::{PeerAnnounce, SeenPeer, founders};
-use crate::members::{JoinTargets, MemberStep, next_step};
-use crate::peer_link::{PeerFrame, PeerSenders};
+use crate::members::{JoinTargets, MemberStep, MemberView, next_step};
+use crate::peer_link::PeerFrame;
+use crate::peers::PeerTable;
 use crate::settings::ControlSettings;
 use crate::state::DriverView;
 
@@ -48,7 +50,7 @@
     clock: Arc<dyn ClockSource>,
     wall_start: WallTime,
     view: StateBoard<DriverView>,
-    peers: PeerSenders,
+    peers: PeerTable,
     node: RaftNode,
     store: LogStore,
     pending: VecDeque<(u64, PersistBatch)>,
@@ -60,6 +62,7 @@
     applied: LogIndex,
     compacted: LogIndex,
     transferring: bool,
+    started: ClockTime,
 }
 
 /// The founding members that a log still shows.
@@ -78,7 +81,8 @@
     pub(crate) fn open(
         settings: Arc<ControlSettings>,
         clock: Arc<dyn ClockSource>,
-        peers: PeerSenders,
+        peers: PeerTable,
+        address: Option<SocketAddr>,
     ) -> Result<Self> {
         let (store, state) = LogStore::open(&settings.data)
             .wrap_err_with(|| format!("Failed to open data folder {}", settings.data.display()))?;
@@ -89,6 +93,9 @@
             listed: settings.listed(),
             founders: founders_of(&state),
             applied: LogIndex(0),
+            address,
+            data_centre: settings.data_centre.clone(),
+            known: BTreeMap::new(),
         };
         let node = RaftNode::new(
             store.id(),
@@ -97,14 +104,7 @@
             rand::random(),
             now,
         );
-        let view = StateBoard::new(DriverView {
-            registry: RegistryState::default(),
-            status: node.status(),
-            confirmed: None,
-            announce,
-            seen: BTreeMap::new(),
-            version_times: VecDeque::new(),
-        });
+        let view = StateBoard::new(DriverView::empty(announce, node.status()));
         Ok(Self {
             settings,
             clock,
@@ -122,6 +122,7 @@
             applied: LogIndex(0),
             compacted: LogIndex(0),
             transferring: false,
+            started: now,
         })
     }
 
@@ -160,10 +161,9 @@
             DriverEvent::Announce { name, announce } => self.announced(name, announce, now),
             DriverEvent::Propose { action, reply } => self.propose(action, Some(reply), now),
             DriverEvent::Confirm { reply } => self.barrier(Some(reply), now),
-            DriverEvent::Removed => Err(eyre!(
-                "Failed to take part: data folder {} was replaced, start with an empty one",
-                self.settings.data.display()
-            )),
+            // A late notice may be about the folder that was cleared before.
+            DriverEvent::Removed(id) if id != self.store.id() => Ok(()),
+            DriverEvent::Removed(_) => self.start_over(),
             DriverEvent::Transfer => self.transfer(now),
             DriverEvent::Stop => Ok(()),
         }
@@ -218,6 +218,32 @@
         Ok(())
     }
 
+    /// Joins the group again with an empty folder and a new id, after the old id was removed from it.
+    fn start_over(&mut self) -> Result<()> {
+        event!(events::FOLDER_REPLACED, id = self.store.id());
+        let folder = self.settings.data.clone();
+        self.store
+            .clear()
+            .wrap_err_with(|| format!("Failed to clear data folder {}", folder.display()))?;
+        let address = self.view.read(|view| view.announce.address);
+        let (settings, clock) = (self.settings.clone(), self.clock.clone());
+        let mut fresh = Self::open(settings, clock, self.peers.clone(), address)?;
+        let (announce, status) = fresh
+            .view
+            .read(|view| (view.announce.clone(), view.status.clone()));
+        // Whoever holds the view sees the state of the new folder from here on.
+        self.view.write(|view| {
+            let seen = std::mem::take(&mut view.seen);
+            *view = DriverView {
+                seen,
+                ..DriverView::empty(announce, status)
+            };
+        });
+        fresh.view = self.view.clone();
+        *self = fresh;
+        Ok(())
+    }
+
     /// Forms the group when all listed nodes are present and empty.
     fn form(&mut self, now: ClockTime) -> Result<()> {
         let status = self.node.status();
@@ -293,19 +319,22 @@
         }
         let own = (status.id, &self.settings.name);
         let listed = self.settings.listed();
+        let since = self.started;
         let targets = &mut self.targets;
         let step = self.view.read(|view| {
             let names = view.registry.controls();
             let members = &status.membership;
-            next_step(
+            let view = MemberView {
                 own,
-                &listed,
-                &view.seen,
-                members,
+                listed: &listed,
+                seen: &view.seen,
+                membership: members,
                 names,
-                status.commit,
-                targets,
-            )
+                commit: status.commit,
+                since,
+                now,
+            };
+            next_step(&view, targets)
         });
         match step {
             None => Ok(()),
--- a/components/control/src/driver_event.rs
+++ b/components/control/src/driver_event.rs
@@ -30,7 +30,7 @@
     /// Confirms that the applied state is the newest.
     Confirm { reply: oneshot::Sender<bool> },
     /// Another control node says that this folder was removed from the group.
-    Removed,
+    Removed(DiskId),
     /// Hands leadership to another node.
     Transfer,
     /// Ends the thread.
--- a/components/control/src/formation.rs
+++ b/components/control/src/formation.rs
@@ -1,9 +1,11 @@
 //! When a group of empty nodes is formed, and what nodes tell each other about themselves.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use raft::LogIndex;
-use units::{ClockTime, DiskId, NodeName};
+use units::{ClockTime, DataCentreName, DiskId, NodeName};
 
 /// Age beyond which an announcement does not show that a node is present.
 const PRESENT_MS: u64 = 2_000;
@@ -21,6 +23,12 @@
         pub founders: Option<BTreeSet<DiskId>>,
         /// Last entry that it has applied.
         pub applied: LogIndex,
+        /// Address for links, if it is known where others reach it.
+        pub address: Option<SocketAddr>,
+        /// Data centre that it stands in.
+        pub data_centre: Option<DataCentreName>,
+        /// Other control nodes that it hears of, so that a new one is found by all.
+        pub known: BTreeMap<NodeName, SocketAddr>,
     }
 }
 
@@ -38,6 +46,11 @@
     pub fn is_present(&self, now: ClockTime) -> bool {
         now.0.saturating_sub(self.seen.0) <= PRESENT_MS
     }
+
+    /// Time since the last announcement.
+    pub fn silence(&self, now: ClockTime) -> Duration {
+        now.since(self.seen)
+    }
 }
 
 /// Newest announcement of each other control node.
@@ -48,6 +61,10 @@
 /// All listed nodes must be present, empty and list the same names. When another node was first,
 /// its members are taken over if this node is among them, so that all nodes form one group.
 pub fn founders(own: &PeerAnnounce, seen: &SeenPeers, now: ClockTime) -> Option<BTreeSet<DiskId>> {
+    // A node that lists itself nowhere joins a group that others form.
+    if own.listed.is_empty() {
+        return None;
+    }
     let formed = seen
         .values()
         .filter_map(|peer| peer.announce.founders.as_ref());
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -7,10 +7,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use board::StateBoard;
-use client::ControlClient;
 use directory::NodeDirectory;
 use eyre::{Result, WrapErr, eyre};
-use fair::UsageHome;
+use fair::{DemandHome, UsageHome};
 use link::{KeyFiles, LinkEndpoint, LinkError, LinkIdentity};
 use raft::NodeRole as RaftRole;
 use telemetry::{event, events};
@@ -22,7 +21,8 @@
 use crate::driver::RaftDriver;
 use crate::driver_event::DriverEvent;
 use crate::health::{bind_health, serve_health};
-use crate::peer_link::{PeerSenders, keep_stream, pass_directory};
+use crate::peer_link::pass_directory;
+use crate::peers::PeerTable;
 use crate::port::ControlPort;
 use crate::server::serve;
 use crate::settings::ControlSettings;
@@ -47,7 +47,6 @@
 /// A running control node.
 pub struct ControlHandle {
     context: ControlContext,
-    peers: PeerSenders,
     endpoint: LinkEndpoint,
     tasks: JoinSet<()>,
     thread: Option<JoinHandle<()>>,
@@ -56,7 +55,7 @@
 
 /// Starts a control node. It runs until the handle is stopped or dropped.
 pub async fn start(settings: ControlSettings) -> Result<ControlHandle> {
-    let files = KeyFiles::in_folder(&settings.keys, NodeRole::Control, &settings.name);
+    let files = KeyFiles::find(&settings.keys, NodeRole::Control, &settings.name);
     let identity = LinkIdentity::load(NodeRole::Control, &settings.name, &files)
         .wrap_err_with(|| format!("Failed to load the keys of {}", settings.name))?;
     let endpoint = bind(settings.listen, &identity).await?;
@@ -80,35 +79,27 @@
 pub async fn start_on(settings: ControlSettings, endpoint: LinkEndpoint) -> Result<ControlHandle> {
     let settings = Arc::new(settings);
     let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::start());
-    let (peers, queues) = PeerSenders::new(settings.peers.keys());
+    let peers = PeerTable::default();
     let (driver, events) = mpsc::channel(MAX_EVENTS);
-    let raft = RaftDriver::open(settings.clone(), clock.clone(), peers.clone())?;
-    let forwards = settings.peers.iter().map(|(name, address)| {
-        let client = ControlClient::new(endpoint.clone(), vec![*address]);
-        (name.clone(), client)
-    });
+    let address = Some(endpoint.address()).filter(|address| !address.ip().is_unspecified());
+    let raft = RaftDriver::open(settings.clone(), clock.clone(), peers.clone(), address)?;
     let context = ControlContext {
         view: raft.view(),
         nodes: StateBoard::new(
             NodeDirectory::new(incarnation()).with_target_silence(settings.target_silence),
         ),
         usage: StateBoard::new(UsageHome::new()),
+        demand: StateBoard::new(DemandHome::new()),
         driver,
-        forwards: Arc::new(forwards.collect()),
+        peers,
         clock,
         settings: settings.clone(),
     };
     let mut tasks = JoinSet::new();
-    for (name, queue) in queues {
-        let address = settings.peers[&name];
-        tasks.spawn(keep_stream(
-            context.clone(),
-            endpoint.clone(),
-            address,
-            queue,
-        ));
+    for (name, address) in &settings.peers {
+        context.peers.add(&context, &endpoint, name, *address);
     }
-    tasks.spawn(pass_directory(context.clone(), peers.clone()));
+    tasks.spawn(pass_directory(context.clone()));
     tasks.spawn(tick(context.driver.clone()));
     tasks.spawn(serve(context.clone(), endpoint.clone()));
     if let Some(address) = settings.http {
@@ -134,7 +125,6 @@
     );
     Ok(ControlHandle {
         context,
-        peers,
         endpoint,
         tasks,
         thread: Some(thread),
@@ -150,7 +140,7 @@
 
     /// Handle for an interface towards operators and targets.
     pub fn port(&self) -> ControlPort {
-        ControlPort::new(self.context.clone(), self.peers.clone())
+        ControlPort::new(self.context.clone(), self.endpoint.clone())
     }
 
     /// State of the fleet as this node sees it.
@@ -201,6 +191,7 @@
     /// Stops at once, as a crash does, but for the sync of what was written.
     pub async fn kill(&mut self) {
         self.tasks.shutdown().await;
+        self.context.peers.close();
         self.endpoint.close().await;
         let _ = self.context.driver.send(DriverEvent::Stop).await;
         if let Some(thread) = self.thread.take() {
@@ -222,6 +213,7 @@
 
 impl Drop for ControlHandle {
     fn drop(&mut self) {
+        self.context.peers.close();
         // Ends the thread of a handle that was not stopped; a full queue ends with its senders.
         let _ = self.context.driver.try_send(DriverEvent::Stop);
     }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod members;
 mod orders;
 mod peer_link;
+mod peers;
 mod port;
 mod requests;
 mod server;
--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -3,7 +3,7 @@
 //! Each node keeps one stream to each other node and sends only on its own streams. The receiver
 //! acknowledges announcements, so that a connection that went silent is replaced.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,9 +17,6 @@
 use crate::formation::PeerAnnounce;
 use crate::state::ControlContext;
 
-/// Frames that wait for one peer; more are dropped, and Raft sends them again.
-const MAX_WAITING: usize = 1_024;
-
 /// Time between two announcements and two batches of the directory.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -40,7 +37,7 @@
         /// Acknowledges an announcement.
         Seen,
         /// Answers an announcement of a folder that was removed from the group.
-        Removed,
+        Removed(DiskId),
         /// Message between two data folders.
         Raft {
             /// Sender.
@@ -55,49 +52,8 @@
     }
 }
 
-/// Queues to the other control nodes.
-#[derive(Clone)]
-pub(crate) struct PeerSenders {
-    queues: BTreeMap<NodeName, mpsc::Sender<PeerFrame>>,
-}
-
-impl PeerSenders {
-    /// Creates a queue for each peer, and the receiving ends.
-    pub(crate) fn new<'a>(
-        names: impl Iterator<Item = &'a NodeName>,
-    ) -> (Self, BTreeMap<NodeName, mpsc::Receiver<PeerFrame>>) {
-        let mut queues = BTreeMap::new();
-        let mut receivers = BTreeMap::new();
-        for name in names {
-            let (sender, receiver) = mpsc::channel(MAX_WAITING);
-            queues.insert(name.clone(), sender);
-            receivers.insert(name.clone(), receiver);
-        }
-        (Self { queues }, receivers)
-    }
-
-    /// Queues a frame; drops it if the peer is unknown or its queue is full.
-    pub(crate) fn send(&self, name: &NodeName, frame: PeerFrame) {
-        if let Some(queue) = self.queues.get(name) {
-            let _ = queue.try_send(frame);
-        }
-    }
-
-    /// Passes announcements on to all peers.
-    pub(crate) fn pass_on(&self, entries: Vec<DirectoryEntry>) {
-        self.broadcast(&PeerFrame::Directory(entries));
-    }
-
-    /// Queues a frame for all peers.
-    pub(crate) fn broadcast(&self, frame: &PeerFrame) {
-        for queue in self.queues.values() {
-            let _ = queue.try_send(frame.clone());
-        }
-    }
-}
-
 /// Passes the directory on and removes silent nodes, for ever.
-pub(crate) async fn pass_directory(context: ControlContext, peers: PeerSenders) {
+pub(crate) async fn pass_directory(context: ControlContext) {
     let mut interval = tokio::time::interval(ANNOUNCE_INTERVAL);
     let mut last = context.clock.now();
     loop {
@@ -109,7 +65,7 @@
         });
         last = now;
         for part in batch.chunks(BATCH_ENTRIES) {
-            peers.broadcast(&PeerFrame::Directory(part.to_vec()));
+            context.peers.pass_on(part.to_vec());
         }
     }
 }
@@ -153,7 +109,7 @@
     loop {
         let frame = tokio::select! {
             _ = interval.tick() => {
-                PeerFrame::Announce(context.view.read(|view| view.announce.clone()))
+                PeerFrame::Announce(announcement(context))
             }
             frame = queue.recv() => match frame {
                 Some(frame) => frame,
@@ -164,14 +120,28 @@
     }
 }
 
+/// What this node tells about itself and the nodes that it hears of.
+fn announcement(context: &ControlContext) -> PeerAnnounce {
+    let now = context.clock.now();
+    let (announce, present) = context.view.read(|view| {
+        let seen = view.seen.iter().filter(|(_, peer)| peer.is_present(now));
+        let names: BTreeSet<NodeName> = seen.map(|(name, _)| name.clone()).collect();
+        (view.announce.clone(), names)
+    });
+    PeerAnnounce {
+        known: context.peers.addresses(|name| present.contains(name)),
+        ..announce
+    }
+}
+
 /// Reads acknowledgements until they stay away.
 async fn watch_replies(context: &ControlContext, mut reader: FrameReader) -> Result<(), LinkError> {
     loop {
         let reply = tokio::time::timeout(SILENCE_LIMIT, reader.receive::<PeerFrame>()).await;
         match reply {
-            Ok(Ok(Some(PeerFrame::Removed))) => {
+            Ok(Ok(Some(PeerFrame::Removed(id)))) => {
                 // The driver may have ended already.
-                let _ = context.driver.send(DriverEvent::Removed).await;
+                let _ = context.driver.send(DriverEvent::Removed(id)).await;
             }
             Ok(Ok(Some(_))) => {}
             Ok(Ok(None)) => return Ok(()),
@@ -181,9 +151,27 @@
     }
 }
 
+/// Adds a peer that was not known, and those that it hears of.
+fn add_peers(
+    context: &ControlContext,
+    endpoint: &LinkEndpoint,
+    name: &NodeName,
+    announce: &PeerAnnounce,
+) {
+    if let Some(address) = announce.address {
+        context.peers.add(context, endpoint, name, address);
+    }
+    for (name, address) in &announce.known {
+        if context.peers.client(name).is_none() {
+            context.peers.add(context, endpoint, name, *address);
+        }
+    }
+}
+
 /// Serves the stream that a peer has opened.
 pub(crate) async fn serve_peer(
     context: ControlContext,
+    endpoint: LinkEndpoint,
     name: NodeName,
     mut writer: FrameWriter,
     mut reader: FrameReader,
@@ -193,13 +181,14 @@
             PeerFrame::Announce(announce) => {
                 let removed = context.view.read(|view| {
                     let members = &view.status.membership;
-                    members.removed.contains(&announce.id)
+                    view.status.settled && members.removed.contains(&announce.id)
                 });
                 let reply = match removed {
-                    true => PeerFrame::Removed,
+                    true => PeerFrame::Removed(announce.id),
                     false => PeerFrame::Seen,
                 };
                 writer.send(&reply).await?;
+                add_peers(&context, &endpoint, &name, &announce);
                 let name = name.clone();
                 DriverEvent::Announce { name, announce }
             }
@@ -208,7 +197,7 @@
                 take_directory(&context, entries);
                 continue;
             }
-            PeerFrame::Seen | PeerFrame::Removed => continue,
+            PeerFrame::Seen | PeerFrame::Removed(_) => continue,
         };
         if context.driver.send(event).await.is_err() {
             return Ok(());
--- a/components/control/src/port.rs
+++ b/components/control/src/port.rs
@@ -3,6 +3,10 @@
 //! The node's own operators and nodes come over links. An interface that speaks another protocol
 //! holds a [`ControlPort`] and translates; all decisions are made behind it.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use link::LinkEndpoint;
 use routes::PublishedPlan;
 use thiserror::Error;
 use units::{DataCentreName, Incarnation, NodeName, PlanNumber};
@@ -10,7 +14,6 @@
     ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeState, OperatorOrder, OrderReply,
 };
 
-use crate::peer_link::PeerSenders;
 use crate::requests::{commit, confirm};
 use crate::state::ControlContext;
 
@@ -38,12 +41,21 @@
 #[derive(Clone)]
 pub struct ControlPort {
     context: ControlContext,
-    peers: PeerSenders,
+    endpoint: LinkEndpoint,
 }
 
 impl ControlPort {
-    pub(crate) fn new(context: ControlContext, peers: PeerSenders) -> Self {
-        Self { context, peers }
+    pub(crate) fn new(context: ControlContext, endpoint: LinkEndpoint) -> Self {
+        Self { context, endpoint }
+    }
+
+    /// Takes over other control nodes that the settings name now.
+    pub fn add_peers(&self, peers: &BTreeMap<NodeName, SocketAddr>) {
+        for (name, address) in peers {
+            self.context
+                .peers
+                .add(&self.context, &self.endpoint, name, *address);
+        }
     }
 
     /// Publishes a plan, unless one with the same or a higher number is in force.
@@ -84,7 +96,7 @@
             .nodes
             .write(|nodes| nodes.announce(entry.clone(), now));
         if accepted {
-            self.peers.pass_on(vec![entry]);
+            self.context.peers.pass_on(vec![entry]);
         }
     }
 
@@ -105,9 +117,7 @@
     async fn order(&self, order: OperatorOrder) -> Result<(), PortError> {
         match commit(&self.context, false, ControlRequest::Order(order)).await {
             ControlReply::Order(OrderReply::Accepted(_)) => Ok(()),
-            ControlReply::Order(OrderReply::Invalid(reason)) | ControlReply::BadRequest(reason) => {
-                Err(PortError::Invalid(reason))
-            }
+            ControlReply::Order(OrderReply::Invalid(reason)) => Err(PortError::Invalid(reason)),
             _ => Err(PortError::NoQuorum),
         }
     }
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -1,12 +1,15 @@
 //! Answers to the requests of nodes and operators.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use registry::{RegistryAction, RegistryOutcome};
+use telemetry::{event, events};
 use tokio::sync::oneshot;
+use units::NodeName;
 use wire::{
-    ControlReply, ControlRequest, Hello, NodeKind, NodeRole, OrderReply, RenewReply, RenewRequest,
-    UsageReport,
+    ControlReply, ControlRequest, DemandReport, Hello, NodeKind, NodeRole, OrderReply, RenewReply,
+    RenewRequest, UsageReport,
 };
 
 use crate::driver_event::{DriverEvent, ProposeFailure};
@@ -44,6 +47,7 @@
             ControlReply::Done
         }
         ControlRequest::Usage(report) => usage(context, peer, &report),
+        ControlRequest::Demand(report) => demand(context, peer, &report),
         ControlRequest::Text(_) => ControlReply::BadRequest("a text without its order".into()),
         request => commit(context, peer.role == NodeRole::Control, request).await,
     }
@@ -62,7 +66,8 @@
             matches!(role, NodeRole::Operator | NodeRole::Control)
         }
         ControlRequest::Directory(_) => role == NodeRole::Control,
-        ControlRequest::Usage(_) => matches!(role, NodeRole::Agent | NodeRole::Entry),
+        ControlRequest::Demand(_) => role == NodeRole::Entry,
+        ControlRequest::Usage(_) => role == NodeRole::Agent,
     }
 }
 
@@ -101,9 +106,22 @@
         version,
         changes,
         directory,
+        controls: control_addresses(context),
     })
 }
 
+/// Addresses of this node and of those that it hears of.
+fn control_addresses(context: &ControlContext) -> Vec<SocketAddr> {
+    let now = context.clock.now();
+    let mut addresses = context.view.read(|view| {
+        let seen = |name: &NodeName| view.seen.get(name).is_some_and(|peer| peer.is_present(now));
+        let peers = context.peers.addresses(seen);
+        peers.into_values().collect::<Vec<_>>()
+    });
+    addresses.extend(context.view.read(|view| view.announce.address));
+    addresses
+}
+
 /// Sums the counts of an agent for the flows whose home it takes this node for.
 ///
 /// A quorum is not needed: totals are soft state, and an agent without a lease starts nothing.
@@ -117,6 +135,36 @@
     ControlReply::Usage(totals)
 }
 
+/// Adds up the demand of an entry with that of the others. As with [`usage`], no quorum is needed.
+fn demand(context: &ControlContext, peer: &Hello, report: &DemandReport) -> ControlReply {
+    if report.reporter != peer.name || report.incarnation != peer.incarnation {
+        let reporter = &report.reporter;
+        return ControlReply::BadRequest(format!("reporter {reporter} is not the sender"));
+    }
+    let now = context.clock.now();
+    let stated = context.view.read(|view| {
+        let published = view.registry.config().published.as_ref();
+        published.and_then(|published| published.plan.bounds.tokens_per_second)
+    });
+    let (reply, change) = context
+        .demand
+        .write_quietly(|home| home.report(report, stated, now));
+    if let Some(change) = change {
+        let sample = change.sample;
+        event!(
+            events::CAPACITY_CHANGED,
+            service = report.service,
+            capacity = ?change.capacity,
+            level = ?change.level,
+            asked = sample.asked,
+            granted = sample.granted,
+            answers = sample.count,
+            lateness_permille = sample.total_permille / sample.count.max(1)
+        );
+    }
+    ControlReply::Shares(reply)
+}
+
 /// Commits a request here if this node leads, or forwards it to the leader.
 ///
 /// A request that another control node has `forwarded` is not forwarded again: the nodes disagree
@@ -130,7 +178,7 @@
     let leader = context.view.read(|view| view.leader(own));
     match leader {
         Some(leader) if leader == *own => commit_here(context, request).await,
-        Some(leader) if !forwarded => match context.forwards.get(&leader) {
+        Some(leader) if !forwarded => match context.peers.client(&leader) {
             Some(client) => match client.request_once(&request).await {
                 Ok(reply) => reply,
                 Err(_) => no_quorum(context),
--- a/components/control/src/server.rs
+++ b/components/control/src/server.rs
@@ -25,18 +25,18 @@
         let (context, endpoint) = (context.clone(), endpoint.clone());
         tokio::spawn(async move {
             match endpoint.finish(incoming).await {
-                Ok(link) => serve_link(context, link).await,
+                Ok(link) => serve_link(context, endpoint, link).await,
                 Err(error) => event!(events::PEER_REFUSED, error = %error),
             }
         });
     }
 }
 
-async fn serve_link(context: ControlContext, link: PeerLink) {
+async fn serve_link(context: ControlContext, endpoint: LinkEndpoint, link: PeerLink) {
     loop {
         match link.accept().await {
             Ok(stream) => {
-                tokio::spawn(serve_stream(context.clone(), stream));
+                tokio::spawn(serve_stream(context.clone(), endpoint.clone(), stream));
             }
             Err(LinkError::Lost { .. }) => return,
             Err(error) => event!(events::PEER_REFUSED, error = %error),
@@ -44,18 +44,20 @@
     }
 }
 
-async fn serve_stream(context: ControlContext, stream: LinkStream) {
+async fn serve_stream(context: ControlContext, endpoint: LinkEndpoint, stream: LinkStream) {
     let LinkStream {
         hello,
         mut writer,
         reader,
     } = stream;
-    let is_peer =
-        hello.role == NodeRole::Control && context.settings.peers.contains_key(&hello.name);
+    // The certificate proves the role; a control node that was added later is not in the settings.
+    let is_peer = hello.role == NodeRole::Control;
     // An error ends this stream only; the peer opens another.
     let _ = match hello.kind {
         StreamKind::Control => serve_requests(&context, &hello, writer, reader).await,
-        StreamKind::Raft if is_peer => serve_peer(context, hello.name, writer, reader).await,
+        StreamKind::Raft if is_peer => {
+            serve_peer(context, endpoint, hello.name, writer, reader).await
+        }
         _ => {
             event!(events::STREAM_REFUSED, role = hello.role, name = hello.name);
             writer.reset();
@@ -123,6 +125,7 @@
                     version,
                     changes: changes.to_vec(),
                     directory: None,
+                    controls: Vec::new(),
                 })
             }));
             parts
--- a/components/control/src/settings.rs
+++ b/components/control/src/settings.rs
@@ -19,8 +19,10 @@
     pub data: PathBuf,
     /// Folder with the node's keys.
     pub keys: PathBuf,
-    /// The other control nodes.
+    /// The other control nodes that are known at the start; more are found through them.
     pub peers: BTreeMap<NodeName, SocketAddr>,
+    /// Whether the node only joins a group that others have formed.
+    pub joins_only: bool,
     /// Address for health checks.
     pub http: Option<SocketAddr>,
     /// Region that the node stands in.
@@ -34,8 +36,11 @@
 }
 
 impl ControlSettings {
-    /// Names of all control nodes, this one included.
+    /// Names of the control nodes that form a group; none if this node only joins one.
     pub fn listed(&self) -> BTreeSet<NodeName> {
+        if self.joins_only {
+            return BTreeSet::new();
+        }
         let peers = self.peers.keys().cloned();
         peers.chain([self.name.clone()]).collect()
     }
@@ -93,6 +98,7 @@
             data_centre: self.data_centre.map(|name| name.as_str().into()),
             raft: RaftSettings::default(),
             target_silence: directory::SILENT_SPAN,
+            joins_only: false,
         })
     }
 }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -1,13 +1,13 @@
 //! What the parts of a control node share.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
 use board::StateBoard;
-use client::{ControlClient, LEASE_TIME};
+use client::LEASE_TIME;
 use directory::NodeDirectory;
-use fair::UsageHome;
+use fair::{DemandHome, UsageHome};
 use raft::NodeStatus;
 use registry::RegistryState;
 use tokio::sync::mpsc;
@@ -15,6 +15,7 @@
 
 use crate::driver_event::DriverEvent;
 use crate::formation::{PeerAnnounce, SeenPeers};
+use crate::peers::PeerTable;
 use crate::settings::ControlSettings;
 
 /// Versions whose time of arrival is remembered, to tell since when a node lags.
@@ -38,6 +39,18 @@
 }
 
 impl DriverView {
+    /// The view of a node that has applied nothing.
+    pub(crate) fn empty(announce: PeerAnnounce, status: NodeStatus) -> Self {
+        Self {
+            registry: RegistryState::default(),
+            status,
+            confirmed: None,
+            announce,
+            seen: SeenPeers::new(),
+            version_times: VecDeque::new(),
+        }
+    }
+
     /// Time since the last confirmation; none if it is too old for a lease.
     pub(crate) fn age(&self, now: ClockTime) -> Option<Duration> {
         let age = now.since(self.confirmed?);
@@ -90,10 +103,12 @@
     pub(crate) nodes: StateBoard<NodeDirectory>,
     /// Sums of the flows whose home is this node.
     pub(crate) usage: StateBoard<UsageHome>,
+    /// Demand of the services whose home is this node.
+    pub(crate) demand: StateBoard<DemandHome>,
     /// To the driver.
     pub(crate) driver: mpsc::Sender<DriverEvent>,
-    /// Clients that forward requests to the other control nodes.
-    pub(crate) forwards: Arc<BTreeMap<NodeName, ControlClient>>,
+    /// The other control nodes.
+    pub(crate) peers: PeerTable,
     /// Clock of the process.
     pub(crate) clock: Arc<dyn ClockSource>,
 }
--- a/components/control/tests/decisions.rs
+++ b/components/control/tests/decisions.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use control::formation::{PeerAnnounce, SeenPeer, SeenPeers, founders};
-use control::members::{JoinTargets, MemberStep, next_step};
+use control::members::{JoinTargets, MemberStep, MemberView, next_step};
 use raft::{LogIndex, MemberChange, Membership};
 use units::{ClockTime, DiskId, NodeName};
 
@@ -24,6 +24,9 @@
         listed: names(&["a", "b", "c"]),
         founders: None,
         applied: LogIndex(0),
+        address: None,
+        data_centre: None,
+        known: BTreeMap::new(),
     }
 }
 
@@ -114,15 +117,17 @@
             ..empty(4)
         };
         let peers = seen(&[("b", formed(2, &[])), ("c", replacement)]);
-        next_step(
-            (DiskId(1), &NodeName::from("a")),
-            &["a", "b", "c"].map(NodeName::from).into(),
-            &peers,
-            &self.members,
-            &self.names,
-            LogIndex(commit),
-            &mut self.targets,
-        )
+        let view = MemberView {
+            own: (DiskId(1), &NodeName::from("a")),
+            listed: &names(&["a", "b", "c"]),
+            seen: &peers,
+            membership: &self.members,
+            names: &self.names,
+            commit: LogIndex(commit),
+            since: NOW,
+            now: NOW,
+        };
+        next_step(&view, &mut self.targets)
     }
 
     fn carry_out(&mut self, step: MemberStep) {
@@ -238,15 +243,18 @@
         ..empty(4)
     };
 
-    let step = next_step(
-        (DiskId(1), &NodeName::from("a")),
-        &["a", "b", "c"].map(NodeName::from).into(),
-        &seen(&[("c", replacement)]),
-        &host.members,
-        &host.names,
-        LogIndex(50),
-        &mut host.targets,
-    );
+    let view = MemberView {
+        own: (DiskId(1), &NodeName::from("a")),
+        listed: &names(&["a", "b", "c"]),
+        seen: &seen(&[("c", replacement)]),
+        membership: &host.members,
+        names: &host.names,
+        commit: LogIndex(50),
+        since: NOW,
+        now: NOW,
+    };
+
+    let step = next_step(&view, &mut host.targets);
 
     assert_eq!(step, None);
 }
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -100,6 +100,7 @@
                 data_centre: None,
                 raft: RaftSettings::default(),
                 target_silence: directory::SILENT_SPAN,
+                joins_only: false,
             };
             let handle = start_on(settings.clone(), endpoint).await.unwrap();
             group.settings.push(settings);
--- /dev/null
+++ b/components/fair/src/gate.rs
@@ -0,0 +1,186 @@
+//! Which requests of an entry are within the share of their flow.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use units::{ClockTime, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
+use wire::{DemandReport, FlowDemand, FlowId, ShareReply};
+
+/// Time between two reports of demand.
+pub const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after which shares count no more; until the next answer every request is within its share.
+pub const SHARE_MEMORY: Duration = Duration::from_millis(2_000);
+
+/// Time for which a flow saves up what it does not use of its share. Requests come in clumps, and
+/// shares are owed over some seconds.
+const SAVED_TIME: Duration = Duration::from_millis(2_000);
+
+/// Lateness that one answer counts at most, in thousandths of its objective, so that a single lost
+/// request does not look like an overload.
+const MOST_LATENESS: u64 = 2_000;
+
+/// Time after which a flow without requests is forgotten.
+const FLOW_MEMORY: Duration = Duration::from_secs(4);
+
+/// Demand and share of one flow at this entry.
+#[derive(Debug, Clone)]
+struct FlowShare {
+    weight: FlowWeight,
+    asked: u64,
+    /// Rate at which this entry may serve the flow; none while all that it asks is within its share.
+    allowed: Option<u64>,
+    /// What may be served now, negative after a large request.
+    saved: i64,
+    refilled: ClockTime,
+    used: ClockTime,
+}
+
+/// Shares of the flows of one service at one entry.
+#[derive(Debug, Clone)]
+pub struct ShareGate {
+    service: ServiceName,
+    flows: BTreeMap<FlowId, FlowShare>,
+    reported: ClockTime,
+    answered: Option<ClockTime>,
+    granted: u64,
+    answers: u64,
+    lateness_permille: u64,
+}
+
+impl ShareGate {
+    /// Creates a gate through which every request passes until the first answer.
+    pub fn new(service: ServiceName, now: ClockTime) -> Self {
+        Self {
+            service,
+            flows: BTreeMap::new(),
+            reported: now,
+            answered: None,
+            granted: 0,
+            answers: 0,
+            lateness_permille: 0,
+        }
+    }
+
+    /// Notes a request, and tells whether it is within the share of its flow.
+    pub fn asks(
+        &mut self,
+        flow: FlowId,
+        weight: FlowWeight,
+        cost: CostUnits,
+        now: ClockTime,
+    ) -> bool {
+        let is_current = self
+            .answered
+            .is_some_and(|answered| now.since(answered) < SHARE_MEMORY);
+        let share = self.flows.entry(flow).or_insert(FlowShare {
+            weight,
+            asked: 0,
+            allowed: None,
+            saved: 0,
+            refilled: now,
+            used: now,
+        });
+        share.weight = weight;
+        share.asked += cost.0;
+        share.used = now;
+        share.takes(cost, now) || !is_current
+    }
+
+    /// Notes a request that is sent to a target.
+    pub fn grants(&mut self, cost: CostUnits) {
+        self.granted += cost.0;
+    }
+
+    /// Notes how late an answer began, or how long a request has waited for its own.
+    pub fn begins(&mut self, latency: Duration, objective: Duration) {
+        let objective = objective.as_millis().max(1);
+        let permille = (latency.as_millis() * 1000 / objective) as u64;
+        self.answers += 1;
+        self.lateness_permille += permille.min(MOST_LATENESS);
+    }
+
+    /// Demand since the last report.
+    pub fn report(
+        &mut self,
+        reporter: NodeName,
+        incarnation: Incarnation,
+        now: ClockTime,
+    ) -> DemandReport {
+        self.flows
+            .retain(|_, share| now.since(share.used) < FLOW_MEMORY);
+        let interval_ms = now.since(self.reported).as_millis() as u64;
+        self.reported = now;
+        let flows = self.flows.iter_mut().map(|(flow, share)| FlowDemand {
+            flow: *flow,
+            weight: share.weight,
+            asked: CostUnits(std::mem::take(&mut share.asked)),
+        });
+        DemandReport {
+            reporter,
+            incarnation,
+            service: self.service.clone(),
+            interval_ms,
+            flows: flows.collect(),
+            granted: CostUnits(std::mem::take(&mut self.granted)),
+            answers: std::mem::take(&mut self.answers),
+            lateness_permille: std::mem::take(&mut self.lateness_permille),
+        }
+    }
+
+    /// Takes in the answer to a report. This entry gets the part of a flow's share that its own
+    /// demand has in the demand of the fleet.
+    pub fn answered(&mut self, report: &DemandReport, reply: &ShareReply, now: ClockTime) {
+        self.answered = Some(now);
+        let interval = report.interval_ms.max(1);
+        for (asked, total) in report.flows.iter().zip(&reply.flows) {
+            let Some(share) = self.flows.get_mut(&asked.flow) else {
+                continue;
+            };
+            let own = asked.asked.0 * 1000 / interval;
+            share.set_rate(own, total.rate.0, reply.level, now);
+        }
+    }
+}
+
+impl FlowShare {
+    fn set_rate(&mut self, own: u64, total: u64, level: Option<CostUnits>, now: ClockTime) {
+        self.refill(now);
+        let level = level.map(|level| level.0 * u64::from(self.weight.0) / 1000);
+        let limited = level.filter(|level| *level < total);
+        let Some(level) = limited else {
+            self.allowed = None;
+            return;
+        };
+        // A clump that is over leaves no own demand in a round; the share then stays as it was.
+        if own > 0 || self.allowed.is_none() {
+            self.allowed = Some(level * own.min(total) / total);
+        }
+    }
+
+    fn refill(&mut self, now: ClockTime) {
+        let span = now.since(self.refilled);
+        self.refilled = now;
+        let Some(rate) = self.allowed else {
+            self.saved = 0;
+            return;
+        };
+        let grown = rate as i64 * span.as_millis() as i64 / 1000;
+        let most = rate as i64 * SAVED_TIME.as_millis() as i64 / 1000;
+        self.saved = (self.saved + grown).min(most);
+    }
+
+    /// Takes the cost of a request from what is saved. The last request may overdraw it, so that a
+    /// flow whose requests are larger than its savings is served as well.
+    fn takes(&mut self, cost: CostUnits, now: ClockTime) -> bool {
+        self.refill(now);
+        if self.allowed.is_none() {
+            return true;
+        }
+        if self.saved < 0 {
+            return false;
+        }
+        self.saved -= cost.0 as i64;
+        true
+    }
+}
--- a/components/fair/src/lib.rs
+++ b/components/fair/src/lib.rs
@@ -9,16 +9,25 @@
 //! flow has neither offers nor runs. In each round of a [`ReportPacer`] it sends
 //! [`UsageLedger::report`] to the homes of the flows ([`HomeList`]) and takes in their answers with
 //! [`UsageLedger::answered`].
+//!
+//! Entries that send to targets themselves find out early what is beyond an organisation's share: each
+//! one keeps a [`ShareGate`] and reports demand and lateness to the [`DemandHome`] of the service.
 
+mod capacity;
+mod gate;
 mod home;
 mod ledger;
 mod pacer;
 mod rendezvous;
+mod share;
 
+pub use capacity::{CapacityEstimate, LatenessSample};
+pub use gate::{DEMAND_INTERVAL, SHARE_MEMORY, ShareGate};
 pub use home::{HOME_MEMORY, UsageHome};
 pub use ledger::{IDLE_SPAN, LEDGER_MEMORY, RUN_INTERVAL, UsageLedger};
 pub use pacer::{REPORT_INTERVAL, REPORT_RATE, ReportPacer};
 pub use rendezvous::{HomeList, SKIP_SPAN, home_of};
+pub use share::{CapacityChange, DEMAND_MEMORY, DemandHome, share_level};
 
 use units::{CostUnits, FlowWeight};
 
--- a/components/fair/src/rendezvous.rs
+++ b/components/fair/src/rendezvous.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Takes over the present control nodes.
+    pub fn set_controls(&mut self, controls: Vec<SocketAddr>) {
+        self.controls = controls;
+    }
+
     /// The home of a flow, none if no control node answers.
     pub fn home(&self, flow: FlowId, now: ClockTime) -> Option<SocketAddr> {
         let controls = self.controls.iter().copied();
--- a/components/link/src/keys.rs
+++ b/components/link/src/keys.rs
@@ -43,10 +43,15 @@
 }
 
 impl KeyFiles {
-    /// The files of a process in a key folder: those of its name, or else those of its role, as
-    /// [`KeyAuthority::issue`] and [`KeyAuthority::issue_role`] name them.
+    /// The files of a process in a key folder, as [`KeyAuthority::issue`] names them.
     pub fn in_folder(folder: &Path, role: NodeRole, name: &NodeName) -> Self {
-        let named = Self::with_stem(folder, &format!("{role}-{name}"));
+        Self::with_stem(folder, &format!("{role}-{name}"))
+    }
+
+    /// The files of a process if it has some of its own, or else those of its role, as
+    /// [`KeyAuthority::issue_role`] names them.
+    pub fn find(folder: &Path, role: NodeRole, name: &NodeName) -> Self {
+        let named = Self::in_folder(folder, role, name);
         match named.certificate.exists() {
             true => named,
             false => Self::with_stem(folder, &role.to_string()),
@@ -86,7 +91,7 @@
 
     /// Issues the certificate and key of a process, and writes them to the folder.
     pub fn issue(&self, role: NodeRole, name: &NodeName) -> Result<KeyFiles, KeyError> {
-        let files = KeyFiles::with_stem(&self.folder, &format!("{role}-{name}"));
+        let files = KeyFiles::in_folder(&self.folder, role, name);
         self.issue_for(node_domain(role, name), role, files)
     }
 
--- a/components/place/src/queue.rs
+++ b/components/place/src/queue.rs
@@ -8,7 +8,7 @@
 use wire::FlowKey;
 
 use crate::table::{PlaceRequest, PlaceTable, PlaceVerdict};
-use crate::target::TargetKey;
+use crate::target::RunKey;
 
 slotmap::new_key_type! {
     /// Handle of a waiting request.
@@ -29,10 +29,8 @@
 pub struct EndedWait {
     /// Its handle.
     pub key: WaitKey,
-    /// Its target; none if no live target may serve it any more.
-    pub target: Option<TargetKey>,
-    /// Its work, which counts at the target.
-    pub work: u64,
+    /// Its run; none if no live target may serve it any more.
+    pub run: Option<RunKey>,
 }
 
 /// Waiting requests; the flow that has received the least service comes first.
@@ -62,9 +60,9 @@
         self.waiting.is_empty()
     }
 
-    /// Whether requests of a service wait.
-    pub fn waits_for(&self, service: &units::ServiceName) -> bool {
-        self.flows.keys().any(|flow| flow.service == *service)
+    /// Whether requests of a flow wait.
+    pub fn has_flow(&self, flow: &FlowKey) -> bool {
+        self.flows.contains_key(flow)
     }
 
     /// Adds a request.
@@ -128,16 +126,15 @@
             let waiting = &self.waiting[key];
             let work = waiting.request.work;
             match table.place(&waiting.request, now) {
-                PlaceVerdict::Target(target) => {
+                PlaceVerdict::Run(run) => {
                     self.charge(flow, work, now);
                     self.remove(key);
-                    let target = Some(target);
-                    return Some(EndedWait { key, target, work });
+                    let run = Some(run);
+                    return Some(EndedWait { key, run });
                 }
                 PlaceVerdict::Nowhere => {
                     self.remove(key);
-                    let target = None;
-                    return Some(EndedWait { key, target, work });
+                    return Some(EndedWait { key, run: None });
                 }
                 PlaceVerdict::Full => {}
             }
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -5,18 +5,16 @@
 use std::time::Duration;
 
 use slotmap::SlotMap;
-use units::{ClockTime, NodeName, RegionName, ServiceName};
+use units::{ClockTime, CostUnits, NodeName, RegionName, ServiceName};
 use wire::stable_hash;
 
-use crate::target::{SeenTarget, TargetKey, TargetRecord};
+use crate::target::{RunKey, SeenTarget, TargetKey, TargetRecord};
 
 /// Bounds of the choice.
 #[derive(Debug, Clone)]
 pub struct PlaceSettings {
     /// Region of the entry.
     pub region: Option<RegionName>,
-    /// Load above the average, in percent, up to which a target keeps its sessions.
-    pub affinity_slack: u64,
     /// Time for which a target is passed over after a failed connection.
     pub avoid_time: Duration,
 }
@@ -28,8 +26,12 @@
     pub service: ServiceName,
     /// Session whose prompt a target may hold.
     pub affinity: Option<u64>,
-    /// Work of the request, in tokens or calls.
+    /// Work of the request until its first byte, in tokens or calls.
     pub work: u64,
+    /// Cost that counts against the share of the organisation; none for a service without shares.
+    pub cost: Option<CostUnits>,
+    /// Latency objective of the first byte.
+    pub objective: Duration,
     /// Sets of regions, each of which must contain the target's; an empty one contains all.
     pub regions: Vec<BTreeSet<RegionName>>,
     /// Targets that have had the request.
@@ -39,20 +41,41 @@
 /// Result of a choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlaceVerdict {
-    /// Send the request there. It counts as running until [`PlaceTable::released`].
-    Target(TargetKey),
+    /// Send the request to the target of this run, which lasts until [`PlaceTable::ended`].
+    Run(RunKey),
     /// All targets that may serve the request are full or cold.
     Full,
     /// No live target may serve the request.
     Nowhere,
 }
 
+/// How long a run took or has waited until its first byte.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunLatency {
+    /// The time.
+    pub latency: Duration,
+    /// Latency objective of the request.
+    pub objective: Duration,
+}
+
+/// A request that was sent to a target.
+#[derive(Debug, Clone)]
+struct RunRecord {
+    target: TargetKey,
+    sent: ClockTime,
+    work: u64,
+    cost: Option<CostUnits>,
+    objective: Duration,
+    answered: bool,
+}
+
 /// Targets as one entry sees them.
 #[derive(Debug)]
 pub struct PlaceTable {
     settings: PlaceSettings,
     targets: SlotMap<TargetKey, TargetRecord>,
     keys: HashMap<NodeName, TargetKey>,
+    runs: SlotMap<RunKey, RunRecord>,
     entries: u32,
 }
 
@@ -63,6 +86,7 @@
             settings,
             targets: SlotMap::with_key(),
             keys: HashMap::new(),
+            runs: SlotMap::with_key(),
             entries: 1,
         }
     }
@@ -113,9 +137,9 @@
         }
     }
 
-    /// A target, while it is listed.
-    pub fn get(&self, key: TargetKey) -> Option<&TargetRecord> {
-        self.targets.get(key)
+    /// The target of a run, while it is listed.
+    pub fn target(&self, run: RunKey) -> Option<&TargetRecord> {
+        self.targets.get(self.runs.get(run)?.target)
     }
 
     /// Chooses a target for a request.
@@ -124,42 +148,72 @@
         if eligible.is_empty() {
             return PlaceVerdict::Nowhere;
         }
-        let free: Vec<TargetKey> = eligible
-            .iter()
-            .copied()
-            .filter(|key| self.has_room(*key, now))
-            .collect();
-        let sound: Vec<TargetKey> = free
-            .iter()
-            .copied()
-            .filter(|key| self.targets[*key].avoid_until <= now)
-            .collect();
+        let has_room = |key: &TargetKey| self.has_room(*key, now);
+        let free: Vec<TargetKey> = eligible.into_iter().filter(has_room).collect();
+        let is_sound = |key: &TargetKey| self.targets[*key].avoid_until <= now;
+        let sound: Vec<TargetKey> = free.iter().copied().filter(is_sound).collect();
         let candidates = if sound.is_empty() { free } else { sound };
         let chosen = match request.affinity {
-            Some(session) => self.by_session(session, request.work, &candidates),
+            Some(session) => self.by_session(session, request.objective, &candidates, now),
             None => self.least_loaded(&candidates),
         };
         match chosen {
-            Some(key) => {
-                self.sent(key, request.work, now);
-                PlaceVerdict::Target(key)
-            }
+            Some(key) => PlaceVerdict::Run(self.sent(key, request, now)),
             None => PlaceVerdict::Full,
         }
     }
 
-    /// Ends a request at a target.
-    pub fn released(&mut self, key: TargetKey, work: u64) {
-        if let Some(record) = self.targets.get_mut(key) {
-            record.running = record.running.saturating_sub(1);
-            record.load = record.load.saturating_sub(work);
+    /// Notes the first byte of an answer. Returns how long it took and the objective of a run that
+    /// counts against a share, once for each run.
+    pub fn answered(&mut self, run: RunKey, now: ClockTime) -> Option<RunLatency> {
+        let record = self.runs.get_mut(run)?;
+        if std::mem::replace(&mut record.answered, true) {
+            return None;
         }
+        let latency = now.since(record.sent);
+        if let Some(target) = self.targets.get_mut(record.target) {
+            target.pending.remove(&(record.sent, run));
+            target.load = target.load.saturating_sub(record.work);
+            target.answered(latency, now);
+        }
+        record.cost.map(|_| RunLatency {
+            latency,
+            objective: record.objective,
+        })
     }
 
-    /// Passes a target over for a while after its connection failed.
-    pub fn failed(&mut self, key: TargetKey, now: ClockTime) {
-        if let Some(record) = self.targets.get_mut(key) {
-            record.avoid_until = now + self.settings.avoid_time;
+    /// Runs that count against a share and have waited for their first byte beyond the objective.
+    pub fn overdue(&self, now: ClockTime) -> Vec<RunLatency> {
+        let waiting = self.runs.values();
+        waiting
+            .filter(|record| !record.answered && record.cost.is_some())
+            .map(|record| RunLatency {
+                latency: now.since(record.sent),
+                objective: record.objective,
+            })
+            .filter(|run| run.latency > run.objective)
+            .collect()
+    }
+
+    /// Ends a run.
+    pub fn ended(&mut self, run: RunKey) {
+        let Some(record) = self.runs.remove(run) else {
+            return;
+        };
+        if let Some(target) = self.targets.get_mut(record.target) {
+            target.running = target.running.saturating_sub(1);
+            if !record.answered {
+                target.pending.remove(&(record.sent, run));
+                target.load = target.load.saturating_sub(record.work);
+            }
+        }
+    }
+
+    /// Passes the target of a run over for a while after its connection failed.
+    pub fn failed(&mut self, run: RunKey, now: ClockTime) {
+        let target = self.runs.get(run).map(|record| record.target);
+        if let Some(target) = target.and_then(|key| self.targets.get_mut(key)) {
+            target.avoid_until = now + self.settings.avoid_time;
         }
     }
 
@@ -182,28 +236,42 @@
         record.running < record.seen.slots.0 && (!is_paced || record.pace.is_open(now))
     }
 
-    fn sent(&mut self, key: TargetKey, work: u64, now: ClockTime) {
+    fn sent(&mut self, key: TargetKey, request: &PlaceRequest, now: ClockTime) -> RunKey {
         let entries = self.entries;
+        let run = self.runs.insert(RunRecord {
+            target: key,
+            sent: now,
+            work: request.work,
+            cost: request.cost,
+            objective: request.objective,
+            answered: false,
+        });
         let record = &mut self.targets[key];
         record.running += 1;
-        record.load += work;
+        record.load += request.work;
+        record.pending.insert((now, run));
         if let Some(rate) = record.cold_rate(now) {
             record.pace.sent(rate, entries, now);
         }
+        run
     }
 
-    /// The first target in the session's order whose load stays near the average.
-    fn by_session(&self, session: u64, work: u64, candidates: &[TargetKey]) -> Option<TargetKey> {
-        let total: u64 = candidates.iter().map(|key| self.targets[*key].load).sum();
-        let count = candidates.len().max(1) as u64;
-        let slack = 100 + self.settings.affinity_slack;
-        let bound = (total + work) * slack / 100 / count + work;
+    /// The session's target. Another one would have to read the whole prompt, so it is chosen only
+    /// if it answers so much sooner that this pays.
+    fn by_session(
+        &self,
+        session: u64,
+        objective: Duration,
+        candidates: &[TargetKey],
+        now: ClockTime,
+    ) -> Option<TargetKey> {
         let mut order = candidates.to_vec();
         order.sort_by_key(|key| std::cmp::Reverse(self.score(session, *key)));
-        let within = order
-            .iter()
-            .find(|key| self.targets[**key].load + work <= bound);
-        within.copied().or_else(|| self.least_loaded(candidates))
+        let home = *order.first()?;
+        let delay = |key: TargetKey| self.targets[key].delay(now);
+        let second = order.get(1).copied();
+        let is_better = |second: &TargetKey| delay(*second) + objective <= delay(home);
+        Some(second.filter(is_better).unwrap_or(home))
     }
 
     fn score(&self, session: u64, key: TargetKey) -> u64 {
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -1,6 +1,8 @@
 //! One target as an entry knows it.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use units::{
     ClockTime, DataCentreName, Incarnation, MilliRate, NodeName, RegionName, ServiceName, SlotCount,
@@ -11,8 +13,16 @@
 slotmap::new_key_type! {
     /// Handle of a target in a [`PlaceTable`](crate::PlaceTable).
     pub struct TargetKey;
+    /// Handle of a request that was sent to a target.
+    pub struct RunKey;
 }
 
+/// Part of a new latency in the kept one, in percent.
+const NEW_PERCENT: u32 = 30;
+
+/// Time in which a latency without newer ones halves.
+const LATENCY_HALF_LIFE: Duration = Duration::from_millis(400);
+
 /// A target as the directory lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SeenTarget {
@@ -47,9 +57,13 @@
     pub seen: SeenTarget,
     /// Requests of this entry that run there.
     pub running: u32,
-    /// Work of these requests.
+    /// Work of these requests that has not begun to be answered.
     pub load: u64,
-    pub(crate) cold_until: ClockTime,
+    /// Requests without a first byte, by the time at which they were sent.
+    pub(crate) pending: BTreeSet<(ClockTime, RunKey)>,
+    latency: Duration,
+    latency_at: ClockTime,
+    cold_until: ClockTime,
     pub(crate) pace: ColdPace,
     /// End of the time for which the target is passed over after a failure.
     pub(crate) avoid_until: ClockTime,
@@ -61,6 +75,9 @@
             seen,
             running: 0,
             load: 0,
+            pending: BTreeSet::new(),
+            latency: Duration::ZERO,
+            latency_at: now,
             cold_until: now,
             pace: ColdPace::default(),
             avoid_until: now,
@@ -71,20 +88,39 @@
 
     /// Takes over a newer announcement.
     pub(crate) fn update(&mut self, seen: SeenTarget, now: ClockTime) {
-        if seen.sequence != self.seen.sequence || seen.incarnation != self.seen.incarnation {
-            self.seen = seen;
+        let is_newer = seen.sequence != self.seen.sequence;
+        self.seen = seen;
+        if is_newer {
             self.warm_later(now);
-        } else {
-            self.seen = seen;
         }
     }
 
     fn warm_later(&mut self, now: ClockTime) {
-        self.cold_until = now + std::time::Duration::from_millis(self.seen.cold_ms);
+        self.cold_until = now + Duration::from_millis(self.seen.cold_ms);
     }
 
-    /// Whether requests must be paced.
+    /// Rate at which requests must be paced, while the target is cold.
     pub(crate) fn cold_rate(&self, now: ClockTime) -> Option<MilliRate> {
         self.seen.cold_rate.filter(|_| now < self.cold_until)
     }
+
+    /// Notes the time to the first byte of a request.
+    pub(crate) fn answered(&mut self, latency: Duration, now: ClockTime) {
+        let kept = self.kept_latency(now);
+        self.latency = (latency * NEW_PERCENT + kept * (100 - NEW_PERCENT)) / 100;
+        self.latency_at = now;
+    }
+
+    fn kept_latency(&self, now: ClockTime) -> Duration {
+        let age = now.since(self.latency_at);
+        self.latency
+            .mul_f64(0.5_f64.powf(age.as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64()))
+    }
+
+    /// Time to the first byte that the next request must expect: that of the last ones, or the
+    /// time for which the oldest one has waited already.
+    pub fn delay(&self, now: ClockTime) -> Duration {
+        let oldest = self.pending.first().map(|(sent, _)| now.since(*sent));
+        self.kept_latency(now).max(oldest.unwrap_or_default())
+    }
 }
--- a/components/raft/src/node/mod.rs
+++ b/components/raft/src/node/mod.rs
@@ -55,6 +55,8 @@
     pub snapshot: LogIndex,
     /// Newest members in its log, committed or not.
     pub membership: Membership,
+    /// Whether `membership` is committed.
+    pub settled: bool,
     /// The node knows that it was removed and must not be restarted with this disk.
     pub removed: bool,
 }
@@ -255,6 +257,7 @@
             commit: self.commit,
             snapshot: self.log.snapshot_index(),
             membership: self.log.membership().clone(),
+            settled: self.log.membership_index() <= self.commit,
             removed: self.removed,
         }
     }
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -1,8 +1,6 @@
 //! A place at a target, and its return.
 
-use std::time::Duration;
-
-use place::{PlaceRequest, PlaceVerdict, TargetKey, WaitingPlace};
+use place::{PlaceRequest, PlaceVerdict, RunKey, WaitingPlace};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use wire::FlowKey;
@@ -12,15 +10,34 @@
 /// A place at a target, given back when it is dropped.
 pub(crate) struct HeldPlace {
     shared: RelayShared,
-    pub(crate) target: TargetKey,
-    work: u64,
+    pub(crate) run: RunKey,
+}
+
+impl HeldPlace {
+    /// Notes the first byte of the answer.
+    pub(crate) fn answered(&self) {
+        let now = self.shared.now();
+        self.shared.board.write_quietly(|state| {
+            if let Some(run) = state.table.answered(self.run, now) {
+                state.gate.begins(run.latency, run.objective);
+            }
+        });
+    }
+
+    /// Passes the target over for a while.
+    pub(crate) fn failed(&self) {
+        let now = self.shared.now();
+        self.shared
+            .board
+            .write_quietly(|state| state.table.failed(self.run, now));
+    }
 }
 
 impl Drop for HeldPlace {
     fn drop(&mut self) {
         let now = self.shared.now();
         self.shared.board.write(|state| {
-            state.table.released(self.target, self.work);
+            state.table.ended(self.run);
             state.drain(now);
         });
     }
@@ -44,22 +61,27 @@
 ) -> Result<HeldPlace, NoPlace> {
     let now = shared.now();
     let work = request.work;
-    let held = |target| HeldPlace {
-        shared: shared.clone(),
-        target,
-        work,
+    let cost = request.cost;
+    let held = |run| {
+        if let Some(cost) = cost {
+            shared.board.write_quietly(|state| state.gate.grants(cost));
+        }
+        HeldPlace {
+            shared: shared.clone(),
+            run,
+        }
     };
     let (sender, told) = oneshot::channel();
     let placed = shared.board.write(|state| {
-        // Whoever waits already comes first.
-        let verdict = match state.queue.waits_for(&request.service) {
+        // Requests of the same flow that wait already come first.
+        let verdict = match state.queue.has_flow(flow) {
             true => PlaceVerdict::Full,
             false => state.table.place(&request, now),
         };
         match verdict {
-            PlaceVerdict::Target(target) => {
+            PlaceVerdict::Run(run) => {
                 state.queue.charge(flow, work, now);
-                Ok(target)
+                Ok(run)
             }
             PlaceVerdict::Nowhere => Err(None),
             PlaceVerdict::Full => {
@@ -75,7 +97,7 @@
         }
     });
     let key = match placed {
-        Ok(target) => return Ok(held(target)),
+        Ok(run) => return Ok(held(run)),
         Err(None) => return Err(NoPlace::Nowhere),
         Err(Some(key)) => key,
     };
@@ -83,7 +105,7 @@
     let told = tokio::time::timeout_at(limit, told).await;
     drop(guard);
     match told {
-        Ok(Ok(Some(target))) => Ok(held(target)),
+        Ok(Ok(Some(run))) => Ok(held(run)),
         Ok(Ok(None)) => Err(NoPlace::Nowhere),
         Ok(Err(_)) | Err(_) => Err(NoPlace::Full),
     }
@@ -103,12 +125,3 @@
         });
     }
 }
-
-/// Time that a request may wait for a place: a part of its latency objective, so that a caller that
-/// is refused still has time to come back.
-pub(crate) fn wait_limit(arrived: Instant, objective: Duration, deadline: Instant) -> Instant {
-    (arrived + objective / WAIT_PART).min(deadline)
-}
-
-/// Part of the latency objective that a request may wait for a place.
-const WAIT_PART: u32 = 2;
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -7,15 +7,17 @@
 use board::StateBoard;
 use client::{ControlClient, FleetView, keep_lease};
 use eyre::WrapErr;
+use fair::ShareGate;
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
 use place::{PlaceSettings, PlaceTable, WaitQueue};
 use salvo::server::ServerHandle;
 use salvo::{Router, Server};
 use telemetry::{event, events};
 use tokio::task::JoinSet;
-use units::SystemClock;
+use units::{ClockSource, SystemClock};
 use wire::NodeRole;
 
+use crate::demand::{model_pool, report_demand};
 use crate::dialect::CallerDialect;
 use crate::door::{ReadyCheck, RelayDoor};
 use crate::follow::{follow_view, prune_pool, serve_queue};
@@ -23,9 +25,6 @@
 use crate::settings::RelaySettings;
 use crate::state::{RelayShared, RelayState};
 
-/// Load above the average, in percent, up to which a target keeps its sessions.
-const AFFINITY_SLACK: u64 = 100;
-
 /// Time for which a target is passed over after a failed connection; an announcement that shows it
 /// alive comes about once in this time.
 const AVOID_TIME: Duration = Duration::from_secs(1);
@@ -40,6 +39,7 @@
 /// A running relay. Dropping it stops the relay at once.
 pub struct RelayHandle {
     shared: RelayShared,
+    client: ControlClient,
     http: SocketAddr,
     server: ServerHandle,
     tasks: JoinSet<()>,
@@ -51,7 +51,7 @@
     dialect: Arc<dyn CallerDialect>,
 ) -> eyre::Result<RelayHandle> {
     let incarnation = entry::new_incarnation();
-    let files = KeyFiles::in_folder(&settings.keys, NodeRole::Entry, &settings.name);
+    let files = KeyFiles::find(&settings.keys, NodeRole::Entry, &settings.name);
     let identity = LinkIdentity::load(NodeRole::Entry, &settings.name, &files)
         .wrap_err("Failed to load the keys of the relay")?;
     let endpoint = LinkEndpoint::bind(settings.listen, &identity, incarnation)
@@ -59,15 +59,16 @@
     let client = ControlClient::new(endpoint.clone(), settings.controls.clone());
     let table = PlaceTable::new(PlaceSettings {
         region: settings.region().cloned(),
-        affinity_slack: AFFINITY_SLACK,
         avoid_time: AVOID_TIME,
     });
+    let clock = Arc::new(SystemClock::start());
     let shared = RelayShared {
         board: StateBoard::new(RelayState {
             index: None,
             table,
             queue: WaitQueue::new(),
             waiting: Default::default(),
+            gate: ShareGate::new(model_pool(), clock.now()),
             budgets: Default::default(),
             entries: 1,
             open_requests: 0,
@@ -76,7 +77,7 @@
         incarnation,
         view: StateBoard::new(FleetView::with_lease_time(settings.lease_time)),
         settings: Arc::new(settings),
-        clock: Arc::new(SystemClock::start()),
+        clock,
         endpoint,
         dialect,
         pool: TargetPool::default(),
@@ -86,12 +87,14 @@
     tasks.spawn(follow_view(shared.clone()));
     tasks.spawn(serve_queue(shared.clone()));
     tasks.spawn(prune_pool(shared.clone()));
+    tasks.spawn(report_demand(shared.clone(), client.clone()));
     let (view, clock, node) = (shared.view.clone(), shared.clock.clone(), shared.clone());
     let entry = move || node.directory_entry();
-    tasks.spawn(keep_lease(client, view, clock, entry, true));
+    tasks.spawn(keep_lease(client.clone(), view, clock, entry, true));
     event!(events::RELAY_STARTED, address = http);
     Ok(RelayHandle {
         shared,
+        client,
         http,
         server,
         tasks,
@@ -122,6 +125,11 @@
         self.http
     }
 
+    /// Client for control nodes, whose configured addresses may change.
+    pub fn control_client(&self) -> ControlClient {
+        self.client.clone()
+    }
+
     /// Handler that tells whether new callers should come.
     pub fn ready_check(&self) -> impl salvo::Handler {
         ReadyCheck::new(self.shared.clone())
--- /dev/null
+++ b/components/relay/src/demand.rs
@@ -0,0 +1,66 @@
+//! Reports of demand to the home of the model engines, and the shares that come back.
+
+use client::ControlClient;
+use fair::{DEMAND_INTERVAL, HomeList};
+use telemetry::{event, events};
+use units::{FlowWeight, OrganisationName, ServiceName};
+use wire::{ControlReply, ControlRequest, DemandReport, FlowId, FlowKey, ShareReply};
+
+use crate::state::RelayShared;
+
+/// Weight of organisations; a published plan gives all the same.
+pub(crate) const EVEN_WEIGHT: FlowWeight = FlowWeight(1000);
+
+/// Name under which the demand of all model services is added up: the capacity of a plan is that of
+/// all engines together.
+pub(crate) fn model_pool() -> ServiceName {
+    ServiceName::from("models")
+}
+
+/// Reports demand round after round, for ever.
+pub(crate) async fn report_demand(shared: RelayShared, client: ControlClient) {
+    let mut interval = tokio::time::interval(DEMAND_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut homes = HomeList::new(client.controls().to_vec());
+    let pool = FlowId::of(&FlowKey {
+        organisation: OrganisationName::from(""),
+        service: model_pool(),
+    });
+    loop {
+        interval.tick().await;
+        let now = shared.now();
+        homes.set_controls(client.controls().to_vec());
+        let Some(home) = homes.home(pool, now) else {
+            continue;
+        };
+        let (name, incarnation) = (shared.settings.name.clone(), shared.incarnation);
+        let report = shared.board.write_quietly(|state| {
+            for run in state.table.overdue(now) {
+                state.gate.begins(run.latency, run.objective);
+            }
+            state.gate.report(name, incarnation, now)
+        });
+        match exchange(&client, home, &report).await {
+            Ok(reply) => shared.board.write_quietly(|state| {
+                state.gate.answered(&report, &reply, shared.now());
+            }),
+            Err(reason) => {
+                event!(events::DEMAND_UNANSWERED, control = home, reason = reason);
+                homes.failed(home, now);
+            }
+        }
+    }
+}
+
+async fn exchange(
+    client: &ControlClient,
+    home: std::net::SocketAddr,
+    report: &DemandReport,
+) -> Result<ShareReply, String> {
+    let request = ControlRequest::Demand(report.clone());
+    match client.request_at(home, &request).await {
+        Ok(ControlReply::Shares(reply)) => Ok(reply),
+        Ok(reply) => Err(format!("control answered {reply:?}")),
+        Err(error) => Err(error.to_string()),
+    }
+}
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -10,13 +10,14 @@
 use telemetry::{event, events};
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
-use units::{NodeName, OrganisationName, ServiceName};
-use wire::{FlowKey, stable_hash};
+use units::{CostUnits, NodeName, OrganisationName, ServiceName};
+use wire::{FlowId, FlowKey, stable_hash};
 
 use entry::Refusal;
 
-use crate::attempt::{HeldPlace, NoPlace, take_place, wait_limit};
+use crate::attempt::{HeldPlace, NoPlace, take_place};
 use crate::backend::{CallerRequest, ExchangeStart, OpenAnswer, exchange};
+use crate::demand::{EVEN_WEIGHT, model_pool};
 use crate::dialect::{CallerTerms, ModelTerms, TargetTerms};
 use crate::pool::ExchangeError;
 use crate::state::RelayShared;
@@ -27,8 +28,15 @@
 /// Wait that a caller is asked for while the entry has no confirmed plan.
 const PLAN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Work of a produced token against a read one.
-const OUTPUT_WORK: u64 = 10;
+/// Cost of a produced token against a read one, as the capacity of a plan counts them.
+const OUTPUT_COST: u64 = 2;
+
+/// Part of the latency objective that a request may wait for a place.
+const WAIT_PART: u32 = 2;
+
+/// Part of the caller's time after which it is asked to come back; callers wait no longer than a
+/// third of it.
+const RETURN_PART: u32 = 4;
 
 /// A request on its way to a target.
 pub(crate) struct RequestFlight {
@@ -40,6 +48,8 @@
     organisation: Option<OrganisationName>,
     place: PlaceRequest,
     arrived: Instant,
+    /// Whether the organisation asks no more than its share of what the targets produce.
+    within_share: bool,
     /// Time at which nobody waits for the answer any more.
     caller_limit: Instant,
     /// Time at which the caller must have an answer.
@@ -128,12 +138,19 @@
             return Err(Refusal::not_run(503, "no-service", message));
         };
         let affinity = terms.model.as_ref().and_then(ModelTerms::session);
-        let work = terms.model.as_ref().map_or(1, model_work);
+        let organisation = grant
+            .holder
+            .as_ref()
+            .map(|holder| holder.organisation.clone());
+        let cost = terms.model.as_ref().map(model_cost);
+        let within_share = is_within_share(&shared, organisation.as_ref(), cost);
         let regions = grant.holder.iter().map(|holder| holder.regions.clone());
         let place = PlaceRequest {
             service: service.clone(),
             affinity: affinity.filter(|_| route.affinity),
-            work,
+            work: terms.model.as_ref().map_or(1, |model| model.tokens_in),
+            cost,
+            objective: route.objective(),
             regions: regions.chain([route.regions.clone()]).collect(),
             tried: Vec::new(),
         };
@@ -142,7 +159,8 @@
         Ok(Self {
             limit: caller_limit.min(arrived + route.timeout()),
             caller_limit,
-            organisation: grant.holder.map(|holder| holder.organisation.clone()),
+            organisation,
+            within_share,
             shared,
             terms,
             request,
@@ -210,7 +228,12 @@
 
     /// Waits for a place at a target.
     async fn wait(&mut self) -> Result<HeldPlace, Refusal> {
-        let limit = wait_limit(Instant::now(), self.route.objective(), self.limit);
+        if !self.within_share {
+            return Err(self.beyond_share());
+        }
+        let limit = self
+            .limit
+            .min(Instant::now() + self.route.objective() / WAIT_PART);
         let flow = self.flow();
         let span = info_span!("relay.wait", request = self.terms.attempt.as_str());
         let taking = take_place(&self.shared, &flow, self.place.clone(), limit);
@@ -225,6 +248,13 @@
         }
     }
 
+    fn beyond_share(&self) -> Refusal {
+        let message = "Failed to accept the request: its organisation asks more than its share of \
+                       what the targets can serve in time";
+        let left = self.caller_limit.saturating_duration_since(Instant::now());
+        Refusal::not_run(429, "over-share", message).retry_after(left / RETURN_PART)
+    }
+
     fn no_place(&self, reason: NoPlace) -> Refusal {
         let message = match reason {
             NoPlace::Nowhere => format!("service {} has no live target", self.service),
@@ -236,17 +266,17 @@
 
     /// Sends the request to one target.
     async fn send(&mut self, place: HeldPlace) -> SendEnd {
-        let Some(target) = self.shared.target(place.target) else {
+        let Some(target) = self.shared.target(place.run) else {
             return SendEnd::NotRun("the target is gone".into());
         };
-        let name = target.seen.name.clone();
+        let name = target.name.clone();
         self.place.tried.push(name.clone());
         let span = info_span!(
             "relay.send",
             request = self.terms.attempt.as_str(),
             target = name.as_str()
         );
-        let sending = self.exchange(&target.seen.name, target.seen.address, place);
+        let sending = self.exchange(&target.name, target.address, place);
         let limit = self.limit;
         match tokio::time::timeout_at(limit, sending.instrument(span)).await {
             Ok(end) => {
@@ -269,7 +299,7 @@
         let connection = match self.shared.pool.connect(address).await {
             Ok(connection) => connection,
             Err(error) => {
-                self.avoid(&place);
+                place.failed();
                 return SendEnd::NotRun(error.to_string());
             }
         };
@@ -293,13 +323,6 @@
         }
     }
 
-    fn avoid(&self, place: &HeldPlace) {
-        let now = self.shared.now();
-        self.shared
-            .board
-            .write_quietly(|state| state.table.failed(place.target, now));
-    }
-
     /// Reads a whole answer, or the first bytes of a stream.
     async fn read(&self, mut answer: OpenAnswer, place: HeldPlace) -> SendEnd {
         let is_good = answer.head.status.is_success();
@@ -309,6 +332,7 @@
                 Some(Err(reason)) => return SendEnd::Unknown(reason),
                 None => None,
             };
+            place.answered();
             return SendEnd::Answer(FlightAnswer::Stream(Box::new(StreamAnswer {
                 answer,
                 first,
@@ -317,6 +341,7 @@
                 attempt: self.terms.attempt.clone(),
             })));
         }
+        place.answered();
         match answer.whole().await {
             Ok((head, body))
                 if head.status.is_server_error() && self.route.repeat.is_repeatable() =>
@@ -357,6 +382,25 @@
     }
 }
 
-fn model_work(model: &ModelTerms) -> u64 {
-    model.tokens_in + OUTPUT_WORK * model.tokens_out
+fn model_cost(model: &ModelTerms) -> CostUnits {
+    CostUnits(model.tokens_in + OUTPUT_COST * model.tokens_out)
+}
+
+/// Notes what an organisation asks of the model engines, and tells whether it is within its share.
+fn is_within_share(
+    shared: &RelayShared,
+    organisation: Option<&OrganisationName>,
+    cost: Option<CostUnits>,
+) -> bool {
+    let (Some(organisation), Some(cost)) = (organisation, cost) else {
+        return true;
+    };
+    let flow = FlowId::of(&FlowKey {
+        organisation: organisation.clone(),
+        service: model_pool(),
+    });
+    let now = shared.now();
+    shared
+        .board
+        .write_quietly(|state| state.gate.asks(flow, EVEN_WEIGHT, cost, now))
 }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod backend;
 mod daemon;
+mod demand;
 mod dialect;
 mod door;
 mod flight;
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -5,9 +5,10 @@
 
 use board::StateBoard;
 use client::FleetView;
+use fair::ShareGate;
 use limits::{WindowBound, WindowBudget};
 use link::LinkEndpoint;
-use place::{PlaceTable, TargetKey, TargetRecord, WaitKey, WaitQueue};
+use place::{PlaceTable, RunKey, SeenTarget, WaitKey, WaitQueue};
 use routes::RouteIndex;
 use tokio::sync::oneshot;
 use units::{ClockSource, ClockTime, Incarnation, ServiceName};
@@ -23,8 +24,10 @@
     pub(crate) index: Option<Arc<RouteIndex>>,
     pub(crate) table: PlaceTable,
     pub(crate) queue: WaitQueue,
-    /// Requests that wait, and how they are told of a target; `None` tells that there is none.
-    pub(crate) waiting: HashMap<WaitKey, oneshot::Sender<Option<TargetKey>>>,
+    /// Requests that wait, and how they are told of a run; `None` tells that there is no target.
+    pub(crate) waiting: HashMap<WaitKey, oneshot::Sender<Option<RunKey>>>,
+    /// Shares of the organisations in what the model engines produce.
+    pub(crate) gate: ShareGate,
     pub(crate) budgets: HashMap<ServiceName, WindowBudget>,
     pub(crate) entries: u32,
     pub(crate) open_requests: usize,
@@ -39,10 +42,10 @@
         }
         for ended in self.queue.drain(&mut self.table, now) {
             let waiter = self.waiting.remove(&ended.key);
-            let told = waiter.is_some_and(|waiter| waiter.send(ended.target).is_ok());
-            if let (false, Some(target)) = (told, ended.target) {
+            let told = waiter.is_some_and(|waiter| waiter.send(ended.run).is_ok());
+            if let (false, Some(run)) = (told, ended.run) {
                 // The request gave up in the same moment.
-                self.table.released(target, ended.work);
+                self.table.ended(run);
             }
         }
     }
@@ -96,8 +99,9 @@
         serves && self.has_lease()
     }
 
-    pub(crate) fn target(&self, key: TargetKey) -> Option<TargetRecord> {
-        self.board.read(|state| state.table.get(key).cloned())
+    pub(crate) fn target(&self, run: RunKey) -> Option<SeenTarget> {
+        self.board
+            .read(|state| state.table.target(run).map(|record| record.seen.clone()))
     }
 
     /// The relay as it stands in the directory.
--- a/components/store/src/folder.rs
+++ b/components/store/src/folder.rs
@@ -10,6 +10,9 @@
 use crate::StoreError;
 use crate::record::{self, RecordRead};
 
+/// File that is locked while a process uses the folder.
+pub(crate) const LOCK_FILE: &str = "lock";
+
 /// Suffix of a file that is written before it replaces another.
 const NEW_SUFFIX: &str = ".new";
 
@@ -17,8 +20,8 @@
 #[derive(Debug)]
 pub(crate) struct StoreFolder {
     path: PathBuf,
-    /// Locked as long as it is open.
-    _lock: File,
+    /// Locked until it is closed or unlocked.
+    lock: File,
 }
 
 impl StoreFolder {
@@ -31,15 +34,21 @@
         {
             sync_folder(parent)?;
         }
-        let lock = lock(&path.join("lock"))?;
+        let lock = lock(&path.join(LOCK_FILE))?;
         let folder = Self {
             path: path.to_path_buf(),
-            _lock: lock,
+            lock,
         };
         folder.remove_leftovers()?;
         Ok(folder)
     }
 
+    /// Lets another owner open the folder.
+    pub(crate) fn unlock(&self) -> Result<(), StoreError> {
+        let path = self.file(LOCK_FILE);
+        self.lock.unlock().map_err(failed("unlock", &path))
+    }
+
     /// Removes files whose replacement a crash has interrupted.
     fn remove_leftovers(&self) -> Result<(), StoreError> {
         for name in self.names()? {
--- a/components/store/src/log_store.rs
+++ b/components/store/src/log_store.rs
@@ -7,7 +7,7 @@
 use units::DiskId;
 
 use crate::StoreError;
-use crate::folder::StoreFolder;
+use crate::folder::{LOCK_FILE, StoreFolder};
 use crate::segments::{self, SegmentRow};
 
 /// Size in bytes beyond which a new log segment is started.
@@ -94,6 +94,18 @@
         self.row.contains(snapshot) || self.row.first_index() == Some(snapshot.index.0 + 1)
     }
 
+    /// Deletes the content of the folder and unlocks it, after the node was removed from its group.
+    /// The id goes last, so that a crash leaves no log under a new one.
+    pub fn clear(&mut self) -> Result<(), StoreError> {
+        self.failed = true;
+        let mut names = self.folder.names()?;
+        names.sort_by_key(|name| name == STATE_FILE);
+        for name in names.iter().filter(|name| *name != LOCK_FILE) {
+            self.folder.remove(name)?;
+        }
+        self.folder.unlock()
+    }
+
     /// Id of the node, created with the folder.
     pub fn id(&self) -> DiskId {
         self.state.id
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -7,6 +7,7 @@
     OrganisationName, RequestId, ServiceName, SlotCount, TargetName,
 };
 
+use crate::demand::{DemandReport, ShareReply};
 use crate::hello::NodeRole;
 use crate::run::{HeaderField, ResponseHead};
 use crate::usage::{UsageReport, UsageTotals};
@@ -115,6 +116,8 @@
         pub changes: Vec<u8>,
         /// Change of the directory, if the node asked for it.
         pub directory: Option<DirectoryDelta>,
+        /// Addresses for links of the control nodes that the replying node hears of.
+        pub controls: Vec<SocketAddr>,
     }
 
     /// Key of a call that must not run twice.
@@ -280,6 +283,8 @@
         Directory(Vec<DirectoryEntry>),
         /// Counts of an agent, for the homes of the flows.
         Usage(UsageReport),
+        /// Demand at an entry, for the home of the service.
+        Demand(DemandReport),
     }
 
     /// Reply of a control node.
@@ -296,6 +301,8 @@
         Status(String),
         /// Reply to [`ControlRequest::Usage`].
         Usage(UsageTotals),
+        /// Reply to [`ControlRequest::Demand`].
+        Shares(ShareReply),
         /// The node cannot answer with a quorum now.
         NoQuorum {
             /// The leader, if known.
--- /dev/null
+++ b/components/wire/src/demand.rs
@@ -0,0 +1,53 @@
+//! Demand of flows, and the shares that follow from it.
+
+use units::{CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
+
+use crate::usage::FlowId;
+
+units::data! {
+    /// What one flow has asked at an entry since the entry's last report.
+    pub struct FlowDemand {
+        /// The flow.
+        pub flow: FlowId,
+        /// Its share relative to others.
+        pub weight: FlowWeight,
+        /// Cost of the requests.
+        pub asked: CostUnits,
+    }
+
+    /// Demand at one entry, sent to the home of the service.
+    pub struct DemandReport {
+        /// The entry.
+        pub reporter: NodeName,
+        /// Start of the entry's process.
+        pub incarnation: Incarnation,
+        /// The service that is asked.
+        pub service: ServiceName,
+        /// Time since the last report, in milliseconds.
+        pub interval_ms: u64,
+        /// Flows with requests in the last seconds.
+        pub flows: Vec<FlowDemand>,
+        /// Cost of the requests that were let through.
+        pub granted: CostUnits,
+        /// Answers that were begun, and requests that wait for theirs.
+        pub answers: u64,
+        /// Sum of their times to the first byte, each in thousandths of its latency objective.
+        pub lateness_permille: u64,
+    }
+
+    /// What a flow asks in the whole fleet.
+    pub struct FlowRate {
+        /// The flow.
+        pub flow: FlowId,
+        /// Cost of its requests a second.
+        pub rate: CostUnits,
+    }
+
+    /// Answer to a [`DemandReport`].
+    pub struct ShareReply {
+        /// Share of a flow with weight 1000, a second; none if the service can serve all.
+        pub level: Option<CostUnits>,
+        /// Rates of the flows of the report, in its order.
+        pub flows: Vec<FlowRate>,
+    }
+}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod codec;
 mod control;
+mod demand;
 mod hash;
 mod hello;
 mod run;
@@ -17,6 +18,7 @@
     DirectoryDelta, DirectoryEntry, EndCall, NodeKind, NodeState, OperatorOrder, OrderReply,
     RenewReply, RenewRequest, StoredResponse, TargetState,
 };
+pub use demand::{DemandReport, FlowDemand, FlowRate, ShareReply};
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
 pub use run::{
