Give entries their allowances from the home's own rates

Cause: an entry took its part of a flow's share from its own rate of the last half second over a smoothed fleet-wide rate, so the parts of all entries did not add up to the share.

Change: the home divides the share by the rates that it keeps of each entry.

--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -128,36 +128,19 @@
         }
     }
 
-    /// Takes in the answer to a report. This entry gets the part of a flow's share that its own
-    /// demand has in the demand of the fleet.
-    pub fn answered(&mut self, report: &DemandReport, reply: &ShareReply, now: ClockTime) {
+    /// Takes in the answer to a report.
+    pub fn answered(&mut self, reply: &ShareReply, now: ClockTime) {
         self.answered = Some(now);
-        let interval = report.interval_ms.max(1);
-        for (asked, total) in report.flows.iter().zip(&reply.flows) {
-            let Some(share) = self.flows.get_mut(&asked.flow) else {
-                continue;
-            };
-            let own = asked.asked.0 * 1000 / interval;
-            share.set_rate(own, total.rate.0, reply.level, now);
+        for allowance in &reply.flows {
+            if let Some(share) = self.flows.get_mut(&allowance.flow) {
+                share.refill(now);
+                share.allowed = allowance.rate.map(|rate| rate.0);
+            }
         }
     }
 }
 
 impl FlowShare {
-    fn set_rate(&mut self, own: u64, total: u64, level: Option<CostUnits>, now: ClockTime) {
-        self.refill(now);
-        let level = level.map(|level| level.0 * u64::from(self.weight.0) / 1000);
-        let limited = level.filter(|level| *level < total);
-        let Some(level) = limited else {
-            self.allowed = None;
-            return;
-        };
-        // A clump that is over leaves no own demand in a round; the share then stays as it was.
-        if own > 0 || self.allowed.is_none() {
-            self.allowed = Some(level * own.min(total) / total);
-        }
-    }
-
     fn refill(&mut self, now: ClockTime) {
         let span = now.since(self.refilled);
         self.refilled = now;
--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -2,7 +2,7 @@
 //!
 //! Entries report what each flow asks. The home of a service sums the reports and finds the *level*:
 //! a flow that asks less than the level gets all that it asks, and every other flow gets the level
-//! for each unit of weight. The capacity is what the service was seen to serve in time; what an
+//! for each unit of weight, divided among the entries as its demand is. The capacity is what the service was seen to serve in time; what an
 //! operator states is taken for a lower bound, since a stated figure knows nothing of caches. Reports are rates and soft state; a home that starts empty is right as soon as each
 //! entry has reported once and lateness was seen.
 
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use units::{ClockTime, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
-use wire::{DemandReport, FlowDemand, FlowId, FlowRate, ShareReply};
+use wire::{DemandReport, FlowAllowance, FlowDemand, FlowId, ShareReply};
 
 use crate::capacity::{CapacityEstimate, LatenessSample};
 
@@ -113,12 +113,12 @@
             .capacity
             .get()
             .and_then(|capacity| share_level(capacity, demands));
-        let flows = report.flows.iter().map(|flow| FlowRate {
+        let own = &service.entries[&report.reporter].rates;
+        let flows = report.flows.iter().map(|flow| FlowAllowance {
             flow: flow.flow,
-            rate: CostUnits(totals.get(&flow.flow).map_or(0, |total| total.0)),
+            rate: level.and_then(|level| allowance(level, flow, own, &totals)),
         });
         let reply = ShareReply {
-            level: level.map(CostUnits),
             flows: flows.collect(),
         };
         let change = changed.then(|| CapacityChange {
@@ -162,6 +162,20 @@
     }
 }
 
+/// The part of a flow's share that one entry may let through: as large as the part of the flow's
+/// demand that it sees. None if the flow asks no more than its share.
+fn allowance(
+    level: u64,
+    flow: &FlowDemand,
+    own: &BTreeMap<FlowId, (u64, FlowWeight)>,
+    totals: &BTreeMap<FlowId, (u64, FlowWeight)>,
+) -> Option<CostUnits> {
+    let share = level * u64::from(flow.weight.0) / UNIT_WEIGHT;
+    let (total, _) = *totals.get(&flow.flow)?;
+    let (rate, _) = *own.get(&flow.flow)?;
+    (total > share).then(|| CostUnits(share * rate / total))
+}
+
 /// Rates of an entry after its next report.
 fn merged(known: Option<EntryDemand>, report: &DemandReport, now: ClockTime) -> EntryDemand {
     let known = known.map_or_else(BTreeMap::new, |known| known.rates);
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -42,7 +42,7 @@
         });
         match exchange(&client, home, &report).await {
             Ok(reply) => shared.board.write_quietly(|state| {
-                state.gate.answered(&report, &reply, shared.now());
+                state.gate.answered(&reply, shared.now());
             }),
             Err(reason) => {
                 event!(events::DEMAND_UNANSWERED, control = home, reason = reason);
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -35,19 +35,17 @@
         pub lateness_permille: u64,
     }
 
-    /// What a flow asks in the whole fleet.
-    pub struct FlowRate {
+    /// What an entry may let through of a flow.
+    pub struct FlowAllowance {
         /// The flow.
         pub flow: FlowId,
-        /// Cost of its requests a second.
-        pub rate: CostUnits,
+        /// Cost of requests a second; none if all that the flow asks is within its share.
+        pub rate: Option<CostUnits>,
     }
 
     /// Answer to a [`DemandReport`].
     pub struct ShareReply {
-        /// Share of a flow with weight 1000, a second; none if the service can serve all.
-        pub level: Option<CostUnits>,
-        /// Rates of the flows of the report, in its order.
-        pub flows: Vec<FlowRate>,
+        /// Allowances of the flows of the report.
+        pub flows: Vec<FlowAllowance>,
     }
 }
