--- a/components/client/tests/requests.rs
+++ b/components/client/tests/requests.rs
@@ -126,3 +126,20 @@
     assert_eq!(names, ["b", "e"]);
     assert_eq!(view.revision, Some((Incarnation(1), 6)));
 }
+
+/// Guards against nodes that lose control when all hosts of their settings were replaced.
+#[tokio::test(start_paused = true)]
+async fn learned_nodes_are_asked_beside_the_configured_ones() {
+    let behaviours = [Behaviour::Silent, Behaviour::Silent, Behaviour::Answers];
+    let (client, controls) = client(&behaviours);
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    client.configure(vec![address(1)]);
+    client.learn(vec![address(1), address(3)]);
+
+    let reply = client.request(&ControlRequest::Status).await.unwrap();
+    client.configure(vec![address(2)]);
+
+    assert_eq!(reply, ControlReply::Done);
+    assert_eq!(*controls.asked.lock().unwrap(), [1, 3]);
+    assert_eq!(*client.controls(), [address(2), address(1), address(3)]);
+}
--- a/components/control/src/port.rs
+++ b/components/control/src/port.rs
@@ -100,6 +100,14 @@
         }
     }
 
+    /// Whether a target is listed and takes new work.
+    pub fn is_serving(&self, name: &NodeName) -> bool {
+        self.context.nodes.read(|nodes| {
+            let entry = nodes.get(name);
+            entry.is_some_and(|entry| entry.state == NodeState::Serving)
+        })
+    }
+
     /// Takes in the last call of a target: it gets no new work, and late announcements of the same
     /// process do not bring it back. A call about another process than the listed one is late.
     pub fn depart(&self, name: &NodeName, incarnation: Option<Incarnation>) {
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -158,6 +158,7 @@
             level = ?change.level,
             asked = sample.asked,
             granted = sample.granted,
+            served = sample.served,
             answers = sample.count,
             lateness_permille = sample.total_permille / sample.count.max(1)
         );
--- a/components/control/tests/decisions.rs
+++ b/components/control/tests/decisions.rs
@@ -258,3 +258,112 @@
 
     assert_eq!(step, None);
 }
+
+fn placed(id: u128, data_centre: &str) -> PeerAnnounce {
+    PeerAnnounce {
+        data_centre: Some(data_centre.into()),
+        applied: LogIndex(50),
+        ..formed(id, &[])
+    }
+}
+
+/// Three voters, of which `c` was heard of last at a time, and a learner under a new name.
+struct GoneHost {
+    seen: SeenPeers,
+    members: Membership,
+    names: BTreeMap<DiskId, NodeName>,
+}
+
+impl GoneHost {
+    fn new(silent_since: u64, learner: PeerAnnounce) -> Self {
+        let mut seen = seen(&[
+            ("b", placed(2, "brno-1")),
+            ("c", placed(3, "ostrava-1")),
+            ("d", learner),
+        ]);
+        seen.get_mut(&NodeName::from("c")).unwrap().seen = ClockTime(silent_since);
+        let names = [(1, "a"), (2, "b"), (3, "c"), (4, "d")];
+        Self {
+            seen,
+            members: Membership {
+                voters: ids(&[1, 2, 3]),
+                learners: ids(&[4]),
+                ..Membership::default()
+            },
+            names: names
+                .map(|(id, name)| (DiskId(id), NodeName::from(name)))
+                .into(),
+        }
+    }
+
+    fn next(&self) -> Option<MemberStep> {
+        let view = MemberView {
+            own: (DiskId(1), &NodeName::from("a")),
+            listed: &names(&["a", "b", "c"]),
+            seen: &self.seen,
+            membership: &self.members,
+            names: &self.names,
+            commit: LogIndex(50),
+            since: ClockTime(0),
+            now: NOW,
+        };
+        next_step(&view, &mut JoinTargets::default())
+    }
+}
+
+fn change(change: MemberChange) -> Option<MemberStep> {
+    Some(MemberStep::Change(change))
+}
+
+/// Guards against a group that keeps a vote of a host that is gone for good: its successor has
+/// another name and address.
+#[test]
+fn silent_host_is_replaced_by_one_of_its_data_centre() {
+    let host = GoneHost::new(NOW.0 - 3_000, placed(4, "ostrava-1"));
+
+    assert_eq!(host.next(), change(MemberChange::Remove(DiskId(3))));
+}
+
+/// Guards against the removal of a host that restarts, and against one more voter meanwhile.
+#[test]
+fn host_that_is_silent_for_a_moment_keeps_its_vote() {
+    let host = GoneHost::new(NOW.0 - 2_500, placed(4, "ostrava-1"));
+
+    assert_eq!(host.next(), None);
+}
+
+/// Guards against a host that loses its vote to one of another data centre.
+#[test]
+fn host_of_another_data_centre_becomes_one_more_voter() {
+    let host = GoneHost::new(NOW.0 - 3_000, placed(4, "praha-1"));
+
+    assert_eq!(host.next(), change(MemberChange::Promote(DiskId(4))));
+}
+
+/// Guards against a majority that needs a host that is gone, after its successor came before it left.
+#[test]
+fn voter_that_stays_silent_is_removed_while_three_are_left() {
+    let mut host = GoneHost::new(0, placed(4, "ostrava-1"));
+    host.members.voters.insert(DiskId(4));
+    host.members.learners.clear();
+
+    let of_four = host.next();
+    host.members.voters.remove(&DiskId(4));
+    host.seen.remove(&NodeName::from("d"));
+    let of_three = host.next();
+
+    assert_eq!(of_four, change(MemberChange::Remove(DiskId(3))));
+    assert_eq!(of_three, None);
+}
+
+/// Guards against a second group that is formed by a node that was added later.
+#[test]
+fn node_that_only_joins_forms_no_group() {
+    let joiner = PeerAnnounce {
+        listed: BTreeSet::new(),
+        ..empty(4)
+    };
+    let peers = seen(&[("a", empty(1)), ("b", empty(2)), ("c", empty(3))]);
+
+    assert_eq!(founders(&joiner, &peers, NOW), None);
+}
--- a/components/fair/src/capacity.rs
+++ b/components/fair/src/capacity.rs
@@ -5,7 +5,7 @@
 use units::ClockTime;
 
 /// Time between two changes of the estimate: a change shows in the latencies after about this time.
-const STEP_INTERVAL: Duration = Duration::from_millis(500);
+const STEP_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Mean lateness, in thousandths of the latency objective, above which the estimate falls. Half of
 /// the objective leaves room for the requests that take longer than the mean.
@@ -14,17 +14,31 @@
 /// Mean lateness below which the estimate grows.
 const EARLY_PERMILLE: u64 = 400;
 
-/// Largest fall in one step, in thousandths; reached at twice [`LATE_PERMILLE`].
-const MOST_FALL: u64 = 250;
+/// Part below the served rate that a step may go to work off what waits at the targets, in
+/// thousandths; reached at [`WORST_PERMILLE`].
+const MOST_FALL: u64 = 450;
 
-/// Largest growth in one step, in thousandths; reached where answers begin at once.
+/// Mean lateness at which the estimate falls the most.
+const WORST_PERMILLE: u64 = 1_500;
+
+/// Largest growth in one step below the ceiling, in thousandths; reached where answers begin at once.
 const MOST_GROWTH: u64 = 400;
 
-/// Part of the stated capacity, or of the demand where none is stated, that the estimate reaches at
+/// Part of the ceiling up to which the estimate grows fast, in thousandths.
+const NEAR_CEILING: u64 = 900;
+
+/// Part of the ceiling that is kept in a step in which less was served, in thousandths.
+const KEPT_CEILING: u64 = 920;
+
+/// Growth in one step near the ceiling and beyond it, in thousandths. Caches fill and targets are
+/// added, so the ceiling of a while ago need not be the present one.
+const SLOW_GROWTH: u64 = 25;
+
+/// Part of the stated capacity, or of the ceiling where none is stated, that the estimate reaches at
 /// least, in thousandths. Without it, a stall of all targets would leave too little to notice that
 /// they are back.
 const LEAST_STATED: u64 = 800;
-const LEAST_ASKED: u64 = 150;
+const LEAST_CEILING: u64 = 200;
 
 /// How late the answers of an interval were, and what was let through.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -35,6 +49,8 @@
     pub total_permille: u64,
     /// Rate of the requests that were let through.
     pub granted: u64,
+    /// Rate of the requests whose answers were begun.
+    pub served: u64,
     /// Rate of all requests.
     pub asked: u64,
     /// Capacity that the operator states, if any.
@@ -45,6 +61,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct CapacityEstimate {
     capacity: Option<u64>,
+    /// What was served when answers were late last.
+    ceiling: u64,
     stepped: ClockTime,
 }
 
@@ -72,21 +90,25 @@
             self.fall(lateness, sample);
         } else if let Some(capacity) = self.capacity.filter(|_| lateness < EARLY_PERMILLE) {
             let growth = MOST_GROWTH * (EARLY_PERMILLE - lateness) / EARLY_PERMILLE;
-            let grown = capacity * (1000 + growth) / 1000 + 1;
+            let fast = capacity * (1000 + growth) / 1000 + 1;
+            let slow = capacity * (1000 + SLOW_GROWTH) / 1000 + 1;
+            let grown = fast.min(self.ceiling * NEAR_CEILING / 1000).max(slow);
             // Nothing is held back any more once all that is asked fits with room to spare.
             self.capacity = (grown <= sample.asked * 2).then_some(grown);
         }
     }
 
+    /// While answers are late, targets have work waiting, so what they serve is what they can serve.
     fn fall(&mut self, lateness: u64, sample: LatenessSample) {
-        let excess = (lateness - LATE_PERMILLE).min(LATE_PERMILLE);
-        let kept = 1000 - MOST_FALL * excess / LATE_PERMILLE;
-        let present = self.capacity.unwrap_or(sample.granted);
-        let fallen = present.min(sample.granted.max(present / 2)) * kept / 1000;
+        let excess = lateness.min(WORST_PERMILLE) - LATE_PERMILLE;
+        let kept = 1000 - MOST_FALL * excess / (WORST_PERMILLE - LATE_PERMILLE);
+        // An interval in which the targets were idle for a part shows less than they can serve.
+        self.ceiling = sample.served.max(self.ceiling * KEPT_CEILING / 1000);
+        let present = self.capacity.unwrap_or(sample.served);
         let least = match sample.stated {
             Some(stated) => stated * LEAST_STATED / 1000,
-            None => sample.asked * LEAST_ASKED / 1000,
+            None => self.ceiling * LEAST_CEILING / 1000,
         };
-        self.capacity = Some(fallen.max(least));
+        self.capacity = Some((present.min(sample.served) * kept / 1000).max(least));
     }
 }
--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -7,7 +7,7 @@
 use wire::{DemandReport, FlowDemand, FlowId, ShareReply};
 
 /// Time between two reports of demand.
-pub const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
+pub const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time after which shares count no more; until the next answer every request is within its share.
 pub const SHARE_MEMORY: Duration = Duration::from_millis(2_000);
@@ -44,6 +44,7 @@
     reported: ClockTime,
     answered: Option<ClockTime>,
     granted: u64,
+    served: u64,
     answers: u64,
     lateness_permille: u64,
 }
@@ -57,6 +58,7 @@
             reported: now,
             answered: None,
             granted: 0,
+            served: 0,
             answers: 0,
             lateness_permille: 0,
         }
@@ -92,8 +94,14 @@
         self.granted += cost.0;
     }
 
-    /// Notes how late an answer began, or how long a request has waited for its own.
-    pub fn begins(&mut self, latency: Duration, objective: Duration) {
+    /// Notes the start of the answer to a request of this cost, and how late it is.
+    pub fn begins(&mut self, cost: CostUnits, latency: Duration, objective: Duration) {
+        self.served += cost.0;
+        self.waits(latency, objective);
+    }
+
+    /// Notes how long a request has waited for its answer.
+    pub fn waits(&mut self, latency: Duration, objective: Duration) {
         let objective = objective.as_millis().max(1);
         let permille = (latency.as_millis() * 1000 / objective) as u64;
         self.answers += 1;
@@ -123,6 +131,7 @@
             interval_ms,
             flows: flows.collect(),
             granted: CostUnits(std::mem::take(&mut self.granted)),
+            served: CostUnits(std::mem::take(&mut self.served)),
             answers: std::mem::take(&mut self.answers),
             lateness_permille: std::mem::take(&mut self.lateness_permille),
         }
--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -18,7 +18,7 @@
 pub const DEMAND_MEMORY: Duration = Duration::from_millis(1_600);
 
 /// Part of a new rate in the kept one, in percent. Requests come in clumps shorter than a round.
-const NEW_PERCENT: u64 = 40;
+const NEW_PERCENT: u64 = 25;
 
 /// Weight of a flow whose level is 1.
 const UNIT_WEIGHT: u64 = 1000;
@@ -58,6 +58,7 @@
     heard: ClockTime,
     rates: BTreeMap<FlowId, (u64, FlowWeight)>,
     granted: u64,
+    served: u64,
     answers: u64,
     lateness_permille: u64,
 }
@@ -156,6 +157,7 @@
             count: entries().map(|demand| demand.answers).sum(),
             total_permille: entries().map(|demand| demand.lateness_permille).sum(),
             granted: entries().map(|demand| demand.granted).sum(),
+            served: entries().map(|demand| demand.served).sum(),
             asked: totals.values().map(|(rate, _)| rate).sum(),
             stated: None,
         }
@@ -192,6 +194,7 @@
             .map(|flow| (flow.flow, (rate_of(flow), flow.weight)))
             .collect(),
         granted: report.granted.0 * 1000 / report.interval_ms.max(1),
+        served: report.served.0 * 1000 / report.interval_ms.max(1),
         answers: report.answers,
         lateness_permille: report.lateness_permille,
     }
--- a/components/link/tests/handshake.rs
+++ b/components/link/tests/handshake.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use link::{KeyAuthority, LinkEndpoint, LinkError, LinkIdentity};
+use link::{KeyAuthority, KeyFiles, LinkEndpoint, LinkError, LinkIdentity};
 use units::{Incarnation, NodeName};
 use wire::{EntryMessage, NodeRole, StreamKind};
 
@@ -74,3 +74,30 @@
     assert!(opened.is_err(), "{opened:?}");
     assert!(accepted.is_err(), "{accepted:?}");
 }
+
+/// Guards against hosts that cannot start because their names are new, and against a certificate of
+/// a role that passes for another role.
+#[tokio::test]
+async fn certificate_of_a_role_is_good_for_every_name() {
+    let folder = tempfile::tempdir().unwrap();
+    let agent = endpoint(folder.path(), NodeRole::Agent, "agent-1");
+    let authority = KeyAuthority::open(folder.path()).unwrap();
+    authority.issue_role(NodeRole::Entry).unwrap();
+    let name = NodeName::from("10-1-0-33");
+    let files = KeyFiles::find(folder.path(), NodeRole::Entry, &name);
+
+    let identity = LinkIdentity::load(NodeRole::Entry, &name, &files).unwrap();
+    let other = LinkIdentity::load(NodeRole::Control, &name, &files);
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let entry = LinkEndpoint::bind(address, &identity, Incarnation(1)).unwrap();
+    let (opened, accepted) = tokio::join!(
+        entry.connect(agent.address(), NodeRole::Agent),
+        accept(&agent)
+    );
+    let (opened, accepted) = (opened.unwrap(), accepted.unwrap());
+    let (_writer, _reader) = opened.open(StreamKind::Session).await.unwrap();
+    let stream = accepted.accept().await.unwrap();
+
+    assert_eq!(stream.hello.name, name);
+    assert!(other.is_err());
+}
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -10,6 +10,11 @@
 
 use crate::target::{RunKey, SeenTarget, TargetKey, TargetRecord};
 
+/// Part of a request's latency objective for which the oldest request without a first byte may have
+/// waited at a target that gets another one, in percent. A flood that entries let through before its
+/// share is known then waits here, where organisations take turns, and not at the target.
+const SEND_PERCENT: u32 = 60;
+
 /// Bounds of the choice.
 #[derive(Debug, Clone)]
 pub struct PlaceSettings {
@@ -52,6 +57,8 @@
 /// How long a run took or has waited until its first byte.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunLatency {
+    /// Cost that counts against a share.
+    pub cost: CostUnits,
     /// The time.
     pub latency: Duration,
     /// Latency objective of the request.
@@ -137,6 +144,16 @@
         }
     }
 
+    /// Number of targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether there is no target.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// The target of a run, while it is listed.
     pub fn target(&self, run: RunKey) -> Option<&TargetRecord> {
         self.targets.get(self.runs.get(run)?.target)
@@ -148,14 +165,12 @@
         if eligible.is_empty() {
             return PlaceVerdict::Nowhere;
         }
-        let has_room = |key: &TargetKey| self.has_room(*key, now);
-        let free: Vec<TargetKey> = eligible.into_iter().filter(has_room).collect();
         let is_sound = |key: &TargetKey| self.targets[*key].avoid_until <= now;
-        let sound: Vec<TargetKey> = free.iter().copied().filter(is_sound).collect();
-        let candidates = if sound.is_empty() { free } else { sound };
+        let sound: Vec<TargetKey> = eligible.iter().copied().filter(is_sound).collect();
+        let candidates = if sound.is_empty() { eligible } else { sound };
         let chosen = match request.affinity {
-            Some(session) => self.by_session(session, request.objective, &candidates, now),
-            None => self.least_loaded(&candidates),
+            Some(session) => self.by_session(session, request.objective, candidates, now),
+            None => self.least_loaded(&candidates, now),
         };
         match chosen {
             Some(key) => PlaceVerdict::Run(self.sent(key, request, now)),
@@ -174,9 +189,9 @@
         if let Some(target) = self.targets.get_mut(record.target) {
             target.pending.remove(&(record.sent, run));
             target.load = target.load.saturating_sub(record.work);
-            target.answered(latency, now);
         }
-        record.cost.map(|_| RunLatency {
+        record.cost.map(|cost| RunLatency {
+            cost,
             latency,
             objective: record.objective,
         })
@@ -186,10 +201,13 @@
     pub fn overdue(&self, now: ClockTime) -> Vec<RunLatency> {
         let waiting = self.runs.values();
         waiting
-            .filter(|record| !record.answered && record.cost.is_some())
-            .map(|record| RunLatency {
-                latency: now.since(record.sent),
-                objective: record.objective,
+            .filter(|record| !record.answered)
+            .filter_map(|record| {
+                Some(RunLatency {
+                    cost: record.cost?,
+                    latency: now.since(record.sent),
+                    objective: record.objective,
+                })
             })
             .filter(|run| run.latency > run.objective)
             .collect()
@@ -256,22 +274,27 @@
         run
     }
 
-    /// The session's target. Another one would have to read the whole prompt, so it is chosen only
-    /// if it answers so much sooner that this pays.
+    /// The session's target, or else a second one that is always the same. Each other one would have
+    /// to read the whole prompt, so the second is chosen only if the first has stalled or is cold; the
+    /// request waits if both are late.
     fn by_session(
         &self,
         session: u64,
         objective: Duration,
-        candidates: &[TargetKey],
+        candidates: Vec<TargetKey>,
         now: ClockTime,
     ) -> Option<TargetKey> {
-        let mut order = candidates.to_vec();
+        let mut order = candidates;
         order.sort_by_key(|key| std::cmp::Reverse(self.score(session, *key)));
         let home = *order.first()?;
-        let delay = |key: TargetKey| self.targets[key].delay(now);
-        let second = order.get(1).copied();
-        let is_better = |second: &TargetKey| delay(*second) + objective <= delay(home);
-        Some(second.filter(is_better).unwrap_or(home))
+        let is_late =
+            |key: TargetKey| self.targets[key].waited(now) > objective * SEND_PERCENT / 100;
+        if self.has_room(home, now) && !is_late(home) {
+            return Some(home);
+        }
+        let has_stalled = !self.has_room(home, now) || self.targets[home].waited(now) > objective;
+        let second = order.get(1).copied().filter(|_| has_stalled)?;
+        (self.has_room(second, now) && !is_late(second)).then_some(second)
     }
 
     fn score(&self, session: u64, key: TargetKey) -> u64 {
@@ -280,9 +303,11 @@
     }
 
     /// The least busy target, one of the entry's own region first while it has a free slot.
-    fn least_loaded(&self, candidates: &[TargetKey]) -> Option<TargetKey> {
+    fn least_loaded(&self, candidates: &[TargetKey], now: ClockTime) -> Option<TargetKey> {
         let own = self.settings.region.as_ref();
-        candidates.iter().copied().min_by_key(|key| {
+        let free = candidates.iter().copied();
+        let free = free.filter(|key| self.has_room(*key, now));
+        free.min_by_key(|key| {
             let record = &self.targets[*key];
             let is_remote = own.is_none() || record.seen.region.as_ref() != own;
             (is_remote, record.running, record.load, *key)
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -17,12 +17,6 @@
     pub struct RunKey;
 }
 
-/// Part of a new latency in the kept one, in percent.
-const NEW_PERCENT: u32 = 30;
-
-/// Time in which a latency without newer ones halves.
-const LATENCY_HALF_LIFE: Duration = Duration::from_millis(400);
-
 /// A target as the directory lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SeenTarget {
@@ -61,8 +55,6 @@
     pub load: u64,
     /// Requests without a first byte, by the time at which they were sent.
     pub(crate) pending: BTreeSet<(ClockTime, RunKey)>,
-    latency: Duration,
-    latency_at: ClockTime,
     cold_until: ClockTime,
     pub(crate) pace: ColdPace,
     /// End of the time for which the target is passed over after a failure.
@@ -76,8 +68,6 @@
             running: 0,
             load: 0,
             pending: BTreeSet::new(),
-            latency: Duration::ZERO,
-            latency_at: now,
             cold_until: now,
             pace: ColdPace::default(),
             avoid_until: now,
@@ -104,23 +94,9 @@
         self.seen.cold_rate.filter(|_| now < self.cold_until)
     }
 
-    /// Notes the time to the first byte of a request.
-    pub(crate) fn answered(&mut self, latency: Duration, now: ClockTime) {
-        let kept = self.kept_latency(now);
-        self.latency = (latency * NEW_PERCENT + kept * (100 - NEW_PERCENT)) / 100;
-        self.latency_at = now;
-    }
-
-    fn kept_latency(&self, now: ClockTime) -> Duration {
-        let age = now.since(self.latency_at);
-        self.latency
-            .mul_f64(0.5_f64.powf(age.as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64()))
-    }
-
-    /// Time to the first byte that the next request must expect: that of the last ones, or the
-    /// time for which the oldest one has waited already.
-    pub fn delay(&self, now: ClockTime) -> Duration {
-        let oldest = self.pending.first().map(|(sent, _)| now.since(*sent));
-        self.kept_latency(now).max(oldest.unwrap_or_default())
+    /// Time for which the oldest request without a first byte has waited.
+    pub fn waited(&self, now: ClockTime) -> Duration {
+        let oldest = self.pending.first();
+        oldest.map_or(Duration::ZERO, |(sent, _)| now.since(*sent))
     }
 }
--- /dev/null
+++ b/components/registry/tests/plans.rs
@@ -0,0 +1,99 @@
+//! Published plans and evacuations in the replicated state.
+
+use std::collections::BTreeMap;
+
+use registry::{
+    FleetConfig, RegistryAction, RegistryCommand, RegistryOutcome, RegistryState, WallTime,
+};
+use routes::{CallerBounds, PublishedPlan, RoutePlan};
+use units::{ByteSize, ConfigVersion, PlanNumber};
+use wire::OrderReply;
+
+fn publish(state: &mut RegistryState, number: u64, text: &str) -> RegistryOutcome {
+    let plan = RoutePlan {
+        routes: Vec::new(),
+        pools: BTreeMap::new(),
+        organisations: BTreeMap::new(),
+        bounds: CallerBounds {
+            max_headers: ByteSize(1),
+            max_body: ByteSize(1),
+            header_timeout_ms: 1,
+            idle_timeout_ms: 1,
+            tokens_per_second: None,
+        },
+    };
+    state.apply(&RegistryCommand {
+        at: WallTime(1),
+        action: RegistryAction::Publish {
+            plan: Box::new(PublishedPlan {
+                number: PlanNumber(number),
+                plan,
+            }),
+            text: text.into(),
+        },
+    })
+}
+
+fn evacuate(state: &mut RegistryState, out: bool) -> RegistryOutcome {
+    state.apply(&RegistryCommand {
+        at: WallTime(1),
+        action: RegistryAction::Evacuate {
+            data_centre: "praha-1".into(),
+            out,
+        },
+    })
+}
+
+fn accepted(version: u64) -> RegistryOutcome {
+    RegistryOutcome::Order(OrderReply::Accepted(ConfigVersion(version)))
+}
+
+/// Guards against an older plan in force, and against an order that is refused when it is repeated.
+#[test]
+fn highest_number_is_in_force_and_every_order_is_accepted() {
+    let mut state = RegistryState::default();
+
+    let outcomes = [
+        publish(&mut state, 7, "seven"),
+        publish(&mut state, 5, "five"),
+        publish(&mut state, 7, "another seven"),
+    ];
+
+    assert_eq!(outcomes, [accepted(1), accepted(1), accepted(1)]);
+    assert_eq!(state.published_text(), Some("seven"));
+    let published = state.config().published.as_ref().unwrap();
+    assert_eq!(published.number, PlanNumber(7));
+}
+
+/// Guards against nodes that install a plan twice or miss one, and against a snapshot without it.
+#[test]
+fn nodes_get_the_newest_plan() {
+    let mut state = RegistryState::default();
+    publish(&mut state, 1, "one");
+    let mut node = FleetConfig::default();
+    node.install(&state.changes_since(ConfigVersion(0)))
+        .unwrap();
+    publish(&mut state, 2, "two");
+    evacuate(&mut state, true);
+
+    let restored = RegistryState::restore(&state.snapshot()).unwrap();
+    node.install(&restored.changes_since(node.version)).unwrap();
+
+    assert_eq!(node, *state.config());
+    assert_eq!(restored.published_text(), Some("two"));
+    assert!(node.out_data_centres.contains(&"praha-1".into()));
+}
+
+/// Guards against an evacuation that is refused when it is repeated, as after a lost answer.
+#[test]
+fn repeated_evacuation_changes_nothing() {
+    let mut state = RegistryState::default();
+
+    let outcomes = [true, true, false, false].map(|out| evacuate(&mut state, out));
+
+    assert_eq!(
+        outcomes,
+        [accepted(1), accepted(1), accepted(2), accepted(2)]
+    );
+    assert!(state.config().out_data_centres.is_empty());
+}
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -17,10 +17,11 @@
     /// Notes the first byte of the answer.
     pub(crate) fn answered(&self) {
         let now = self.shared.now();
-        self.shared.board.write_quietly(|state| {
+        self.shared.board.write(|state| {
             if let Some(run) = state.table.answered(self.run, now) {
-                state.gate.begins(run.latency, run.objective);
+                state.gate.begins(run.cost, run.latency, run.objective);
             }
+            state.drain(now);
         });
     }
 
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -29,6 +29,10 @@
 /// alive comes about once in this time.
 const AVOID_TIME: Duration = Duration::from_secs(1);
 
+/// Largest buffer of a caller's connection, in bytes. It must hold the head of a request; bodies are
+/// read in parts. The default of 400 KiB came to more memory than small hosts have.
+const MAX_BUFFER: usize = 64 << 10;
+
 /// Time for which a leaving relay still accepts connections: the load balancer asks once a second
 /// and takes it out after two failures.
 const LEAVE_NOTICE: Duration = Duration::from_millis(2_500);
@@ -113,7 +117,8 @@
         .local_addr()
         .wrap_err("Failed to read the HTTP address")?;
     let router = Router::with_path("{**rest}").goal(RelayDoor::new(shared.clone()));
-    let server = Server::new(acceptor);
+    let mut server = Server::new(acceptor);
+    server.http1_mut().max_buf_size(MAX_BUFFER);
     let handle = server.handle();
     tasks.spawn(async move { server.serve(router).await });
     Ok((address, handle))
@@ -125,6 +130,11 @@
         self.http
     }
 
+    /// Number of targets that the relay may send to.
+    pub fn target_count(&self) -> usize {
+        self.shared.board.read(|state| state.table.len())
+    }
+
     /// Client for control nodes, whose configured addresses may change.
     pub fn control_client(&self) -> ControlClient {
         self.client.clone()
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -54,7 +54,10 @@
     caller_limit: Instant,
     /// Time at which the caller must have an answer.
     limit: Instant,
+    /// Targets that may have read the request.
     sends: u32,
+    /// Whether the request may have run.
+    may_have_run: bool,
 }
 
 /// Answer to a caller.
@@ -78,6 +81,8 @@
 /// Result of one send.
 enum SendEnd {
     Answer(FlightAnswer),
+    /// No byte of the request has reached the target.
+    NotSent(String),
     /// The request has not run and will not run at that target.
     NotRun(String),
     /// The request may have run.
@@ -169,6 +174,7 @@
             place,
             arrived,
             sends: 0,
+            may_have_run: false,
         })
     }
 
@@ -178,29 +184,39 @@
         loop {
             let place = self.wait().await?;
             let end = self.send(place).await;
-            let (reason, outcome) = match end {
+            let (reason, may_have_run) = match end {
                 SendEnd::Answer(answer) => return Ok(answer),
                 SendEnd::Faulty(head, body) => {
+                    self.sends += 1;
+                    self.may_have_run = true;
                     if !self.may_repeat() {
                         return Ok(FlightAnswer::Whole(head, body));
                     }
                     continue;
                 }
-                SendEnd::NotRun(reason) => (reason, true),
-                SendEnd::Unknown(reason) => (reason, false),
+                SendEnd::NotSent(reason) => (reason, false),
+                SendEnd::NotRun(reason) => {
+                    self.sends += 1;
+                    (reason, false)
+                }
+                SendEnd::Unknown(reason) => {
+                    self.sends += 1;
+                    (reason, true)
+                }
             };
+            self.may_have_run |= may_have_run;
             event!(
                 events::RELAY_SEND_FAILED,
                 request = self.terms.attempt,
                 route = self.route.name,
                 target = self.last_target(),
-                not_run = outcome,
+                may_have_run = may_have_run,
                 sends = self.sends,
                 reason = reason
             );
-            let allowed = (outcome || self.route.repeat.is_repeatable()) && self.may_repeat();
-            if !allowed {
-                return Err(self.failure(outcome, &reason));
+            let allowed = !may_have_run || self.route.repeat.is_repeatable();
+            if !allowed || !self.may_repeat() {
+                return Err(self.failure(&reason));
             }
         }
     }
@@ -239,12 +255,8 @@
         let taking = take_place(&self.shared, &flow, self.place.clone(), limit);
         match taking.instrument(span).await {
             Ok(place) => Ok(place),
-            Err(reason) if self.sends == 0 => Err(self.no_place(reason)),
-            Err(_) => Err(Refusal::unknown(
-                502,
-                "no-other-target",
-                "Failed to find another target for the request",
-            )),
+            Err(reason) if !self.may_have_run => Err(self.no_place(reason)),
+            Err(_) => Err(self.failure("there is no other target")),
         }
     }
 
@@ -267,7 +279,7 @@
     /// Sends the request to one target.
     async fn send(&mut self, place: HeldPlace) -> SendEnd {
         let Some(target) = self.shared.target(place.run) else {
-            return SendEnd::NotRun("the target is gone".into());
+            return SendEnd::NotSent("the target is gone".into());
         };
         let name = target.name.clone();
         self.place.tried.push(name.clone());
@@ -279,14 +291,8 @@
         let sending = self.exchange(&target.name, target.address, place);
         let limit = self.limit;
         match tokio::time::timeout_at(limit, sending.instrument(span)).await {
-            Ok(end) => {
-                self.sends += 1;
-                end
-            }
-            Err(_) => {
-                self.sends += 1;
-                SendEnd::Unknown("no answer before the deadline".into())
-            }
+            Ok(end) => end,
+            Err(_) => SendEnd::Unknown("no answer before the deadline".into()),
         }
     }
 
@@ -300,7 +306,7 @@
             Ok(connection) => connection,
             Err(error) => {
                 place.failed();
-                return SendEnd::NotRun(error.to_string());
+                return SendEnd::NotSent(error.to_string());
             }
         };
         let terms = TargetTerms {
@@ -318,7 +324,7 @@
                 SendEnd::NotRun(format!("the target refused with status {status}"))
             }
             Ok(ExchangeStart::Unsound(reason)) => SendEnd::Unknown(reason),
-            Err(ExchangeError::NotSent(reason)) => SendEnd::NotRun(reason),
+            Err(ExchangeError::NotSent(reason)) => SendEnd::NotSent(reason),
             Err(ExchangeError::Broken(reason)) => SendEnd::Unknown(reason),
         }
     }
@@ -357,19 +363,20 @@
     fn may_repeat(&self) -> bool {
         let now = self.shared.now();
         let settings = &self.shared.settings;
-        self.place.tried.len() < self.route.max_targets as usize
-            && Instant::now() < self.limit
-            && self
-                .shared
-                .board
-                .write_quietly(|state| state.budget(&self.service, settings).try_retry(now))
+        let may_send = self.sends < self.route.max_targets && Instant::now() < self.limit;
+        let is_first = self.sends == 0;
+        may_send
+            && (is_first
+                || self
+                    .shared
+                    .board
+                    .write_quietly(|state| state.budget(&self.service, settings).try_retry(now)))
     }
 
     /// The failure that the caller is told. Only what certainly has not run says so.
-    fn failure(&self, not_run: bool, reason: &str) -> Refusal {
-        let ran_before = self.sends > 1 && self.route.repeat.is_repeatable();
+    fn failure(&self, reason: &str) -> Refusal {
         let waited = self.arrived.elapsed().as_millis();
-        if not_run && !ran_before {
+        if !self.may_have_run {
             let message = format!("Failed to run the request after {waited} ms: {reason}");
             return Refusal::not_run(503, "not-run", message).retry_after(RETRY_AFTER);
         }
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -25,8 +25,8 @@
 /// Time after which a connection whose peer acknowledges nothing is dead.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// Time between two probes of a connection on which nothing is sent.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two probes of a connection on which nothing is sent; the system counts seconds.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for which an idle connection is kept when the target names none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
@@ -35,6 +35,10 @@
 /// The rest covers the way of a request and the inexact timers of both sides.
 const IDLE_PERCENT: u32 = 70;
 
+/// Largest buffer of a connection, in bytes. Bodies are passed on in parts, and an answer's head is
+/// far smaller.
+const MAX_BUFFER: usize = 32 << 10;
+
 type TargetSender = SendRequest<Full<Bytes>>;
 
 /// Idle connections of all targets.
@@ -151,7 +155,9 @@
     socket.set_nodelay(true)?;
     let stream = socket.connect(address).await?;
     find_silence(&stream)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
@@ -170,7 +176,7 @@
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))?;
     let probes = TcpKeepalive::new()
-        .with_time(SILENCE_LIMIT)
+        .with_time(PROBE_INTERVAL)
         .with_interval(PROBE_INTERVAL);
     socket.set_tcp_keepalive(&probes)
 }
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -1,6 +1,7 @@
 //! Answers to callers.
 
 use std::io;
+use std::time::Duration;
 
 use futures_util::stream;
 use http::{HeaderMap, HeaderValue, StatusCode, response};
@@ -15,6 +16,9 @@
 use crate::flight::{FlightAnswer, StreamAnswer};
 use crate::state::RelayShared;
 
+/// Pause between the last bytes of a stream and its broken end.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
 /// Writes an answer of a target.
 pub(crate) fn answer(shared: &RelayShared, res: &mut Response, answer: FlightAnswer) {
     match answer {
@@ -86,6 +90,9 @@
             request = answer.attempt,
             reason = reason
         );
+        // The server drops what it has not written yet when a body fails; a pause lets the last
+        // events reach the caller.
+        tokio::time::sleep(FLUSH_TIME).await;
         Some((Err(io::Error::other(reason)), None))
     })
 }
--- a/components/store/tests/restart.rs
+++ b/components/store/tests/restart.rs
@@ -93,3 +93,18 @@
     };
     runner(50).run(&all_writes(), test).unwrap();
 }
+
+/// Guards against a node that was removed from its group and comes back with its old id or log.
+#[test]
+fn cleared_folder_opens_empty_with_a_new_id() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, _) = LogStore::open(folder.path()).unwrap();
+    let old = store.id();
+    store.persist(&entries(1, 3, 50)).unwrap();
+
+    store.clear().unwrap();
+    let (fresh, state) = LogStore::open(folder.path()).unwrap();
+
+    assert_ne!(fresh.id(), old);
+    assert!(state.is_empty());
+}
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -29,6 +29,8 @@
         pub flows: Vec<FlowDemand>,
         /// Cost of the requests that were let through.
         pub granted: CostUnits,
+        /// Cost of the requests whose answers were begun.
+        pub served: CostUnits,
         /// Answers that were begun, and requests that wait for theirs.
         pub answers: u64,
         /// Sum of their times to the first byte, each in thousandths of its latency objective.
