Let overdue requests leave room for those that can be in time

Change: a request whose caller has less time left than its route gives has waited elsewhere for the rest. If that is longer than the objective, it passes only while its flow has savings left. Each answer is logged with its plan, target and waits.

--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -20,6 +20,9 @@
 /// request does not look like an overload.
 const MOST_LATENESS: u64 = 2_000;
 
+/// Part of the savings that overdue requests leave for others, as a time at the flow's rate.
+const OVERDUE_RESERVE: Duration = Duration::from_millis(1_000);
+
 /// Time after which a flow without requests is forgotten.
 const FLOW_MEMORY: Duration = Duration::from_secs(4);
 
@@ -64,12 +67,14 @@
         }
     }
 
-    /// Notes a request, and tells whether it is within the share of its flow.
+    /// Notes a request, and tells whether it is within the share of its flow. One that has missed its
+    /// objective already, since its caller came back with it, is `overdue`.
     pub fn asks(
         &mut self,
         flow: FlowId,
         weight: FlowWeight,
         cost: CostUnits,
+        overdue: bool,
         now: ClockTime,
     ) -> bool {
         let is_current = self
@@ -86,7 +91,7 @@
         share.weight = weight;
         share.asked += cost.0;
         share.used = now;
-        share.takes(cost, now) || !is_current
+        share.takes(cost, overdue, now) || !is_current
     }
 
     /// Notes a request that is sent to a target.
@@ -163,13 +168,18 @@
     }
 
     /// Takes the cost of a request from what is saved. The last request may overdraw it, so that a
-    /// flow whose requests are larger than its savings is served as well.
-    fn takes(&mut self, cost: CostUnits, now: ClockTime) -> bool {
+    /// flow whose requests are larger than its savings is served as well. Overdue requests leave a
+    /// part for those that can still be answered in time.
+    fn takes(&mut self, cost: CostUnits, overdue: bool, now: ClockTime) -> bool {
         self.refill(now);
-        if self.allowed.is_none() {
+        let Some(rate) = self.allowed else {
             return true;
-        }
-        if self.saved < 0 {
+        };
+        let kept = match overdue {
+            true => rate as i64 * OVERDUE_RESERVE.as_millis() as i64 / 1000,
+            false => 0,
+        };
+        if self.saved < kept {
             return false;
         }
         self.saved -= cost.0 as i64;
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -126,7 +126,7 @@
                 let entry = traffic.entries[(now / gap) as usize % traffic.entries.len()];
                 let gate = &mut gates[entry];
                 let cost = CostUnits(traffic.cost);
-                let within = gate.asks(flow(organisation), EVEN, cost, clock);
+                let within = gate.asks(flow(organisation), EVEN, cost, false, clock);
                 if now >= self.measured_from {
                     served[organisation].asked += traffic.cost;
                 }
@@ -292,7 +292,7 @@
     let mut home = DemandHome::new();
     let mut refused: BTreeMap<u64, bool> = BTreeMap::new();
     for now in (0..4_000).step_by(10) {
-        let within = gate.asks(flow(0), EVEN, CostUnits(100), ClockTime(now));
+        let within = gate.asks(flow(0), EVEN, CostUnits(100), false, ClockTime(now));
         refused.insert(now, !within);
         gate.begins(CostUnits(50), OBJECTIVE * 2, OBJECTIVE);
         if now < 1_500 && now % 500 == 0 {
@@ -305,3 +305,29 @@
     assert!(refused.range(1_000..2_000).any(|(_, refused)| *refused));
     assert!(refused.range(3_100..).all(|(_, refused)| !refused));
 }
+
+/// Load pattern: callers that were refused come back, and are late whatever happens. Guards against
+/// shares that they use up while requests that could be in time are refused.
+#[test]
+fn overdue_requests_leave_room_for_others() {
+    let mut gate = ShareGate::new("models".into(), ClockTime(0));
+    let mut home = DemandHome::new();
+    let (mut fresh, mut overdue) = (0, 0);
+    for now in (0..10_000).step_by(20) {
+        let clock = ClockTime(now);
+        // Either kind alone asks what the flow may have; the answers are late until shares bind.
+        let is_overdue = now % 40 == 0;
+        let within = gate.asks(flow(0), EVEN, CostUnits(20), is_overdue, clock);
+        if within && now >= 4_000 {
+            *(if is_overdue { &mut overdue } else { &mut fresh }) += 1;
+        }
+        gate.begins(CostUnits(10), OBJECTIVE * 3 / 5, OBJECTIVE);
+        if now % 240 == 0 {
+            let report = gate.report("entry".into(), Incarnation(1), clock);
+            let (reply, _) = home.report(&report, Some(500), clock);
+            gate.answered(&reply, clock);
+        }
+    }
+
+    assert!(fresh >= 3 * overdue, "{fresh} fresh and {overdue} overdue");
+}
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -10,7 +10,7 @@
 use telemetry::{event, events};
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
-use units::{CostUnits, NodeName, OrganisationName, ServiceName};
+use units::{CostUnits, NodeName, OrganisationName, PlanNumber, ServiceName};
 use wire::{FlowId, FlowKey, stable_hash};
 
 use entry::Refusal;
@@ -58,6 +58,10 @@
     sends: u32,
     /// Whether the request may have run.
     may_have_run: bool,
+    /// Number of the plan that the request was admitted by.
+    plan: PlanNumber,
+    /// Time until the request was last handed to a target.
+    waited: Duration,
 }
 
 /// Answer to a caller.
@@ -95,6 +99,8 @@
 pub(crate) struct RequestGrant {
     pub(crate) route: RouteMatch,
     pub(crate) holder: Option<Arc<KeyHolder>>,
+    /// Number of the plan.
+    pub(crate) plan: PlanNumber,
 }
 
 /// Finds the route of a request and checks its key.
@@ -108,10 +114,12 @@
         let message = format!("Failed to find a route for {}{path}", terms.host);
         return Err(Refusal::not_run(404, "no-route", message));
     };
+    let plan = index.number;
     if !index.needs_keys() || (route.anonymous && terms.key.is_none()) {
         return Ok(RequestGrant {
             route,
             holder: None,
+            plan,
         });
     }
     if !shared.has_lease() {
@@ -124,7 +132,11 @@
         let message = "Failed to identify the caller: unknown or missing key";
         return Err(Refusal::not_run(401, "unauthorised", message));
     }
-    Ok(RequestGrant { route, holder })
+    Ok(RequestGrant {
+        route,
+        holder,
+        plan,
+    })
 }
 
 impl RequestFlight {
@@ -148,7 +160,10 @@
             .as_ref()
             .map(|holder| holder.organisation.clone());
         let cost = terms.model.as_ref().map(model_cost);
-        let within_share = is_within_share(&shared, organisation.as_ref(), cost);
+        let remaining = terms.remaining.unwrap_or(route.timeout());
+        // A caller that has less time than its route gives has waited for the rest already.
+        let overdue = route.timeout().saturating_sub(remaining) > route.objective();
+        let within_share = is_within_share(&shared, organisation.as_ref(), cost, overdue);
         let regions = grant.holder.iter().map(|holder| holder.regions.clone());
         let place = PlaceRequest {
             service: service.clone(),
@@ -159,7 +174,6 @@
             regions: regions.chain([route.regions.clone()]).collect(),
             tried: Vec::new(),
         };
-        let remaining = terms.remaining.unwrap_or(route.timeout());
         let caller_limit = arrived + remaining;
         Ok(Self {
             limit: caller_limit.min(arrived + route.timeout()),
@@ -175,6 +189,8 @@
             arrived,
             sends: 0,
             may_have_run: false,
+            plan: grant.plan,
+            waited: Duration::ZERO,
         })
     }
 
@@ -185,7 +201,10 @@
             let place = self.wait().await?;
             let end = self.send(place).await;
             let (reason, may_have_run) = match end {
-                SendEnd::Answer(answer) => return Ok(answer),
+                SendEnd::Answer(answer) => {
+                    self.log_answer();
+                    return Ok(answer);
+                }
                 SendEnd::Faulty(head, body) => {
                     self.sends += 1;
                     self.may_have_run = true;
@@ -221,6 +240,22 @@
         }
     }
 
+    /// Logs which target answers, and how long the request waited here and there.
+    fn log_answer(&self) {
+        let organisation = self.organisation.as_ref();
+        event!(
+            events::RELAY_ANSWERED,
+            request = self.terms.attempt,
+            route = self.route.name,
+            plan = self.plan,
+            organisation = organisation.map_or("", OrganisationName::as_str),
+            target = self.last_target(),
+            sends = self.sends + 1,
+            waited_ms = self.waited.as_millis(),
+            first_byte_ms = self.arrived.elapsed().as_millis()
+        );
+    }
+
     fn last_target(&self) -> String {
         let last = self.place.tried.last();
         last.map(NodeName::to_string).unwrap_or_default()
@@ -282,6 +317,7 @@
             return SendEnd::NotSent("the target is gone".into());
         };
         let name = target.name.clone();
+        self.waited = self.arrived.elapsed();
         self.place.tried.push(name.clone());
         let span = info_span!(
             "relay.send",
@@ -398,6 +434,7 @@
     shared: &RelayShared,
     organisation: Option<&OrganisationName>,
     cost: Option<CostUnits>,
+    overdue: bool,
 ) -> bool {
     let (Some(organisation), Some(cost)) = (organisation, cost) else {
         return true;
@@ -409,5 +446,5 @@
     let now = shared.now();
     shared
         .board
-        .write_quietly(|state| state.gate.asks(flow, EVEN_WEIGHT, cost, now))
+        .write_quietly(|state| state.gate.asks(flow, EVEN_WEIGHT, cost, overdue, now))
 }
