Let small requests pass more easily than large ones

Cause: at an exhausted share the next request passed whatever its size, so one of 20,000 tokens took the place of eight short ones; quotes and notes were refused as often as assessments.

Change: a request needs savings of half its cost, at most a quarter of a second at the flow's rate.

--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -23,6 +23,10 @@
 /// Part of the savings that overdue requests leave for others, as a time at the flow's rate.
 const OVERDUE_RESERVE: Duration = Duration::from_millis(1_000);
 
+/// Largest savings that a request needs on account of its size, as a time at the flow's rate. Small
+/// requests pass more easily than large ones, which take the place of many.
+const SIZE_RESERVE: Duration = Duration::from_millis(500);
+
 /// Time after which a flow without requests is forgotten.
 const FLOW_MEMORY: Duration = Duration::from_secs(4);
 
@@ -175,11 +179,13 @@
         let Some(rate) = self.allowed else {
             return true;
         };
+        let at_rate = |span: Duration| rate as i64 * span.as_millis() as i64 / 1000;
         let kept = match overdue {
-            true => rate as i64 * OVERDUE_RESERVE.as_millis() as i64 / 1000,
+            true => at_rate(OVERDUE_RESERVE),
             false => 0,
         };
-        if self.saved < kept {
+        let size = (cost.0 as i64).min(at_rate(SIZE_RESERVE)) / 2;
+        if self.saved < kept + size {
             return false;
         }
         self.saved -= cost.0 as i64;
