--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -25,7 +25,7 @@
 
 /// Largest savings that a request needs on account of its size, as a time at the flow's rate. Small
 /// requests pass more easily than large ones, which take the place of many.
-const SIZE_RESERVE: Duration = Duration::from_millis(500);
+const SIZE_RESERVE: Duration = Duration::from_millis(1_000);
 
 /// Time after which a flow without requests is forgotten.
 const FLOW_MEMORY: Duration = Duration::from_secs(4);
@@ -184,7 +184,7 @@
             true => at_rate(OVERDUE_RESERVE),
             false => 0,
         };
-        let size = (cost.0 as i64).min(at_rate(SIZE_RESERVE)) / 2;
+        let size = (cost.0 as i64).min(at_rate(SIZE_RESERVE));
         if self.saved < kept + size {
             return false;
         }
