Let the capacity estimate grow faster near its ceiling

Cause: after the cold start the estimate stood at 0.5 to 0.7 million units a second for twelve seconds while answers began after a quarter of their objective.

--- a/components/fair/src/capacity.rs
+++ b/components/fair/src/capacity.rs
@@ -9,10 +9,10 @@
 
 /// Mean lateness, in thousandths of the latency objective, above which the estimate falls. Half of
 /// the objective leaves room for the requests that take longer than the mean.
-const LATE_PERMILLE: u64 = 550;
+const LATE_PERMILLE: u64 = 600;
 
 /// Mean lateness below which the estimate grows.
-const EARLY_PERMILLE: u64 = 400;
+const EARLY_PERMILLE: u64 = 450;
 
 /// Part below the served rate that a step may go to work off what waits at the targets, in
 /// thousandths; reached at [`WORST_PERMILLE`].
@@ -32,7 +32,7 @@
 
 /// Growth in one step near the ceiling and beyond it, in thousandths. Caches fill and targets are
 /// added, so the ceiling of a while ago need not be the present one.
-const SLOW_GROWTH: u64 = 25;
+const SLOW_GROWTH: u64 = 60;
 
 /// Part of the stated capacity, or of the ceiling where none is stated, that the estimate reaches at
 /// least, in thousandths. Without it, a stall of all targets would leave too little to notice that
