Bound logs and connections under a flood; check shares before the body

Changes: at most 40 lines a second of each event, the next line tells how many were dropped; a thread writes them and drops what a stalled reader does not take. A request beyond its share is refused before its body is kept. A refusal that asks the caller to come back closes the connection, since callers come back on a new one.

--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -31,7 +31,7 @@
 
 /// Largest buffer of a caller's connection, in bytes. It must hold the head of a request; bodies are
 /// read in parts. The default of 400 KiB came to more memory than small hosts have.
-const MAX_BUFFER: usize = 64 << 10;
+const MAX_BUFFER: usize = 32 << 10;
 
 /// Time for which a leaving relay still accepts connections: the load balancer asks once a second
 /// and takes it out after two failures.
--- a/components/relay/src/door.rs
+++ b/components/relay/src/door.rs
@@ -1,5 +1,8 @@
 //! HTTP towards callers.
 
+use std::time::Duration;
+
+use http_body_util::BodyExt;
 use salvo::prelude::*;
 use telemetry::{event, events};
 use tokio::time::Instant;
@@ -8,7 +11,7 @@
 use entry::Refusal;
 
 use crate::backend::CallerRequest;
-use crate::flight::{FlightAnswer, RequestFlight, admit};
+use crate::flight::{FlightAnswer, PLAN_RETRY_AFTER, RequestFlight, admit};
 use crate::respond;
 use crate::state::RelayShared;
 
@@ -39,9 +42,11 @@
         let Some(index) = index else {
             let message = "Failed to find a route: no plan is known yet";
             let refusal = Refusal::not_run(503, "no-plan", message);
-            return Err(refusal.retry_after(std::time::Duration::from_millis(500)));
+            return Err(refusal.retry_after(PLAN_RETRY_AFTER));
         };
         let grant = admit(&self.shared, &index, &terms, head.uri.path())?;
+        let mut flight = RequestFlight::new(self.shared.clone(), terms, grant, arrived)?;
+        flight.check_share()?;
         let limit = index.plan.bounds.max_body.0;
         let body = req
             .payload_with_max_size(limit as usize)
@@ -53,9 +58,8 @@
             headers: head.headers,
             body: body.clone(),
         };
-        let span = info_span!("relay.request", request = terms.attempt.as_str());
-        let flight = RequestFlight::new(self.shared.clone(), terms, request, grant, arrived)?;
-        flight.fly().instrument(span).await
+        let span = info_span!("relay.request", request = attempt.as_str());
+        flight.fly(request).instrument(span).await
     }
 }
 
@@ -82,6 +86,18 @@
     }
 }
 
+/// Longest time in which the rest of a refused request's body must arrive.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// Reads the rest of a body without keeping it. A connection that is closed with unread bytes is
+/// reset, and the caller may lose its answer.
+async fn discard_body(req: &mut Request) {
+    let mut body = req.take_body();
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A caller that sends on gets its answer and a closed connection.
+    let _ = tokio::time::timeout(DISCARD_TIME, reading).await;
+}
+
 /// Open request, until it is dropped.
 struct OpenGuard<'a> {
     shared: &'a RelayShared,
@@ -114,6 +130,7 @@
         match self.serve(req, &mut attempt).await {
             Ok(answer) => respond::answer(&self.shared, res, answer),
             Err(refusal) => {
+                discard_body(req).await;
                 event!(
                     events::RELAY_REFUSED,
                     request = attempt,
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -5,7 +5,7 @@
 
 use http::{StatusCode, response};
 use hyper::body::Bytes;
-use place::PlaceRequest;
+use place::{PlaceRequest, SeenTarget};
 use routes::{KeyHolder, RouteIndex, RouteMatch};
 use telemetry::{event, events};
 use tokio::time::Instant;
@@ -26,7 +26,7 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Wait that a caller is asked for while the entry has no confirmed plan.
-const PLAN_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const PLAN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Cost of a produced token against a read one, as the capacity of a plan counts them.
 const OUTPUT_COST: u64 = 2;
@@ -42,7 +42,6 @@
 pub(crate) struct RequestFlight {
     shared: RelayShared,
     terms: CallerTerms,
-    request: CallerRequest,
     route: RouteMatch,
     service: ServiceName,
     organisation: Option<OrganisationName>,
@@ -144,7 +143,6 @@
     pub(crate) fn new(
         shared: RelayShared,
         terms: CallerTerms,
-        request: CallerRequest,
         grant: RequestGrant,
         arrived: Instant,
     ) -> Result<Self, Refusal> {
@@ -182,7 +180,6 @@
             within_share,
             shared,
             terms,
-            request,
             route,
             service,
             place,
@@ -194,12 +191,20 @@
         })
     }
 
+    /// Refuses a request beyond the share of its organisation, before its body is read.
+    pub(crate) fn check_share(&mut self) -> Result<(), Refusal> {
+        match self.within_share {
+            true => Ok(()),
+            false => Err(self.beyond_share()),
+        }
+    }
+
     /// Sends the request until it is answered or nothing more may be tried.
-    pub(crate) async fn fly(mut self) -> Result<FlightAnswer, Refusal> {
+    pub(crate) async fn fly(mut self, request: CallerRequest) -> Result<FlightAnswer, Refusal> {
         self.note_request();
         loop {
             let place = self.wait().await?;
-            let end = self.send(place).await;
+            let end = self.send(&request, place).await;
             let (reason, may_have_run) = match end {
                 SendEnd::Answer(answer) => {
                     self.log_answer();
@@ -279,9 +284,6 @@
 
     /// Waits for a place at a target.
     async fn wait(&mut self) -> Result<HeldPlace, Refusal> {
-        if !self.within_share {
-            return Err(self.beyond_share());
-        }
         let limit = self
             .limit
             .min(Instant::now() + self.route.objective() / WAIT_PART);
@@ -312,7 +314,7 @@
     }
 
     /// Sends the request to one target.
-    async fn send(&mut self, place: HeldPlace) -> SendEnd {
+    async fn send(&mut self, request: &CallerRequest, place: HeldPlace) -> SendEnd {
         let Some(target) = self.shared.target(place.run) else {
             return SendEnd::NotSent("the target is gone".into());
         };
@@ -324,7 +326,7 @@
             request = self.terms.attempt.as_str(),
             target = name.as_str()
         );
-        let sending = self.exchange(&target.name, target.address, place);
+        let sending = self.exchange(request, &target, place);
         let limit = self.limit;
         match tokio::time::timeout_at(limit, sending.instrument(span)).await {
             Ok(end) => end,
@@ -334,11 +336,11 @@
 
     async fn exchange(
         &self,
-        name: &NodeName,
-        address: std::net::SocketAddr,
+        request: &CallerRequest,
+        target: &SeenTarget,
         place: HeldPlace,
     ) -> SendEnd {
-        let connection = match self.shared.pool.connect(address).await {
+        let connection = match self.shared.pool.connect(target.address).await {
             Ok(connection) => connection,
             Err(error) => {
                 place.failed();
@@ -346,14 +348,14 @@
             }
         };
         let terms = TargetTerms {
-            instance: name,
+            instance: &target.name,
             organisation: self.organisation.as_ref(),
             remaining: self.caller_limit.saturating_duration_since(Instant::now()),
         };
         let dialect = self.shared.dialect.as_ref();
         let attempt = &self.terms.attempt;
         let pool = &self.shared.pool;
-        let started = exchange(pool, dialect, connection, &self.request, attempt, &terms).await;
+        let started = exchange(pool, dialect, connection, request, attempt, &terms).await;
         match started {
             Ok(ExchangeStart::Answer(answer)) => self.read(answer, place).await,
             Ok(ExchangeStart::NotRun(status)) => {
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -37,7 +37,7 @@
 
 /// Largest buffer of a connection, in bytes. Bodies are passed on in parts, and an answer's head is
 /// far smaller.
-const MAX_BUFFER: usize = 32 << 10;
+const MAX_BUFFER: usize = 16 << 10;
 
 type TargetSender = SendRequest<Full<Bytes>>;
 
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -46,6 +46,9 @@
     );
     if let Some(wait) = refusal.retry_after {
         headers.insert("retry-after", shared.dialect.retry_after(wait));
+        // A caller comes back on a new connection, and may reach another entry with it. Kept, the
+        // connections of a flood come to thousands.
+        headers.insert("connection", HeaderValue::from_static("close"));
     }
     close_if_leaving(shared, headers);
     res.body(ResBody::Once(Bytes::from(refusal.body())));
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -1,10 +1,14 @@
 //! A numbered log event and the macro that writes it.
 
 use std::fmt::Display;
+use std::sync::{Mutex, MutexGuard, OnceLock};
+use std::time::Instant;
 
 use log::kv::Value;
 use log::{Level, Record};
 
+use crate::volume::VolumeLimit;
+
 /// Kind of a log line. The number stays the same when the text changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LogEvent {
@@ -18,12 +22,25 @@
     pub help: &'static str,
 }
 
-/// Writes an event; called by [`event!`](crate::event).
+/// Lines that this process has written lately.
+fn volume() -> MutexGuard<'static, VolumeLimit> {
+    static VOLUME: OnceLock<Mutex<VolumeLimit>> = OnceLock::new();
+    let limit = VOLUME.get_or_init(|| Mutex::new(VolumeLimit::new()));
+    limit.lock().expect("no holder of the volume panics")
+}
+
+/// Writes an event unless too many of its kind were written in this second; called by [`event!`](crate::event).
 pub fn log_event(event: &LogEvent, module: &'static str, fields: &[(&str, &dyn Display)]) {
     if event.level > log::max_level() {
         return;
     }
+    let Some(suppressed) = volume().take(event.number, Instant::now()) else {
+        return;
+    };
     let mut pairs: Vec<(&str, Value<'_>)> = vec![("event", Value::from(event.number))];
+    if suppressed > 0 {
+        pairs.push(("suppressed", Value::from(suppressed)));
+    }
     pairs.extend(
         fields
             .iter()
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -8,6 +8,7 @@
 mod logs;
 mod metrics;
 mod traces;
+mod volume;
 
 pub use catalogue::catalogue_page;
 pub use event::{LogEvent, log_event};
@@ -16,3 +17,4 @@
 pub use logs::{LogFormat, LogOutput, LogSettings, start_logs};
 pub use metrics::{MetricSettings, start_metrics};
 pub use traces::{TraceContext, TraceSettings, start_traces, stop_traces};
+pub use volume::{LINES_PER_SECOND, VolumeLimit};
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -3,10 +3,14 @@
 use eyre::{Result, WrapErr};
 use log::LevelFilter;
 use logforth::Append;
+use logforth::append::asynchronous::AsyncBuilder;
 use logforth::append::{Stderr, Stdout};
 use logforth::bridge::log::LogBridge;
 use logforth::layout::{JsonLayout, TextLayout};
 
+/// Lines that wait for the thread that writes them.
+const QUEUED_LINES: usize = 1_024;
+
 /// Form of a log line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum LogFormat {
@@ -73,7 +77,7 @@
 
 /// Starts writing logs. Fails if the process already has a logger.
 pub fn start_logs(settings: &LogSettings) -> Result<()> {
-    let append: Box<dyn Append> = match (settings.output, settings.format) {
+    let lines: Box<dyn Append> = match (settings.output, settings.format) {
         (LogOutput::Error, LogFormat::Text) => {
             Box::new(Stderr::default().with_layout(TextLayout::default().no_color()))
         }
@@ -87,6 +91,12 @@
             Box::new(Stdout::default().with_layout(JsonLayout::default()))
         }
     };
+    // A reader that stalls must not hold up requests, so lines beyond the queue are dropped.
+    let append = AsyncBuilder::new("logs")
+        .buffered_lines_limit(Some(QUEUED_LINES))
+        .overflow_drop_incoming()
+        .append(lines)
+        .build();
     let logger = logforth::core::builder()
         .dispatch(|dispatch| dispatch.append(append))
         .build();
