--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -385,6 +385,13 @@
     reply::refuse(res, &refusal);
 }
 
+#[handler]
+async fn wrong_method(req: &mut Request, res: &mut Response) {
+    let message = format!("Failed to accept method {} at this path", req.method());
+    let refusal = Refusal::not_run(405, "wrong-method", message);
+    reply::refuse(res, &refusal);
+}
+
 /// Routes of the caller's address.
 pub(crate) fn routes(shared: EntryShared) -> Router {
     let keys = Arc::new(Mutex::new(KeyIndex::default()));
@@ -393,11 +400,19 @@
         keys: keys.clone(),
     };
     Router::new()
-        .push(Router::with_path("healthz").get(healthz))
-        .push(Router::with_path("readyz").get(ReadyCheck {
-            shared: shared.clone(),
-        }))
-        .push(Router::with_path("v1/chat/completions").post(gate()))
+        .push(Router::with_path("healthz").get(healthz).goal(wrong_method))
+        .push(
+            Router::with_path("readyz")
+                .get(ReadyCheck {
+                    shared: shared.clone(),
+                })
+                .goal(wrong_method),
+        )
+        .push(
+            Router::with_path("v1/chat/completions")
+                .post(gate())
+                .goal(wrong_method),
+        )
         .push(Router::with_path("services/{**rest}").goal(gate()))
         .push(Router::with_path("{**rest}").goal(not_found))
 }
--- a/components/entry/tests/refusals.rs
+++ b/components/entry/tests/refusals.rs
@@ -180,3 +180,28 @@
     assert_eq!(refused(response).await, expected);
     assert_eq!(target.count(|state| &state.requests), 4);
 }
+
+/// Guards against pages of the HTTP library, which do not tell whether the request ran.
+#[rstest]
+#[case::get("GET", "/v1/chat/completions", 405)]
+#[case::delete("DELETE", "/v1/chat/completions", 405)]
+#[case::unknown("BREW", "/v1/chat/completions", 405)]
+#[case::check("POST", "/healthz", 405)]
+#[case::ready("PUT", "/readyz", 405)]
+#[case::elsewhere("PATCH", "/elsewhere", 404)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn wrong_method_is_refused_as_json(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] expected: u16,
+) {
+    let fleet = Fleet::new();
+    let entry = fleet.entry("entry-1").await;
+    let url = format!("http://{}{path}", entry.http());
+    let method = reqwest::Method::from_bytes(method.as_bytes()).unwrap();
+
+    let request = reqwest::Client::new().request(method, url);
+    let (status, _, outcome) = refused(request.send().await.unwrap()).await;
+
+    assert_eq!((status, outcome.as_str()), (expected, "not-run"));
+}
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use board::StateBoard;
+use cadence::StatsdClient;
 use client::{ControlClient, FleetView, keep_lease};
 use eyre::WrapErr;
 use fair::ShareGate;
@@ -49,11 +50,16 @@
     tasks: JoinSet<()>,
 }
 
+/// What a process gives to its relay.
+pub struct RelayParts {
+    /// Border towards callers and targets.
+    pub dialect: Arc<dyn CallerDialect>,
+    /// Where metrics go.
+    pub metrics: StatsdClient,
+}
+
 /// Starts a relay.
-pub async fn start(
-    settings: RelaySettings,
-    dialect: Arc<dyn CallerDialect>,
-) -> eyre::Result<RelayHandle> {
+pub async fn start(settings: RelaySettings, parts: RelayParts) -> eyre::Result<RelayHandle> {
     let incarnation = entry::new_incarnation();
     let files = KeyFiles::find(&settings.keys, NodeRole::Entry, &settings.name);
     let identity = LinkIdentity::load(NodeRole::Entry, &settings.name, &files)
@@ -83,7 +89,8 @@
         settings: Arc::new(settings),
         clock,
         endpoint,
-        dialect,
+        dialect: parts.dialect,
+        metrics: Arc::new(parts.metrics),
         pool: TargetPool::default(),
     };
     let mut tasks = JoinSet::new();
--- a/components/relay/src/door.rs
+++ b/components/relay/src/door.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cadence::prelude::*;
 use http_body_util::BodyExt;
 use salvo::prelude::*;
 use telemetry::{event, events};
@@ -126,10 +127,15 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let _guard = OpenGuard::new(&self.shared);
+        let _ = self.shared.metrics.incr("requests");
         let mut attempt = String::new();
         match self.serve(req, &mut attempt).await {
             Ok(answer) => respond::answer(&self.shared, res, answer),
             Err(refusal) => {
+                let _ = self
+                    .shared
+                    .metrics
+                    .incr(&format!("refusals.{}.{}", refusal.status, refusal.code));
                 discard_body(req).await;
                 event!(
                     events::RELAY_REFUSED,
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/flight.rs
@@ -13,6 +13,7 @@
 use units::{CostUnits, NodeName, OrganisationName, PlanNumber, ServiceName};
 use wire::{FlowId, FlowKey, stable_hash};
 
+use cadence::prelude::*;
 use entry::Refusal;
 
 use crate::attempt::{HeldPlace, NoPlace, take_place};
@@ -248,6 +249,9 @@
     /// Logs which target answers, and how long the request waited here and there.
     fn log_answer(&self) {
         let organisation = self.organisation.as_ref();
+        let metrics = &self.shared.metrics;
+        let _ = metrics.time("first-byte", self.arrived.elapsed());
+        let _ = metrics.time("wait", self.waited);
         event!(
             events::RELAY_ANSWERED,
             request = self.terms.attempt,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -18,7 +18,7 @@
 mod settings;
 mod state;
 
-pub use daemon::{RelayHandle, start};
+pub use daemon::{RelayHandle, RelayParts, start};
 pub use dialect::{
     AnswerVerdict, CallerDialect, CallerTerms, ModelTerms, PromptPart, TargetTerms, TermsError,
 };
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use board::StateBoard;
+use cadence::StatsdClient;
 use client::FleetView;
 use fair::ShareGate;
 use limits::{WindowBound, WindowBudget};
@@ -77,6 +78,7 @@
     pub(crate) clock: Arc<dyn ClockSource>,
     pub(crate) endpoint: LinkEndpoint,
     pub(crate) dialect: Arc<dyn CallerDialect>,
+    pub(crate) metrics: Arc<StatsdClient>,
     pub(crate) pool: TargetPool,
 }
 
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -14,13 +14,14 @@
 use manifest::KeyHash;
 use raft::RaftSettings;
 use relay::{
-    AnswerVerdict, CallerDialect, CallerTerms, RelayHandle, RelaySettings, RetryBound, TargetTerms,
-    TermsError,
+    AnswerVerdict, CallerDialect, CallerTerms, RelayHandle, RelayParts, RelaySettings, RetryBound,
+    TargetTerms, TermsError,
 };
 use routes::{
     CallerBounds, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec, ServicePool,
     WeightedService,
 };
+use telemetry::MetricTable;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -249,7 +250,15 @@
             },
             stop_time: Duration::from_secs(5),
         };
-        let relay = relay::start(settings, Arc::new(TestDialect)).await.unwrap();
+        let relay = relay::start(
+            settings,
+            RelayParts {
+                dialect: Arc::new(TestDialect),
+                metrics: MetricTable::new().client("test"),
+            },
+        )
+        .await
+        .unwrap();
         let fleet = Self {
             port: control.port(),
             relay,
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod events;
 mod logs;
 mod metrics;
+mod table;
 mod traces;
 mod volume;
 
@@ -16,5 +17,6 @@
 pub use log::{Level, LevelFilter};
 pub use logs::{LogFormat, LogOutput, LogSettings, start_logs};
 pub use metrics::{MetricSettings, start_metrics};
+pub use table::MetricTable;
 pub use traces::{TraceContext, TraceSettings, start_traces, stop_traces};
 pub use volume::{LINES_PER_SECOND, VolumeLimit};
--- /dev/null
+++ b/components/telemetry/tests/table.rs
@@ -0,0 +1,32 @@
+//! Metrics that a process serves itself.
+
+use std::time::Duration;
+
+use cadence::prelude::*;
+use telemetry::MetricTable;
+
+/// Guards against counters that are lost and latencies in the wrong bucket.
+#[test]
+fn counters_add_up_and_latencies_fall_into_buckets() {
+    let table = MetricTable::new();
+    let client = table.client("bilberry.relay");
+
+    client.incr("requests").unwrap();
+    client.count("requests", 2).unwrap();
+    for ms in [3, 100, 100_000] {
+        client
+            .time("first-byte", Duration::from_millis(ms))
+            .unwrap();
+    }
+    let text = table.render();
+
+    for line in [
+        "bilberry_relay_requests 3",
+        "bilberry_relay_first_byte_ms_bucket{le=\"4\"} 1",
+        "bilberry_relay_first_byte_ms_bucket{le=\"128\"} 2",
+        "bilberry_relay_first_byte_ms_bucket{le=\"+Inf\"} 3",
+        "bilberry_relay_first_byte_ms_sum 100103",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line} in {text}");
+    }
+}
