--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use units::{ClockTime, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
-use wire::{DemandReport, FlowDemand, FlowId, ShareReply, TargetLateness};
+use wire::{DemandReport, FlowDemand, FlowId, ShareReply};
 
 /// Time between two reports of demand.
 pub const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
@@ -54,8 +54,6 @@
     served: u64,
     answers: u64,
     lateness_permille: u64,
-    /// Answers and their summed lateness by target.
-    targets: BTreeMap<u64, (u64, u64)>,
 }
 
 impl ShareGate {
@@ -70,7 +68,6 @@
             served: 0,
             answers: 0,
             lateness_permille: 0,
-            targets: BTreeMap::new(),
         }
     }
 
@@ -106,19 +103,18 @@
         self.granted += cost.0;
     }
 
-    /// Notes the start of a target's answer to a request of this cost, and how late it is.
-    pub fn begins(&mut self, target: u64, cost: CostUnits, latency: Duration, objective: Duration) {
+    /// Notes the start of the answer to a request of this cost, and how late it is.
+    pub fn begins(&mut self, cost: CostUnits, latency: Duration, objective: Duration) {
         self.served += cost.0;
         self.waits(latency, objective);
-        let seen = self.targets.entry(target).or_default();
-        seen.0 += 1;
-        seen.1 += lateness(latency, objective);
     }
 
     /// Notes how long a request has waited for its answer.
     pub fn waits(&mut self, latency: Duration, objective: Duration) {
+        let objective = objective.as_millis().max(1);
+        let permille = (latency.as_millis() * 1000 / objective) as u64;
         self.answers += 1;
-        self.lateness_permille += lateness(latency, objective);
+        self.lateness_permille += permille.min(MOST_LATENESS);
     }
 
     /// Demand since the last report.
@@ -132,12 +128,6 @@
             .retain(|_, share| now.since(share.used) < FLOW_MEMORY);
         let interval_ms = now.since(self.reported).as_millis() as u64;
         self.reported = now;
-        let targets = std::mem::take(&mut self.targets).into_iter();
-        let targets = targets.map(|(target, (answers, lateness_permille))| TargetLateness {
-            target,
-            answers,
-            lateness_permille,
-        });
         let flows = self.flows.iter_mut().map(|(flow, share)| FlowDemand {
             flow: *flow,
             weight: share.weight,
@@ -153,7 +143,6 @@
             served: CostUnits(std::mem::take(&mut self.served)),
             answers: std::mem::take(&mut self.answers),
             lateness_permille: std::mem::take(&mut self.lateness_permille),
-            targets: targets.collect(),
         }
     }
 
@@ -169,12 +158,6 @@
     }
 }
 
-/// Lateness in thousandths of the objective.
-fn lateness(latency: Duration, objective: Duration) -> u64 {
-    let permille = latency.as_millis() * 1000 / objective.as_millis().max(1);
-    u64::try_from(permille).map_or(MOST_LATENESS, |permille| permille.min(MOST_LATENESS))
-}
-
 impl FlowShare {
     fn refill(&mut self, now: ClockTime) {
         let span = now.since(self.refilled);
--- a/components/fair/src/lib.rs
+++ b/components/fair/src/lib.rs
@@ -13,7 +13,6 @@
 //! Entries that send to targets themselves find out early what is beyond an organisation's share: each
 //! one keeps a [`ShareGate`] and reports demand and lateness to the [`DemandHome`] of the service.
 
-mod balance;
 mod capacity;
 mod gate;
 mod home;
@@ -22,7 +21,6 @@
 mod rendezvous;
 mod share;
 
-pub use balance::{EVEN_TARGET, TargetBalance};
 pub use capacity::{CapacityEstimate, LatenessSample};
 pub use gate::{DEMAND_INTERVAL, SHARE_MEMORY, ShareGate};
 pub use home::{HOME_MEMORY, UsageHome};
--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -12,7 +12,6 @@
 use units::{ClockTime, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
 use wire::{DemandReport, FlowAllowance, FlowDemand, FlowId, ShareReply};
 
-use crate::balance::TargetBalance;
 use crate::capacity::{CapacityEstimate, LatenessSample};
 
 /// Time after which the report of an entry counts no more: two rounds may be lost.
@@ -69,7 +68,6 @@
 struct ServiceDemand {
     entries: BTreeMap<NodeName, EntryDemand>,
     capacity: CapacityEstimate,
-    balance: TargetBalance,
 }
 
 /// A new estimate of a service's capacity, and what it follows from.
@@ -105,7 +103,6 @@
     ) -> (ShareReply, Option<CapacityChange>) {
         let service = self.services.entry(report.service.clone()).or_default();
         service.take_in(report, now);
-        service.balance.observe(&report.targets, now);
         let totals = service.totals();
         let sample = LatenessSample {
             stated,
@@ -124,7 +121,6 @@
         });
         let reply = ShareReply {
             flows: flows.collect(),
-            weights: service.balance.weights(),
         };
         let change = changed.then(|| CapacityChange {
             capacity: service.capacity.get(),
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -153,7 +153,7 @@
                 let first = queue.remove(0);
                 credit -= first.cost * 1000;
                 let latency = Duration::from_millis(now - first.arrived);
-                gates[first.entry].begins(1, CostUnits(first.cost), latency, OBJECTIVE);
+                gates[first.entry].begins(CostUnits(first.cost), latency, OBJECTIVE);
                 if now >= self.measured_from {
                     let served = &mut served[first.organisation];
                     served.begun += first.cost;
@@ -294,7 +294,7 @@
     for now in (0..4_000).step_by(10) {
         let within = gate.asks(flow(0), EVEN, CostUnits(100), false, ClockTime(now));
         refused.insert(now, !within);
-        gate.begins(1, CostUnits(50), OBJECTIVE * 2, OBJECTIVE);
+        gate.begins(CostUnits(50), OBJECTIVE * 2, OBJECTIVE);
         if now < 1_500 && now % 500 == 0 {
             let report = gate.report("entry".into(), Incarnation(1), ClockTime(now));
             let (reply, _) = home.report(&report, None, ClockTime(now));
@@ -321,7 +321,7 @@
         if within && now >= 4_000 {
             *(if is_overdue { &mut overdue } else { &mut fresh }) += 1;
         }
-        gate.begins(1, CostUnits(10), OBJECTIVE * 3 / 4, OBJECTIVE);
+        gate.begins(CostUnits(10), OBJECTIVE * 3 / 4, OBJECTIVE);
         if now % 240 == 0 {
             let report = gate.report("entry".into(), Incarnation(1), clock);
             let (reply, _) = home.report(&report, Some(500), clock);
--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use pace::ColdPace;
 pub use queue::{EndedWait, WaitKey, WaitQueue, WaitingPlace};
-pub use table::{PlaceRequest, PlaceSettings, PlaceTable, PlaceVerdict, RunLatency, target_hash};
+pub use table::{PlaceRequest, PlaceSettings, PlaceTable, PlaceVerdict, RunLatency};
 pub use target::{RunKey, SeenTarget, TargetKey, TargetRecord};
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -4,10 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fair::EVEN_TARGET;
 use slotmap::SlotMap;
 use units::{ClockTime, CostUnits, NodeName, RegionName, ServiceName};
-use wire::{TargetWeight, stable_hash};
+use wire::stable_hash;
 
 use crate::target::{RunKey, SeenTarget, TargetKey, TargetRecord};
 
@@ -55,16 +54,9 @@
     Nowhere,
 }
 
-/// Hash by which reports and weights name a target.
-pub fn target_hash(name: &str) -> u64 {
-    stable_hash(&[name.as_bytes()])
-}
-
 /// How long a run took or has waited until its first byte.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RunLatency {
-    /// Hash of the target's name.
-    pub target: u64,
     /// Cost that counts against a share.
     pub cost: CostUnits,
     /// The time.
@@ -92,8 +84,6 @@
     keys: HashMap<NodeName, TargetKey>,
     runs: SlotMap<RunKey, RunRecord>,
     entries: u32,
-    /// Weights of targets in the order of sessions, by the hash of their name.
-    weights: HashMap<u64, u32>,
 }
 
 impl PlaceTable {
@@ -105,17 +95,9 @@
             keys: HashMap::new(),
             runs: SlotMap::with_key(),
             entries: 1,
-            weights: HashMap::new(),
         }
     }
 
-    /// Takes over the weights of targets. All entries get the same, so that a session has the same
-    /// target wherever its callers enter.
-    pub fn set_weights(&mut self, weights: &[TargetWeight]) {
-        let weights = weights.iter();
-        self.weights = weights.map(|one| (one.target, one.weight)).collect();
-    }
-
     /// Takes over the targets of the directory, and the number of live entries.
     ///
     /// Of two targets at one address only the one that started later can be there.
@@ -204,12 +186,11 @@
             return None;
         }
         let latency = now.since(record.sent);
-        let target = self.targets.get_mut(record.target)?;
-        target.pending.remove(&(record.sent, run));
-        target.load = target.load.saturating_sub(record.work);
-        let target = target_hash(target.seen.name.as_str());
+        if let Some(target) = self.targets.get_mut(record.target) {
+            target.pending.remove(&(record.sent, run));
+            target.load = target.load.saturating_sub(record.work);
+        }
         record.cost.map(|cost| RunLatency {
-            target,
             cost,
             latency,
             objective: record.objective,
@@ -222,9 +203,7 @@
         waiting
             .filter(|record| !record.answered)
             .filter_map(|record| {
-                let target = self.targets.get(record.target)?;
                 Some(RunLatency {
-                    target: target_hash(target.seen.name.as_str()),
                     cost: record.cost?,
                     latency: now.since(record.sent),
                     objective: record.objective,
@@ -306,10 +285,7 @@
         now: ClockTime,
     ) -> Option<TargetKey> {
         let mut order = candidates;
-        order.sort_by(|one, other| {
-            let (one, other) = (self.score(session, *one), self.score(session, *other));
-            other.total_cmp(&one)
-        });
+        order.sort_by_key(|key| std::cmp::Reverse(self.score(session, *key)));
         let home = *order.first()?;
         let is_late =
             |key: TargetKey| self.targets[key].waited(now) > objective * SEND_PERCENT / 100;
@@ -321,14 +297,9 @@
         (self.has_room(second, now) && !is_late(second)).then_some(second)
     }
 
-    /// Rank of a target for a session. A target comes first for a part of the sessions that is in
-    /// proportion to its weight, and a change of one weight moves only sessions from or to it.
-    fn score(&self, session: u64, key: TargetKey) -> f64 {
+    fn score(&self, session: u64, key: TargetKey) -> u64 {
         let name = self.targets[key].seen.name.as_str();
-        let hash = stable_hash(&[&session.to_le_bytes(), name.as_bytes()]);
-        let part = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        let weight = self.weights.get(&target_hash(name)).copied();
-        f64::from(weight.unwrap_or(EVEN_TARGET)) / -part.ln()
+        stable_hash(&[&session.to_le_bytes(), name.as_bytes()])
     }
 
     /// The least busy target, one of the entry's own region first while it has a free slot.
--- a/components/relay/src/attempt.rs
+++ b/components/relay/src/attempt.rs
@@ -19,9 +19,7 @@
         let now = self.shared.now();
         self.shared.board.write(|state| {
             if let Some(run) = state.table.answered(self.run, now) {
-                state
-                    .gate
-                    .begins(run.target, run.cost, run.latency, run.objective);
+                state.gate.begins(run.cost, run.latency, run.objective);
             }
             state.drain(now);
         });
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -43,7 +43,6 @@
         match exchange(&client, home, &report).await {
             Ok(reply) => shared.board.write_quietly(|state| {
                 state.gate.answered(&reply, shared.now());
-                state.table.set_weights(&reply.weights);
             }),
             Err(reason) => {
                 event!(events::DEMAND_UNANSWERED, control = home, reason = reason);
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -35,28 +35,6 @@
         pub answers: u64,
         /// Sum of their times to the first byte, each in thousandths of its latency objective.
         pub lateness_permille: u64,
-        /// The same by target, for those that began answers.
-        pub targets: Vec<TargetLateness>,
-    }
-
-    /// How late the answers of one target began.
-    #[derive(Copy)]
-    pub struct TargetLateness {
-        /// Hash of the target's name.
-        pub target: u64,
-        /// Answers that were begun.
-        pub answers: u64,
-        /// Sum of their times to the first byte, each in thousandths of its latency objective.
-        pub lateness_permille: u64,
-    }
-
-    /// Weight of a target in the choice of sessions' targets.
-    #[derive(Copy)]
-    pub struct TargetWeight {
-        /// Hash of the target's name.
-        pub target: u64,
-        /// Its weight; 1000 where none is told.
-        pub weight: u32,
     }
 
     /// What an entry may let through of a flow.
@@ -71,7 +49,5 @@
     pub struct ShareReply {
         /// Allowances of the flows of the report.
         pub flows: Vec<FlowAllowance>,
-        /// Weights of targets that are not even.
-        pub weights: Vec<TargetWeight>,
     }
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -18,9 +18,7 @@
     DirectoryDelta, DirectoryEntry, EndCall, NodeKind, NodeState, OperatorOrder, OrderReply,
     RenewReply, RenewRequest, StoredResponse, TargetState,
 };
-pub use demand::{
-    DemandReport, FlowAllowance, FlowDemand, ShareReply, TargetLateness, TargetWeight,
-};
+pub use demand::{DemandReport, FlowAllowance, FlowDemand, ShareReply};
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
 pub use run::{
