--- a/components/control/src/port.rs
+++ b/components/control/src/api.rs
@@ -1,7 +1,7 @@
 //! What an interface towards operators and targets asks of a control node.
 //!
 //! The node's own operators and nodes come over links. An interface that speaks another protocol
-//! holds a [`ControlPort`] and translates; all decisions are made behind it.
+//! holds a [`ControlApi`] and translates; all decisions are made behind it.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
 
 /// Why an order has no outcome.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum PortError {
+pub enum ApiError {
     /// The order is faulty, and no repetition helps.
     #[error("{0}")]
     Invalid(String),
@@ -39,12 +39,12 @@
 
 /// Handle of a control node for an interface in the same process.
 #[derive(Clone)]
-pub struct ControlPort {
+pub struct ControlApi {
     context: ControlContext,
     endpoint: LinkEndpoint,
 }
 
-impl ControlPort {
+impl ControlApi {
     pub(crate) fn new(context: ControlContext, endpoint: LinkEndpoint) -> Self {
         Self { context, endpoint }
     }
@@ -59,21 +59,21 @@
     }
 
     /// Publishes a plan, unless one with the same or a higher number is in force.
-    pub async fn publish(&self, plan: &PublishedPlan, text: String) -> Result<(), PortError> {
+    pub async fn publish(&self, plan: &PublishedPlan, text: String) -> Result<(), ApiError> {
         let faults = plan.plan.faults();
         if !faults.is_empty() {
             let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
-            return Err(PortError::Invalid(lines.join("; ")));
+            return Err(ApiError::Invalid(lines.join("; ")));
         }
         let plan =
-            postcard::to_stdvec(plan).map_err(|error| PortError::Invalid(error.to_string()))?;
+            postcard::to_stdvec(plan).map_err(|error| ApiError::Invalid(error.to_string()))?;
         self.order(OperatorOrder::Publish { plan, text }).await
     }
 
     /// The published plan in force, confirmed by a quorum; none if none was published.
-    pub async fn published(&self) -> Result<Option<PublishedText>, PortError> {
+    pub async fn published(&self) -> Result<Option<PublishedText>, ApiError> {
         if !confirm(&self.context).await {
-            return Err(PortError::NoQuorum);
+            return Err(ApiError::NoQuorum);
         }
         Ok(self.context.view.read(|view| {
             let number = view.registry.config().published.as_ref()?.number;
@@ -83,7 +83,7 @@
     }
 
     /// Takes a data centre out, or back in.
-    pub async fn evacuate(&self, data_centre: DataCentreName, out: bool) -> Result<(), PortError> {
+    pub async fn evacuate(&self, data_centre: DataCentreName, out: bool) -> Result<(), ApiError> {
         self.order(OperatorOrder::Evacuate { data_centre, out })
             .await
     }
@@ -122,11 +122,11 @@
         }
     }
 
-    async fn order(&self, order: OperatorOrder) -> Result<(), PortError> {
+    async fn order(&self, order: OperatorOrder) -> Result<(), ApiError> {
         match commit(&self.context, false, ControlRequest::Order(order)).await {
             ControlReply::Order(OrderReply::Accepted(_)) => Ok(()),
-            ControlReply::Order(OrderReply::Invalid(reason)) => Err(PortError::Invalid(reason)),
-            _ => Err(PortError::NoQuorum),
+            ControlReply::Order(OrderReply::Invalid(reason)) => Err(ApiError::Invalid(reason)),
+            _ => Err(ApiError::NoQuorum),
         }
     }
 }
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -18,12 +18,12 @@
 use units::{ClockSource, DiskId, Incarnation, NodeName, SystemClock};
 use wire::NodeRole;
 
+use crate::api::ControlApi;
 use crate::driver::RaftDriver;
 use crate::driver_event::DriverEvent;
 use crate::health::{bind_health, serve_health};
 use crate::peer_link::pass_directory;
 use crate::peers::PeerTable;
-use crate::port::ControlPort;
 use crate::server::serve;
 use crate::settings::ControlSettings;
 use crate::state::ControlContext;
@@ -139,8 +139,8 @@
     }
 
     /// Handle for an interface towards operators and targets.
-    pub fn port(&self) -> ControlPort {
-        ControlPort::new(self.context.clone(), self.endpoint.clone())
+    pub fn api(&self) -> ControlApi {
+        ControlApi::new(self.context.clone(), self.endpoint.clone())
     }
 
     /// State of the fleet as this node sees it.
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! board: the server that answers nodes and operators, the links to the other control nodes, and
 //! the status page.
 
+mod api;
 mod driver;
 mod driver_event;
 pub mod formation;
@@ -13,14 +14,13 @@
 mod orders;
 mod peer_link;
 mod peers;
-mod port;
 mod requests;
 mod server;
 mod settings;
 mod state;
 mod status;
 
+pub use api::{ApiError, ControlApi, PublishedText};
 pub use handle::{ControlHandle, start, start_on};
-pub use port::{ControlPort, PortError, PublishedText};
 pub use settings::{ControlArguments, ControlSettings};
 pub use status::{ControlStatus, DataCentreReport, FleetStatus, NodeReport, ServiceReport};
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -20,8 +20,8 @@
 
 use crate::demand::{model_pool, report_demand};
 use crate::dialect::CallerDialect;
-use crate::door::{ReadyCheck, RelayDoor};
 use crate::follow::{follow_view, prune_pool, serve_queue};
+use crate::http::{ReadyCheck, RelayHandler};
 use crate::pool::TargetPool;
 use crate::settings::RelaySettings;
 use crate::state::{RelayShared, RelayState};
@@ -38,8 +38,9 @@
 /// and takes it out after two failures.
 const LEAVE_NOTICE: Duration = Duration::from_millis(2_500);
 
-/// Part of the stop time that is kept for the end of the process itself.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the stop time that is kept for the end of the links, which may take a second, and of the
+/// process itself.
+const STOP_MARGIN: Duration = Duration::from_millis(1_200);
 
 /// A running relay. Dropping it stops the relay at once.
 pub struct RelayHandle {
@@ -123,7 +124,7 @@
     let address = acceptor
         .local_addr()
         .wrap_err("Failed to read the HTTP address")?;
-    let router = Router::with_path("{**rest}").goal(RelayDoor::new(shared.clone()));
+    let router = Router::with_path("{**rest}").goal(RelayHandler::new(shared.clone()));
     let mut server = Server::new(acceptor);
     server.http1_mut().max_buf_size(MAX_BUFFER);
     let handle = server.handle();
--- a/components/relay/src/flight.rs
+++ b/components/relay/src/forward.rs
@@ -16,10 +16,10 @@
 use cadence::prelude::*;
 use entry::Refusal;
 
-use crate::attempt::{HeldPlace, NoPlace, take_place};
 use crate::backend::{CallerRequest, ExchangeStart, OpenAnswer, exchange};
 use crate::demand::{EVEN_WEIGHT, model_pool};
 use crate::dialect::{CallerTerms, ModelTerms, TargetTerms};
+use crate::places::{HeldPlace, NoPlace, take_place};
 use crate::pool::ExchangeError;
 use crate::state::RelayShared;
 
@@ -40,7 +40,7 @@
 const RETURN_PART: u32 = 4;
 
 /// A request on its way to a target.
-pub(crate) struct RequestFlight {
+pub(crate) struct ForwardedRequest {
     shared: RelayShared,
     terms: CallerTerms,
     route: RouteMatch,
@@ -65,7 +65,7 @@
 }
 
 /// Answer to a caller.
-pub(crate) enum FlightAnswer {
+pub(crate) enum ForwardAnswer {
     /// A complete answer.
     Whole(response::Parts, Bytes),
     /// An answer that is passed on as it comes; the place is held until it ends.
@@ -84,7 +84,7 @@
 
 /// Result of one send.
 enum SendEnd {
-    Answer(FlightAnswer),
+    Answer(ForwardAnswer),
     /// No byte of the request has reached the target.
     NotSent(String),
     /// The request has not run and will not run at that target.
@@ -139,7 +139,7 @@
     })
 }
 
-impl RequestFlight {
+impl ForwardedRequest {
     /// Prepares a request that was admitted.
     pub(crate) fn new(
         shared: RelayShared,
@@ -201,7 +201,7 @@
     }
 
     /// Sends the request until it is answered or nothing more may be tried.
-    pub(crate) async fn fly(mut self, request: CallerRequest) -> Result<FlightAnswer, Refusal> {
+    pub(crate) async fn run(mut self, request: CallerRequest) -> Result<ForwardAnswer, Refusal> {
         self.note_request();
         loop {
             let place = self.wait().await?;
@@ -215,7 +215,7 @@
                     self.sends += 1;
                     self.may_have_run = true;
                     if !self.may_repeat() {
-                        return Ok(FlightAnswer::Whole(head, body));
+                        return Ok(ForwardAnswer::Whole(head, body));
                     }
                     continue;
                 }
@@ -381,7 +381,7 @@
                 None => None,
             };
             place.answered();
-            return SendEnd::Answer(FlightAnswer::Stream(Box::new(StreamAnswer {
+            return SendEnd::Answer(ForwardAnswer::Stream(Box::new(StreamAnswer {
                 answer,
                 first,
                 _place: place,
@@ -396,7 +396,7 @@
             {
                 SendEnd::Faulty(head, body)
             }
-            Ok((head, body)) => SendEnd::Answer(FlightAnswer::Whole(head, body)),
+            Ok((head, body)) => SendEnd::Answer(ForwardAnswer::Whole(head, body)),
             Err(reason) => SendEnd::Unknown(reason),
         }
     }
--- a/components/relay/src/door.rs
+++ b/components/relay/src/http.rs
@@ -12,16 +12,16 @@
 use entry::Refusal;
 
 use crate::backend::CallerRequest;
-use crate::flight::{FlightAnswer, PLAN_RETRY_AFTER, RequestFlight, admit};
+use crate::forward::{ForwardAnswer, ForwardedRequest, PLAN_RETRY_AFTER, admit};
 use crate::respond;
 use crate::state::RelayShared;
 
 /// Serves callers' requests.
-pub(crate) struct RelayDoor {
+pub(crate) struct RelayHandler {
     shared: RelayShared,
 }
 
-impl RelayDoor {
+impl RelayHandler {
     pub(crate) fn new(shared: RelayShared) -> Self {
         Self { shared }
     }
@@ -30,7 +30,7 @@
         &self,
         req: &mut Request,
         attempt: &mut String,
-    ) -> Result<FlightAnswer, Refusal> {
+    ) -> Result<ForwardAnswer, Refusal> {
         let arrived = Instant::now();
         let head = head_of(req);
         let terms = self
@@ -46,8 +46,8 @@
             return Err(refusal.retry_after(PLAN_RETRY_AFTER));
         };
         let grant = admit(&self.shared, &index, &terms, head.uri.path())?;
-        let mut flight = RequestFlight::new(self.shared.clone(), terms, grant, arrived)?;
-        flight.check_share()?;
+        let mut forwarded = ForwardedRequest::new(self.shared.clone(), terms, grant, arrived)?;
+        forwarded.check_share()?;
         let limit = index.plan.bounds.max_body.0;
         let body = req
             .payload_with_max_size(limit as usize)
@@ -60,7 +60,7 @@
             body: body.clone(),
         };
         let span = info_span!("relay.request", request = attempt.as_str());
-        flight.fly(request).instrument(span).await
+        forwarded.run(request).instrument(span).await
     }
 }
 
@@ -118,7 +118,7 @@
 }
 
 #[async_trait]
-impl Handler for RelayDoor {
+impl Handler for RelayHandler {
     async fn handle(
         &self,
         req: &mut Request,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -5,14 +5,14 @@
 //! is complete, or event by event. How callers and targets write ids, keys, deadlines and refusals
 //! is left to a [`CallerDialect`].
 
-mod attempt;
 mod backend;
 mod daemon;
 mod demand;
 mod dialect;
-mod door;
-mod flight;
 mod follow;
+mod forward;
+mod http;
+mod places;
 mod pool;
 mod respond;
 mod settings;
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -13,20 +13,20 @@
 use entry::Refusal;
 
 use crate::backend::drop_hop_headers;
-use crate::flight::{FlightAnswer, StreamAnswer};
+use crate::forward::{ForwardAnswer, StreamAnswer};
 use crate::state::RelayShared;
 
 /// Pause between the last bytes of a stream and its broken end.
 const FLUSH_TIME: Duration = Duration::from_millis(20);
 
 /// Writes an answer of a target.
-pub(crate) fn answer(shared: &RelayShared, res: &mut Response, answer: FlightAnswer) {
+pub(crate) fn answer(shared: &RelayShared, res: &mut Response, answer: ForwardAnswer) {
     match answer {
-        FlightAnswer::Whole(head, body) => {
+        ForwardAnswer::Whole(head, body) => {
             write_head(res, &head);
             res.body(ResBody::Once(body));
         }
-        FlightAnswer::Stream(stream) => {
+        ForwardAnswer::Stream(stream) => {
             write_head(res, &stream.answer.head);
             res.body(ResBody::stream(pass_on(*stream)));
         }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use control::{ControlHandle, ControlPort, ControlSettings};
+use control::{ControlApi, ControlHandle, ControlSettings};
 use http::{HeaderMap, HeaderValue, request, response};
 use link::KeyAuthority;
 use manifest::KeyHash;
@@ -200,7 +200,7 @@
 
 /// A relay with its control node.
 pub(crate) struct TestFleet {
-    pub(crate) port: ControlPort,
+    pub(crate) api: ControlApi,
     pub(crate) relay: RelayHandle,
     pub(crate) client: reqwest::Client,
     _control: ControlHandle,
@@ -260,7 +260,7 @@
         .await
         .unwrap();
         let fleet = Self {
-            port: control.port(),
+            api: control.api(),
             relay,
             client: reqwest::Client::new(),
             _control: control,
@@ -270,7 +270,7 @@
             fleet.publish(1, plan).await;
         }
         for target in targets {
-            fleet.port.announce(target.announcement());
+            fleet.api.announce(target.announcement());
         }
         fleet.wait_for_targets(targets.len()).await;
         fleet
@@ -282,7 +282,7 @@
             plan,
         };
         let text = format!("plan {number}");
-        self.port.publish(&published, text).await.unwrap();
+        self.api.publish(&published, text).await.unwrap();
     }
 
     async fn wait_for_targets(&self, count: usize) {
--- a/components/relay/tests/orders.rs
+++ b/components/relay/tests/orders.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{TargetStep, TestFleet, TestTarget, answer, plan};
 
@@ -51,11 +51,11 @@
 async fn evacuated_data_centre_gets_nothing_until_it_is_back() {
     let (fleet, target) = fleet().await;
 
-    fleet.port.evacuate("praha-1".into(), true).await.unwrap();
+    fleet.api.evacuate("praha-1".into(), true).await.unwrap();
     wait_for_status(&fleet, 503).await;
     let arrivals = target.arrivals();
     let refused = status(&fleet, "/again/x").await;
-    fleet.port.evacuate("praha-1".into(), false).await.unwrap();
+    fleet.api.evacuate("praha-1".into(), false).await.unwrap();
     wait_for_status(&fleet, 200).await;
 
     assert_eq!(refused, 503);
@@ -75,11 +75,11 @@
     let mut older = plan();
     older.routes.clear();
 
-    let refused = fleet.port.publish(&published, "invalid".into()).await;
+    let refused = fleet.api.publish(&published, "invalid".into()).await;
     fleet.publish(0, older).await;
-    let read = fleet.port.published().await.unwrap().unwrap();
+    let read = fleet.api.published().await.unwrap().unwrap();
 
-    assert!(matches!(refused, Err(control::PortError::Invalid(_))));
+    assert!(matches!(refused, Err(control::ApiError::Invalid(_))));
     assert_eq!(read.text, "plan 1");
     assert_eq!(status(&fleet, "/again/x").await, 200);
 }
@@ -102,3 +102,27 @@
     assert_eq!(response.status().as_u16(), 200);
     assert_eq!(response.headers()["connection"], "close");
 }
+
+/// Guards against a process that is killed at the end of its stop time, since the end of its links
+/// was not part of the plan.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_ends_within_its_time() {
+    let script = Arc::new(|_: &str| TargetStep::Hang(b"HTTP/1.1 200 OK\r\n".to_vec()));
+    let target = TestTarget::start("target-1", script).await;
+    let mut patient = plan();
+    for route in &mut patient.routes {
+        route.timeout_ms = 60_000;
+    }
+    let fleet = TestFleet::start(Some(patient), &[&target]).await;
+    let request = fleet.client.post(fleet.url("/once/x"));
+    let request = request.header("request-id", "r1").header("key", "secret");
+    let sending = tokio::spawn(request.header("deadline-ms", "60000").send());
+    common::wait_until(|| target.arrivals() == 1).await;
+    let begun = Instant::now();
+
+    fleet.relay.leave().await;
+
+    // The stop time of the fixture.
+    assert!(begun.elapsed() <= Duration::from_secs(5));
+    sending.abort();
+}
