Reach control nodes at their listed addresses unless they are to be found

Their cuts lie in proxies at the listed addresses of control nodes.

Cause: control nodes took over announced addresses in place of the listed ones, and entries learned them with each renewal, so they went past the proxies. In a deployment that lists addresses of its own they would do the same.

A control role that is not listed is refused again without it.

--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -158,6 +158,9 @@
     name: &NodeName,
     announce: &PeerAnnounce,
 ) {
+    if !context.settings.discovers {
+        return;
+    }
     if let Some(address) = announce.address {
         context.peers.add(context, endpoint, name, address);
     }
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -110,8 +110,11 @@
     })
 }
 
-/// Addresses of this node and of those that it hears of.
+/// Addresses of this node and of those that it hears of, where nodes are found by them.
 fn control_addresses(context: &ControlContext) -> Vec<SocketAddr> {
+    if !context.settings.discovers {
+        return Vec::new();
+    }
     let now = context.clock.now();
     let mut addresses = context.view.read(|view| {
         let seen = |name: &NodeName| view.seen.get(name).is_some_and(|peer| peer.is_present(now));
--- a/components/control/src/server.rs
+++ b/components/control/src/server.rs
@@ -50,8 +50,9 @@
         mut writer,
         reader,
     } = stream;
-    // The certificate proves the role; a control node that was added later is not in the settings.
-    let is_peer = hello.role == NodeRole::Control;
+    // The certificate proves the role. A control node that was added later is in no settings.
+    let is_listed = context.peers.client(&hello.name).is_some();
+    let is_peer = hello.role == NodeRole::Control && (is_listed || context.settings.discovers);
     // An error ends this stream only; the peer opens another.
     let _ = match hello.kind {
         StreamKind::Control => serve_requests(&context, &hello, writer, reader).await,
--- a/components/control/src/settings.rs
+++ b/components/control/src/settings.rs
@@ -23,6 +23,9 @@
     pub peers: BTreeMap<NodeName, SocketAddr>,
     /// Whether the node only joins a group that others have formed.
     pub joins_only: bool,
+    /// Whether control nodes are found by what they announce of themselves. Without it the settings
+    /// list all of them, and each is reached only at the address listed there.
+    pub discovers: bool,
     /// Address for health checks.
     pub http: Option<SocketAddr>,
     /// Region that the node stands in.
@@ -99,6 +102,7 @@
             raft: RaftSettings::default(),
             target_silence: directory::SILENT_SPAN,
             joins_only: false,
+            discovers: false,
         })
     }
 }
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -101,6 +101,7 @@
                 raft: RaftSettings::default(),
                 target_silence: directory::SILENT_SPAN,
                 joins_only: false,
+                discovers: false,
             };
             let handle = start_on(settings.clone(), endpoint).await.unwrap();
             group.settings.push(settings);
--- a/components/ctl/tests/commands.rs
+++ b/components/ctl/tests/commands.rs
@@ -45,6 +45,7 @@
         raft: RaftSettings::default(),
         target_silence: Duration::from_secs(2),
         joins_only: false,
+        discovers: false,
     };
     let handle = start(settings).await.unwrap();
     let ready = handle.wait_until(|status| status.confirmed_ms.is_some());
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -224,6 +224,7 @@
             keys: keys.clone(),
             peers: BTreeMap::new(),
             joins_only: false,
+            discovers: false,
             http: None,
             region: None,
             data_centre: None,
