Remove the relay's unread count of open requests

Cause: RelayState::open_requests was written twice for each request, once with a write that wakes the readers of the board, and nothing read it; a planned stop waits on the HTTP server instead.

Ruled out: a wake that another task needs. The one reader that waits on the board, serve_queue, waits for a non-empty queue, and the write that fills it wakes by itself.

Checked: cargo test -p relay, 18 passed; fmt and clippy clean.

--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -82,7 +82,6 @@
             gate: ShareGate::new(model_pool(), clock.now()),
             budgets: Default::default(),
             entries: 1,
-            open_requests: 0,
             leaving: false,
         }),
         incarnation,
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -99,24 +99,6 @@
     let _ = tokio::time::timeout(DISCARD_TIME, reading).await;
 }
 
-/// Open request, until it is dropped.
-struct OpenGuard<'a> {
-    shared: &'a RelayShared,
-}
-
-impl<'a> OpenGuard<'a> {
-    fn new(shared: &'a RelayShared) -> Self {
-        shared.board.write_quietly(|state| state.open_requests += 1);
-        Self { shared }
-    }
-}
-
-impl Drop for OpenGuard<'_> {
-    fn drop(&mut self) {
-        self.shared.board.write(|state| state.open_requests -= 1);
-    }
-}
-
 #[async_trait]
 impl Handler for RelayHandler {
     async fn handle(
@@ -126,7 +108,6 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        let _guard = OpenGuard::new(&self.shared);
         let _ = self.shared.metrics.incr("requests");
         let mut attempt = String::new();
         match self.serve(req, &mut attempt).await {
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -31,7 +31,6 @@
     pub(crate) gate: ShareGate,
     pub(crate) budgets: HashMap<ServiceName, WindowBudget>,
     pub(crate) entries: u32,
-    pub(crate) open_requests: usize,
     pub(crate) leaving: bool,
 }
 
