Give back a place granted to a caller that has just left

Cause: RelayState::drain sends the key of a run over a oneshot channel. A caller that leaves after the send and before its task is polled drops the receiver with the key in it, and nothing ended the run. The place stayed taken, and the target looked stalled.

Ruled out: the branch in drain for a request that gave up. It sees a closed channel only, not a value that was delivered and never read.

WaitGuard owns the receiver and ends a run that is left in it.

--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -102,8 +102,8 @@
         Err(None) => return Err(NoPlace::Nowhere),
         Err(Some(key)) => key,
     };
-    let guard = WaitGuard { shared, key };
-    let told = tokio::time::timeout_at(limit, told).await;
+    let mut guard = WaitGuard { shared, key, told };
+    let told = tokio::time::timeout_at(limit, &mut guard.told).await;
     drop(guard);
     match told {
         Ok(Ok(Some(run))) => Ok(held(run)),
@@ -112,17 +112,26 @@
     }
 }
 
-/// Takes a request off the queue when nobody waits for it any more.
+/// Takes a request off the queue when nobody waits for it any more, and gives back a place that was
+/// granted but not taken.
 struct WaitGuard<'a> {
     shared: &'a RelayShared,
     key: place::WaitKey,
+    told: oneshot::Receiver<Option<RunKey>>,
 }
 
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
+        let now = self.shared.now();
         self.shared.board.write_quietly(|state| {
             state.queue.remove(self.key);
             state.waiting.remove(&self.key);
+            // Places are granted under the same lock, so none can follow this one. A run that the
+            // caller has taken is not in the channel any more.
+            if let Ok(Some(run)) = self.told.try_recv() {
+                state.table.ended(run);
+                state.drain(now);
+            }
         });
     }
 }
