Use the retry bound of limits in the relay

Cause: relay::RetryBound had the three fields of limits::WindowBound and was copied into it field by field. The relay takes and passes on WindowBound now; no figure changes.

--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -22,4 +22,5 @@
 pub use dialect::{
     AnswerVerdict, CallerDialect, CallerTerms, ModelTerms, PromptPart, TargetTerms, TermsError,
 };
-pub use settings::{RelaySettings, RetryBound};
+pub use limits::WindowBound;
+pub use settings::RelaySettings;
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -5,19 +5,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use limits::WindowBound;
 use units::{DataCentreName, NodeName, RegionName};
 
-/// Bound on requests that are sent to a second target, over all entries.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RetryBound {
-    /// Retries for each thousand requests.
-    pub per_thousand: u64,
-    /// Retries beside these.
-    pub slack: u64,
-    /// Window in which both are counted.
-    pub window: Duration,
-}
-
 /// Settings of a relay.
 #[derive(Debug, Clone)]
 pub struct RelaySettings {
@@ -37,8 +27,8 @@
     pub keys: PathBuf,
     /// Time from a confirmation by the quorum after which keys are not accepted any more.
     pub lease_time: Duration,
-    /// Bound on retries.
-    pub retries: RetryBound,
+    /// Bound on requests that are sent to a second target, over all entries.
+    pub retries: WindowBound,
     /// Time that a planned stop may take.
     pub stop_time: Duration,
 }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -59,9 +59,8 @@
         let entries = u64::from(self.entries.max(1));
         self.budgets.entry(service.clone()).or_insert_with(|| {
             WindowBudget::new(WindowBound {
-                per_thousand: settings.retries.per_thousand,
                 slack: settings.retries.slack / entries,
-                window: settings.retries.window,
+                ..settings.retries
             })
         })
     }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -14,8 +14,8 @@
 use manifest::KeyHash;
 use raft::RaftSettings;
 use relay::{
-    AnswerVerdict, CallerDialect, CallerTerms, RelayHandle, RelayParts, RelaySettings, RetryBound,
-    TargetTerms, TermsError,
+    AnswerVerdict, CallerDialect, CallerTerms, RelayHandle, RelayParts, RelaySettings, TargetTerms,
+    TermsError, WindowBound,
 };
 use routes::{
     CallerBounds, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec, ServicePool,
@@ -244,7 +244,7 @@
             controls: vec![control.address()],
             keys,
             lease_time: Duration::from_millis(2_500),
-            retries: RetryBound {
+            retries: WindowBound {
                 per_thousand: 200,
                 slack: 50,
                 window: Duration::from_secs(10),
