Compute the incarnation of a starting process in one place

Cause: entry, agent, control and ctl each had the same function over the wall clock, and the relay took the entry's. Incarnation::starting_now in units replaces the four.

Checked: cargo test of units, ctl, relay, agent, entry and control, none failed; clippy of the workspace clean. No behaviour changes.

--- a/components/agent/src/daemon.rs
+++ b/components/agent/src/daemon.rs
@@ -11,11 +11,11 @@
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
 use salvo::Server;
 use tokio::task::JoinSet;
-use units::{ClockSource, CostUnits, SystemClock};
+use units::{ClockSource, CostUnits, Incarnation, SystemClock};
 use wire::{AgentMessage, FlowKey, NodeRole};
 
 use crate::settings::AgentSettings;
-use crate::state::{AgentShared, AgentState, new_incarnation};
+use crate::state::{AgentShared, AgentState};
 use crate::target::HttpTarget;
 use crate::{health, sessions, upkeep, usage};
 
@@ -115,7 +115,7 @@
 
 /// Starts an agent with given parts.
 pub async fn start_with(settings: AgentSettings, parts: AgentParts) -> eyre::Result<AgentHandle> {
-    let incarnation = new_incarnation();
+    let incarnation = Incarnation::starting_now();
     let files = KeyFiles::in_folder(&settings.keys, NodeRole::Agent, &settings.name);
     let identity = LinkIdentity::load(NodeRole::Agent, &settings.name, &files)
         .wrap_err("Failed to load the keys of the agent")?;
--- a/components/agent/src/state.rs
+++ b/components/agent/src/state.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use board::StateBoard;
 use cadence::StatsdClient;
@@ -183,9 +182,3 @@
         }
     }
 }
-
-/// Incarnation of a process that starts now.
-pub(crate) fn new_incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Incarnation(since.map_or(0, |since| since.as_millis() as u64))
-}
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use board::StateBoard;
 use directory::NodeDirectory;
@@ -65,14 +65,18 @@
 /// Binds the address. A process or node that has just stopped may hold it for a moment longer.
 async fn bind(address: SocketAddr, identity: &LinkIdentity) -> Result<LinkEndpoint> {
     for _ in 1..BIND_ATTEMPTS {
-        match LinkEndpoint::bind(address, identity, incarnation()) {
+        match LinkEndpoint::bind(address, identity, Incarnation::starting_now()) {
             Err(LinkError::Bind { source, .. }) if source.kind() == ErrorKind::AddrInUse => {
                 tokio::time::sleep(BIND_DELAY).await;
             }
             bound => return Ok(bound?),
         }
     }
-    Ok(LinkEndpoint::bind(address, identity, incarnation())?)
+    Ok(LinkEndpoint::bind(
+        address,
+        identity,
+        Incarnation::starting_now(),
+    )?)
 }
 
 /// Starts a control node on an endpoint that is bound already.
@@ -86,7 +90,8 @@
     let context = ControlContext {
         view: raft.view(),
         nodes: StateBoard::new(
-            NodeDirectory::new(incarnation()).with_target_silence(settings.target_silence),
+            NodeDirectory::new(Incarnation::starting_now())
+                .with_target_silence(settings.target_silence),
         ),
         usage: StateBoard::new(UsageHome::new()),
         demand: StateBoard::new(DemandHome::new()),
@@ -229,8 +234,3 @@
         }
     }
 }
-
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Incarnation(since.map_or(0, |since| since.as_millis() as u64))
-}
--- a/components/ctl/src/connection.rs
+++ b/components/ctl/src/connection.rs
@@ -1,7 +1,6 @@
 //! Connection of the operator to control.
 
 use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use client::ControlClient;
 use control::FleetStatus;
@@ -37,7 +36,7 @@
             true => SocketAddr::from(([0u16; 8], 0)),
             false => SocketAddr::from(([0u8; 4], 0)),
         };
-        let endpoint = LinkEndpoint::bind(local, &identity, incarnation())?;
+        let endpoint = LinkEndpoint::bind(local, &identity, Incarnation::starting_now())?;
         Ok(Self {
             client: ControlClient::new(endpoint, controls),
             operator,
@@ -58,7 +57,7 @@
     pub(crate) async fn config(&self) -> Result<FleetConfig> {
         let node = DirectoryEntry {
             name: self.operator.clone(),
-            incarnation: incarnation(),
+            incarnation: Incarnation::starting_now(),
             address: SocketAddr::from(([0u8; 4], 0)),
             data_centre: "".into(),
             state: NodeState::Leaving,
@@ -109,8 +108,3 @@
     }
     Ok(addresses)
 }
-
-fn incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Incarnation(since.map_or(0, |since| since.as_millis() as u64))
-}
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -12,12 +12,12 @@
 use salvo::Server;
 use salvo::server::ServerHandle;
 use tokio::task::JoinSet;
-use units::{ClockSource, SystemClock};
+use units::{ClockSource, Incarnation, SystemClock};
 use wire::NodeRole;
 
 use crate::recorder::{CallRecorder, ControlRecorder};
 use crate::settings::EntrySettings;
-use crate::state::{EntryShared, EntryState, new_incarnation};
+use crate::state::{EntryShared, EntryState};
 use crate::{http, links, upkeep};
 
 /// Time for which a leaving entry still answers new connections with a refusal, so that the load
@@ -112,7 +112,7 @@
 
 /// Starts an entry with given parts.
 pub async fn start_with(settings: EntrySettings, parts: EntryParts) -> eyre::Result<EntryHandle> {
-    let incarnation = new_incarnation();
+    let incarnation = Incarnation::starting_now();
     let files = KeyFiles::in_folder(&settings.keys, NodeRole::Entry, &settings.name);
     let identity = LinkIdentity::load(NodeRole::Entry, &settings.name, &files)
         .wrap_err("Failed to load the keys of the entry")?;
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -36,4 +36,3 @@
 };
 pub use settings::{EntryLimits, EntrySettings};
 pub use sink::{ResponsePart, ResponseSink};
-pub use state::new_incarnation;
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use board::StateBoard;
 use cadence::StatsdClient;
@@ -213,9 +213,3 @@
         }
     }
 }
-
-/// Incarnation of a process that starts now.
-pub fn new_incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Incarnation(since.map_or(0, |since| since.as_millis() as u64))
-}
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -15,7 +15,7 @@
 use salvo::{Router, Server};
 use telemetry::{event, events};
 use tokio::task::JoinSet;
-use units::{ClockSource, SystemClock};
+use units::{ClockSource, Incarnation, SystemClock};
 use wire::NodeRole;
 
 use crate::demand::{model_pool, report_demand};
@@ -61,7 +61,7 @@
 
 /// Starts a relay.
 pub async fn start(settings: RelaySettings, parts: RelayParts) -> eyre::Result<RelayHandle> {
-    let incarnation = entry::new_incarnation();
+    let incarnation = Incarnation::starting_now();
     let files = KeyFiles::find(&settings.keys, NodeRole::Entry, &settings.name);
     let identity = LinkIdentity::load(NodeRole::Entry, &settings.name, &files)
         .wrap_err("Failed to load the keys of the relay")?;
--- a/components/units/src/numbers.rs
+++ b/components/units/src/numbers.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
@@ -83,3 +84,11 @@
     /// Id of a control node's data folder, random and created with it.
     DiskId
 );
+
+impl Incarnation {
+    /// Incarnation of a process that starts now.
+    pub fn starting_now() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self(since.map_or(0, |since| since.as_millis() as u64))
+    }
+}
