Keep the weight of 1 in one constant

Cause: 1,000 thousandths stood as EVEN_WEIGHT in place and relay, as UNIT_WEIGHT in fair and as a literal in manifest. FlowWeight::UNIT replaces them, and the head of fair/src/share.rs is wrapped.

Checked: cargo test of units, fair, place, relay and manifest, none failed; clippy of the workspace clean. No behaviour changes.

--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -2,9 +2,10 @@
 //!
 //! Entries report what each flow asks. The home of a service sums the reports and finds the *level*:
 //! a flow that asks less than the level gets all that it asks, and every other flow gets the level
-//! for each unit of weight, divided among the entries as its demand is. The capacity is what the service was seen to serve in time; what an
-//! operator states is taken for a lower bound, since a stated figure knows nothing of caches. Reports are rates and soft state; a home that starts empty is right as soon as each
-//! entry has reported once and lateness was seen.
+//! for each unit of weight, divided among the entries as its demand is. The capacity is what the
+//! service was seen to serve in time; what an operator states is taken for a lower bound, since a
+//! stated figure knows nothing of caches. Reports are rates and soft state; a home that starts empty
+//! is right as soon as each entry has reported once and lateness was seen.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,7 +22,7 @@
 const NEW_PERCENT: u64 = 25;
 
 /// Weight of a flow whose level is 1.
-const UNIT_WEIGHT: u64 = 1000;
+const UNIT_WEIGHT: u64 = FlowWeight::UNIT.0 as u64;
 
 /// Level of max-min shares, in units a second for weight 1000; none if all demands fit.
 pub fn share_level(
--- a/components/manifest/src/text.rs
+++ b/components/manifest/src/text.rs
@@ -266,7 +266,7 @@
 
 fn read_weight(table: &TableReader<'_, '_>, faults: &mut FaultList<'_>) -> FlowWeight {
     let Some(weight) = table.number("weight", faults) else {
-        return FlowWeight(1_000);
+        return FlowWeight::UNIT;
     };
     let thousandths = (weight.value * 1_000.0).round();
     if !(1.0..=MAX_WEIGHT).contains(&thousandths) {
@@ -274,7 +274,7 @@
             &weight.span,
             ManifestFault::OutOfRange("from 0.001 to 1000"),
         );
-        return FlowWeight(1_000);
+        return FlowWeight::UNIT;
     }
     FlowWeight(thousandths as u32)
 }
--- a/components/place/src/queue.rs
+++ b/components/place/src/queue.rs
@@ -41,9 +41,6 @@
     ledger: UsageLedger,
 }
 
-/// Share of an organisation whose weight is not stated.
-const EVEN_WEIGHT: FlowWeight = FlowWeight(1000);
-
 impl WaitQueue {
     /// Creates an empty queue.
     pub fn new() -> Self {
@@ -68,7 +65,7 @@
     /// Adds a request.
     pub fn push(&mut self, waiting: WaitingPlace, now: ClockTime) -> WaitKey {
         let flow = waiting.flow.clone();
-        self.ledger.backlogged(&flow, EVEN_WEIGHT, now);
+        self.ledger.backlogged(&flow, FlowWeight::UNIT, now);
         let key = self.waiting.insert(waiting);
         self.flows.entry(flow).or_default().push_back(key);
         key
@@ -99,7 +96,7 @@
         let mut order: Vec<(u64, FlowKey)> = self
             .flows
             .keys()
-            .map(|flow| (self.ledger.counter(flow, EVEN_WEIGHT), flow.clone()))
+            .map(|flow| (self.ledger.counter(flow, FlowWeight::UNIT), flow.clone()))
             .collect();
         order.sort();
         let mut turns: VecDeque<FlowKey> = order.into_iter().map(|(_, flow)| flow).collect();
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -3,14 +3,11 @@
 use client::ControlClient;
 use fair::{DEMAND_INTERVAL, HomeList};
 use telemetry::{event, events};
-use units::{FlowWeight, OrganisationName, ServiceName};
+use units::{OrganisationName, ServiceName};
 use wire::{ControlReply, ControlRequest, DemandReport, FlowId, FlowKey, ShareReply};
 
 use crate::state::RelayShared;
 
-/// Weight of organisations; a published plan gives all the same.
-pub(crate) const EVEN_WEIGHT: FlowWeight = FlowWeight(1000);
-
 /// Name under which the demand of all model services is added up: the capacity of a plan is that of
 /// all engines together.
 pub(crate) fn model_pool() -> ServiceName {
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -10,14 +10,14 @@
 use telemetry::{event, events};
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
-use units::{CostUnits, NodeName, OrganisationName, PlanNumber, ServiceName};
+use units::{CostUnits, FlowWeight, NodeName, OrganisationName, PlanNumber, ServiceName};
 use wire::{FlowId, FlowKey, stable_hash};
 
 use cadence::prelude::*;
 use entry::Refusal;
 
 use crate::backend::{CallerRequest, ExchangeStart, OpenAnswer, exchange};
-use crate::demand::{EVEN_WEIGHT, model_pool};
+use crate::demand::model_pool;
 use crate::dialect::{CallerTerms, ModelTerms, TargetTerms};
 use crate::places::{HeldPlace, NoPlace, take_place};
 use crate::pool::ExchangeError;
@@ -452,5 +452,5 @@
     let now = shared.now();
     shared
         .board
-        .write_quietly(|state| state.gate.asks(flow, EVEN_WEIGHT, cost, overdue, now))
+        .write_quietly(|state| state.gate.asks(flow, FlowWeight::UNIT, cost, overdue, now))
 }
--- a/components/units/src/numbers.rs
+++ b/components/units/src/numbers.rs
@@ -85,6 +85,11 @@
     DiskId
 );
 
+impl FlowWeight {
+    /// Weight 1, of an organisation whose weight is not stated.
+    pub const UNIT: Self = Self(1_000);
+}
+
 impl Incarnation {
     /// Incarnation of a process that starts now.
     pub fn starting_now() -> Self {
