Name the cause of a lost stream in its error

A lost stream read "connection lost" only, so a log did not tell a closed peer from a time-out or a restart. The text of causes was written twice (agent, load); it is in units once.

--- a/components/agent/src/target.rs
+++ b/components/agent/src/target.rs
@@ -8,6 +8,7 @@
 use futures_util::{FutureExt, StreamExt};
 use http::header::{HeaderName, HeaderValue};
 use thiserror::Error;
+use units::error_chain;
 use wire::{HeaderField, RequestHead, ResponseHead};
 
 /// Longest wait for a connection to the target, which stands on the same host or rack.
@@ -190,14 +191,3 @@
         headers,
     }
 }
-
-/// The error with its causes, since the outer ones of `reqwest` name only the URL.
-fn error_chain(error: &reqwest::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = std::error::Error::source(error);
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
-    }
-    text
-}
--- a/components/link/src/frames.rs
+++ b/components/link/src/frames.rs
@@ -3,6 +3,7 @@
 use quinn::{RecvStream, SendStream, VarInt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use units::error_chain;
 use wire::{CodecError, MAX_FRAME};
 
 use crate::error::LinkError;
@@ -24,7 +25,7 @@
         self.stream
             .write_all(&frame)
             .await
-            .map_err(|error| LinkError::Stream(error.to_string()))
+            .map_err(|error| LinkError::Stream(error_chain(&error)))
     }
 
     /// Ends the stream after what was sent.
@@ -65,7 +66,7 @@
         self.stream
             .read_exact(&mut body)
             .await
-            .map_err(|error| LinkError::Stream(error.to_string()))?;
+            .map_err(|error| LinkError::Stream(error_chain(&error)))?;
         Ok(Some(wire::decode(&body)?))
     }
 
@@ -74,7 +75,7 @@
         match self.stream.read_exact(&mut length).await {
             Ok(()) => Ok(Some(u32::from_le_bytes(length) as usize)),
             Err(quinn::ReadExactError::FinishedEarly(0)) => Ok(None),
-            Err(error) => Err(LinkError::Stream(error.to_string())),
+            Err(error) => Err(LinkError::Stream(error_chain(&error))),
         }
     }
 }
--- a/components/link/tests/handshake.rs
+++ b/components/link/tests/handshake.rs
@@ -101,3 +101,24 @@
     assert_eq!(stream.hello.name, name);
     assert!(other.is_err());
 }
+
+/// Guards against a lost stream whose error does not say whether the peer closed the connection, timed
+/// out or was restarted.
+#[tokio::test]
+async fn lost_stream_names_its_cause() {
+    let folder = tempfile::tempdir().unwrap();
+    let agent = endpoint(folder.path(), NodeRole::Agent, "agent-1");
+    let entry = endpoint(folder.path(), NodeRole::Entry, "entry-1");
+    let (opened, accepted) = tokio::join!(
+        entry.connect(agent.address(), NodeRole::Agent),
+        accept(&agent)
+    );
+    let (opened, _accepted) = (opened.unwrap(), accepted.unwrap());
+    let (mut writer, mut reader) = opened.open(StreamKind::Session).await.unwrap();
+    writer.send(&EntryMessage::Ping(7)).await.unwrap();
+
+    agent.close().await;
+
+    let error = reader.receive::<EntryMessage>().await.unwrap_err();
+    assert!(error.to_string().contains("stopped"), "{error}");
+}
--- a/components/load/src/caller.rs
+++ b/components/load/src/caller.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 use standin::content;
+use units::error_chain;
 
 use crate::sse::{EventReader, StreamEvent};
 
@@ -129,7 +130,7 @@
         };
         let response = self.build(request, address).send().await;
         result.answer = match response {
-            Err(error) => Answer::Lost(chain(&error)),
+            Err(error) => Answer::Lost(error_chain(&error)),
             Ok(response) if !response.status().is_success() => refusal(response).await,
             Ok(response) => match &request.kind {
                 CallKind::Chat { stream: true, .. } => {
@@ -261,7 +262,7 @@
 
 /// An answer whose connection broke is told from one that ran out of time.
 fn broken(result: &CallResult, error: &reqwest::Error) -> Answer {
-    let message = format!("after {} tokens: {}", result.tokens, chain(error));
+    let message = format!("after {} tokens: {}", result.tokens, error_chain(error));
     if error.is_timeout() {
         Answer::Lost(message)
     } else {
@@ -303,15 +304,3 @@
         code: error["code"].as_str().unwrap_or_default().to_string(),
     }
 }
-
-/// An error with its causes; `reqwest` shows only the outermost.
-fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(error) = cause {
-        text.push_str(": ");
-        text.push_str(&error.to_string());
-        cause = error.source();
-    }
-    text
-}
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -4,11 +4,13 @@
 //! and [`FromStr`](std::str::FromStr), so that a count of tokens is never taken for a count of bytes.
 
 mod clock;
+mod fault;
 mod macros;
 mod names;
 mod numbers;
 
 pub use clock::{ClockSource, ClockTime, ManualClock, SystemClock};
+pub use fault::error_chain;
 pub use names::{
     DataCentreName, IdempotencyKey, NodeName, OrderId, OrganisationName, RegionName, RouteName,
     ServiceName, TargetName,
