Finish the handshakes before the leader is frozen in the test of the woken leader

Cause: a server gives a handshake 1.5 s. Frozen before it had read the client's last flight, the woken leader closed the connection ("closed by peer", peer-refused at the leader), and the test's order had no answer.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -272,13 +272,17 @@
         let targets =
             [0, 1].map(|part| TargetName::from(format!("target-{round}-{part}").as_str()));
 
-        group.nodes[frozen].set_frozen(true);
-        let start = Instant::now();
         let renewal = ControlRequest::Renew(RenewRequest {
             node: entry(),
             config: ConfigVersion(version),
             directory: None,
         });
+        // The leader closes a connection whose handshake it has not finished when it wakes.
+        ask(&operator, &ControlRequest::Status).await;
+        ask(&node, &renewal).await;
+
+        group.nodes[frozen].set_frozen(true);
+        let start = Instant::now();
         let old_order = target_out(&format!("old-{round}"), version, &targets[0]);
         let late_order = ControlRequest::Order(old_order.clone());
         let late = tokio::spawn(async move {
