Let at most 128 connections wait to be accepted

Cause: with 1,024 waiting connections the last one waited 1.5 s and more at a small entry. Its caller had left after 2 s, and the request was sent on all the same (GONE). Ruled out: closes that the HTTP library does not see. A request whose caller closed before it was read is not sent on a real socket.

--- a/components/listener/src/lib.rs
+++ b/components/listener/src/lib.rs
@@ -12,8 +12,9 @@
 
 pub use pace::PacedAcceptor;
 
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1024;
+/// Connections that may wait to be accepted. A small host accepts a few hundred in a second; callers that
+/// wait longer have left when their turn comes, and one that is refused can reach another entry.
+const BACKLOG: u32 = 128;
 
 /// Listens on an address; port 0 lets the system choose.
 ///
