Pass on a target's own failure when no other target answers

Cause: an answer with a 5xx of the target is held back while the request may be repeated. When the repeat found no place, or failed, the answer was dropped and the caller got a 502 of the relay, which hides the target's own words. Test: failure_of_the_only_target_is_passed_on, 502 before, the target's 500 after. check_share takes &self.

--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -193,7 +193,7 @@
     }
 
     /// Refuses a request beyond the share of its organisation, before its body is read.
-    pub(crate) fn check_share(&mut self) -> Result<(), Refusal> {
+    pub(crate) fn check_share(&self) -> Result<(), Refusal> {
         match self.within_share {
             true => Ok(()),
             false => Err(self.beyond_share()),
@@ -203,8 +203,13 @@
     /// Sends the request until it is answered or nothing more may be tried.
     pub(crate) async fn run(mut self, request: CallerRequest) -> Result<ForwardAnswer, Refusal> {
         self.note_request();
-        loop {
-            let place = self.wait().await?;
+        // A target's own failure is passed on if no other target answers.
+        let mut faulty = None;
+        let refusal = loop {
+            let place = match self.wait().await {
+                Ok(place) => place,
+                Err(refusal) => break refusal,
+            };
             let end = self.send(&request, place).await;
             let (reason, may_have_run) = match end {
                 SendEnd::Answer(answer) => {
@@ -217,6 +222,7 @@
                     if !self.may_repeat() {
                         return Ok(ForwardAnswer::Whole(head, body));
                     }
+                    faulty = Some((head, body));
                     continue;
                 }
                 SendEnd::NotSent(reason) => (reason, false),
@@ -241,8 +247,12 @@
             );
             let allowed = !may_have_run || self.route.repeat.is_repeatable();
             if !allowed || !self.may_repeat() {
-                return Err(self.failure(&reason));
+                break self.failure(&reason);
             }
+        };
+        match faulty {
+            Some((head, body)) => Ok(ForwardAnswer::Whole(head, body)),
+            None => Err(refusal),
         }
     }
 
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -59,7 +59,7 @@
             let refusal = Refusal::not_run(503, "entry-busy", message);
             return Err(refusal.retry_after(BUSY_RETRY_AFTER));
         }
-        let mut forwarded = ForwardedRequest::new(self.shared.clone(), terms, grant, arrived)?;
+        let forwarded = ForwardedRequest::new(self.shared.clone(), terms, grant, arrived)?;
         forwarded.check_share()?;
         let limit = index.plan.bounds.max_body.0;
         let body = req
--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -182,6 +182,24 @@
     assert_eq!((one.arrivals(), two.arrivals()), (1, 1));
 }
 
+/// Guards against a target's own failure that is replaced by one of the relay because no other target
+/// can run the request again.
+#[tokio::test(flavor = "multi_thread")]
+async fn failure_of_the_only_target_is_passed_on() {
+    let script = Arc::new(|head: &str| {
+        let id = header(head, "request-id").unwrap();
+        TargetStep::Write(whole(500, id, "no disk"))
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+
+    let response = fleet.request("/again/x", "r1").send().await.unwrap();
+
+    let (status, body) = (response.status(), response.text().await.unwrap());
+    assert_eq!((status.as_u16(), body.as_str()), (500, "no disk"));
+    assert_eq!(target.arrivals(), 1);
+}
+
 /// Guards against work for a caller that has left.
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_that_leaves_ends_the_work() {
