Hash each target once when a session's targets are ordered

sort_by_key computed the hash of a target in every comparison, for each request with a session. The order is the same: both sorts are stable.

--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -285,7 +285,7 @@
         now: ClockTime,
     ) -> Option<TargetKey> {
         let mut order = candidates;
-        order.sort_by_key(|key| std::cmp::Reverse(self.score(session, *key)));
+        order.sort_by_cached_key(|key| std::cmp::Reverse(self.score(session, *key)));
         let home = *order.first()?;
         let is_late =
             |key: TargetKey| self.targets[key].waited(now) > objective * SEND_PERCENT / 100;
