Keep the relay's endpoint out of its shared state

RelayShared is copied for each request and each place, and a copy of the endpoint takes a lock and copies its hello. Only the address is read there; the handle closes the endpoint.

--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -45,6 +45,7 @@
 /// A running relay. Dropping it stops the relay at once.
 pub struct RelayHandle {
     shared: RelayShared,
+    endpoint: LinkEndpoint,
     client: ControlClient,
     http: SocketAddr,
     server: ServerHandle,
@@ -88,7 +89,7 @@
         view: StateBoard::new(FleetView::with_lease_time(settings.lease_time)),
         settings: Arc::new(settings),
         clock,
-        endpoint,
+        address: endpoint.address(),
         dialect: parts.dialect,
         metrics: Arc::new(parts.metrics),
         pool: TargetPool::default(),
@@ -105,6 +106,7 @@
     event!(events::RELAY_STARTED, address = http);
     Ok(RelayHandle {
         shared,
+        endpoint,
         client,
         http,
         server,
@@ -167,7 +169,7 @@
                 break;
             }
         }
-        self.shared.endpoint.close().await;
+        self.endpoint.close().await;
         self.tasks.shutdown().await;
         event!(events::RELAY_STOPPED);
     }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -1,6 +1,7 @@
 //! State of a relay, and what its tasks share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use board::StateBoard;
@@ -8,7 +9,6 @@
 use client::FleetView;
 use fair::ShareGate;
 use limits::{WindowBound, WindowBudget};
-use link::LinkEndpoint;
 use place::{PlaceTable, RunKey, SeenTarget, WaitKey, WaitQueue};
 use routes::RouteIndex;
 use tokio::sync::oneshot;
@@ -74,7 +74,8 @@
     pub(crate) board: StateBoard<RelayState>,
     pub(crate) view: StateBoard<FleetView>,
     pub(crate) clock: Arc<dyn ClockSource>,
-    pub(crate) endpoint: LinkEndpoint,
+    /// Local address of the links to control nodes.
+    pub(crate) address: SocketAddr,
     pub(crate) dialect: Arc<dyn CallerDialect>,
     pub(crate) metrics: Arc<StatsdClient>,
     pub(crate) pool: TargetPool,
@@ -110,7 +111,7 @@
         DirectoryEntry {
             name: self.settings.name.clone(),
             incarnation: self.incarnation,
-            address: self.endpoint.address(),
+            address: self.address,
             data_centre: self.settings.data_centre.clone(),
             state: match leaving {
                 true => NodeState::Leaving,
