--- a/src/options.rs
+++ b/src/options.rs
@@ -210,13 +210,7 @@
         "Addresses of the control nodes, separated by commas",
         "",
     );
-    let keys = flag(
-        "keys",
-        "BILBERRY_KEYS",
-        "FOLDER",
-        "Folder with the key files",
-        "keys",
-    );
+    let keys = keys_flag();
     construct!(NodeOptions {
         name,
         listen,
@@ -263,15 +257,31 @@
     traces: Option<String>,
 }
 
-/// Parser of [`TelemetryOptions`].
-pub fn telemetry_options() -> impl Parser<TelemetryOptions> {
-    let log_level = flag(
+/// Flag for the folder with the key files.
+pub fn keys_flag() -> impl Parser<String> {
+    flag(
+        "keys",
+        "BILBERRY_KEYS",
+        "FOLDER",
+        "Folder with the key files",
+        "keys",
+    )
+}
+
+/// Flag for the least severe level that is logged.
+pub fn log_level_flag() -> impl Parser<String> {
+    flag(
         "log-level",
         "BILBERRY_LOG_LEVEL",
         "LEVEL",
         "Least severe level that is logged: off, error, warn, info, debug or trace",
         "info",
-    );
+    )
+}
+
+/// Parser of [`TelemetryOptions`].
+pub fn telemetry_options() -> impl Parser<TelemetryOptions> {
+    let log_level = log_level_flag();
     let log_format = flag(
         "log-format",
         "BILBERRY_LOG_FORMAT",
