--- a/components/link/tests/handshake.rs
+++ b/components/link/tests/handshake.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use link::{KeyAuthority, KeyFiles, LinkEndpoint, LinkError, LinkIdentity};
+use link::{KeyAuthority, KeyFiles, LinkEndpoint, LinkError, LinkIdentity, PeerLink};
 use units::{Incarnation, NodeName};
 use wire::{EntryMessage, NodeRole, StreamKind};
 
@@ -18,21 +18,29 @@
     LinkEndpoint::bind(address, &identity, Incarnation(1)).unwrap()
 }
 
-async fn accept(endpoint: &LinkEndpoint) -> Result<link::PeerLink, LinkError> {
+async fn accept(endpoint: &LinkEndpoint) -> Result<PeerLink, LinkError> {
     let incoming = endpoint.accept().await.unwrap();
     endpoint.finish(incoming).await
 }
 
+/// Both ends of a connection from an entry to an agent.
+async fn connect(
+    entry: &LinkEndpoint,
+    agent: &LinkEndpoint,
+) -> (Result<PeerLink, LinkError>, Result<PeerLink, LinkError>) {
+    tokio::join!(
+        entry.connect(agent.address(), NodeRole::Agent),
+        accept(agent)
+    )
+}
+
 #[tokio::test]
 async fn frames_arrive_and_the_peer_is_known() {
     let folder = tempfile::tempdir().unwrap();
     let agent = endpoint(folder.path(), NodeRole::Agent, "agent-1");
     let entry = endpoint(folder.path(), NodeRole::Entry, "entry-1");
 
-    let (opened, accepted) = tokio::join!(
-        entry.connect(agent.address(), NodeRole::Agent),
-        accept(&agent)
-    );
+    let (opened, accepted) = connect(&entry, &agent).await;
     let (opened, accepted) = (opened.unwrap(), accepted.unwrap());
     let (mut writer, _reader) = opened.open(StreamKind::Session).await.unwrap();
     writer.send(&EntryMessage::Ping(7)).await.unwrap();
@@ -66,10 +74,7 @@
     let agent = endpoint(folder.path(), NodeRole::Agent, "agent-1");
     let entry = endpoint(foreign.path(), NodeRole::Entry, "entry-1");
 
-    let (opened, accepted) = tokio::join!(
-        entry.connect(agent.address(), NodeRole::Agent),
-        accept(&agent)
-    );
+    let (opened, accepted) = connect(&entry, &agent).await;
 
     assert!(opened.is_err(), "{opened:?}");
     assert!(accepted.is_err(), "{accepted:?}");
@@ -90,10 +95,7 @@
     let other = LinkIdentity::load(NodeRole::Control, &name, &files);
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     let entry = LinkEndpoint::bind(address, &identity, Incarnation(1)).unwrap();
-    let (opened, accepted) = tokio::join!(
-        entry.connect(agent.address(), NodeRole::Agent),
-        accept(&agent)
-    );
+    let (opened, accepted) = connect(&entry, &agent).await;
     let (opened, accepted) = (opened.unwrap(), accepted.unwrap());
     let (_writer, _reader) = opened.open(StreamKind::Session).await.unwrap();
     let stream = accepted.accept().await.unwrap();
@@ -109,10 +111,7 @@
     let folder = tempfile::tempdir().unwrap();
     let agent = endpoint(folder.path(), NodeRole::Agent, "agent-1");
     let entry = endpoint(folder.path(), NodeRole::Entry, "entry-1");
-    let (opened, accepted) = tokio::join!(
-        entry.connect(agent.address(), NodeRole::Agent),
-        accept(&agent)
-    );
+    let (opened, accepted) = connect(&entry, &agent).await;
     let (opened, _accepted) = (opened.unwrap(), accepted.unwrap());
     let (mut writer, mut reader) = opened.open(StreamKind::Session).await.unwrap();
     writer.send(&EntryMessage::Ping(7)).await.unwrap();
