Refuse requests that may outlast the stop of a leaving relay

Cause: a relay accepts callers for 2.5 s after SIGTERM, since the load balancer needs two missed readiness checks.

Change: a leaving relay refuses with 503 entry-leaving and Retry-After 50 ms what may outlast its stop, by the 98th percentile of the recent durations of the route (limits::DurationHistory), or by the caller's deadline while fewer than 50 are known, as long as another entry serves. The number of entries now counts the relay itself while it leaves, since it still sends requests.

Result: without the check, the test gets 200 instead of 503.

--- /dev/null
+++ b/components/limits/src/duration.rs
@@ -0,0 +1,68 @@
+//! Recent durations of runs of one kind, and whether another run may outlast a time limit.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use units::ClockTime;
+
+/// Maximum number of durations that are kept.
+const MAX_SAMPLES: usize = 200;
+
+/// Minimum number of durations that an estimate needs. With fewer, the tail of the distribution is
+/// unknown.
+const MIN_SAMPLES: usize = 50;
+
+/// Age at which a duration no longer counts. Runs take longer while targets are loaded, so older
+/// durations say little about the next one.
+const SAMPLE_TTL: Duration = Duration::from_secs(30);
+
+/// Percentage of the kept durations that the estimate covers.
+const ESTIMATE_PERCENT: usize = 98;
+
+/// Recent durations of runs of one kind.
+#[derive(Debug, Clone, Default)]
+pub struct DurationHistory {
+    samples: VecDeque<(ClockTime, Duration)>,
+}
+
+impl DurationHistory {
+    /// Creates an empty history.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records the duration of a run that has ended.
+    pub fn record(&mut self, duration: Duration, now: ClockTime) {
+        if self.samples.len() == MAX_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back((now, duration));
+    }
+
+    /// Time of the last recorded run.
+    pub fn last_record(&self) -> Option<ClockTime> {
+        self.samples.back().map(|(recorded_at, _)| *recorded_at)
+    }
+
+    /// Duration that a run rarely exceeds; `None` if too few runs were recorded lately.
+    pub fn upper_estimate(&self, now: ClockTime) -> Option<Duration> {
+        let mut recent: Vec<Duration> = self
+            .samples
+            .iter()
+            .filter(|(recorded_at, _)| now.since(*recorded_at) < SAMPLE_TTL)
+            .map(|(_, duration)| *duration)
+            .collect();
+        if recent.len() < MIN_SAMPLES {
+            return None;
+        }
+        recent.sort();
+        Some(recent[(recent.len() * ESTIMATE_PERCENT / 100).min(recent.len() - 1)])
+    }
+
+    /// Whether a run that starts at `now` may still run after `time_left`. `max_duration` is the
+    /// time after which it ends in any case.
+    pub fn may_outlast(&self, time_left: Duration, max_duration: Duration, now: ClockTime) -> bool {
+        let estimate = self.upper_estimate(now).unwrap_or(max_duration);
+        estimate.min(max_duration) > time_left
+    }
+}
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -1,11 +1,13 @@
-//! Adaptive concurrency limit of a target, and retry budgets.
+//! Adaptive concurrency limit of a target, retry budgets, and durations of runs.
 
 mod alarms;
+mod duration;
 mod latency;
 mod retry;
 mod target;
 mod window;
 
+pub use duration::DurationHistory;
 pub use retry::{RETRY_RETENTION, RetryBudget};
 pub use target::{RunSample, TargetLimit};
 pub use window::{WindowBound, WindowBudget};
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -82,8 +82,9 @@
             waiters: Default::default(),
             gate: ShareGate::new(model_pool(), clock.now()),
             retry_budgets: Default::default(),
-            entry_count: 1,
-            is_leaving: false,
+            other_entries: 0,
+            run_durations: Default::default(),
+            stop_at: None,
         }),
         incarnation,
         view: StateBoard::new(FleetView::with_lease_time(settings.lease_time)),
@@ -150,6 +151,11 @@
         self.shared.board.read(|state| state.table.len())
     }
 
+    /// Number of other serving entries that the directory lists for the relay.
+    pub fn other_entry_count(&self) -> u32 {
+        self.shared.board.read(|state| state.other_entries)
+    }
+
     /// Client for the control nodes, whose configured addresses may be changed through it.
     pub fn control_client(&self) -> ControlClient {
         self.client.clone()
@@ -164,12 +170,15 @@
     /// stops it.
     pub async fn leave(mut self) {
         event!(events::RELAY_LEAVING);
-        self.shared.board.write(|state| state.is_leaving = true);
         let drain_timeout = self
             .shared
             .settings
             .stop_timeout
             .saturating_sub(STOP_MARGIN);
+        let stop_at = self.shared.now() + drain_timeout;
+        self.shared
+            .board
+            .write(|state| state.stop_at = Some(stop_at));
         let drain_delay = DRAIN_DELAY.min(drain_timeout);
         tokio::time::sleep(drain_delay).await;
         // Idle connections are closed now, the others after their response.
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -1,5 +1,6 @@
 //! Applies changes of the fleet view to the relay's state.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use place::ListedTarget;
 use routes::{RouteIndex, ServicePool};
 use telemetry::{event, events};
-use units::PlanNumber;
+use units::{PlanNumber, RouteName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
 use crate::settings::RelaySettings;
@@ -63,14 +64,12 @@
     let installed = shared
         .board
         .read(|state| state.route_index.as_ref().map(|index| index.number));
-    let (index, targets, entry_count) = shared.view.read(|view| {
+    let (index, targets, other_entries) = shared.view.read(|view| {
         let index = changed_index(view, installed);
-        let entry_count = view
-            .directory
-            .values()
-            .filter(|entry| is_entry(entry))
-            .count();
-        (index, listed_targets(view, &shared.settings), entry_count)
+        let others = view.directory.values();
+        let others = others.filter(|entry| is_entry(entry) && entry.name != shared.settings.name);
+        let other_entries = others.count() as u32;
+        (index, listed_targets(view, &shared.settings), other_entries)
     });
     if let Some(index) = &index {
         event!(
@@ -81,13 +80,16 @@
     }
     shared.board.write(|state| {
         if let Some(index) = index {
+            let routes: HashSet<&RouteName> =
+                index.plan.routes.iter().map(|route| &route.name).collect();
+            state.run_durations.retain(|name, _| routes.contains(name));
             state.route_index = Some(Arc::new(index));
         }
-        let entry_count = entry_count.max(1) as u32;
-        if state.entry_count != entry_count {
-            state.entry_count = entry_count;
+        if state.other_entries != other_entries {
+            state.other_entries = other_entries;
             state.retry_budgets.clear();
         }
+        let entry_count = state.entry_count();
         state.table.sync(targets, entry_count, now);
         state.drain_queue(now);
     });
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -22,6 +22,7 @@
 use crate::places::{PlacementError, RunGuard, start_run};
 use crate::pool::ExchangeError;
 use crate::state::RelayShared;
+use crate::stop::RunTimer;
 
 /// `Retry-After` when it is not known when a target will have capacity.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -79,6 +80,7 @@
     pub(crate) first_chunk: Option<Bytes>,
     /// Occupies a slot at the target until the stream ends.
     pub(crate) _run_guard: RunGuard,
+    pub(crate) run_timer: RunTimer,
     pub(crate) deadline: Instant,
     pub(crate) attempt_id: String,
 }
@@ -411,6 +413,7 @@
                 response,
                 first_chunk,
                 _run_guard: run_guard,
+                run_timer: self.run_timer(),
                 deadline: self.caller_deadline,
                 attempt_id: self.metadata.attempt_id.clone(),
             })));
@@ -422,11 +425,22 @@
             {
                 SendResult::ServerError(head, body)
             }
-            Ok((head, body)) => SendResult::Response(ForwardedResponse::Complete(head, body)),
+            Ok((head, body)) => {
+                self.run_timer().record_end();
+                SendResult::Response(ForwardedResponse::Complete(head, body))
+            }
             Err(reason) => SendResult::Unknown(reason),
         }
     }
 
+    fn run_timer(&self) -> RunTimer {
+        RunTimer {
+            shared: self.shared.clone(),
+            route: self.route.name.clone(),
+            arrived_at: self.arrived_at,
+        }
+    }
+
     /// Whether the route, the deadline and the retry budget allow another attempt. The attempt is
     /// charged to the budget only if a target may have read the request before.
     fn may_retry(&self) -> bool {
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -15,6 +15,7 @@
 use crate::forward::{ForwardedRequest, ForwardedResponse, PLAN_RETRY_AFTER, admit};
 use crate::respond;
 use crate::state::RelayShared;
+use crate::stop::check_stop;
 
 /// Number of event loop turns between the head of a request and the first byte of its response:
 /// reading the body, sending the request, reading the response and writing it.
@@ -54,6 +55,7 @@
             return Err(refusal.retry_after(PLAN_RETRY_AFTER));
         };
         let admission = admit(&self.shared, &route_index, &metadata, head.uri.path())?;
+        check_stop(&self.shared, &admission.route, metadata.remaining)?;
         let turn_time = measure_scheduler_turn().await;
         if turn_time * TURNS_PER_REQUEST > admission.route.objective() {
             let message =
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod respond;
 mod settings;
 mod state;
+mod stop;
 
 pub use daemon::{RelayHandle, RelayParts, start};
 pub use dialect::{
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -14,7 +14,7 @@
 
 use crate::backend::remove_hop_by_hop_headers;
 use crate::forward::{ForwardedResponse, StreamedResponse};
-use crate::state::RelayShared;
+use crate::state::{RelayShared, RelayState};
 
 /// Delay between the last chunk of an interrupted stream and the error that ends the body.
 const FLUSH_DELAY: Duration = Duration::from_millis(20);
@@ -60,7 +60,7 @@
 
 /// Closes the connection if the relay is leaving, so that the caller moves to another entry.
 fn close_connection_if_leaving(shared: &RelayShared, headers: &mut HeaderMap) {
-    if shared.board.read(|state| state.is_leaving) {
+    if shared.board.read(RelayState::is_leaving) {
         headers.insert("connection", HeaderValue::from_static("close"));
     }
 }
@@ -86,6 +86,7 @@
         let reason = match next {
             Ok(Some(Ok(chunk))) => return Some((Ok(chunk), Some(streamed))),
             Ok(None) => {
+                streamed.run_timer.record_end();
                 streamed.response.release_connection();
                 return None;
             }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -8,11 +8,11 @@
 use cadence::StatsdClient;
 use client::FleetView;
 use fair::ShareGate;
-use limits::{WindowBound, WindowBudget};
+use limits::{DurationHistory, WindowBound, WindowBudget};
 use place::{ListedTarget, PlacementTable, RunKey, WaitKey, WaitQueue};
 use routes::RouteIndex;
 use tokio::sync::oneshot;
-use units::{ClockSource, ClockTime, Incarnation, ServiceName};
+use units::{ClockSource, ClockTime, Incarnation, RouteName, ServiceName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
 use crate::dialect::CallerDialect;
@@ -32,12 +32,26 @@
     pub(crate) gate: ShareGate,
     /// Retry budget of each service.
     pub(crate) retry_budgets: HashMap<ServiceName, WindowBudget>,
-    /// Number of serving entries in the directory.
-    pub(crate) entry_count: u32,
-    pub(crate) is_leaving: bool,
+    /// Number of other serving entries in the directory.
+    pub(crate) other_entries: u32,
+    /// Durations of recent runs of each route.
+    pub(crate) run_durations: HashMap<RouteName, DurationHistory>,
+    /// Time at which a leaving relay ends its open requests; `None` while it serves.
+    pub(crate) stop_at: Option<ClockTime>,
 }
 
 impl RelayState {
+    /// Whether the relay is shutting down.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.stop_at.is_some()
+    }
+
+    /// Number of entries that send requests, including this one. A leaving entry counts, since it
+    /// still sends the requests that it accepts.
+    pub(crate) fn entry_count(&self) -> u32 {
+        self.other_entries + 1
+    }
+
     /// Starts runs of waiting requests while targets have capacity.
     pub(crate) fn drain_queue(&mut self, now: ClockTime) {
         if self.queue.is_empty() {
@@ -60,7 +74,7 @@
         service: &ServiceName,
         settings: &RelaySettings,
     ) -> &mut WindowBudget {
-        let entry_count = u64::from(self.entry_count.max(1));
+        let entry_count = u64::from(self.entry_count());
         self.retry_budgets
             .entry(service.clone())
             .or_insert_with(|| {
@@ -103,7 +117,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         let is_serving = self
             .board
-            .read(|state| !state.is_leaving && state.route_index.is_some());
+            .read(|state| !state.is_leaving() && state.route_index.is_some());
         is_serving && self.has_lease()
     }
 
@@ -114,7 +128,7 @@
 
     /// Current directory entry of the relay.
     pub(crate) fn directory_entry(&self) -> DirectoryEntry {
-        let is_leaving = self.board.read(|state| state.is_leaving);
+        let is_leaving = self.board.read(RelayState::is_leaving);
         DirectoryEntry {
             name: self.settings.name.clone(),
             incarnation: self.incarnation,
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -203,7 +204,8 @@
     pub(crate) api: ControlApi,
     pub(crate) relay: RelayHandle,
     pub(crate) client: reqwest::Client,
-    _control: ControlHandle,
+    control: ControlHandle,
+    keys: PathBuf,
     _folder: TempDir,
 }
 
@@ -238,36 +240,13 @@
         tokio::time::timeout(EVENT_TIMEOUT, confirmed)
             .await
             .unwrap();
-        let settings = RelaySettings {
-            name: "entry-1".into(),
-            http: loopback,
-            listen: loopback,
-            data_centre: "praha-1".into(),
-            regions: BTreeMap::from([("praha-1".into(), "bohemia".into())]),
-            controls: vec![control.address()],
-            keys,
-            lease_time: Duration::from_millis(2_500),
-            retries: WindowBound {
-                retries_per_thousand: 200,
-                slack: 50,
-                window: Duration::from_secs(10),
-            },
-            stop_timeout: Duration::from_secs(5),
-        };
-        let relay = relay::start(
-            settings,
-            RelayParts {
-                dialect: Arc::new(TestDialect),
-                metrics: MetricTable::new().client("test"),
-            },
-        )
-        .await
-        .unwrap();
+        let relay = start_relay("entry-1", control.address(), keys.clone()).await;
         let fleet = Self {
             api: control.api(),
             relay,
             client: reqwest::Client::new(),
-            _control: control,
+            control,
+            keys,
             _folder: folder,
         };
         if let Some(plan) = plan {
@@ -280,6 +259,14 @@
         fleet
     }
 
+    /// Starts another relay, and returns when the first one lists it.
+    pub(crate) async fn start_other_relay(&self) -> RelayHandle {
+        let others = self.relay.other_entry_count();
+        let other = start_relay("entry-2", self.control.address(), self.keys.clone()).await;
+        wait_until(|| self.relay.other_entry_count() > others).await;
+        other
+    }
+
     pub(crate) async fn publish(&self, number: u64, plan: RoutePlan) {
         let published = PublishedPlan {
             number: PlanNumber(number),
@@ -299,15 +286,50 @@
 
     /// A request with an id, the key of the only organisation and a deadline of 2 s.
     pub(crate) fn request(&self, path: &str, id: &str) -> reqwest::RequestBuilder {
+        self.request_with_deadline(path, id, Duration::from_secs(2))
+    }
+
+    /// A request with an id, the key of the only organisation and a deadline.
+    pub(crate) fn request_with_deadline(
+        &self,
+        path: &str,
+        id: &str,
+        deadline: Duration,
+    ) -> reqwest::RequestBuilder {
         let request = self.client.post(self.url(path));
         request
             .header("request-id", id)
             .header("key", "secret")
-            .header("deadline-ms", "2000")
+            .header("deadline-ms", deadline.as_millis().to_string())
             .body("order")
     }
 }
 
+async fn start_relay(name: &str, control: SocketAddr, keys: PathBuf) -> RelayHandle {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = RelaySettings {
+        name: name.into(),
+        http: loopback,
+        listen: loopback,
+        data_centre: "praha-1".into(),
+        regions: BTreeMap::from([("praha-1".into(), "bohemia".into())]),
+        controls: vec![control],
+        keys,
+        lease_time: Duration::from_millis(2_500),
+        retries: WindowBound {
+            retries_per_thousand: 200,
+            slack: 50,
+            window: Duration::from_secs(10),
+        },
+        stop_timeout: Duration::from_secs(5),
+    };
+    let parts = RelayParts {
+        dialect: Arc::new(TestDialect),
+        metrics: MetricTable::new().client("test"),
+    };
+    relay::start(settings, parts).await.unwrap()
+}
+
 /// Polls every 5 ms until a condition holds.
 pub(crate) async fn wait_until(condition: impl Fn() -> bool) {
     let waiting = async {
