Close the links of a leaving relay while its requests end

Cause: 1.2 s of the stop timeout were kept back for closing the links, so streams were cut although they had time left.

Change: no request is accepted once idle connections are closed, so the links close at that time; 0.4 s are kept back for the exit.

--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -38,9 +38,8 @@
 /// once a second and stops sending callers after two failures.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
 
-/// Part of the stop timeout that is reserved for closing the links, which may take a second, and
-/// for the exit of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(1_200);
+/// Part of the stop timeout that is reserved for the exit of the process.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
 
 /// Handle of a running relay. Dropping it stops the relay immediately.
 pub struct RelayHandle {
@@ -49,6 +48,9 @@
     client: ControlClient,
     http_address: SocketAddr,
     server: ServerHandle,
+    /// Task of the HTTP server, which ends after a graceful stop.
+    server_task: JoinSet<()>,
+    /// Tasks that never end.
     tasks: JoinSet<()>,
 }
 
@@ -95,8 +97,9 @@
         metrics: Arc::new(parts.metrics),
         pool: ConnectionPool::default(),
     };
+    let mut server_task = JoinSet::new();
+    let (http_address, server) = serve_http(&shared, &mut server_task).await?;
     let mut tasks = JoinSet::new();
-    let (http_address, server) = serve_http(&shared, &mut tasks).await?;
     tasks.spawn(follow_view(shared.clone()));
     tasks.spawn(poll_queue(shared.clone()));
     tasks.spawn(prune_connections(shared.clone()));
@@ -117,13 +120,14 @@
         client,
         http_address,
         server,
+        server_task,
         tasks,
     })
 }
 
 async fn serve_http(
     shared: &RelayShared,
-    tasks: &mut JoinSet<()>,
+    server_task: &mut JoinSet<()>,
 ) -> eyre::Result<(SocketAddr, ServerHandle)> {
     let address = shared.settings.http;
     let acceptor = listener::listen(address)
@@ -136,7 +140,7 @@
     let mut server = Server::new(acceptor);
     server.http1_mut().max_buf_size(MAX_BUFFER_BYTES);
     let handle = server.handle();
-    tasks.spawn(async move { server.serve(router).await });
+    server_task.spawn(async move { server.serve(router).await });
     Ok((address, handle))
 }
 
@@ -181,16 +185,12 @@
             .write(|state| state.stop_at = Some(stop_at));
         let drain_delay = DRAIN_DELAY.min(drain_timeout);
         tokio::time::sleep(drain_delay).await;
-        // Idle connections are closed now, the others after their response.
+        // Idle connections are closed now, the others after their response. No further request is
+        // accepted, so the links are no longer needed.
         self.server.stop_graceful(Some(drain_timeout - drain_delay));
-        while let Some(ended) = self.tasks.join_next().await {
-            // The HTTP server is the only task that ends on its own.
-            if ended.is_ok() {
-                break;
-            }
-        }
-        self.endpoint.close().await;
         self.tasks.shutdown().await;
+        let server_end = self.server_task.join_next();
+        tokio::join!(self.endpoint.close(), server_end);
         event!(events::RELAY_STOPPED);
     }
 }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -29,6 +29,9 @@
 use units::{ByteSize, ConfigVersion, Incarnation, PlanNumber, SlotCount};
 use wire::{AnnouncedTarget, DirectoryEntry, NodeKind, NodeRole, NodeState};
 
+/// Time within which the test relays stop.
+pub(crate) const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Maximum time that a test waits for an event.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -321,7 +324,7 @@
             slack: 50,
             window: Duration::from_secs(10),
         },
-        stop_timeout: Duration::from_secs(5),
+        stop_timeout: STOP_TIMEOUT,
     };
     let parts = RelayParts {
         dialect: Arc::new(TestDialect),
--- a/components/relay/tests/stops.rs
+++ b/components/relay/tests/stops.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use common::{TargetScript, TargetStep, TestFleet, TestTarget, header, ok_response, plan};
+use common::{
+    STOP_TIMEOUT, TargetScript, TargetStep, TestFleet, TestTarget, header, ok_response, plan,
+};
 
 /// Deadline of a caller that outlasts the stop timeout of the test relays.
 const LONG_DEADLINE: Duration = Duration::from_secs(12);
@@ -66,3 +68,22 @@
     assert_eq!(accepted.status().as_u16(), 200);
     leaving.abort();
 }
+
+/// Guards against streams that are cut although the stop timeout has not passed.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_lasts_until_shortly_before_its_timeout() {
+    let target = TestTarget::start("target-1", endless_streams()).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+    let stream = fleet.request_with_deadline("/stream/x", "r1", LONG_DEADLINE);
+    let accepted = stream.send().await.unwrap();
+
+    let leave_start = Instant::now();
+    let leaving = tokio::spawn(fleet.relay.leave());
+    let body = accepted.bytes().await;
+    let cut_after = leave_start.elapsed();
+    leaving.await.unwrap();
+
+    assert!(body.is_err(), "{body:?}");
+    assert!(cut_after > STOP_TIMEOUT * 9 / 10, "cut after {cut_after:?}");
+    assert!(leave_start.elapsed() <= STOP_TIMEOUT);
+}
