--- a/components/limits/src/duration.rs
+++ b/components/limits/src/duration.rs
@@ -16,8 +16,9 @@
 /// durations say little about the next one.
 const SAMPLE_TTL: Duration = Duration::from_secs(30);
 
-/// Percentage of the kept durations that the estimate covers.
-const ESTIMATE_PERCENT: usize = 98;
+/// Percentage of the longest kept duration that a run may take. Durations vary by a factor of two
+/// and more within a route, so the longest of a few hundred is exceeded again and again.
+const ESTIMATE_PERCENT: u32 = 150;
 
 /// Recent durations of runs of one kind.
 #[derive(Debug, Clone, Default)]
@@ -44,19 +45,15 @@
         self.samples.back().map(|(recorded_at, _)| *recorded_at)
     }
 
-    /// Duration that a run rarely exceeds; `None` if too few runs were recorded lately.
+    /// Duration that a run is not expected to exceed; `None` if too few runs were recorded lately.
     pub fn upper_estimate(&self, now: ClockTime) -> Option<Duration> {
-        let mut recent: Vec<Duration> = self
+        let recent = self
             .samples
             .iter()
             .filter(|(recorded_at, _)| now.since(*recorded_at) < SAMPLE_TTL)
-            .map(|(_, duration)| *duration)
-            .collect();
-        if recent.len() < MIN_SAMPLES {
-            return None;
-        }
-        recent.sort();
-        Some(recent[(recent.len() * ESTIMATE_PERCENT / 100).min(recent.len() - 1)])
+            .map(|(_, duration)| *duration);
+        let longest = recent.clone().max()?;
+        (recent.count() >= MIN_SAMPLES).then_some(longest * ESTIMATE_PERCENT / 100)
     }
 
     /// Whether a run that starts at `now` may still run after `time_left`. `max_duration` is the
