Spread the first links of a fleet over its control nodes and bound handshakes

Cause: each node first connects to the first address of its list, and every entry reports demand to the same home, on a second link.

Change: the name of a node selects the control node that it asks first; concurrent requests of a client share a link; a control node runs at most 8 handshakes and from the 4th on asks peers to prove their address by a QUIC retry, so peers behind a one-way link occupy none; first reports of demand are spread over a second, and an entry without requests reports every 4 s only.

--- a/components/client/src/failover.rs
+++ b/components/client/src/failover.rs
@@ -7,7 +7,7 @@
 
 use link::{LinkEndpoint, LinkError};
 use thiserror::Error;
-use wire::{ControlReply, ControlRequest, OperatorOrder};
+use wire::{ControlReply, ControlRequest, OperatorOrder, stable_hash};
 
 use crate::transport::{ControlTransport, LinkTransport};
 
@@ -84,8 +84,17 @@
 
 impl ControlClient {
     /// Creates a client that connects through links of this endpoint.
+    ///
+    /// The name of the endpoint selects the first preferred node. Otherwise all nodes of a fleet
+    /// that starts would connect to the same control node at once.
     pub fn new(endpoint: LinkEndpoint, controls: Vec<SocketAddr>) -> Self {
-        Self::with_transport(Arc::new(LinkTransport::new(endpoint)), controls)
+        let name_hash = stable_hash(&[endpoint.name().as_str().as_bytes()]);
+        let preferred = name_hash % controls.len().max(1) as u64;
+        let client = Self::with_transport(Arc::new(LinkTransport::new(endpoint)), controls);
+        client
+            .preferred
+            .store(preferred as usize, Ordering::Relaxed);
+        client
     }
 
     /// Creates a client with another transport.
--- a/components/client/src/transport.rs
+++ b/components/client/src/transport.rs
@@ -4,9 +4,10 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use link::{FrameReader, FrameWriter, LinkEndpoint, LinkError, PeerLink};
+use tokio::sync::OnceCell;
 use wire::{ControlReply, ControlRequest, NodeRole, OperatorOrder, StreamKind};
 
 /// Maximum size of the part of a services text in one frame, in bytes.
@@ -25,9 +26,12 @@
 /// Transport over one QUIC link to each control node.
 pub(crate) struct LinkTransport {
     endpoint: LinkEndpoint,
-    links: Mutex<BTreeMap<SocketAddr, PeerLink>>,
+    links: Mutex<BTreeMap<SocketAddr, SharedLink>>,
 }
 
+/// Link that concurrent requests share; the first of them opens it.
+type SharedLink = Arc<OnceCell<PeerLink>>;
+
 impl LinkTransport {
     pub(crate) fn new(endpoint: LinkEndpoint) -> Self {
         Self {
@@ -36,16 +40,11 @@
         }
     }
 
-    async fn link(&self, address: SocketAddr) -> Result<PeerLink, LinkError> {
-        if let Some(link) = self.links().get(&address) {
-            return Ok(link.clone());
-        }
-        let link = self.endpoint.connect(address, NodeRole::Control).await?;
-        self.links().insert(address, link.clone());
-        Ok(link)
+    fn shared_link(&self, address: SocketAddr) -> SharedLink {
+        self.links().entry(address).or_default().clone()
     }
 
-    fn links(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, PeerLink>> {
+    fn links(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, SharedLink>> {
         self.links
             .lock()
             .expect("no thread panics while it holds the lock")
@@ -56,12 +55,15 @@
         address: SocketAddr,
         request: &ControlRequest,
     ) -> Result<ControlReply, LinkError> {
-        let link = self.link(address).await?;
+        let shared = self.shared_link(address);
         let guard = LinkGuard {
             transport: self,
             address,
+            shared: shared.clone(),
             is_answered: false,
         };
+        let connecting = || self.endpoint.connect(address, NodeRole::Control);
+        let link = shared.get_or_try_init(connecting).await?;
         let (mut writer, mut reader) = link.open(StreamKind::Control).await?;
         send_request(&mut writer, request).await?;
         writer.finish();
@@ -76,6 +78,7 @@
 struct LinkGuard<'a> {
     transport: &'a LinkTransport,
     address: SocketAddr,
+    shared: SharedLink,
     is_answered: bool,
 }
 
@@ -87,8 +90,13 @@
 
 impl Drop for LinkGuard<'_> {
     fn drop(&mut self) {
-        if !self.is_answered {
-            self.transport.links().remove(&self.address);
+        if self.is_answered {
+            return;
+        }
+        let mut links = self.transport.links();
+        let is_current = links.get(&self.address);
+        if is_current.is_some_and(|current| Arc::ptr_eq(current, &self.shared)) {
+            links.remove(&self.address);
         }
     }
 }
--- a/components/control/src/server.rs
+++ b/components/control/src/server.rs
@@ -1,9 +1,11 @@
 //! Accepts links from nodes, operators and other control nodes, and serves their streams.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use link::{FrameReader, FrameWriter, LinkEndpoint, LinkError, LinkStream, PeerLink};
 use telemetry::{event, events};
+use tokio::sync::Semaphore;
 use wire::{ControlReply, ControlRequest, Hello, NodeRole, OperatorOrder, RenewReply, StreamKind};
 
 use crate::peer_link::serve_peer;
@@ -19,12 +21,30 @@
 /// Maximum size of the part of a reply that is sent in one frame.
 const MAX_REPLY_PART_BYTES: usize = 512 << 10;
 
+/// Maximum number of concurrent handshakes. Further ones wait without any state but their first
+/// datagrams; a whole fleet that connects at once would need more memory than a small host has.
+const MAX_HANDSHAKES: usize = 8;
+
+/// Number of concurrent handshakes from which peers must prove that they receive datagrams. Peers
+/// behind a link that passes packets one way only would otherwise occupy all handshakes.
+const VALIDATE_FROM_HANDSHAKES: usize = 4;
+
 /// Accepts peers until the endpoint is closed.
 pub(crate) async fn serve(context: ControlContext, endpoint: LinkEndpoint) {
+    let handshakes = Arc::new(Semaphore::new(MAX_HANDSHAKES));
     while let Some(incoming) = endpoint.accept().await {
+        let running = MAX_HANDSHAKES - handshakes.available_permits();
+        if running >= VALIDATE_FROM_HANDSHAKES && incoming.may_retry() {
+            // Fails only for a peer that has answered a previous retry.
+            let _ = incoming.retry();
+            continue;
+        }
+        let permit = handshakes.clone().acquire_owned().await;
         let (context, endpoint) = (context.clone(), endpoint.clone());
         tokio::spawn(async move {
-            match endpoint.complete_handshake(incoming).await {
+            let result = endpoint.complete_handshake(incoming).await;
+            drop(permit);
+            match result {
                 Ok(link) => serve_link(context, endpoint, link).await,
                 Err(error) => event!(events::PEER_REFUSED, error = %error),
             }
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! Test support: a group of control nodes in one process.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -205,9 +207,19 @@
         self.client_of(role, name, vec![self.settings[index].listen])
     }
 
-    fn client_of(&self, role: NodeRole, name: &str, controls: Vec<SocketAddr>) -> ControlClient {
+    /// Link address of a node.
+    pub(crate) fn address(&self, index: usize) -> SocketAddr {
+        self.settings[index].listen
+    }
+
+    /// Endpoint of a node outside the group.
+    pub(crate) fn endpoint(&self, role: NodeRole, name: &str) -> LinkEndpoint {
         let keys = self.folder.path().join("keys");
-        ControlClient::new(bind_endpoint(&keys, role, name, [127, 0, 0, 1]), controls)
+        bind_endpoint(&keys, role, name, [127, 0, 0, 1])
+    }
+
+    fn client_of(&self, role: NodeRole, name: &str, controls: Vec<SocketAddr>) -> ControlClient {
+        ControlClient::new(self.endpoint(role, name), controls)
     }
 }
 
--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -118,6 +118,13 @@
         share.try_take(cost, is_overdue, now) || !is_current
     }
 
+    /// Whether there is nothing to report: no request in the last seconds, and no response since the
+    /// last report.
+    pub fn is_idle(&self, now: ClockTime) -> bool {
+        let mut shares = self.flows.values();
+        self.answers == 0 && shares.all(|share| now.since(share.last_request) >= FLOW_REPORT_TIME)
+    }
+
     /// Records a request that is sent to a target.
     pub fn record_grant(&mut self, cost: CostUnits) {
         self.granted += cost.0;
--- a/components/link/src/endpoint.rs
+++ b/components/link/src/endpoint.rs
@@ -6,7 +6,7 @@
 
 use quinn::{Connection, Endpoint, IdleTimeout, TransportConfig, VarInt};
 use rustls::pki_types::CertificateDer;
-use units::{ByteSize, Incarnation};
+use units::{ByteSize, Incarnation, NodeName};
 use wire::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
 
 use crate::error::LinkError;
@@ -59,6 +59,11 @@
         self.endpoint.local_addr().expect("the endpoint is bound")
     }
 
+    /// Name of the node that the endpoint belongs to.
+    pub fn name(&self) -> &NodeName {
+        &self.hello.name
+    }
+
     /// Connects to a peer and verifies that its certificate was issued for this role.
     pub async fn connect(
         &self,
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -1,11 +1,13 @@
 //! Reports the demand for the model engines to its home, which is the control node that adds up the
 //! demand of all entries, and applies the shares in the replies.
 
+use std::time::Duration;
+
 use client::ControlClient;
 use fair::{DEMAND_INTERVAL, HomeList};
 use telemetry::{event, events};
 use units::{OrganisationName, ServiceName};
-use wire::{ControlReply, ControlRequest, DemandReport, FlowId, FlowKey, ShareReply};
+use wire::{ControlReply, ControlRequest, DemandReport, FlowId, FlowKey, ShareReply, stable_hash};
 
 use crate::state::RelayShared;
 
@@ -15,8 +17,20 @@
     ServiceName::from("models")
 }
 
-/// Reports demand every [`DEMAND_INTERVAL`]; never returns.
+/// Time over which the first reports of the entries of a fleet are spread. All of them connect to the
+/// same control node.
+const START_SPREAD: Duration = Duration::from_secs(1);
+
+/// Interval between reports without demand, which keep the link to the home open.
+const IDLE_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Reports demand every [`DEMAND_INTERVAL`], or every [`IDLE_INTERVAL`] without requests; never
+/// returns.
 pub(crate) async fn report_demand(shared: RelayShared, client: ControlClient) {
+    let name_hash = stable_hash(&[shared.settings.name.as_str().as_bytes()]);
+    let start_delay = name_hash % START_SPREAD.as_millis() as u64;
+    tokio::time::sleep(Duration::from_millis(start_delay)).await;
+    let mut last_report = None;
     let mut interval = tokio::time::interval(DEMAND_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut homes = HomeList::new(client.controls().to_vec());
@@ -27,6 +41,11 @@
     loop {
         interval.tick().await;
         let now = shared.now();
+        let is_recent = last_report.is_some_and(|last| now.since(last) < IDLE_INTERVAL);
+        if is_recent && shared.board.read(|state| state.gate.is_idle(now)) {
+            continue;
+        }
+        last_report = Some(now);
         homes.set_controls(client.controls().to_vec());
         let Some(home) = homes.home(pool, now) else {
             continue;
