Forward long responses before they are complete

Cause: a response that is not a stream was buffered up to 16 MiB.

Change: from 64 KiB on, the response is forwarded as it arrives, with an error at its end if it breaks off.

--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode, Uri, Version, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Incoming;
 
 use crate::dialect::{CallerDialect, ForwardMetadata, ResponseVerdict};
 use crate::pool::{ConnectionPool, ExchangeError, TargetConnection};
@@ -24,8 +25,9 @@
     "upgrade",
 ];
 
-/// Maximum size of a response that is buffered until it is complete.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 16 << 20;
+/// Size from which a response is forwarded before it is complete. A target in trouble may send bytes
+/// without end, and a small host has memory for a few of such responses only.
+const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
 
 /// A request as received from its caller.
 #[derive(Debug, Clone)]
@@ -44,6 +46,14 @@
     pool: ConnectionPool,
 }
 
+/// Response of which the first part is buffered.
+pub(crate) enum BufferedResponse {
+    /// The body is complete.
+    Complete(response::Parts, Bytes),
+    /// The body is longer than its first part.
+    Long(OpenResponse, Bytes),
+}
+
 /// Result of an exchange after the head of the response has arrived.
 pub(crate) enum ExchangeResponse {
     /// The response belongs to the request; its body has not been read.
@@ -141,16 +151,18 @@
 }
 
 impl OpenResponse {
-    /// Reads the body to its end and releases the connection.
-    pub(crate) async fn read_to_end(self) -> Result<(response::Parts, Bytes), String> {
-        let body = http_body_util::Limited::new(self.body, MAX_BUFFERED_RESPONSE_BYTES);
-        let bytes = body
-            .collect()
-            .await
-            .map_err(|error| format!("the answer broke off: {error}"))?
-            .to_bytes();
+    /// Reads the body up to its end, and then releases the connection, or up to
+    /// [`MAX_BUFFERED_RESPONSE_BYTES`].
+    pub(crate) async fn read_buffered(mut self) -> Result<BufferedResponse, String> {
+        let mut buf = BytesMut::new();
+        while let Some(chunk) = self.next_chunk().await {
+            buf.extend_from_slice(&chunk?);
+            if buf.len() > MAX_BUFFERED_RESPONSE_BYTES {
+                return Ok(BufferedResponse::Long(self, buf.freeze()));
+            }
+        }
         self.pool.release(self.connection, &self.head.headers);
-        Ok((self.head, bytes))
+        Ok(BufferedResponse::Complete(self.head, buf.freeze()))
     }
 
     /// Returns the next chunk of the body; `None` at its end, after which the caller should call
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -16,7 +16,7 @@
 use cadence::prelude::*;
 use entry::Refusal;
 
-use crate::backend::{CallerRequest, ExchangeResponse, OpenResponse, exchange};
+use crate::backend::{BufferedResponse, CallerRequest, ExchangeResponse, OpenResponse, exchange};
 use crate::demand::model_pool;
 use crate::dialect::{ForwardMetadata, ModelUsage, RequestMetadata};
 use crate::places::{PlacementError, RunGuard, start_run};
@@ -399,7 +399,7 @@
         }
     }
 
-    /// Reads a complete response, or the first chunk of a stream.
+    /// Reads a response that is buffered, or the first chunk of a stream.
     async fn read_response(&self, mut response: OpenResponse, run_guard: RunGuard) -> SendResult {
         let is_success = response.head.status.is_success();
         if self.route.repeat.is_stream() && is_success {
@@ -409,30 +409,43 @@
                 None => None,
             };
             run_guard.record_first_byte();
-            return SendResult::Response(ForwardedResponse::Stream(Box::new(StreamedResponse {
-                response,
-                first_chunk,
-                _run_guard: run_guard,
-                run_timer: self.run_timer(),
-                deadline: self.caller_deadline,
-                attempt_id: self.metadata.attempt_id.clone(),
-            })));
+            return self.streamed(response, first_chunk, run_guard, self.caller_deadline);
         }
         run_guard.record_first_byte();
-        match response.read_to_end().await {
-            Ok((head, body))
+        match response.read_buffered().await {
+            Ok(BufferedResponse::Complete(head, body))
                 if head.status.is_server_error() && self.route.repeat.is_repeatable() =>
             {
                 SendResult::ServerError(head, body)
             }
-            Ok((head, body)) => {
+            Ok(BufferedResponse::Complete(head, body)) => {
                 self.run_timer().record_end();
                 SendResult::Response(ForwardedResponse::Complete(head, body))
             }
+            Ok(BufferedResponse::Long(response, first_part)) => {
+                self.streamed(response, Some(first_part), run_guard, self.deadline)
+            }
             Err(reason) => SendResult::Unknown(reason),
         }
     }
 
+    fn streamed(
+        &self,
+        response: OpenResponse,
+        first_chunk: Option<Bytes>,
+        run_guard: RunGuard,
+        deadline: Instant,
+    ) -> SendResult {
+        SendResult::Response(ForwardedResponse::Stream(Box::new(StreamedResponse {
+            response,
+            first_chunk,
+            _run_guard: run_guard,
+            run_timer: self.run_timer(),
+            deadline,
+            attempt_id: self.metadata.attempt_id.clone(),
+        })))
+    }
+
     fn run_timer(&self) -> RunTimer {
         RunTimer {
             shared: self.shared.clone(),
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -91,7 +91,7 @@
                 return None;
             }
             Ok(Some(Err(reason))) => reason,
-            Err(_) => "the caller's deadline has passed".into(),
+            Err(_) => "the deadline has passed".into(),
         };
         event!(
             events::RELAY_STREAM_BROKEN,
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -91,6 +91,16 @@
     Close(Vec<u8>),
     /// Writes these bytes and keeps the connection open.
     Hang(Vec<u8>),
+    /// Writes the first bytes, and then the others again and again until the connection is closed.
+    Endless(Vec<u8>, Vec<u8>, Duration),
+    /// Writes `part` up to `count` times, one in each interval, between `start` and `end`.
+    Drip {
+        start: Vec<u8>,
+        part: Vec<u8>,
+        end: Vec<u8>,
+        interval: Duration,
+        count: usize,
+    },
 }
 
 /// Returns the reaction to a request with the given head.
@@ -164,7 +174,35 @@
                 return;
             }
             TargetStep::Hang(bytes) => stream.write_all(&bytes).await.unwrap(),
+            TargetStep::Endless(start, part, interval) => {
+                return drip(&mut stream, &start, &part, interval, usize::MAX).await;
+            }
+            TargetStep::Drip {
+                start,
+                part,
+                end,
+                interval,
+                count,
+            } => {
+                drip(&mut stream, &start, &part, interval, count).await;
+                // Fails if the relay has closed the connection.
+                let _ = stream.write_all(&end).await;
+            }
+        }
+    }
+}
+
+/// Writes `start`, and then `part` in each interval until the connection is closed or `count` parts
+/// are written.
+async fn drip(stream: &mut TcpStream, start: &[u8], part: &[u8], interval: Duration, count: usize) {
+    if stream.write_all(start).await.is_err() {
+        return;
+    }
+    for _ in 0..count {
+        if stream.write_all(part).await.is_err() {
+            return;
         }
+        tokio::time::sleep(interval).await;
     }
 }
 
