Spend less processor time on streams and placements in the relay

Change: one timer for each stream, which is also checked before chunks that are always available; the queue task is woken only when a request waits; the two highest scores are found in one pass.

--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -40,10 +40,15 @@
     /// Calls `write` with the state and then wakes all tasks that are waiting for a change.
     pub fn write<R>(&self, write: impl FnOnce(&mut T) -> R) -> R {
         let result = write(&mut self.lock());
-        self.changes.send_modify(|count| *count += 1);
+        self.notify();
         result
     }
 
+    /// Wakes all tasks that are waiting for a change.
+    pub fn notify(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Calls `write` with the state without waking any task, for changes that none waits for.
     pub fn write_quietly<R>(&self, write: impl FnOnce(&mut T) -> R) -> R {
         write(&mut self.lock())
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -295,9 +295,7 @@
         candidates: Vec<TargetKey>,
         now: ClockTime,
     ) -> Option<TargetKey> {
-        let mut order = candidates;
-        order.sort_by_cached_key(|key| std::cmp::Reverse(self.score(session, *key)));
-        let preferred = *order.first()?;
+        let (preferred, second) = self.highest_scores(session, &candidates)?;
         let is_late =
             |key: TargetKey| self.targets[key].longest_wait(now) > objective * LATE_PERCENT / 100;
         if self.has_capacity(preferred, now) && !is_late(preferred) {
@@ -305,10 +303,30 @@
         }
         let has_stalled = !self.has_capacity(preferred, now)
             || self.targets[preferred].longest_wait(now) > objective;
-        let second = order.get(1).copied().filter(|_| has_stalled)?;
+        let second = second.filter(|_| has_stalled)?;
         (self.has_capacity(second, now) && !is_late(second)).then_some(second)
     }
 
+    /// Candidates with the highest and second highest score for a session.
+    fn highest_scores(
+        &self,
+        session: u64,
+        candidates: &[TargetKey],
+    ) -> Option<(TargetKey, Option<TargetKey>)> {
+        let mut highest: Option<(u64, TargetKey)> = None;
+        let mut second: Option<(u64, TargetKey)> = None;
+        for key in candidates {
+            let scored = (self.score(session, *key), *key);
+            if highest.is_none_or(|highest| scored.0 > highest.0) {
+                second = highest.replace(scored);
+            } else if second.is_none_or(|second| scored.0 > second.0) {
+                second = Some(scored);
+            }
+        }
+        let (_, highest) = highest?;
+        Some((highest, second.map(|(_, key)| key)))
+    }
+
     fn score(&self, session: u64, key: TargetKey) -> u64 {
         let name = self.targets[key].info.name.as_str();
         stable_hash(&[&session.to_le_bytes(), name.as_bytes()])
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -17,7 +17,7 @@
     /// Records the first byte of the response.
     pub(crate) fn record_first_byte(&self) {
         let now = self.shared.now();
-        self.shared.board.write(|state| {
+        self.shared.board.write_quietly(|state| {
             if let Some(run) = state.table.record_first_byte(self.run, now) {
                 state
                     .gate
@@ -39,7 +39,7 @@
 impl Drop for RunGuard {
     fn drop(&mut self) {
         let now = self.shared.now();
-        self.shared.board.write(|state| {
+        self.shared.board.write_quietly(|state| {
             state.table.end_run(self.run);
             state.drain_queue(now);
         });
@@ -77,7 +77,7 @@
         }
     };
     let (run_sender, run_receiver) = oneshot::channel();
-    let placement = shared.board.write(|state| {
+    let placement = shared.board.write_quietly(|state| {
         // Waiting requests of the same flow are served first.
         let outcome = match state.queue.has_flow(flow) {
             true => PlacementOutcome::NoCapacity,
@@ -106,6 +106,7 @@
         Err(None) => return Err(PlacementError::NoTarget),
         Err(Some(key)) => key,
     };
+    shared.board.notify();
     let mut queue_guard = QueueGuard {
         shared,
         key,
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -77,21 +77,26 @@
 fn body_stream(
     response: StreamedResponse,
 ) -> impl futures_util::Stream<Item = Result<Bytes, io::Error>> + Send + 'static {
-    stream::unfold(Some(response), |state| async move {
-        let mut streamed = state?;
+    // The stream has one timer, since a timer for each chunk would be registered and removed again.
+    let deadline = Box::pin(tokio::time::sleep_until(response.deadline));
+    stream::unfold(Some((response, deadline)), |state| async move {
+        let (mut streamed, mut deadline) = state?;
         if let Some(chunk) = streamed.first_chunk.take() {
-            return Some((Ok(chunk), Some(streamed)));
+            return Some((Ok(chunk), Some((streamed, deadline))));
         }
-        let next = tokio::time::timeout_at(streamed.deadline, streamed.response.next_chunk()).await;
+        let next = tokio::select! {
+            biased;
+            () = &mut deadline => Some(Err("the deadline has passed".into())),
+            next = streamed.response.next_chunk() => next,
+        };
         let reason = match next {
-            Ok(Some(Ok(chunk))) => return Some((Ok(chunk), Some(streamed))),
-            Ok(None) => {
+            Some(Ok(chunk)) => return Some((Ok(chunk), Some((streamed, deadline)))),
+            None => {
                 streamed.run_timer.record_end();
                 streamed.response.release_connection();
                 return None;
             }
-            Ok(Some(Err(reason))) => reason,
-            Err(_) => "the deadline has passed".into(),
+            Some(Err(reason)) => reason,
         };
         event!(
             events::RELAY_STREAM_BROKEN,
