Allocate the state of few streams for links to control nodes

Cause: quinn allocates the state of all streams that a peer may open with the connection. At 4,096 streams, which only links to agents need, a link took hundreds of kilobytes at each end; control processes were at 58.6 MB with 105 entries and at 89.2 MB with 300.

Change: 128 streams, except at agents.

--- a/components/link/src/endpoint.rs
+++ b/components/link/src/endpoint.rs
@@ -19,8 +19,14 @@
 /// Maximum duration of a handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Maximum number of concurrent streams that a peer may open on a connection.
-const MAX_STREAMS: u32 = 4_096;
+/// Maximum number of concurrent streams that an entry may open on a connection to an agent: one for
+/// each run.
+const MAX_RUN_STREAMS: u32 = 4_096;
+
+/// Maximum number of concurrent streams that a peer may open on a connection to any other node. The
+/// state of all of them is allocated with the connection, and a control node has a connection to
+/// each node of the fleet.
+const MAX_REQUEST_STREAMS: u32 = 128;
 
 /// QUIC endpoint of a process. Clones share its UDP socket.
 #[derive(Debug, Clone)]
@@ -36,7 +42,7 @@
         identity: &LinkIdentity,
         incarnation: Incarnation,
     ) -> Result<Self, LinkError> {
-        let transport = Arc::new(transport_config());
+        let transport = Arc::new(transport_config(identity.role));
         let mut server = quinn::ServerConfig::with_crypto(Arc::new(identity.server_config()?));
         server.transport_config(transport.clone());
         let mut client = quinn::ClientConfig::new(Arc::new(identity.client_config()?));
@@ -265,11 +271,15 @@
     }
 }
 
-fn transport_config() -> TransportConfig {
+fn transport_config(role: NodeRole) -> TransportConfig {
+    let max_streams = match role {
+        NodeRole::Agent => MAX_RUN_STREAMS,
+        _ => MAX_REQUEST_STREAMS,
+    };
     let mut transport = TransportConfig::default();
     transport
         .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
-        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+        .max_concurrent_bidi_streams(VarInt::from_u32(max_streams))
         .max_concurrent_uni_streams(VarInt::from_u32(0));
     transport
 }
