Keep counted retries when the number of entries changes

Cause: an entry dropped its retry budget each time an entry joined or left, so restarts in turn gave every entry its whole slack again within a window. Found by reading.

Change: the bound is replaced, and the counts stay.

--- a/components/limits/src/window.rs
+++ b/components/limits/src/window.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Replaces the bound. Requests and retries that were counted before stay in the window.
+    pub fn set_bound(&mut self, bound: WindowBound) {
+        self.bound = bound;
+    }
+
     /// Records a request.
     pub fn record_request(&mut self, now: ClockTime) {
         self.current_bucket(now).requests += 1;
--- a/components/limits/tests/window.rs
+++ b/components/limits/tests/window.rs
@@ -62,3 +62,19 @@
     assert_eq!(allowed, 3);
     assert!(budget.try_retry(ClockTime(10_001)));
 }
+
+/// Guards against a new allowance of retries each time the number of entries changes, which may be
+/// every few seconds while hosts are restarted.
+#[test]
+fn new_bound_keeps_the_counted_retries() {
+    let mut budget = WindowBudget::new(BOUND);
+    while budget.try_retry(ClockTime(1_000)) {}
+
+    budget.set_bound(WindowBound {
+        slack: BOUND.slack + 1,
+        ..BOUND
+    });
+
+    assert!(budget.try_retry(ClockTime(1_100)));
+    assert!(!budget.try_retry(ClockTime(1_100)));
+}
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -85,10 +85,7 @@
             state.run_durations.retain(|name, _| routes.contains(name));
             state.route_index = Some(Arc::new(index));
         }
-        if state.other_entries != other_entries {
-            state.other_entries = other_entries;
-            state.retry_budgets.clear();
-        }
+        state.other_entries = other_entries;
         let entry_count = state.entry_count();
         state.table.sync(targets, entry_count, now);
         state.drain_queue(now);
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -74,15 +74,16 @@
         service: &ServiceName,
         settings: &RelaySettings,
     ) -> &mut WindowBudget {
-        let entry_count = u64::from(self.entry_count());
-        self.retry_budgets
+        let bound = WindowBound {
+            slack: settings.retries.slack / u64::from(self.entry_count()),
+            ..settings.retries
+        };
+        let budget = self
+            .retry_budgets
             .entry(service.clone())
-            .or_insert_with(|| {
-                WindowBudget::new(WindowBound {
-                    slack: settings.retries.slack / entry_count,
-                    ..settings.retries
-                })
-            })
+            .or_insert_with(|| WindowBudget::new(bound));
+        budget.set_bound(bound);
+        budget
     }
 }
 
