--- a/components/control/tests/usage.rs
+++ b/components/control/tests/usage.rs
@@ -1,6 +1,5 @@
 //! Usage reports of agents to a control node.
 
-#[allow(dead_code)]
 mod support;
 
 use support::{NODE_NAMES, TestGroup};
