--- a/components/client/src/transport.rs
+++ b/components/client/src/transport.rs
@@ -94,8 +94,8 @@
             return;
         }
         let mut links = self.transport.links();
-        let is_current = links.get(&self.address);
-        if is_current.is_some_and(|current| Arc::ptr_eq(current, &self.shared)) {
+        let current = links.get(&self.address);
+        if current.is_some_and(|current| Arc::ptr_eq(current, &self.shared)) {
             links.remove(&self.address);
         }
     }
