Expect three times the longest recent run at a planned stop

Change: the factor is 3. Long streams are then refused from the start of the stop, short requests until shortly before its end.

--- a/components/limits/src/duration.rs
+++ b/components/limits/src/duration.rs
@@ -17,8 +17,8 @@
 const SAMPLE_TTL: Duration = Duration::from_secs(30);
 
 /// Percentage of the longest kept duration that a run may take. Durations vary by a factor of two
-/// and more within a route, so the longest of a few hundred is exceeded again and again.
-const ESTIMATE_PERCENT: u32 = 150;
+/// and more within a route, and a jump of the load lengthens all runs within a second.
+const ESTIMATE_PERCENT: u32 = 300;
 
 /// Recent durations of runs of one kind.
 #[derive(Debug, Clone, Default)]
