Remove an unused method and the bytes dependency

Cause: the last reading found DurationHistory::last_record without a caller, and bytes as a dependency of the relay for one buffer, though hyper exports the only type of it in use.

Change: the method is gone; the buffer is a Vec, which becomes Bytes without a copy. Behaviour is the same.

--- a/components/limits/src/duration.rs
+++ b/components/limits/src/duration.rs
@@ -40,11 +40,6 @@
         self.samples.push_back((now, duration));
     }
 
-    /// Time of the last recorded run.
-    pub fn last_record(&self) -> Option<ClockTime> {
-        self.samples.back().map(|(recorded_at, _)| *recorded_at)
-    }
-
     /// Duration that a run is not expected to exceed; `None` if too few runs were recorded lately.
     pub fn upper_estimate(&self, now: ClockTime) -> Option<Duration> {
         let recent = self
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, Request, StatusCode, Uri, Version, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Bytes, Incoming};
 
 use crate::dialect::{CallerDialect, ForwardMetadata, ResponseVerdict};
 use crate::pool::{ConnectionPool, ExchangeError, TargetConnection};
@@ -154,15 +153,15 @@
     /// Reads the body up to its end, and then releases the connection, or up to
     /// [`MAX_BUFFERED_RESPONSE_BYTES`].
     pub(crate) async fn read_buffered(mut self) -> Result<BufferedResponse, String> {
-        let mut buf = BytesMut::new();
+        let mut buf = Vec::new();
         while let Some(chunk) = self.next_chunk().await {
             buf.extend_from_slice(&chunk?);
             if buf.len() > MAX_BUFFERED_RESPONSE_BYTES {
-                return Ok(BufferedResponse::Long(self, buf.freeze()));
+                return Ok(BufferedResponse::Long(self, buf.into()));
             }
         }
         self.pool.release(self.connection, &self.head.headers);
-        Ok(BufferedResponse::Complete(self.head, buf.freeze()))
+        Ok(BufferedResponse::Complete(self.head, buf.into()))
     }
 
     /// Returns the next chunk of the body; `None` at its end, after which the caller should call
