Log what was running at a target that ended

Callers saw model requests fail while targets ended one after the other (BUDGET).

An entry whose connection breaks before a response is complete now connects once more. If the connection is refused, the process has ended, and target-crashed (1513) states the target, its incarnation, and the traits of its requests: the parts of their prompts, or a hash of organisation, path and body. A reset connection, a cut and a target that is leaving are not logged as crashes. Without load on the targets nothing is added to a request but the hash of a body without prompt parts.

--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -163,6 +163,12 @@
         self.targets.get(self.runs.get(run)?.target)
     }
 
+    /// Target with this name, as listed by the directory.
+    pub fn listed(&self, name: &NodeName) -> Option<&ListedTarget> {
+        let key = self.keys.get(name)?;
+        self.targets.get(*key).map(|record| &record.info)
+    }
+
     /// Selects a target for a request and starts a run at it if one has capacity.
     pub fn place(&mut self, request: &PlacementRequest, now: ClockTime) -> PlacementOutcome {
         let eligible: Vec<TargetKey> = self.eligible(request).collect();
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -11,6 +11,7 @@
 use fair::ShareGate;
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
 use place::{PlacementSettings, PlacementTable, WaitQueue};
+use quarantine::CrashLog;
 use salvo::server::ServerHandle;
 use salvo::{Router, Server};
 use telemetry::{event, events};
@@ -87,6 +88,7 @@
             retry_budgets: Default::default(),
             other_entries: 0,
             run_durations: Default::default(),
+            crashes: CrashLog::new(),
             stop_at: None,
         }),
         incarnation,
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -29,8 +29,8 @@
     pub prompt_tokens: u64,
     /// Maximum number of tokens in the response.
     pub max_output_tokens: u64,
-    /// Parts of the prompt in order. Requests may share all parts except the last, which is unique
-    /// to the request.
+    /// Parts of the prompt in order. Requests may share all parts; the last belongs to the request or
+    /// its session.
     pub parts: Vec<PromptPart>,
 }
 
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -11,12 +11,13 @@
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
 use units::{CostUnits, FlowWeight, NodeName, OrganisationName, PlanNumber, ServiceName};
-use wire::{FlowId, FlowKey, stable_hash};
+use wire::{FlowId, FlowKey, RequestTrait, stable_hash};
 
 use cadence::prelude::*;
 use entry::Refusal;
 
 use crate::backend::{BufferedResponse, CallerRequest, ExchangeResponse, OpenResponse, exchange};
+use crate::crash::SentRequest;
 use crate::demand::model_pool;
 use crate::dialect::{ForwardMetadata, ModelUsage, RequestMetadata};
 use crate::places::{PlacementError, RunGuard, start_run};
@@ -64,6 +65,8 @@
     plan_number: PlanNumber,
     /// Time from the arrival of the request to its last assignment to a target.
     wait_time: Duration,
+    /// What the request may share with others that crash targets.
+    traits: Vec<RequestTrait>,
 }
 
 /// Response to a caller.
@@ -81,6 +84,7 @@
     /// Occupies a slot at the target until the stream ends.
     pub(crate) _run_guard: RunGuard,
     pub(crate) run_timer: RunTimer,
+    pub(crate) sent: SentRequest,
     pub(crate) deadline: Instant,
     pub(crate) attempt_id: String,
 }
@@ -200,6 +204,7 @@
             may_have_run: false,
             plan_number: admission.plan_number,
             wait_time: Duration::ZERO,
+            traits: Vec::new(),
         })
     }
 
@@ -217,6 +222,7 @@
         request: CallerRequest,
     ) -> Result<ForwardedResponse, Refusal> {
         self.record_request();
+        self.traits = self.request_traits(&request);
         // A target's server error is forwarded if no other target responds.
         let mut server_error = None;
         let refusal = loop {
@@ -302,6 +308,27 @@
         }
     }
 
+    /// Traits of the request. The parts of a prompt stand for its content, which may be long.
+    fn request_traits(&self, request: &CallerRequest) -> Vec<RequestTrait> {
+        let model_usage = self.metadata.model_usage.as_ref();
+        let parts = model_usage.map_or(&[][..], |model| &model.parts);
+        if !parts.is_empty() {
+            return parts
+                .iter()
+                .map(|part| RequestTrait::Part(part.id))
+                .collect();
+        }
+        let organisation = self.organisation.as_ref();
+        let hash = stable_hash(&[
+            organisation.map_or("", OrganisationName::as_str).as_bytes(),
+            request.method.as_str().as_bytes(),
+            self.metadata.host.as_bytes(),
+            request.uri.to_string().as_bytes(),
+            &request.body,
+        ]);
+        vec![RequestTrait::Content(hash)]
+    }
+
     fn record_request(&self) {
         let now = self.shared.now();
         let settings = &self.shared.settings;
@@ -384,32 +411,53 @@
                 .caller_deadline
                 .saturating_duration_since(Instant::now()),
         };
+        let sent = SentRequest {
+            shared: self.shared.clone(),
+            target: target.clone(),
+            flow: FlowId::of(&self.flow()),
+            sent_at: self.shared.now(),
+            traits: self.traits.clone(),
+        };
         let dialect = self.shared.dialect.as_ref();
         let attempt_id = &self.metadata.attempt_id;
         let pool = &self.shared.pool;
         let exchanged = exchange(pool, dialect, connection, request, attempt_id, &metadata).await;
         match exchanged {
-            Ok(ExchangeResponse::Valid(response)) => self.read_response(response, run_guard).await,
+            Ok(ExchangeResponse::Valid(response)) => {
+                self.read_response(response, run_guard, sent).await
+            }
             Ok(ExchangeResponse::NotRun(status)) => {
                 SendResult::NotRun(format!("the target refused with status {status}"))
             }
             Ok(ExchangeResponse::Invalid(reason)) => SendResult::Unknown(reason),
             Err(ExchangeError::NotSent(reason)) => SendResult::NotSent(reason),
-            Err(ExchangeError::Broken(reason)) => SendResult::Unknown(reason),
+            Err(ExchangeError::Broken(reason)) => {
+                sent.record_break();
+                SendResult::Unknown(reason)
+            }
         }
     }
 
     /// Reads a response that is buffered, or the first chunk of a stream.
-    async fn read_response(&self, mut response: OpenResponse, run_guard: RunGuard) -> SendResult {
+    async fn read_response(
+        &self,
+        mut response: OpenResponse,
+        run_guard: RunGuard,
+        sent: SentRequest,
+    ) -> SendResult {
         let is_success = response.head.status.is_success();
         if self.route.repeat.is_stream() && is_success {
             let first_chunk = match response.next_chunk().await {
                 Some(Ok(chunk)) => Some(chunk),
-                Some(Err(reason)) => return SendResult::Unknown(reason),
+                Some(Err(reason)) => {
+                    sent.record_break();
+                    return SendResult::Unknown(reason);
+                }
                 None => None,
             };
             run_guard.record_first_byte();
-            return self.streamed(response, first_chunk, run_guard, self.caller_deadline);
+            let deadline = self.caller_deadline;
+            return self.streamed(response, first_chunk, run_guard, sent, deadline);
         }
         run_guard.record_first_byte();
         match response.read_buffered().await {
@@ -423,9 +471,12 @@
                 SendResult::Response(ForwardedResponse::Complete(head, body))
             }
             Ok(BufferedResponse::Long(response, first_part)) => {
-                self.streamed(response, Some(first_part), run_guard, self.deadline)
+                self.streamed(response, Some(first_part), run_guard, sent, self.deadline)
+            }
+            Err(reason) => {
+                sent.record_break();
+                SendResult::Unknown(reason)
             }
-            Err(reason) => SendResult::Unknown(reason),
         }
     }
 
@@ -434,6 +485,7 @@
         response: OpenResponse,
         first_chunk: Option<Bytes>,
         run_guard: RunGuard,
+        sent: SentRequest,
         deadline: Instant,
     ) -> SendResult {
         SendResult::Response(ForwardedResponse::Stream(Box::new(StreamedResponse {
@@ -441,6 +493,7 @@
             first_chunk,
             _run_guard: run_guard,
             run_timer: self.run_timer(),
+            sent,
             deadline,
             attempt_id: self.metadata.attempt_id.clone(),
         })))
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! and targets express ids, keys, deadlines and refusals.
 
 mod backend;
+mod crash;
 mod daemon;
 mod demand;
 mod dialect;
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -87,7 +87,12 @@
         let next = tokio::select! {
             biased;
             () = &mut deadline => Some(Err("the deadline has passed".into())),
-            next = streamed.response.next_chunk() => next,
+            next = streamed.response.next_chunk() => {
+                if let Some(Err(_)) = next {
+                    streamed.sent.record_break();
+                }
+                next
+            }
         };
         let reason = match next {
             Some(Ok(chunk)) => return Some((Ok(chunk), Some((streamed, deadline)))),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -10,6 +10,7 @@
 use fair::ShareGate;
 use limits::{DurationHistory, WindowBound, WindowBudget};
 use place::{ListedTarget, PlacementTable, RunKey, WaitKey, WaitQueue};
+use quarantine::CrashLog;
 use routes::RouteIndex;
 use tokio::sync::oneshot;
 use units::{ClockSource, ClockTime, Incarnation, RouteName, ServiceName};
@@ -36,6 +37,8 @@
     pub(crate) other_entries: u32,
     /// Durations of recent runs of each route.
     pub(crate) run_durations: HashMap<RouteName, DurationHistory>,
+    /// Requests that were at targets when these crashed.
+    pub(crate) crashes: CrashLog,
     /// Time at which a leaving relay ends its open requests; `None` while it serves.
     pub(crate) stop_at: Option<ClockTime>,
 }
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -19,6 +19,10 @@
     RELAY_SEND_FAILED = 1511, Info, "relay-send-failed",
         "A target did not answer a request; the field may_have_run states whether the request may \
          have run there.";
+    TARGET_CRASHED = 1513, Info, "target-crashed",
+        "A target ended while it had requests of this entry: their connections broke, and its \
+         address refuses new ones. The field traits states what the first requests may share with \
+         others.";
     RELAY_STREAM_BROKEN = 1512, Info, "relay-stream-broken",
         "A response stream ended before its last event, so the connection of the caller was \
          closed.";
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod codec;
 mod control;
+mod crash;
 mod demand;
 mod hash;
 mod hello;
@@ -19,6 +20,7 @@
     DirectoryDelta, DirectoryEntry, EndCall, NodeKind, NodeState, OperatorOrder, OrderReply,
     RenewReply, RenewRequest, StoredResponse, TargetState,
 };
+pub use crash::{RequestTrait, TraitError};
 pub use demand::{DemandReport, FlowAllowance, FlowDemand, ShareReply};
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
