--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod crashing;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -15,8 +17,8 @@
 use manifest::KeyHash;
 use raft::RaftSettings;
 use relay::{
-    CallerDialect, ForwardMetadata, MetadataError, RelayHandle, RelayParts, RelaySettings,
-    RequestMetadata, ResponseVerdict, WindowBound,
+    CallerDialect, ForwardMetadata, MetadataError, ModelUsage, PromptPart, RelayHandle, RelayParts,
+    RelaySettings, RequestMetadata, ResponseVerdict, WindowBound,
 };
 use routes::{
     CallerBounds, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec, ServicePool,
@@ -48,7 +50,7 @@
             host: "mill.example".into(),
             key: text("key").map(key),
             remaining: text("deadline-ms").and_then(millis),
-            model_usage: None,
+            model_usage: text("prompt-parts").map(model_usage),
         })
     }
 
@@ -76,6 +78,20 @@
     }
 }
 
+/// Usage of a model by a prompt with these parts: hexadecimal ids, separated by commas.
+fn model_usage(parts: &str) -> ModelUsage {
+    let id = |text: &str| u64::from_str_radix(text, 16).unwrap();
+    let parts = parts.split(',').map(|text| PromptPart {
+        id: id(text),
+        tokens: 10,
+    });
+    ModelUsage {
+        prompt_tokens: 10,
+        max_output_tokens: 1,
+        parts: parts.collect(),
+    }
+}
+
 /// Hash of a key in [`TestDialect`]: its bytes, padded with zeros.
 pub(crate) fn key(text: &str) -> KeyHash {
     let mut hash = [0; 32];
@@ -146,7 +162,7 @@
         wait_until(|| self.closed.load(Ordering::SeqCst) > 0).await;
     }
 
-    fn announcement(&self) -> DirectoryEntry {
+    pub(crate) fn announcement(&self) -> DirectoryEntry {
         DirectoryEntry {
             name: self.name.as_str().into(),
             incarnation: Incarnation(1),
