Quarantine requests that crash one target after the other

Cause: nothing remembered what was running at a target when it ended. An entry sent the next such request, and its own retry of this one, to the next target. The class of fault is an input that is fatal to whoever processes it, in a system whose answer to a failure is another attempt. Ruled out: overload of cold targets (warm ones ended first) and cuts (connections to ended targets are refused).

Change: entries report the requests at targets that crashed, and complete responses, to the home of their demand. The home finds the trait that explains the crashes better than chance; entries refuse requests with it, and a suspected request gets no second target.

--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -11,6 +11,7 @@
 use eyre::{Result, WrapErr, eyre};
 use fair::{DemandHome, UsageHome};
 use link::{KeyFiles, LinkEndpoint, LinkError, LinkIdentity};
+use quarantine::QuarantineHome;
 use raft::NodeRole as RaftRole;
 use telemetry::{event, events};
 use tokio::sync::{mpsc, oneshot};
@@ -97,6 +98,7 @@
         ),
         usage: StateBoard::new(UsageHome::new()),
         demand: StateBoard::new(DemandHome::new()),
+        quarantine: StateBoard::new(QuarantineHome::new(Incarnation::starting_now())),
         driver,
         peers,
         clock,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -23,4 +23,6 @@
 pub use api::{ApiError, ControlApi, PublishedText};
 pub use handle::{ControlHandle, start, start_on};
 pub use settings::{ControlArguments, ControlSettings};
-pub use status::{ControlStatus, DataCentreReport, FleetStatus, NodeReport, ServiceReport};
+pub use status::{
+    ControlStatus, DataCentreReport, FleetStatus, NodeReport, QuarantineStatus, ServiceReport,
+};
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use quarantine::QuarantineChange;
 use registry::{RegistryAction, RegistryOutcome};
 use telemetry::{event, events};
 use tokio::sync::oneshot;
 use units::NodeName;
 use wire::{
-    ControlReply, ControlRequest, DemandReport, Hello, NodeKind, NodeRole, OrderReply, RenewReply,
-    RenewRequest, UsageReport,
+    ControlReply, ControlRequest, CrashReport, DemandReport, EntryReply, EntryReport, Hello,
+    NodeKind, NodeRole, OrderReply, QuarantineReply, RenewReply, RenewRequest, ShareReply,
+    UsageReport,
 };
 
 use crate::driver_event::{DriverEvent, ProposeFailure};
@@ -48,7 +50,19 @@
             ControlReply::Done
         }
         ControlRequest::Usage(report) => handle_usage(context, peer, &report),
-        ControlRequest::Demand(report) => handle_demand(context, peer, &report),
+        ControlRequest::Report(report) => handle_report(context, peer, &report),
+        ControlRequest::LiftQuarantine(subject) => {
+            let now = context.clock.now();
+            let was_in_force = context
+                .quarantine
+                .write_quietly(|home| home.lift(&subject, now));
+            event!(
+                events::QUARANTINE_LIFTED,
+                subject = subject,
+                operator = peer.name
+            );
+            ControlReply::Lifted(was_in_force)
+        }
         ControlRequest::Text(_) => ControlReply::BadRequest("a text without its order".into()),
         request => commit_or_forward(context, peer.role == NodeRole::Control, request).await,
     }
@@ -67,7 +81,8 @@
             matches!(role, NodeRole::Operator | NodeRole::Control)
         }
         ControlRequest::Directory(_) => role == NodeRole::Control,
-        ControlRequest::Demand(_) => role == NodeRole::Entry,
+        ControlRequest::Report(_) => role == NodeRole::Entry,
+        ControlRequest::LiftQuarantine(_) => role == NodeRole::Operator,
         ControlRequest::Usage(_) => role == NodeRole::Agent,
     }
 }
@@ -144,13 +159,43 @@
     ControlReply::Usage(totals)
 }
 
-/// Adds the demand of an entry to that of the other entries and returns its shares. Like
+/// Adds the report of an entry to those of the other entries, and returns what applies to it. Like
 /// [`handle_usage`], this needs no quorum.
-fn handle_demand(context: &ControlContext, peer: &Hello, report: &DemandReport) -> ControlReply {
-    if report.reporter != peer.name || report.incarnation != peer.incarnation {
-        let reporter = &report.reporter;
+fn handle_report(context: &ControlContext, peer: &Hello, report: &EntryReport) -> ControlReply {
+    let demand = &report.demand;
+    if demand.reporter != peer.name || demand.incarnation != peer.incarnation {
+        let reporter = &demand.reporter;
         return ControlReply::BadRequest(format!("reporter {reporter} is not the sender"));
     }
+    ControlReply::Report(EntryReply {
+        shares: apply_demand(context, demand),
+        quarantine: apply_crashes(context, &report.crashes),
+    })
+}
+
+fn apply_crashes(context: &ControlContext, report: &CrashReport) -> QuarantineReply {
+    let now = context.clock.now();
+    let (reply, changes) = context
+        .quarantine
+        .write_quietly(|home| home.apply_report(report, now));
+    for change in changes {
+        match change {
+            QuarantineChange::Started(quarantined) => event!(
+                events::QUARANTINE_STARTED,
+                subject = quarantined.subject,
+                crashes = quarantined.crashes,
+                organisations = quarantined.flows.len(),
+                trial_ms = quarantined.trial_ms
+            ),
+            QuarantineChange::Ended(subject) => {
+                event!(events::QUARANTINE_ENDED, subject = subject);
+            }
+        }
+    }
+    reply
+}
+
+fn apply_demand(context: &ControlContext, report: &DemandReport) -> ShareReply {
     let now = context.clock.now();
     let configured_rate = context.view.read(|view| {
         let published = view.registry.config().published.as_ref();
@@ -173,7 +218,7 @@
             lateness_permille = sample.total_permille / sample.count.max(1)
         );
     }
-    ControlReply::Shares(reply)
+    reply
 }
 
 /// Commits a request if this node is the leader, else forwards it to the leader.
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -8,6 +8,7 @@
 use client::LEASE_TIME;
 use directory::NodeDirectory;
 use fair::{DemandHome, UsageHome};
+use quarantine::QuarantineHome;
 use raft::NodeStatus;
 use registry::RegistryState;
 use tokio::sync::mpsc;
@@ -106,6 +107,8 @@
     pub(crate) usage: StateBoard<UsageHome>,
     /// Demand of the services whose home is this node.
     pub(crate) demand: StateBoard<DemandHome>,
+    /// Requests that crash targets, if this node is the home of the entries' reports.
+    pub(crate) quarantine: StateBoard<QuarantineHome>,
     /// Event queue of the driver.
     pub(crate) driver: mpsc::Sender<DriverEvent>,
     /// Addresses, queues and clients of the other control nodes.
--- a/components/control/src/status.rs
+++ b/components/control/src/status.rs
@@ -75,6 +75,19 @@
     pub silent_ms: u64,
 }
 
+/// Quarantine of the requests with one trait.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct QuarantineStatus {
+    /// Service and trait, as `SERVICE/part:HEX` or `SERVICE/content:HEX`.
+    pub subject: String,
+    /// Number of crashes for which the trait is held responsible.
+    pub crashes: u64,
+    /// Number of organisations whose requests are refused; 0 for all.
+    pub organisations: usize,
+    /// Time until one request is admitted as a trial, in milliseconds; 0 if a trial is due.
+    pub trial_ms: u64,
+}
+
 /// Status of the fleet as seen by one control node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetStatus {
@@ -106,6 +119,9 @@
     pub services: Vec<ServiceReport>,
     /// Entries, agents, and targets without an agent.
     pub nodes: Vec<NodeReport>,
+    /// Requests that entries refuse because they crash targets, as far as the replying node knows.
+    #[serde(default)]
+    pub quarantine: Vec<QuarantineStatus>,
     /// Nodes that stopped sending announcements in the last minute.
     #[serde(default)]
     pub missing: Vec<MissingReport>,
@@ -187,10 +203,23 @@
                 },
             })
             .collect(),
+        quarantine: quarantine_statuses(context),
         missing: Vec::new(),
     }
 }
 
+fn quarantine_statuses(context: &ControlContext) -> Vec<QuarantineStatus> {
+    let now = context.clock.now();
+    let quarantined = context.quarantine.read(|home| home.quarantined(now));
+    let statuses = quarantined.into_iter().map(|quarantined| QuarantineStatus {
+        subject: quarantined.subject.to_string(),
+        crashes: quarantined.crashes,
+        organisations: quarantined.flows.len(),
+        trial_ms: quarantined.trial_ms,
+    });
+    statuses.collect()
+}
+
 fn control_statuses(context: &ControlContext, view: &DriverView) -> Vec<ControlStatus> {
     let now = context.clock.now();
     let members = &view.status.membership;
--- a/components/ctl/src/commands.rs
+++ b/components/ctl/src/commands.rs
@@ -9,8 +9,9 @@
 use crate::connection::ControlConnection;
 use crate::keys::run_key_command;
 use crate::members::list_members;
-use crate::options::{Command, CtlOptions, MemberCommand};
+use crate::options::{Command, CtlOptions, MemberCommand, QuarantineCommand};
 use crate::orders::{OrderSubject, set_exclusion};
+use crate::quarantine::{lift_quarantine, list_quarantine};
 use crate::status::show_status;
 
 /// Exit code of a command.
@@ -86,6 +87,12 @@
             set_exclusion(&connect()?, subject, command, options.json).await
         }
         Command::Status => show_status(&connect()?, options.json).await,
+        Command::Quarantine(QuarantineCommand::List) => {
+            list_quarantine(&connect()?, options.json).await
+        }
+        Command::Quarantine(QuarantineCommand::Lift { subject }) => {
+            lift_quarantine(&connect()?, subject).await
+        }
         Command::Control(MemberCommand::Members) => list_members(&connect()?, options.json).await,
     }
 }
--- a/components/ctl/src/connection.rs
+++ b/components/ctl/src/connection.rs
@@ -10,7 +10,7 @@
 use units::{ConfigVersion, Incarnation, NodeName};
 use wire::{
     ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeRole, NodeState, OperatorOrder,
-    OrderReply, RenewRequest,
+    OrderReply, RenewRequest, ServiceTrait,
 };
 
 use crate::options::ConnectionOptions;
@@ -53,6 +53,44 @@
         }
     }
 
+    /// Status of each control node that answers.
+    pub(crate) async fn fetch_all_statuses(&self) -> Result<Vec<FleetStatus>> {
+        let mut statuses = Vec::new();
+        for reply in self.request_all(&ControlRequest::Status).await? {
+            if let ControlReply::Status(text) = reply {
+                let status = serde_json::from_str(&text);
+                statuses.push(status.wrap_err("Failed to parse the status of the fleet")?);
+            }
+        }
+        Ok(statuses)
+    }
+
+    /// Ends the quarantine of a trait at each control node that answers. Returns whether it was in
+    /// force at any.
+    pub(crate) async fn lift_quarantine(&self, subject: ServiceTrait) -> Result<bool> {
+        let replies = self
+            .request_all(&ControlRequest::LiftQuarantine(subject))
+            .await?;
+        let lifted = |reply: &ControlReply| *reply == ControlReply::Lifted(true);
+        Ok(replies.iter().any(lifted))
+    }
+
+    /// Sends a request to each control node, and returns the replies of those that answer.
+    async fn request_all(&self, request: &ControlRequest) -> Result<Vec<ControlReply>> {
+        let mut replies = Vec::new();
+        let mut last_error = None;
+        for control in self.client.controls().iter() {
+            match self.client.request_at(*control, request).await {
+                Ok(reply) => replies.push(reply),
+                Err(error) => last_error = Some(error),
+            }
+        }
+        match last_error {
+            Some(error) if replies.is_empty() => Err(error.into()),
+            _ => Ok(replies),
+        }
+    }
+
     /// Fetches the configuration in force. It is contained in the reply to a lease renewal, which
     /// grants no lease to an operator.
     pub(crate) async fn fetch_config(&self) -> Result<FleetConfig> {
--- a/components/ctl/src/lib.rs
+++ b/components/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 mod members;
 mod options;
 mod orders;
+mod quarantine;
 mod status;
 mod table;
 
--- a/components/ctl/src/options.rs
+++ b/components/ctl/src/options.rs
@@ -74,6 +74,9 @@
     /// Show the state of the fleet
     #[bpaf(command)]
     Status,
+    /// Show or end the quarantine of requests that crash targets
+    #[bpaf(command)]
+    Quarantine(#[bpaf(external(quarantine_command))] QuarantineCommand),
     /// Show the control nodes
     #[bpaf(command)]
     Control(#[bpaf(external(member_command))] MemberCommand),
@@ -104,6 +107,21 @@
     },
 }
 
+/// Commands for the quarantine
+#[derive(Debug, Clone, Bpaf)]
+pub enum QuarantineCommand {
+    /// List the traits whose requests are refused
+    #[bpaf(command)]
+    List,
+    /// Forward requests with a trait again
+    #[bpaf(command)]
+    Lift {
+        /// Service and trait, as the list shows them
+        #[bpaf(positional("SERVICE/TRAIT"))]
+        subject: String,
+    },
+}
+
 /// Commands for the control nodes
 #[derive(Debug, Clone, Bpaf)]
 pub enum MemberCommand {
--- a/components/ctl/tests/capacity.rs
+++ b/components/ctl/tests/capacity.rs
@@ -42,6 +42,7 @@
         controls: Vec::new(),
         data_centres: Vec::new(),
         services: vec![service("advice", &["records"]), service("records", &[])],
+        quarantine: Vec::new(),
         missing: Vec::new(),
         nodes: vec![
             agent_report("a-1", "advice", "praha-1", true),
--- a/components/relay/src/crash.rs
+++ b/components/relay/src/crash.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use cadence::prelude::*;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::response;
 use place::ListedTarget;
 use quarantine::{BrokenRequest, EndedTarget};
 use telemetry::{event, events};
@@ -30,10 +32,27 @@
     pub(crate) target: ListedTarget,
     pub(crate) flow: FlowId,
     pub(crate) sent_at: ClockTime,
+    /// Whether the request was sent to another target before.
+    pub(crate) is_retry: bool,
     pub(crate) traits: Vec<RequestTrait>,
 }
 
 impl SentRequest {
+    /// Records a complete response. It shows that the target survived the request, unless its end is
+    /// only known from the end of the connection.
+    pub(crate) fn record_response(&self, head: &response::Parts) {
+        let has_length = head.headers.contains_key(CONTENT_LENGTH);
+        let is_framed = has_length || head.headers.contains_key(TRANSFER_ENCODING);
+        if !head.status.is_success() || !is_framed {
+            return;
+        }
+        let now = self.shared.now();
+        let service = &self.target.service;
+        self.shared
+            .board
+            .write_quietly(|state| state.crashes.record_success(service, &self.traits, now));
+    }
+
     /// Records that the connection broke before the response was complete.
     pub(crate) fn record_break(&self) {
         let now = self.shared.now();
@@ -44,12 +63,16 @@
         let request = BrokenRequest {
             flow: self.flow,
             sent_at: self.sent_at,
+            is_retry: self.is_retry,
             traits: self.traits.clone(),
         };
         let is_first = self.shared.board.write_quietly(|state| {
             let listed = state.table.listed(&target.name);
             let is_serving = listed.is_none_or(|listed| listed.is_serving);
-            is_serving && state.crashes.record_break(&target, request, now)
+            is_serving
+                && state
+                    .crashes
+                    .record_break(&target, &self.target.service, request, now)
         });
         if is_first {
             let (shared, listed) = (self.shared.clone(), self.target.clone());
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -1,5 +1,6 @@
-//! Reports the demand for the model engines to its home, which is the control node that adds up the
-//! demand of all entries, and applies the shares in the replies.
+//! Reports the demand for the model engines and the crashes of targets to their home, which is the
+//! control node that merges the reports of all entries, and applies the shares and the quarantine in
+//! the replies.
 
 use std::time::Duration;
 
@@ -7,9 +8,9 @@
 use fair::{DEMAND_INTERVAL, HomeList};
 use telemetry::{event, events};
 use units::{OrganisationName, ServiceName};
-use wire::{ControlReply, ControlRequest, DemandReport, FlowId, FlowKey, ShareReply, stable_hash};
+use wire::{ControlReply, ControlRequest, EntryReply, EntryReport, FlowId, FlowKey, stable_hash};
 
-use crate::state::RelayShared;
+use crate::state::{RelayShared, RelayState};
 
 /// Service name under which the demand for all model services is summed, because a plan states the
 /// total capacity of all engines.
@@ -21,11 +22,11 @@
 /// same control node.
 const START_SPREAD: Duration = Duration::from_secs(1);
 
-/// Interval between reports without demand, which keep the link to the home open.
-const IDLE_INTERVAL: Duration = Duration::from_secs(4);
+/// Interval between reports without demand. An entry without requests learns of a quarantine within
+/// this time.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Reports demand every [`DEMAND_INTERVAL`], or every [`IDLE_INTERVAL`] without requests; never
-/// returns.
+/// Reports every [`DEMAND_INTERVAL`], or every [`IDLE_INTERVAL`] without requests; never returns.
 pub(crate) async fn report_demand(shared: RelayShared, client: ControlClient) {
     let name_hash = stable_hash(&[shared.settings.name.as_str().as_bytes()]);
     let start_delay = name_hash % START_SPREAD.as_millis() as u64;
@@ -42,7 +43,8 @@
         interval.tick().await;
         let now = shared.now();
         let is_recent = last_report.is_some_and(|last| now.since(last) < IDLE_INTERVAL);
-        if is_recent && shared.board.read(|state| state.gate.is_idle(now)) {
+        let is_idle = |state: &RelayState| state.gate.is_idle(now) && !state.crashes.is_urgent();
+        if is_recent && shared.board.read(is_idle) {
             continue;
         }
         last_report = Some(now);
@@ -55,11 +57,17 @@
             for run in state.table.overdue_runs(now) {
                 state.gate.record_wait(run.latency, run.objective);
             }
-            state.gate.take_report(name, incarnation, now)
+            EntryReport {
+                demand: state.gate.take_report(name, incarnation, now),
+                crashes: state.crashes.report(now),
+            }
         });
-        match request_shares(&client, home, &report).await {
+        match send_report(&client, home, &report).await {
             Ok(reply) => shared.board.write_quietly(|state| {
-                state.gate.apply_reply(&reply, shared.now());
+                let now = shared.now();
+                state.gate.apply_reply(&reply.shares, now);
+                let quarantine = &reply.quarantine;
+                state.crashes.apply_reply(&report.crashes, quarantine, now);
             }),
             Err(reason) => {
                 event!(events::DEMAND_UNANSWERED, control = home, reason = reason);
@@ -69,14 +77,14 @@
     }
 }
 
-async fn request_shares(
+async fn send_report(
     client: &ControlClient,
     home: std::net::SocketAddr,
-    report: &DemandReport,
-) -> Result<ShareReply, String> {
-    let request = ControlRequest::Demand(report.clone());
+    report: &EntryReport,
+) -> Result<EntryReply, String> {
+    let request = ControlRequest::Report(report.clone());
     match client.request_at(home, &request).await {
-        Ok(ControlReply::Shares(reply)) => Ok(reply),
+        Ok(ControlReply::Report(reply)) => Ok(reply),
         Ok(reply) => Err(format!("unexpected reply from the control node: {reply:?}")),
         Err(error) => Err(error.to_string()),
     }
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -6,6 +6,7 @@
 use http::{StatusCode, response};
 use hyper::body::Bytes;
 use place::{ListedTarget, PlacementRequest};
+use quarantine::QuarantineVerdict;
 use routes::{KeyHolder, RouteIndex, RouteMatch};
 use telemetry::{event, events};
 use tokio::time::Instant;
@@ -67,6 +68,8 @@
     wait_time: Duration,
     /// What the request may share with others that crash targets.
     traits: Vec<RequestTrait>,
+    /// Whether the request is admitted to find out whether a quarantine should end.
+    is_trial: bool,
 }
 
 /// Response to a caller.
@@ -205,6 +208,7 @@
             plan_number: admission.plan_number,
             wait_time: Duration::ZERO,
             traits: Vec::new(),
+            is_trial: false,
         })
     }
 
@@ -226,10 +230,17 @@
         // A target's server error is forwarded if no other target responds.
         let mut server_error = None;
         let refusal = loop {
+            if let Err(refusal) = self.check_quarantine() {
+                break refusal;
+            }
             let run_guard = match self.wait_for_target().await {
                 Ok(run_guard) => run_guard,
                 Err(refusal) => break refusal,
             };
+            // The quarantine may have begun during the wait.
+            if let Err(refusal) = self.check_quarantine() {
+                break refusal;
+            }
             let result = self.send(&request, run_guard).await;
             let (reason, may_have_run) = match result {
                 SendResult::Response(response) => {
@@ -265,7 +276,8 @@
                 sends = self.send_count,
                 reason = reason
             );
-            let is_retryable = !may_have_run || self.route.repeat.is_repeatable();
+            let is_retryable =
+                !may_have_run || (self.route.repeat.is_repeatable() && !self.is_suspected());
             if !is_retryable || !self.may_retry() {
                 break self.failure(&reason);
             }
@@ -361,6 +373,46 @@
         Refusal::not_run(429, "over-share", message).retry_after(remaining / RETRY_AFTER_DIVISOR)
     }
 
+    /// Refuses a request with a trait that is quarantined because it crashes targets.
+    fn check_quarantine(&mut self) -> Result<(), Refusal> {
+        if self.is_trial && !self.may_have_run {
+            return Ok(());
+        }
+        let now = self.shared.now();
+        let (flow, traits) = (FlowId::of(&self.flow()), &self.traits);
+        let service = &self.service;
+        let verdict = self
+            .shared
+            .board
+            .write_quietly(|state| state.crashes.check_request(service, flow, traits, now));
+        let quarantined = match verdict {
+            QuarantineVerdict::Admitted => return Ok(()),
+            QuarantineVerdict::Trial => {
+                event!(events::QUARANTINE_TRIAL, request = self.metadata.attempt_id);
+                self.is_trial = true;
+                return Ok(());
+            }
+            QuarantineVerdict::Refused(quarantined) => quarantined,
+        };
+        let reason = format!(
+            "requests with {} crashed {} targets",
+            quarantined.subject, quarantined.crashes
+        );
+        if self.may_have_run {
+            return Err(self.failure(&reason));
+        }
+        let message = format!("Failed to accept the request: {reason}");
+        let refusal = Refusal::not_run(503, "quarantined", message);
+        Err(refusal.retry_after(Duration::from_millis(quarantined.trial_ms).max(RETRY_AFTER)))
+    }
+
+    /// Whether the request may be the cause of earlier crashes.
+    fn is_suspected(&self) -> bool {
+        self.shared
+            .board
+            .read(|state| state.crashes.is_suspected(&self.service, &self.traits))
+    }
+
     fn placement_refusal(&self, reason: PlacementError) -> Refusal {
         let message = match reason {
             PlacementError::NoTarget => format!("service {} has no live target", self.service),
@@ -416,6 +468,7 @@
             target: target.clone(),
             flow: FlowId::of(&self.flow()),
             sent_at: self.shared.now(),
+            is_retry: self.send_count > 0,
             traits: self.traits.clone(),
         };
         let dialect = self.shared.dialect.as_ref();
@@ -467,6 +520,7 @@
                 SendResult::ServerError(head, body)
             }
             Ok(BufferedResponse::Complete(head, body)) => {
+                sent.record_response(&head);
                 self.run_timer().record_end();
                 SendResult::Response(ForwardedResponse::Complete(head, body))
             }
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -97,6 +97,7 @@
         let reason = match next {
             Some(Ok(chunk)) => return Some((Ok(chunk), Some((streamed, deadline)))),
             None => {
+                streamed.sent.record_response(&streamed.response.head);
                 streamed.run_timer.record_end();
                 streamed.response.release_connection();
                 return None;
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -25,6 +25,16 @@
         "The control node that divides the capacity of a service has raised or lowered its \
          estimate of that capacity, based on the lateness of responses; the shares of \
          organisations are adjusted.";
+    QUARANTINE_STARTED = 3036, Warn, "quarantine-started",
+        "Requests with this trait were at each of several targets that crashed one after the \
+         other, and none of them got a complete response; entries refuse further ones. The field \
+         organisations states how many organisations this applies to, 0 for all; after trial_ms, \
+         one request is admitted as a trial.";
+    QUARANTINE_ENDED = 3037, Info, "quarantine-ended",
+        "A request with a quarantined trait got a complete response; requests with it are \
+         forwarded again.";
+    QUARANTINE_LIFTED = 3038, Info, "quarantine-lifted",
+        "An operator ended the quarantine of a trait.";
     CALL_INVALID = 3040, Warn, "call-invalid",
         "A call of an operator or target was invalid and had no effect; the field reason states \
          why.";
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -9,8 +9,9 @@
     PLAN_INSTALLED = 1503, Info, "plan-installed",
         "The relay routes requests by the published plan with this number.";
     DEMAND_UNANSWERED = 1504, Info, "demand-unanswered",
-        "A control node did not reply to a report of demand; the next control node is asked, and \
-         the shares of the last reply stay in force for 2 s.";
+        "A control node did not reply to a report of demand and crashes; the next control node is \
+         asked. The shares of the last reply stay in force for 2 s, its quarantine until the next \
+         reply.";
     RELAY_ANSWERED = 1509, Info, "relay-answered",
         "A target answered a request; the fields state the plan by which it was admitted, the \
          target, how long the request waited for admission, and the time to the first byte.";
@@ -23,6 +24,9 @@
         "A target ended while it had requests of this entry: their connections broke, and its \
          address refuses new ones. The field traits states what the first requests may share with \
          others.";
+    QUARANTINE_TRIAL = 1514, Info, "quarantine-trial",
+        "A request with a quarantined trait is sent to a target; the quarantine ends if its \
+         response is complete.";
     RELAY_STREAM_BROKEN = 1512, Info, "relay-stream-broken",
         "A response stream ended before its last event, so the connection of the caller was \
          closed.";
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -7,7 +7,8 @@
     OrganisationName, RequestId, ServiceName, SlotCount, TargetName,
 };
 
-use crate::demand::{DemandReport, ShareReply};
+use crate::crash::ServiceTrait;
+use crate::demand::{EntryReply, EntryReport};
 use crate::hello::NodeRole;
 use crate::run::{HeaderField, ResponseHead};
 use crate::usage::{UsageReport, UsageTotals};
@@ -286,8 +287,11 @@
         Directory(Vec<DirectoryEntry>),
         /// Usage counters of an agent, for the control nodes that total its flows.
         Usage(UsageReport),
-        /// Demand at an entry, for the control node that computes the shares of the service.
-        Demand(DemandReport),
+        /// Report of an entry, for the control node that answers for the whole fleet.
+        Report(EntryReport),
+        /// Ends the quarantine of requests with a trait. It is soft state of each control node, so
+        /// an operator sends this to all of them.
+        LiftQuarantine(ServiceTrait),
     }
 
     /// Reply of a control node.
@@ -304,8 +308,10 @@
         Status(String),
         /// Reply to [`ControlRequest::Usage`].
         Usage(UsageTotals),
-        /// Reply to [`ControlRequest::Demand`].
-        Shares(ShareReply),
+        /// Reply to [`ControlRequest::Report`].
+        Report(EntryReply),
+        /// Reply to [`ControlRequest::LiftQuarantine`]: whether the trait was in quarantine here.
+        Lifted(bool),
         /// The node currently has no quorum.
         NoQuorum {
             /// Current leader, if known.
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -1,7 +1,8 @@
-//! Demand reports of entries, and the allowances that control derives from them.
+//! Reports of entries: their demand, and the crashes that they have observed.
 
 use units::{CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
 
+use crate::crash::{CrashReport, QuarantineReply};
 use crate::usage::FlowId;
 
 units::data! {
@@ -51,4 +52,20 @@
         /// Allowances of the reported flows.
         pub flows: Vec<FlowAllowance>,
     }
+
+    /// Report of an entry to the control node that answers for the whole fleet.
+    pub struct EntryReport {
+        /// Demand since the last report.
+        pub demand: DemandReport,
+        /// Crashes of targets, and what clears requests of having caused them.
+        pub crashes: CrashReport,
+    }
+
+    /// Reply to an [`EntryReport`].
+    pub struct EntryReply {
+        /// Allowances of the reported flows.
+        pub shares: ShareReply,
+        /// Requests that crash targets.
+        pub quarantine: QuarantineReply,
+    }
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -20,8 +20,11 @@
     DirectoryDelta, DirectoryEntry, EndCall, NodeKind, NodeState, OperatorOrder, OrderReply,
     RenewReply, RenewRequest, StoredResponse, TargetState,
 };
-pub use crash::{RequestTrait, TraitError};
-pub use demand::{DemandReport, FlowAllowance, FlowDemand, ShareReply};
+pub use crash::{
+    CrashObservation, CrashReport, CrashSuspect, QuarantineReply, QuarantinedTrait, RequestTrait,
+    ServedCount, ServiceTrait, TraitError, TraitSuccess,
+};
+pub use demand::{DemandReport, EntryReply, EntryReport, FlowAllowance, FlowDemand, ShareReply};
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
 pub use run::{
