Break off a stream without a length that ends inside an event

Callers got such a stream of a crashed target as a complete one, and an empty success if the target ended before its first event.

Cause: the end of the connection was taken for the end of the body. Now a stream without a length or chunks is complete only after a blank line; otherwise it ends with a broken connection, or with 502 before its first event, and counts as broken for the crash log.

--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, StatusCode, Uri, Version, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
@@ -24,6 +25,9 @@
     "upgrade",
 ];
 
+/// Number of bytes at the end of a stream that tell whether its last event is complete.
+const TAIL_LEN: usize = 3;
+
 /// Size from which a response is forwarded before it is complete. A target in trouble may send bytes
 /// without end, and a small host has memory for a few of such responses only.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
@@ -43,6 +47,8 @@
     body: Incoming,
     connection: TargetConnection,
     pool: ConnectionPool,
+    /// Last bytes of the body so far.
+    tail: [u8; TAIL_LEN],
 }
 
 /// Response of which the first part is buffered.
@@ -63,6 +69,12 @@
     Invalid(String),
 }
 
+/// Whether the end of a response's body is known from its length or chunks, and not only from the
+/// end of the connection.
+pub(crate) fn is_framed(head: &response::Parts) -> bool {
+    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Sends a request to a target and reads the head of the response.
 pub(crate) async fn exchange(
     pool: &ConnectionPool,
@@ -94,6 +106,7 @@
             body,
             connection,
             pool: pool.clone(),
+            tail: [0; TAIL_LEN],
         }),
     })
 }
@@ -171,6 +184,7 @@
             match self.body.frame().await? {
                 Ok(frame) => {
                     if let Ok(bytes) = frame.into_data() {
+                        self.record_tail(&bytes);
                         return Some(Ok(bytes));
                     }
                 }
@@ -179,6 +193,19 @@
         }
     }
 
+    fn record_tail(&mut self, bytes: &[u8]) {
+        let kept = bytes.len().min(TAIL_LEN);
+        self.tail.rotate_left(kept);
+        self.tail[TAIL_LEN - kept..].copy_from_slice(&bytes[bytes.len() - kept..]);
+    }
+
+    /// Whether an event stream that has ended was broken off. Without a length or chunks, only the
+    /// blank line after its last event shows that it is complete.
+    pub(crate) fn is_truncated_stream(&self) -> bool {
+        let ends: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+        !is_framed(&self.head) && !ends.iter().any(|end| self.tail.ends_with(end))
+    }
+
     /// Returns the connection to the pool; the body must have ended.
     pub(crate) fn release_connection(self) {
         self.pool.release(self.connection, &self.head.headers);
--- a/components/relay/src/crash.rs
+++ b/components/relay/src/crash.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use cadence::prelude::*;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response;
 use place::ListedTarget;
 use quarantine::{BrokenRequest, EndedTarget};
@@ -17,6 +16,7 @@
 use units::ClockTime;
 use wire::{FlowId, RequestTrait};
 
+use crate::backend::is_framed;
 use crate::state::RelayShared;
 
 /// Time within which an ended process refuses a connection. It is longer than the round trip to
@@ -41,9 +41,7 @@
     /// Records a complete response. It shows that the target survived the request, unless its end is
     /// only known from the end of the connection.
     pub(crate) fn record_response(&self, head: &response::Parts) {
-        let has_length = head.headers.contains_key(CONTENT_LENGTH);
-        let is_framed = has_length || head.headers.contains_key(TRANSFER_ENCODING);
-        if !head.status.is_success() || !is_framed {
+        if !head.status.is_success() || !is_framed(head) {
             return;
         }
         let now = self.shared.now();
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -36,6 +36,9 @@
 /// same unit.
 const OUTPUT_TOKEN_COST: u64 = 2;
 
+/// Reason of a failure after a stream without a length that ended inside an event.
+pub(crate) const TRUNCATED_STREAM: &str = "the stream ended inside an event";
+
 /// Divisor of the latency objective that gives the maximum wait for capacity.
 const MAX_WAIT_DIVISOR: u32 = 2;
 
@@ -84,6 +87,8 @@
 pub(crate) struct StreamedResponse {
     pub(crate) response: OpenResponse,
     pub(crate) first_chunk: Option<Bytes>,
+    /// Whether the body is a series of events.
+    pub(crate) has_events: bool,
     /// Occupies a slot at the target until the stream ends.
     pub(crate) _run_guard: RunGuard,
     pub(crate) run_timer: RunTimer,
@@ -92,6 +97,13 @@
     pub(crate) attempt_id: String,
 }
 
+impl StreamedResponse {
+    /// Whether a body that has ended was broken off inside an event.
+    pub(crate) fn is_truncated(&self) -> bool {
+        self.has_events && self.response.is_truncated_stream()
+    }
+}
+
 /// Result of sending a request to one target.
 enum SendResult {
     Response(ForwardedResponse),
@@ -498,14 +510,17 @@
         run_guard: RunGuard,
         sent: SentRequest,
     ) -> SendResult {
-        let is_success = response.head.status.is_success();
-        if self.route.repeat.is_stream() && is_success {
+        if self.has_events(&response) {
             let first_chunk = match response.next_chunk().await {
                 Some(Ok(chunk)) => Some(chunk),
                 Some(Err(reason)) => {
                     sent.record_break();
                     return SendResult::Unknown(reason);
                 }
+                None if response.is_truncated_stream() => {
+                    sent.record_break();
+                    return SendResult::Unknown(TRUNCATED_STREAM.into());
+                }
                 None => None,
             };
             run_guard.record_first_byte();
@@ -534,6 +549,10 @@
         }
     }
 
+    fn has_events(&self, response: &OpenResponse) -> bool {
+        self.route.repeat.is_stream() && response.head.status.is_success()
+    }
+
     fn streamed(
         &self,
         response: OpenResponse,
@@ -542,8 +561,10 @@
         sent: SentRequest,
         deadline: Instant,
     ) -> SendResult {
+        let has_events = self.has_events(&response);
         SendResult::Response(ForwardedResponse::Stream(Box::new(StreamedResponse {
             response,
+            has_events,
             first_chunk,
             _run_guard: run_guard,
             run_timer: self.run_timer(),
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -13,7 +13,7 @@
 use entry::Refusal;
 
 use crate::backend::remove_hop_by_hop_headers;
-use crate::forward::{ForwardedResponse, StreamedResponse};
+use crate::forward::{ForwardedResponse, StreamedResponse, TRUNCATED_STREAM};
 use crate::state::{RelayShared, RelayState};
 
 /// Delay between the last chunk of an interrupted stream and the error that ends the body.
@@ -88,6 +88,10 @@
             biased;
             () = &mut deadline => Some(Err("the deadline has passed".into())),
             next = streamed.response.next_chunk() => {
+                let next = match next {
+                    None if streamed.is_truncated() => Some(Err(TRUNCATED_STREAM.into())),
+                    next => next,
+                };
                 if let Some(Err(_)) = next {
                     streamed.sent.record_break();
                 }
--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -137,6 +137,37 @@
     assert!(body.is_err(), "{body:?}");
 }
 
+/// Guards against a stream without a length that looks complete although its target ended it inside
+/// an event, or before the first one.
+#[rstest]
+#[case::after_an_event("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Some(true))]
+#[case::with_other_line_ends("id: 1\r\ndata: a\r\n\r\n", Some(true))]
+#[case::inside_an_event("id: 1\ndata: a\n\nid: 2\nda", Some(false))]
+#[case::before_the_blank_line("id: 1\ndata: a\n\nid: 2\ndata: b\n", Some(false))]
+#[case::before_the_first_event("", None)]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_without_a_length_is_complete_after_an_event(
+    #[case] events: &'static str,
+    #[case] is_complete: Option<bool>,
+) {
+    let script = Arc::new(move |head: &str| {
+        let id = header(head, "request-id").unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n\r\n");
+        TargetStep::Close((head + events).into_bytes())
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+
+    let response = fleet.request("/stream/x", "r1").send().await.unwrap();
+    let status = response.status();
+    let body = response.bytes().await;
+
+    match is_complete {
+        Some(is_complete) => assert_eq!((status.as_u16(), body.is_ok()), (200, is_complete)),
+        None => assert_eq!(status.as_u16(), 502),
+    }
+}
+
 /// Guards against a request that must run at most once but is sent to a second target, and against
 /// a repeatable request that is not.
 #[rstest]
