Keep to the limits that targets state

A target in need names in its responses the requests a second that it takes from all entries together.

Cause: nothing read the limit. Now each entry that got such a response sends an even part of the rate in even intervals; the first one is spread by the rank of the entry, since a hundred entries learn of a limit at once. What does not fit goes to targets without a limit, or is refused with the time of the next slot. A later response without a limit, or a restart of the target, ends it.

--- /dev/null
+++ b/components/place/src/limit.rs
@@ -0,0 +1,77 @@
+//! Rate limit that a target states in its responses.
+
+use std::time::Duration;
+
+use units::{ClockTime, MilliRate};
+
+use crate::pace::send_interval;
+
+/// Lowest rate of requests of all entries together to a target with a limit. A target that gets no
+/// request cannot state that its limit has ended.
+const MIN_RATE: MilliRate = MilliRate(500);
+
+/// Position of this entry among all entries that send requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EntryPosition {
+    /// Number of entries with lower names.
+    pub rank: u32,
+    /// Number of entries.
+    pub count: u32,
+}
+
+impl EntryPosition {
+    /// Position of the only entry.
+    pub const SINGLE: Self = Self { rank: 0, count: 1 };
+}
+
+/// This entry's part of a limit for all entries.
+///
+/// Each entry sends a request in each interval in which all together may send one for each of them.
+/// The first ones are spread over the interval: entries learn of the limit at almost the same time,
+/// and a hundred requests at once exceed a limit of a few per second.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StatedLimit {
+    rate: MilliRate,
+    /// Time at which the target last stated the limit.
+    stated_at: ClockTime,
+    opens_at: ClockTime,
+}
+
+impl StatedLimit {
+    pub(crate) fn new(rate: MilliRate, position: EntryPosition, now: ClockTime) -> Self {
+        let rate = rate.max(MIN_RATE);
+        let interval = send_interval(rate, position.count);
+        let count = position.count.max(1);
+        Self {
+            rate,
+            stated_at: now,
+            opens_at: now + interval * (position.rank.min(count - 1) + 1) / count,
+        }
+    }
+
+    /// Updates the limit after a response that states it.
+    pub(crate) fn update(&mut self, rate: MilliRate, now: ClockTime) {
+        let rate = rate.max(MIN_RATE);
+        let wait = self.opens_at.since(now).as_millis() as u64;
+        let new_wait = wait * self.rate.0 / rate.0;
+        self.opens_at = now + Duration::from_millis(new_wait);
+        self.rate = rate;
+        self.stated_at = now;
+    }
+
+    /// Whether a response without a limit ends it. A response to a request from before the limit was
+    /// stated may be older than the limit.
+    pub(crate) fn is_ended_by(&self, sent_at: ClockTime) -> bool {
+        sent_at >= self.stated_at
+    }
+
+    /// Time at which the next request may be sent.
+    pub(crate) fn opens_at(&self) -> ClockTime {
+        self.opens_at
+    }
+
+    /// Records a sent request.
+    pub(crate) fn record_request(&mut self, position: EntryPosition, now: ClockTime) {
+        self.opens_at = now + send_interval(self.rate, position.count);
+    }
+}
--- a/components/place/src/pace.rs
+++ b/components/place/src/pace.rs
@@ -25,7 +25,8 @@
     }
 }
 
-fn send_interval(rate: MilliRate, entries: u32) -> Duration {
+/// Interval between the requests of one of `entries`, which have a rate together.
+pub(crate) fn send_interval(rate: MilliRate, entries: u32) -> Duration {
     let entries = u64::from(entries.max(1));
     Duration::from_millis((entries * 1_000_000).div_ceil(rate.0.max(1)))
 }
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use slotmap::SlotMap;
-use units::{ClockTime, CostUnits, NodeName, RegionName, ServiceName};
+use units::{ClockTime, CostUnits, MilliRate, NodeName, RegionName, ServiceName};
 use wire::stable_hash;
 
+use crate::limit::{EntryPosition, StatedLimit};
 use crate::target::{ListedTarget, RunKey, TargetKey, TargetRecord};
 
 /// Percentage of a request's latency objective after which a target that has not returned the first
@@ -86,7 +87,7 @@
     targets: SlotMap<TargetKey, TargetRecord>,
     keys: HashMap<NodeName, TargetKey>,
     runs: SlotMap<RunKey, RunRecord>,
-    entries: u32,
+    position: EntryPosition,
 }
 
 impl PlacementTable {
@@ -97,16 +98,16 @@
             targets: SlotMap::with_key(),
             keys: HashMap::new(),
             runs: SlotMap::with_key(),
-            entries: 1,
+            position: EntryPosition::SINGLE,
         }
     }
 
-    /// Replaces the targets by those of the directory, and sets the number of live entries.
+    /// Replaces the targets by those of the directory, and sets the position among the live entries.
     ///
     /// If several targets have the same address, only the one with the highest incarnation is kept,
     /// since the other processes must have ended.
-    pub fn sync(&mut self, targets: Vec<ListedTarget>, entries: u32, now: ClockTime) {
-        self.entries = entries.max(1);
+    pub fn sync(&mut self, targets: Vec<ListedTarget>, position: EntryPosition, now: ClockTime) {
+        self.position = position;
         let mut newest: HashMap<SocketAddr, ListedTarget> = HashMap::new();
         for target in targets {
             match newest.get(&target.address) {
@@ -177,11 +178,13 @@
         }
         let is_available = |key: &TargetKey| self.targets[*key].avoid_until <= now;
         let available: Vec<TargetKey> = eligible.iter().copied().filter(is_available).collect();
-        let candidates = if available.is_empty() {
+        let mut candidates = if available.is_empty() {
             eligible
         } else {
             available
         };
+        // A session moves to another target rather than wait for one that takes few requests.
+        candidates.retain(|key| self.targets[*key].is_within_limit(now));
         let selected = match request.affinity {
             Some(session) => self.select_for_session(session, request.objective, candidates, now),
             None => self.select_least_loaded(&candidates, now),
@@ -211,6 +214,32 @@
         })
     }
 
+    /// Records the limit that a target stated, or did not, in its response to a run.
+    pub fn record_stated_limit(&mut self, run: RunKey, rate: Option<MilliRate>, now: ClockTime) {
+        let Some(record) = self.runs.get(run) else {
+            return;
+        };
+        let Some(target) = self.targets.get_mut(record.target) else {
+            return;
+        };
+        match (rate, &mut target.limit) {
+            (Some(rate), Some(limit)) => limit.update(rate, now),
+            (Some(rate), None) => target.limit = Some(StatedLimit::new(rate, self.position, now)),
+            (None, Some(limit)) if limit.is_ended_by(record.sent_at) => target.limit = None,
+            (None, _) => {}
+        }
+    }
+
+    /// Time until one of the targets that may serve a request takes one again, if the limits that
+    /// they state are the reason why none does now.
+    pub fn limit_wait(&self, request: &PlacementRequest, now: ClockTime) -> Option<Duration> {
+        let targets = self.eligible(request).map(|key| &self.targets[key]);
+        let limits = targets.map(|target| target.limit.filter(|_| !target.is_within_limit(now)));
+        let limits: Option<Vec<StatedLimit>> = limits.collect();
+        let opens_at = limits?.iter().map(StatedLimit::opens_at).min()?;
+        Some(opens_at.since(now))
+    }
+
     /// Runs that are charged to a share and have waited for a first byte beyond their objective.
     pub fn overdue_runs(&self, now: ClockTime) -> Vec<RunLatency> {
         let waiting = self.runs.values();
@@ -270,7 +299,6 @@
     }
 
     fn start_run(&mut self, key: TargetKey, request: &PlacementRequest, now: ClockTime) -> RunKey {
-        let entries = self.entries;
         let run = self.runs.insert(RunRecord {
             target: key,
             sent_at: now,
@@ -284,7 +312,10 @@
         record.pending_work += request.work;
         record.pending.insert((now, run));
         if let Some(rate) = record.cold_rate(now) {
-            record.pacer.record_request(rate, entries, now);
+            record.pacer.record_request(rate, self.position.count, now);
+        }
+        if let Some(limit) = &mut record.limit {
+            limit.record_request(self.position, now);
         }
         run
     }
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -8,6 +8,7 @@
     ClockTime, DataCentreName, Incarnation, MilliRate, NodeName, RegionName, ServiceName, SlotCount,
 };
 
+use crate::limit::StatedLimit;
 use crate::pace::ColdPacer;
 
 slotmap::new_key_type! {
@@ -57,6 +58,8 @@
     pub(crate) pending: BTreeSet<(ClockTime, RunKey)>,
     cold_until: ClockTime,
     pub(crate) pacer: ColdPacer,
+    /// Limit that the target states; `None` if it takes full load.
+    pub(crate) limit: Option<StatedLimit>,
     /// Time until which the target is avoided after a failed connection.
     pub(crate) avoid_until: ClockTime,
 }
@@ -70,6 +73,7 @@
             pending: BTreeSet::new(),
             cold_until: now,
             pacer: ColdPacer::default(),
+            limit: None,
             avoid_until: now,
         };
         record.restart_cold_period(now);
@@ -94,6 +98,11 @@
         self.info.cold_rate.filter(|_| now < self.cold_until)
     }
 
+    /// Whether the limit that the target states, if any, allows a request now.
+    pub(crate) fn is_within_limit(&self, now: ClockTime) -> bool {
+        self.limit.is_none_or(|limit| limit.opens_at() <= now)
+    }
+
     /// Time since the oldest request without a first byte was sent; zero if there is none.
     pub fn longest_wait(&self, now: ClockTime) -> Duration {
         let oldest = self.pending.first();
--- a/components/place/tests/choice.rs
+++ b/components/place/tests/choice.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use place::{
-    ColdPacer, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings, PlacementTable,
-    RunKey,
+    ColdPacer, EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings,
+    PlacementTable, RunKey,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -46,7 +46,7 @@
         region: Some("bohemia".into()),
         avoid_duration: Duration::from_secs(1),
     });
-    table.sync(targets, 1, ClockTime(0));
+    table.sync(targets, EntryPosition::SINGLE, ClockTime(0));
     table
 }
 
@@ -223,7 +223,7 @@
     let mut cold = target(1);
     cold.sequence = 2;
     cold.cold_ms = 3_000;
-    table.sync(vec![cold], 1, ClockTime(100));
+    table.sync(vec![cold], EntryPosition::SINGLE, ClockTime(100));
 
     place(&mut table, &request(None), 100);
 
@@ -269,14 +269,14 @@
                     let run = runs.swap_remove(value as usize % runs.len());
                     table.end_run(run);
                 }
-                _ => table.sync(all[..(value as usize % 3) + 1].to_vec(), 1, now),
+                _ => table.sync(all[..(value as usize % 3) + 1].to_vec(), EntryPosition::SINGLE, now),
             }
         }
         for run in runs {
             table.end_run(run);
         }
 
-        table.sync(all, 1, ClockTime(1_000));
+        table.sync(all, EntryPosition::SINGLE, ClockTime(1_000));
         for _ in 0..3 {
             let (run, _) = place(&mut table, &request(None), 1_000);
             prop_assert_eq!(table.target(run).unwrap().running, 1);
--- /dev/null
+++ b/components/place/tests/limits.rs
@@ -0,0 +1,163 @@
+//! Targets that state limits, and the entries that share them.
+
+use std::time::Duration;
+
+use place::{
+    EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings,
+    PlacementTable, RunKey,
+};
+use rstest::rstest;
+use units::{ClockTime, Incarnation, MilliRate, SlotCount};
+
+/// Span in which the requests to a limited target are counted, in milliseconds.
+const LIMIT_WINDOW_MS: u64 = 4_000;
+
+fn target(number: u8) -> ListedTarget {
+    ListedTarget {
+        name: format!("target-{number}").as_str().into(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        address: ([10, 0, 0, number], 8080).into(),
+        service: "advice".into(),
+        data_centre: "praha-1".into(),
+        region: None,
+        slots: SlotCount(1_000),
+        is_serving: true,
+        cold_ms: 0,
+        cold_rate: None,
+    }
+}
+
+fn request(affinity: Option<u64>) -> PlacementRequest {
+    PlacementRequest {
+        service: "advice".into(),
+        affinity,
+        work: 10,
+        cost: None,
+        objective: Duration::from_millis(300),
+        regions: Vec::new(),
+        tried: Vec::new(),
+    }
+}
+
+fn table(targets: &[u8], position: EntryPosition) -> PlacementTable {
+    let mut table = PlacementTable::new(PlacementSettings {
+        region: None,
+        avoid_duration: Duration::from_secs(1),
+    });
+    let targets = targets.iter().copied().map(target).collect();
+    table.sync(targets, position, ClockTime(0));
+    table
+}
+
+/// Sends a request if the table allows it, and gets a response with this limit.
+fn send(table: &mut PlacementTable, limit: Option<MilliRate>, now: u64) -> Option<RunKey> {
+    let PlacementOutcome::Run(run) = table.place(&request(None), ClockTime(now)) else {
+        return None;
+    };
+    table.record_stated_limit(run, limit, ClockTime(now + 5));
+    table.end_run(run);
+    Some(run)
+}
+
+/// Guards against entries that together exceed the limit that a target states, by 1.5 times and five
+/// requests in four seconds: many entries with one request each, and few entries with many. Also
+/// guards against a limit that is mostly unused.
+#[rstest]
+#[case::few_entries(7, 5_000)]
+#[case::many_entries(100, 5_000)]
+#[case::low_limit(7, 500)]
+#[case::no_requests(100, 0)]
+#[case::high_limit(30, 40_000)]
+fn entries_keep_to_the_limit_together(#[case] count: u32, #[case] rate: u64) {
+    let position = |rank| EntryPosition { rank, count };
+    let mut tables: Vec<PlacementTable> =
+        (0..count).map(|rank| table(&[1], position(rank))).collect();
+    // Entries learn of the limit within half a second.
+    for (index, table) in tables.iter_mut().enumerate() {
+        let told_at = index as u64 * 37 % 500;
+        send(table, Some(MilliRate(rate)), told_at).unwrap();
+    }
+
+    let mut sent: Vec<u64> = Vec::new();
+    for now in (500..60_000).step_by(10) {
+        for table in &mut tables {
+            let run = send(table, Some(MilliRate(rate)), now);
+            sent.extend(run.map(|_| now));
+        }
+    }
+
+    let in_window = |start: &u64| {
+        let window = sent
+            .iter()
+            .filter(|time| (*start..start + LIMIT_WINDOW_MS).contains(*time));
+        window.count() as u64
+    };
+    let busiest = sent.iter().map(in_window).max().unwrap_or(0);
+    let allowed = rate * LIMIT_WINDOW_MS / 1_000_000;
+    assert!(
+        busiest <= allowed * 3 / 2 + 5,
+        "{busiest} requests in one window"
+    );
+    assert!(
+        sent.len() as u64 >= rate * 60 / 1_000 * 8 / 10,
+        "{} requests",
+        sent.len()
+    );
+}
+
+/// Guards against requests that wait for limited targets while another one is free, and against
+/// sessions that do not move there.
+#[rstest]
+#[case::session(Some(7))]
+#[case::no_session(None)]
+fn requests_move_to_targets_without_a_limit(#[case] affinity: Option<u64>) {
+    let mut table = table(&[1, 2, 3, 4], EntryPosition { rank: 6, count: 7 });
+    for now in 0..3 {
+        let PlacementOutcome::Run(run) = table.place(&request(affinity), ClockTime(now)) else {
+            panic!("no capacity");
+        };
+        table.record_stated_limit(run, Some(MilliRate(1_000)), ClockTime(now));
+        table.end_run(run);
+    }
+
+    let names: Vec<String> = (10..14)
+        .map(
+            |now| match table.place(&request(affinity), ClockTime(now)) {
+                PlacementOutcome::Run(run) => table.target(run).unwrap().info.name.to_string(),
+                outcome => panic!("request was not placed: {outcome:?}"),
+            },
+        )
+        .collect();
+
+    assert!(names.iter().all(|name| *name == names[0]), "{names:?}");
+    assert_eq!(table.limit_wait(&request(affinity), ClockTime(20)), None);
+}
+
+/// Guards against a limit that stays in force after a response without one or a restart of its
+/// target, and against one that is ended by a response from before it was stated.
+#[test]
+fn limit_ends_with_a_later_response_without_one_or_a_restart() {
+    let position = EntryPosition { rank: 0, count: 1 };
+    let mut table = table(&[1], position);
+    let PlacementOutcome::Run(earlier) = table.place(&request(None), ClockTime(0)) else {
+        panic!("no capacity");
+    };
+    send(&mut table, Some(MilliRate(1_000)), 10).unwrap();
+
+    table.record_stated_limit(earlier, None, ClockTime(20));
+    let early = table.place(&request(None), ClockTime(30));
+    let wait = table.limit_wait(&request(None), ClockTime(30));
+    send(&mut table, None, 1_100).unwrap();
+    let free = table.place(&request(None), ClockTime(1_101));
+    send(&mut table, Some(MilliRate(1_000)), 1_110).unwrap();
+    let mut restarted = target(1);
+    restarted.incarnation = Incarnation(2);
+    table.sync(vec![restarted], position, ClockTime(1_120));
+    let after_restart = table.place(&request(None), ClockTime(1_121));
+
+    assert_eq!(early, PlacementOutcome::NoCapacity);
+    assert_eq!(wait, Some(Duration::from_millis(985)));
+    assert!(matches!(free, PlacementOutcome::Run(_)));
+    assert!(matches!(after_restart, PlacementOutcome::Run(_)));
+}
--- a/components/place/tests/queue.rs
+++ b/components/place/tests/queue.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use place::{
-    ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings, PlacementTable,
-    QueuedRequest, WaitQueue,
+    EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings,
+    PlacementTable, QueuedRequest, WaitQueue,
 };
 use units::{ClockTime, Incarnation, SlotCount};
 use wire::FlowKey;
@@ -30,7 +30,7 @@
         region: None,
         avoid_duration: Duration::from_secs(1),
     });
-    table.sync(vec![target(slots)], 1, ClockTime(0));
+    table.sync(vec![target(slots)], EntryPosition::SINGLE, ClockTime(0));
     table
 }
 
@@ -88,7 +88,7 @@
     let key = queue.push(waiting("small"), ClockTime(0));
     assert!(queue.drain(&mut table, ClockTime(1)).is_empty());
 
-    table.sync(Vec::new(), 1, ClockTime(2));
+    table.sync(Vec::new(), EntryPosition::SINGLE, ClockTime(2));
     let dequeued = queue.drain(&mut table, ClockTime(2));
 
     assert_eq!(dequeued.len(), 1);
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -7,6 +7,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 
+use units::MilliRate;
+
 use crate::dialect::{CallerDialect, ForwardMetadata, ResponseVerdict};
 use crate::pool::{ConnectionPool, ExchangeError, TargetConnection};
 
@@ -64,7 +66,7 @@
     /// The response belongs to the request; its body has not been read.
     Valid(OpenResponse),
     /// The target states that it has not run the request and will not.
-    NotRun(StatusCode),
+    NotRun(StatusCode, Option<MilliRate>),
     /// The response does not belong to the request, or is malformed.
     Invalid(String),
 }
@@ -91,12 +93,13 @@
     Ok(match dialect.classify_response(attempt_id, &head) {
         ResponseVerdict::NotRun => {
             let status = head.status;
+            let stated_limit = dialect.stated_limit(&head);
             // The body of a refusal is empty or short. The connection is reused only if the rest of
             // the body arrives within `BODY_DISCARD_TIMEOUT`.
             if try_discard_body(body).await {
                 pool.release(connection, &head.headers);
             }
-            ExchangeResponse::NotRun(status)
+            ExchangeResponse::NotRun(status, stated_limit)
         }
         ResponseVerdict::Invalid => {
             ExchangeResponse::Invalid(format!("unsound answer with status {}", head.status))
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderValue, request, response};
 use manifest::KeyHash;
 use thiserror::Error;
-use units::{NodeName, OrganisationName};
+use units::{MilliRate, NodeName, OrganisationName};
 
 /// Metadata in the head of a caller's request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -90,6 +90,10 @@
     /// Classifies the head of a target's response to an attempt.
     fn classify_response(&self, attempt_id: &str, head: &response::Parts) -> ResponseVerdict;
 
+    /// Requests per second that the target takes from all entries together, if its response states a
+    /// limit.
+    fn stated_limit(&self, head: &response::Parts) -> Option<MilliRate>;
+
     /// Value of the `Retry-After` header for a wait.
     fn retry_after(&self, wait: Duration) -> HeaderValue;
 }
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use client::FleetView;
-use place::ListedTarget;
+use place::{EntryPosition, ListedTarget};
 use routes::{RouteIndex, ServicePool};
 use telemetry::{event, events};
-use units::{PlanNumber, RouteName};
+use units::{NodeName, PlanNumber, RouteName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
 use crate::settings::RelaySettings;
@@ -64,12 +64,17 @@
     let installed = shared
         .board
         .read(|state| state.route_index.as_ref().map(|index| index.number));
-    let (index, targets, other_entries) = shared.view.read(|view| {
+    let (index, targets, position) = shared.view.read(|view| {
         let index = changed_index(view, installed);
         let others = view.directory.values();
         let others = others.filter(|entry| is_entry(entry) && entry.name != shared.settings.name);
-        let other_entries = others.count() as u32;
-        (index, listed_targets(view, &shared.settings), other_entries)
+        let others: Vec<&NodeName> = others.map(|entry| &entry.name).collect();
+        let rank = others.iter().filter(|name| ***name < shared.settings.name);
+        let position = EntryPosition {
+            rank: rank.count() as u32,
+            count: others.len() as u32 + 1,
+        };
+        (index, listed_targets(view, &shared.settings), position)
     });
     if let Some(index) = &index {
         event!(
@@ -85,9 +90,8 @@
             state.run_durations.retain(|name, _| routes.contains(name));
             state.route_index = Some(Arc::new(index));
         }
-        state.other_entries = other_entries;
-        let entry_count = state.entry_count();
-        state.table.sync(targets, entry_count, now);
+        state.other_entries = position.count - 1;
+        state.table.sync(targets, position, now);
         state.drain_queue(now);
     });
 }
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -429,9 +429,16 @@
         let message = match reason {
             PlacementError::NoTarget => format!("service {} has no live target", self.service),
             PlacementError::Full => format!("all targets of service {} are full", self.service),
+            PlacementError::Limited(_) => {
+                format!("all targets of service {} have stated limits", self.service)
+            }
+        };
+        let retry_after = match reason {
+            PlacementError::Limited(wait) => wait,
+            PlacementError::NoTarget | PlacementError::Full => RETRY_AFTER,
         };
         let message = format!("Failed to find a target: {message}");
-        Refusal::not_run(503, "no-target", message).retry_after(RETRY_AFTER)
+        Refusal::not_run(503, "no-target", message).retry_after(retry_after)
     }
 
     /// Sends the request to one target.
@@ -489,9 +496,14 @@
         let exchanged = exchange(pool, dialect, connection, request, attempt_id, &metadata).await;
         match exchanged {
             Ok(ExchangeResponse::Valid(response)) => {
+                run_guard.record_stated_limit(dialect.stated_limit(&response.head));
                 self.read_response(response, run_guard, sent).await
             }
-            Ok(ExchangeResponse::NotRun(status)) => {
+            Ok(ExchangeResponse::NotRun(status, stated_limit)) => {
+                // A refusal without a limit does not show that the target takes full load.
+                if stated_limit.is_some() && status != StatusCode::MISDIRECTED_REQUEST {
+                    run_guard.record_stated_limit(stated_limit);
+                }
                 SendResult::NotRun(format!("the target refused with status {status}"))
             }
             Ok(ExchangeResponse::Invalid(reason)) => SendResult::Unknown(reason),
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -1,8 +1,11 @@
 //! Runs of requests on targets, and the wait for capacity.
 
+use std::time::Duration;
+
 use place::{PlacementOutcome, PlacementRequest, QueuedRequest, RunKey};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use units::MilliRate;
 use wire::FlowKey;
 
 use crate::state::RelayShared;
@@ -27,6 +30,14 @@
         });
     }
 
+    /// Records the limit that the target stated, or did not, in its response.
+    pub(crate) fn record_stated_limit(&self, rate: Option<MilliRate>) {
+        let now = self.shared.now();
+        self.shared
+            .board
+            .write_quietly(|state| state.table.record_stated_limit(self.run, rate, now));
+    }
+
     /// Records a failed connection, after which the target is avoided for a while.
     pub(crate) fn record_failure(&self) {
         let now = self.shared.now();
@@ -53,6 +64,9 @@
     NoTarget,
     /// All targets stayed full until the deadline.
     Full,
+    /// The limits that all targets state allow no request until after the deadline; the next one is
+    /// allowed after this time.
+    Limited(Duration),
 }
 
 /// Starts a run of a request; waits until `deadline` if no target has capacity.
@@ -88,8 +102,13 @@
                 state.queue.charge(flow, work, now);
                 Ok(run)
             }
-            PlacementOutcome::NoTarget => Err(None),
+            PlacementOutcome::NoTarget => Err(Err(PlacementError::NoTarget)),
             PlacementOutcome::NoCapacity => {
+                let max_wait = deadline.saturating_duration_since(Instant::now());
+                let limit_wait = state.table.limit_wait(&request, now);
+                if let Some(wait) = limit_wait.filter(|wait| *wait > max_wait) {
+                    return Err(Err(PlacementError::Limited(wait)));
+                }
                 let queued = QueuedRequest {
                     flow: flow.clone(),
                     request,
@@ -97,14 +116,14 @@
                 let key = state.queue.push(queued, now);
                 state.waiters.insert(key, run_sender);
                 state.drain_queue(now);
-                Err(Some(key))
+                Err(Ok(key))
             }
         }
     });
     let key = match placement {
         Ok(run) => return Ok(run_guard(run)),
-        Err(None) => return Err(PlacementError::NoTarget),
-        Err(Some(key)) => key,
+        Err(Err(error)) => return Err(error),
+        Err(Ok(key)) => key,
     };
     shared.board.notify();
     let mut queue_guard = QueueGuard {
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -28,7 +28,7 @@
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use units::{ByteSize, ConfigVersion, Incarnation, PlanNumber, SlotCount};
+use units::{ByteSize, ConfigVersion, Incarnation, MilliRate, PlanNumber, SlotCount};
 use wire::{AnnouncedTarget, DirectoryEntry, NodeKind, NodeRole, NodeState};
 
 /// Time within which the test relays stop.
@@ -73,6 +73,12 @@
         }
     }
 
+    fn stated_limit(&self, head: &response::Parts) -> Option<MilliRate> {
+        let text = head.headers.get("server-limit")?.to_str().ok()?;
+        let per_second: f64 = text.parse().ok()?;
+        Some(MilliRate((per_second * 1000.0) as u64))
+    }
+
     fn retry_after(&self, wait: Duration) -> HeaderValue {
         HeaderValue::from(wait.as_millis() as u64)
     }
