Leave targets with limits to large requests

A limit that a target states counts requests, whatever their work is. With an even split, its few requests were of mean size, and the other targets were overloaded although the limited ones began to answer within 40 ms.

Requests with the mean work of their service or more now go to targets with limits as long as these take any, the others to targets without. The new test fails without the change (a third of the requests to the limited target are large ones).

--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -19,6 +19,9 @@
 /// target.
 const LATE_PERCENT: u32 = 60;
 
+/// Number of requests over which the mean work is taken.
+const MEAN_WORK_SAMPLES: u64 = 64;
+
 /// Settings of a [`PlacementTable`].
 #[derive(Debug, Clone)]
 pub struct PlacementSettings {
@@ -88,6 +91,8 @@
     keys: HashMap<NodeName, TargetKey>,
     runs: SlotMap<RunKey, RunRecord>,
     position: EntryPosition,
+    /// Moving average of the work of requests to each service.
+    mean_work: HashMap<ServiceName, u64>,
 }
 
 impl PlacementTable {
@@ -99,6 +104,7 @@
             keys: HashMap::new(),
             runs: SlotMap::with_key(),
             position: EntryPosition::SINGLE,
+            mean_work: HashMap::new(),
         }
     }
 
@@ -185,6 +191,7 @@
         };
         // A session moves to another target rather than wait for one that takes few requests.
         candidates.retain(|key| self.targets[*key].is_within_limit(now));
+        self.select_by_work(&mut candidates, request);
         let selected = match request.affinity {
             Some(session) => self.select_for_session(session, request.objective, candidates, now),
             None => self.select_least_loaded(&candidates, now),
@@ -195,6 +202,22 @@
         }
     }
 
+    /// Leaves targets with limits to the requests with the mean work or more, and the other targets to
+    /// the rest, if there are both: a limit counts requests, whatever their work is.
+    fn select_by_work(&mut self, candidates: &mut Vec<TargetKey>, request: &PlacementRequest) {
+        let mean = self
+            .mean_work
+            .entry(request.service.clone())
+            .or_insert(request.work);
+        *mean = (*mean * (MEAN_WORK_SAMPLES - 1) + request.work) / MEAN_WORK_SAMPLES;
+        let is_heavy = request.work >= *mean;
+        let is_limited = |key: &TargetKey| self.targets[*key].limit.is_some();
+        let limited_count = candidates.iter().filter(|key| is_limited(key)).count();
+        if limited_count > 0 && limited_count < candidates.len() {
+            candidates.retain(|key| is_limited(key) == is_heavy);
+        }
+    }
+
     /// Records the first byte of an answer. Returns the latency if the run is charged to a share;
     /// `None` for repeated calls.
     pub fn record_first_byte(&mut self, run: RunKey, now: ClockTime) -> Option<RunLatency> {
--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -134,6 +134,49 @@
     assert_eq!(table.limit_wait(&request(affinity), ClockTime(20)), None);
 }
 
+/// Guards against the few requests that limited targets take being small ones, so that the other
+/// targets are overloaded by the large ones.
+#[test]
+fn large_requests_go_to_limited_targets() {
+    let mut table = table(&[1, 2], EntryPosition { rank: 0, count: 1 });
+    let with_work = |work: u64| PlacementRequest {
+        work,
+        ..request(Some(work))
+    };
+    let mut limited: Option<String> = None;
+    let mut sent = Vec::new();
+    for now in (0..20_000).step_by(20) {
+        let work = if now % 60 == 0 { 1_000 } else { 100 };
+        let PlacementOutcome::Run(run) = table.place(&with_work(work), ClockTime(now)) else {
+            continue;
+        };
+        let name = table.target(run).unwrap().info.name.to_string();
+        let is_limited = *limited.get_or_insert_with(|| name.clone()) == name;
+        let limit = is_limited.then_some(MilliRate(5_000));
+        table.record_stated_limit(run, limit, ClockTime(now));
+        table.record_first_byte(run, ClockTime(now));
+        table.end_run(run);
+        sent.push((is_limited, work));
+    }
+
+    let limited_works: Vec<u64> = sent
+        .iter()
+        .filter(|sent| sent.0)
+        .map(|sent| sent.1)
+        .collect();
+    let large = limited_works.iter().filter(|work| **work == 1_000).count();
+    assert!(
+        limited_works.len() >= 80,
+        "{} requests",
+        limited_works.len()
+    );
+    assert!(
+        large * 10 >= limited_works.len() * 9,
+        "{large} of {}",
+        limited_works.len()
+    );
+}
+
 /// Guards against a limit that stays in force after a response without one or a restart of its
 /// target, and against one that is ended by a response from before it was stated.
 #[test]
