Use a session for each request in the test of limited targets

With a session for each request it fails without the change (32 of 94 requests to the limited target are large) and passes with it.

--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -139,15 +139,15 @@
 #[test]
 fn large_requests_go_to_limited_targets() {
     let mut table = table(&[1, 2], EntryPosition { rank: 0, count: 1 });
-    let with_work = |work: u64| PlacementRequest {
+    let with_work = |work: u64, session: u64| PlacementRequest {
         work,
-        ..request(Some(work))
+        ..request(Some(session))
     };
     let mut limited: Option<String> = None;
     let mut sent = Vec::new();
     for now in (0..20_000).step_by(20) {
         let work = if now % 60 == 0 { 1_000 } else { 100 };
-        let PlacementOutcome::Run(run) = table.place(&with_work(work), ClockTime(now)) else {
+        let PlacementOutcome::Run(run) = table.place(&with_work(work, now), ClockTime(now)) else {
             continue;
         };
         let name = table.target(run).unwrap().info.name.to_string();
