Yield while a target sends bytes without end

Cause: interim responses are parsed in one task as long as bytes are ready. The scheduler makes it yield after 128 reads, which are 2 MiB or 75,000 interim responses, so neither the deadline nor other requests on the thread were served meanwhile. A connection to a target now yields after 64 KiB.

--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod state;
 mod stop;
+mod yielding;
 
 pub use daemon::{RelayHandle, RelayParts, start};
 pub use dialect::{
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -20,6 +20,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::yielding::YieldingStream;
+
 /// Time within which a connection must be established. The round trip to targets in other regions
 /// takes tens of milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -177,7 +179,7 @@
     enable_dead_peer_detection(&stream)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(YieldingStream::new(stream)))
         .await
         .map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
