Split the quarantine's home and mend what its reading found

Read as a newcomer: home.rs had 611 lines; evidence (evidence.rs) and the record of one quarantine (record.rs) are now apart.

- A quarantine for some organisations was not extended after a crash under another one's request, if no other evidence followed within 600 ms.
The new test quarantine_extends_to_other_organisations covers it.
- Control nodes that start in the same millisecond had the same id, so an entry that changed its home did not report earlier crashes again.
The id now includes the name.
- Common sound parts were suspected between two reports during crashes, so victims lost their second target.
- Complete responses without a length did not clear their traits, although only an empty one may come from a crash.

--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 use units::{ClockSource, DiskId, Incarnation, NodeName, SystemClock};
-use wire::NodeRole;
+use wire::{HomeId, NodeRole, stable_hash};
 
 use crate::api::ControlApi;
 use crate::driver::RaftDriver;
@@ -98,7 +98,7 @@
         ),
         usage: StateBoard::new(UsageHome::new()),
         demand: StateBoard::new(DemandHome::new()),
-        quarantine: StateBoard::new(QuarantineHome::new(Incarnation::starting_now())),
+        quarantine: StateBoard::new(QuarantineHome::new(home_id(&settings.name))),
         driver,
         peers,
         clock,
@@ -141,6 +141,12 @@
     })
 }
 
+/// Id that differs between control nodes that start in the same millisecond.
+fn home_id(name: &NodeName) -> HomeId {
+    let started_at = Incarnation::starting_now().0.to_le_bytes();
+    HomeId(stable_hash(&[name.as_str().as_bytes(), &started_at]))
+}
+
 impl ControlHandle {
     /// Address for links.
     pub fn address(&self) -> SocketAddr {
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -10,8 +10,10 @@
 //! All state is soft. A home that starts empty gets recent crashes and the quarantine in force with
 //! the next reports.
 
+mod evidence;
 mod home;
 mod log;
+mod record;
 mod success;
 
 pub use home::{QuarantineChange, QuarantineHome};
--- a/components/quarantine/src/log.rs
+++ b/components/quarantine/src/log.rs
@@ -5,7 +5,7 @@
 
 use units::{ClockTime, Incarnation, NodeName, ServiceName};
 use wire::{
-    CrashObservation, CrashReport, CrashSuspect, FlowId, QuarantineReply, QuarantinedTrait,
+    CrashObservation, CrashReport, CrashSuspect, FlowId, HomeId, QuarantineReply, QuarantinedTrait,
     RequestTrait, ServedCount, ServiceTrait, TraitSuccess,
 };
 
@@ -52,7 +52,7 @@
     is_crash: bool,
     suspects: Vec<BrokenRequest>,
     /// Control node that knows the crash, and the number of suspects that it knows.
-    reported: Option<(Incarnation, usize)>,
+    reported: Option<(HomeId, usize)>,
 }
 
 /// Complete responses of a service.
@@ -97,8 +97,11 @@
     /// Complete responses since the last report.
     served: BTreeMap<ServiceName, ServedResponses>,
     /// Control node that sent the quarantine.
-    source: Option<Incarnation>,
+    source: Option<HomeId>,
+    /// Traits to which complete responses are reported.
     suspected: BTreeSet<ServiceTrait>,
+    /// Suspected traits whose requests get no second target.
+    probable: BTreeSet<ServiceTrait>,
     quarantine: BTreeMap<ServiceTrait, AppliedTrait>,
     refused: BTreeSet<ServiceTrait>,
     /// Traits of which one request may be admitted, and the time until which it may.
@@ -225,12 +228,12 @@
         applied.cloned().collect()
     }
 
-    /// Whether a request with these traits may be the cause of earlier crashes. It should not be
+    /// Whether a request with these traits is probably the cause of earlier crashes. It should not be
     /// sent to another target after its connection broke.
-    pub fn is_suspected(&self, service: &ServiceName, traits: &[RequestTrait]) -> bool {
-        !self.suspected.is_empty()
+    pub fn is_probable_cause(&self, service: &ServiceName, traits: &[RequestTrait]) -> bool {
+        !self.probable.is_empty()
             && traits.iter().any(|request_trait| {
-                self.suspected.contains(&ServiceTrait {
+                self.probable.contains(&ServiceTrait {
                     service: service.clone(),
                     request_trait: *request_trait,
                 })
@@ -329,6 +332,7 @@
         }
         self.source = Some(reply.source);
         self.suspected = reply.suspected.iter().cloned().collect();
+        self.probable = reply.probable.iter().cloned().collect();
         let quarantine = reply.quarantine.iter().map(|quarantined| {
             let applied = AppliedTrait {
                 trial_at: now + Duration::from_millis(quarantined.trial_ms),
--- a/components/quarantine/tests/common/mod.rs
+++ b/components/quarantine/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use quarantine::{BrokenRequest, CrashLog, EndedTarget, QuarantineHome, QuarantineVerdict};
 use units::{ClockTime, Incarnation, ServiceName};
-use wire::{FlowId, FlowKey, RequestTrait, ServiceTrait};
+use wire::{FlowId, FlowKey, HomeId, RequestTrait, ServiceTrait};
 
 /// Length of a simulation step.
 const STEP: Duration = Duration::from_millis(10);
@@ -105,7 +105,7 @@
         };
         Self {
             now: ClockTime(0),
-            home: QuarantineHome::new(Incarnation(1)),
+            home: QuarantineHome::new(HomeId(1)),
             record: SimRecord::default(),
             watched: u64::MAX,
             shared: u64::MAX,
@@ -124,7 +124,7 @@
 
     /// Replaces the home by an empty one, as after a restart of its process.
     pub(crate) fn restart_home(&mut self) {
-        self.home = QuarantineHome::new(Incarnation(self.now.0 + 2));
+        self.home = QuarantineHome::new(HomeId(self.now.0 + 2));
     }
 
     /// Runs for a time; `load` returns the requests of each step.
@@ -224,9 +224,9 @@
         }
         for run in runs {
             self.entries[run.entry].resolve_break(&ended, true);
-            let is_suspected =
-                self.entries[run.entry].is_suspected(&service(), &traits(&run.request));
-            if !run.is_retry && !is_suspected {
+            let is_probable_cause =
+                self.entries[run.entry].is_probable_cause(&service(), &traits(&run.request));
+            if !run.is_retry && !is_probable_cause {
                 self.send(run.entry, run.request, true);
             }
         }
--- a/components/quarantine/tests/patterns.rs
+++ b/components/quarantine/tests/patterns.rs
@@ -179,6 +179,38 @@
     assert_eq!(verdict(7), quarantine::QuarantineVerdict::Admitted);
 }
 
+/// Guards against a quarantine that stays with the organisation that had the crashing part first, while
+/// the targets crash under requests of another one.
+#[test]
+fn quarantine_extends_to_other_organisations() {
+    let mut fleet = crashing_fleet(7, 12);
+    let load_of = |organisation: u64| {
+        move |fleet: &mut SimFleet| {
+            let mut load = sound_load(fleet);
+            if fleet.draw(12) == 0 {
+                load.push(SimRequest {
+                    organisation,
+                    parts: vec![FIRST, CRASHING, 1_000_000 + fleet.draw(1 << 40)],
+                });
+            }
+            load
+        }
+    };
+    fleet.run(Duration::from_secs(20), load_of(3));
+    let crashes_before = fleet.record.crashes.len();
+
+    fleet.run(Duration::from_secs(20), load_of(4));
+
+    let crashes = fleet.record.crashes.len() - crashes_before;
+    assert!((1..12).contains(&crashes), "{crashes} crashes");
+    assert!(
+        late_sends(&fleet) <= crashes + MAX_LATE_SENDS,
+        "{:?}",
+        fleet.record
+    );
+    assert_eq!(fleet.home.quarantined(fleet.now)[0].flows, []);
+}
+
 /// Guards against a quarantine that is lost when its home restarts with empty memory, also before
 /// the cause was known.
 #[rstest]
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -202,6 +202,11 @@
         self.tail[TAIL_LEN - kept..].copy_from_slice(&bytes[bytes.len() - kept..]);
     }
 
+    /// Whether a part of the body has arrived.
+    pub(crate) fn has_body(&self) -> bool {
+        self.tail != [0; TAIL_LEN]
+    }
+
     /// Whether an event stream that has ended was broken off. Without a length or chunks, only the
     /// blank line after its last event shows that it is complete.
     pub(crate) fn is_truncated_stream(&self) -> bool {
--- a/components/relay/src/crash.rs
+++ b/components/relay/src/crash.rs
@@ -38,10 +38,11 @@
 }
 
 impl SentRequest {
-    /// Records a complete response. It shows that the target survived the request, unless its end is
-    /// only known from the end of the connection.
-    pub(crate) fn record_response(&self, head: &response::Parts) {
-        if !head.status.is_success() || !is_framed(head) {
+    /// Records a complete response, which shows that the target survived the request. Without a length
+    /// or chunks, an empty body may also come from a target that crashed.
+    pub(crate) fn record_response(&self, head: &response::Parts, has_body: bool) {
+        let is_complete = is_framed(head) || has_body;
+        if !head.status.is_success() || !is_complete {
             return;
         }
         let now = self.shared.now();
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -289,7 +289,7 @@
                 reason = reason
             );
             let is_retryable =
-                !may_have_run || (self.route.repeat.is_repeatable() && !self.is_suspected());
+                !may_have_run || (self.route.repeat.is_repeatable() && !self.is_probable_cause());
             if !is_retryable || !self.may_retry() {
                 break self.failure(&reason);
             }
@@ -418,11 +418,11 @@
         Err(refusal.retry_after(Duration::from_millis(quarantined.trial_ms).max(RETRY_AFTER)))
     }
 
-    /// Whether the request may be the cause of earlier crashes.
-    fn is_suspected(&self) -> bool {
+    /// Whether the request is probably the cause of earlier crashes.
+    fn is_probable_cause(&self) -> bool {
         self.shared
             .board
-            .read(|state| state.crashes.is_suspected(&self.service, &self.traits))
+            .read(|state| state.crashes.is_probable_cause(&self.service, &self.traits))
     }
 
     fn placement_refusal(&self, reason: PlacementError) -> Refusal {
@@ -547,7 +547,7 @@
                 SendResult::ServerError(head, body)
             }
             Ok(BufferedResponse::Complete(head, body)) => {
-                sent.record_response(&head);
+                sent.record_response(&head, !body.is_empty());
                 self.run_timer().record_end();
                 SendResult::Response(ForwardedResponse::Complete(head, body))
             }
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -101,7 +101,10 @@
         let reason = match next {
             Some(Ok(chunk)) => return Some((Ok(chunk), Some((streamed, deadline)))),
             None => {
-                streamed.sent.record_response(&streamed.response.head);
+                let response = &streamed.response;
+                streamed
+                    .sent
+                    .record_response(&response.head, response.has_body());
                 streamed.run_timer.record_end();
                 streamed.response.release_connection();
                 return None;
--- a/components/wire/src/crash.rs
+++ b/components/wire/src/crash.rs
@@ -8,6 +8,11 @@
 
 use crate::usage::FlowId;
 
+units::number!(
+    /// Id of one start of a control node that finds the causes of crashes.
+    HomeId(u64)
+);
+
 units::data! {
     /// What requests that crash targets may have in common.
     #[derive(Copy, PartialOrd, Ord, Hash)]
@@ -89,7 +94,7 @@
     /// causes of crashes.
     pub struct CrashReport {
         /// Control node from which the entry has its quarantine, if any.
-        pub source: Option<Incarnation>,
+        pub source: Option<HomeId>,
         /// Crashes that this control node does not know yet.
         pub observations: Vec<CrashObservation>,
         /// Complete responses of each service.
@@ -105,9 +110,11 @@
     /// Reply to a [`CrashReport`].
     pub struct QuarantineReply {
         /// Replying control node.
-        pub source: Incarnation,
+        pub source: HomeId,
         /// Traits that may have caused crashes; the entry reports complete responses to them.
         pub suspected: Vec<ServiceTrait>,
+        /// Those that probably have; requests with them get no second target.
+        pub probable: Vec<ServiceTrait>,
         /// Quarantine in force.
         pub quarantine: Vec<QuarantinedTrait>,
         /// Traits of which the entry admits one request as a trial.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -21,8 +21,8 @@
     RenewReply, RenewRequest, StoredResponse, TargetState,
 };
 pub use crash::{
-    CrashObservation, CrashReport, CrashSuspect, QuarantineReply, QuarantinedTrait, RequestTrait,
-    ServedCount, ServiceTrait, TraitError, TraitSuccess,
+    CrashObservation, CrashReport, CrashSuspect, HomeId, QuarantineReply, QuarantinedTrait,
+    RequestTrait, ServedCount, ServiceTrait, TraitError, TraitSuccess,
 };
 pub use demand::{DemandReport, EntryReply, EntryReport, FlowAllowance, FlowDemand, ShareReply};
 pub use hash::stable_hash;
