--- /dev/null
+++ b/components/relay/src/forward/attempt.rs
@@ -0,0 +1,175 @@
+//! One attempt at a target: sends the request and reads the response.
+
+use http::StatusCode;
+use hyper::body::Bytes;
+use place::ListedTarget;
+use tokio::time::Instant;
+use tracing::{Instrument, info_span};
+use wire::FlowId;
+
+use super::{ForwardedRequest, ForwardedResponse, SendResult, StreamedResponse, TRUNCATED_STREAM};
+use crate::backend::{BufferedResponse, CallerRequest, ExchangeResponse, OpenResponse, exchange};
+use crate::crash::SentRequest;
+use crate::dialect::ForwardMetadata;
+use crate::places::RunGuard;
+use crate::pool::ExchangeError;
+use crate::stop::RunTimer;
+
+impl ForwardedRequest {
+    /// Sends the request to one target.
+    pub(super) async fn send(
+        &mut self,
+        request: &CallerRequest,
+        run_guard: RunGuard,
+    ) -> SendResult {
+        let Some(target) = self.shared.target(run_guard.run) else {
+            return SendResult::NotSent("the target is gone".into());
+        };
+        let name = target.name.clone();
+        self.wait_time = self.arrived_at.elapsed();
+        self.placement.tried.push(name.clone());
+        let span = info_span!(
+            "relay.send",
+            request = self.metadata.attempt_id.as_str(),
+            target = name.as_str()
+        );
+        let sending = self.exchange(request, &target, run_guard);
+        let deadline = self.deadline;
+        match tokio::time::timeout_at(deadline, sending.instrument(span)).await {
+            Ok(result) => result,
+            Err(_) => SendResult::Unknown("no answer before the deadline".into()),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        request: &CallerRequest,
+        target: &ListedTarget,
+        run_guard: RunGuard,
+    ) -> SendResult {
+        let connection = match self.shared.pool.connect(target.address).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                run_guard.record_failure();
+                return SendResult::NotSent(error.to_string());
+            }
+        };
+        let metadata = ForwardMetadata {
+            target: &target.name,
+            organisation: self.organisation.as_ref(),
+            remaining: self
+                .caller_deadline
+                .saturating_duration_since(Instant::now()),
+        };
+        let sent = SentRequest {
+            shared: self.shared.clone(),
+            target: target.clone(),
+            flow: FlowId::of(&self.flow()),
+            sent_at: self.shared.now(),
+            is_retry: self.send_count > 0,
+            traits: self.traits.clone(),
+        };
+        let dialect = self.shared.dialect.as_ref();
+        let attempt_id = &self.metadata.attempt_id;
+        let pool = &self.shared.pool;
+        let exchanged = exchange(pool, dialect, connection, request, attempt_id, &metadata).await;
+        match exchanged {
+            Ok(ExchangeResponse::Valid(response)) => {
+                run_guard.record_stated_limit(dialect.stated_limit(&response.head));
+                self.read_response(response, run_guard, sent).await
+            }
+            Ok(ExchangeResponse::NotRun(status, stated_limit)) => {
+                // A refusal without a limit does not show that the target takes full load.
+                if stated_limit.is_some() && status != StatusCode::MISDIRECTED_REQUEST {
+                    run_guard.record_stated_limit(stated_limit);
+                }
+                SendResult::NotRun(format!("the target refused with status {status}"))
+            }
+            Ok(ExchangeResponse::Invalid(reason)) => SendResult::Unknown(reason),
+            Err(ExchangeError::NotSent(reason)) => SendResult::NotSent(reason),
+            Err(ExchangeError::Broken(reason)) => {
+                sent.record_break();
+                SendResult::Unknown(reason)
+            }
+        }
+    }
+
+    /// Reads a response that is buffered, or the first chunk of a stream.
+    async fn read_response(
+        &self,
+        mut response: OpenResponse,
+        run_guard: RunGuard,
+        sent: SentRequest,
+    ) -> SendResult {
+        if self.has_events(&response) {
+            let first_chunk = match response.next_chunk().await {
+                Some(Ok(chunk)) => Some(chunk),
+                Some(Err(reason)) => {
+                    sent.record_break();
+                    return SendResult::Unknown(reason);
+                }
+                None if response.is_truncated_stream() => {
+                    sent.record_break();
+                    return SendResult::Unknown(TRUNCATED_STREAM.into());
+                }
+                None => None,
+            };
+            run_guard.record_first_byte();
+            let deadline = self.caller_deadline;
+            return self.streamed(response, first_chunk, run_guard, sent, deadline);
+        }
+        run_guard.record_first_byte();
+        match response.read_buffered().await {
+            Ok(BufferedResponse::Complete(head, body))
+                if head.status.is_server_error() && self.route.repeat.is_repeatable() =>
+            {
+                SendResult::ServerError(head, body)
+            }
+            Ok(BufferedResponse::Complete(head, body)) => {
+                sent.record_response(&head, !body.is_empty());
+                self.run_timer().record_end();
+                SendResult::Response(ForwardedResponse::Complete(head, body))
+            }
+            Ok(BufferedResponse::Long(response, first_part)) => {
+                self.streamed(response, Some(first_part), run_guard, sent, self.deadline)
+            }
+            Err(reason) => {
+                sent.record_break();
+                SendResult::Unknown(reason)
+            }
+        }
+    }
+
+    fn has_events(&self, response: &OpenResponse) -> bool {
+        self.route.repeat.is_stream() && response.head.status.is_success()
+    }
+
+    fn streamed(
+        &self,
+        response: OpenResponse,
+        first_chunk: Option<Bytes>,
+        run_guard: RunGuard,
+        sent: SentRequest,
+        deadline: Instant,
+    ) -> SendResult {
+        let has_events = self.has_events(&response);
+        SendResult::Response(ForwardedResponse::Stream(Box::new(StreamedResponse {
+            response,
+            has_events,
+            first_chunk,
+            _run_guard: run_guard,
+            run_timer: self.run_timer(),
+            sent,
+            deadline,
+            attempt_id: self.metadata.attempt_id.clone(),
+        })))
+    }
+
+    fn run_timer(&self) -> RunTimer {
+        RunTimer {
+            shared: self.shared.clone(),
+            route: self.route.name.clone(),
+            arrived_at: self.arrived_at,
+        }
+    }
+}
