--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -12,7 +12,7 @@
 mod table;
 mod target;
 
-pub use limit::EntryPosition;
+pub use limit::{EntryPosition, LimitChange};
 pub use pace::ColdPacer;
 pub use queue::{DequeuedRequest, QueuedRequest, WaitKey, WaitQueue};
 pub use table::{
--- a/components/place/src/limit.rs
+++ b/components/place/src/limit.rs
@@ -19,6 +19,15 @@
     pub count: u32,
 }
 
+/// Change of the limit that a target states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitChange {
+    /// The target states a limit.
+    Started,
+    /// The target takes full load again.
+    Ended,
+}
+
 impl EntryPosition {
     /// Position of the only entry.
     pub const SINGLE: Self = Self { rank: 0, count: 1 };
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -8,7 +8,7 @@
 use units::{ClockTime, CostUnits, MilliRate, NodeName, RegionName, ServiceName};
 use wire::stable_hash;
 
-use crate::limit::{EntryPosition, StatedLimit};
+use crate::limit::{EntryPosition, LimitChange, StatedLimit};
 use crate::target::{ListedTarget, RunKey, TargetKey, TargetRecord};
 
 /// Percentage of a request's latency objective after which a target that has not returned the first
@@ -237,19 +237,30 @@
         })
     }
 
-    /// Records the limit that a target stated, or did not, in its response to a run.
-    pub fn record_stated_limit(&mut self, run: RunKey, rate: Option<MilliRate>, now: ClockTime) {
-        let Some(record) = self.runs.get(run) else {
-            return;
-        };
-        let Some(target) = self.targets.get_mut(record.target) else {
-            return;
-        };
+    /// Records the limit that a target stated, or did not, in its response to a run. Returns whether
+    /// that starts or ends a limit.
+    pub fn record_stated_limit(
+        &mut self,
+        run: RunKey,
+        rate: Option<MilliRate>,
+        now: ClockTime,
+    ) -> Option<LimitChange> {
+        let record = self.runs.get(run)?;
+        let target = self.targets.get_mut(record.target)?;
         match (rate, &mut target.limit) {
-            (Some(rate), Some(limit)) => limit.update(rate, now),
-            (Some(rate), None) => target.limit = Some(StatedLimit::new(rate, self.position, now)),
-            (None, Some(limit)) if limit.is_ended_by(record.sent_at) => target.limit = None,
-            (None, _) => {}
+            (Some(rate), Some(limit)) => {
+                limit.update(rate, now);
+                None
+            }
+            (Some(rate), None) => {
+                target.limit = Some(StatedLimit::new(rate, self.position, now));
+                Some(LimitChange::Started)
+            }
+            (None, Some(limit)) if limit.is_ended_by(record.sent_at) => {
+                target.limit = None;
+                Some(LimitChange::Ended)
+            }
+            (None, _) => None,
         }
     }
 
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -75,13 +75,14 @@
         let exchanged = exchange(pool, dialect, connection, request, attempt_id, &metadata).await;
         match exchanged {
             Ok(ExchangeResponse::Valid(response)) => {
-                run_guard.record_stated_limit(dialect.stated_limit(&response.head));
+                let stated_limit = dialect.stated_limit(&response.head);
+                run_guard.record_stated_limit(&target.name, stated_limit);
                 self.read_response(response, run_guard, sent).await
             }
             Ok(ExchangeResponse::NotRun(status, stated_limit)) => {
                 // A refusal without a limit does not show that the target takes full load.
                 if stated_limit.is_some() && status != StatusCode::MISDIRECTED_REQUEST {
-                    run_guard.record_stated_limit(stated_limit);
+                    run_guard.record_stated_limit(&target.name, stated_limit);
                 }
                 SendResult::NotRun(format!("the target refused with status {status}"))
             }
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use place::{PlacementOutcome, PlacementRequest, QueuedRequest, RunKey};
+use place::{LimitChange, PlacementOutcome, PlacementRequest, QueuedRequest, RunKey};
+use telemetry::{event, events};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use units::MilliRate;
+use units::{MilliRate, NodeName};
 use wire::FlowKey;
 
 use crate::state::RelayShared;
@@ -31,11 +32,24 @@
     }
 
     /// Records the limit that the target stated, or did not, in its response.
-    pub(crate) fn record_stated_limit(&self, rate: Option<MilliRate>) {
+    pub(crate) fn record_stated_limit(&self, target: &NodeName, rate: Option<MilliRate>) {
         let now = self.shared.now();
-        self.shared
+        let change = self
+            .shared
             .board
             .write_quietly(|state| state.table.record_stated_limit(self.run, rate, now));
+        match change {
+            Some(LimitChange::Started) => {
+                let milli_rate = rate.unwrap_or_default();
+                event!(
+                    events::LIMIT_STARTED,
+                    target = target,
+                    milli_rate = milli_rate
+                );
+            }
+            Some(LimitChange::Ended) => event!(events::LIMIT_ENDED, target = target),
+            None => {}
+        }
     }
 
     /// Records a failed connection, after which the target is avoided for a while.
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -27,6 +27,11 @@
     QUARANTINE_TRIAL = 1514, Info, "quarantine-trial",
         "A request with a quarantined trait is sent to a target; the quarantine ends if its \
          response is complete.";
+    LIMIT_STARTED = 1515, Info, "limit-started",
+        "A target states how many requests it takes from all entries together, in thousandths of \
+         a request per second; this entry sends its part of them.";
+    LIMIT_ENDED = 1516, Info, "limit-ended",
+        "A response of a target no longer states a limit; it gets requests as before.";
     RELAY_STREAM_BROKEN = 1512, Info, "relay-stream-broken",
         "A response stream ended before its last event, so the connection of the caller was \
          closed.";
