Bound the suspected traits and count responses from each report anew

Entries kept the start of their count of complete responses while any response arrived during a report, so the home took all of them for earlier than any crash, and a rare cause among many other crashes was never found. A report now takes the count. Traits of two crashes stayed suspected for 10 minutes and were sent to each entry with each reply; now only those with evidence (2.5) are, which are also those that get no second target, so the second list of the protocol goes.

New: rare_crashing_part_is_found_among_other_crashes, one request in 5 s among a crash every 2 s.

--- a/components/quarantine/src/evidence.rs
+++ b/components/quarantine/src/evidence.rs
@@ -12,7 +12,7 @@
 
 use crate::CRASH_RETENTION;
 
-/// Number of crashes after which a trait is suspected.
+/// Number of crashes from which there is evidence against a trait.
 const SUSPICION_CRASHES: u64 = 2;
 
 /// Evidence that is needed in addition against a trait with an earlier complete response, since such
@@ -189,7 +189,8 @@
         })
     }
 
-    /// Suspected traits, by the crashes that no quarantined trait explains.
+    /// Traits with requests at several targets that crashed, apart from the crashes that a quarantined
+    /// trait explains.
     pub(crate) fn candidates<'a>(
         &self,
         quarantined: impl Iterator<Item = &'a ServiceTrait> + Clone,
--- a/components/quarantine/src/home.rs
+++ b/components/quarantine/src/home.rs
@@ -18,8 +18,9 @@
 /// Minimum evidence against a trait, as a natural logarithm. Hundreds of traits are candidates.
 const MIN_EVIDENCE: f64 = 6.0;
 
-/// Evidence from which requests with a trait get no second target.
-const PROBABLE_EVIDENCE: f64 = 2.5;
+/// Evidence from which a trait is suspected: entries report complete responses to it, and requests
+/// with it get no second target.
+const SUSPICION_EVIDENCE: f64 = 2.5;
 
 /// Time for which a trait is suspected before its quarantine. All entries report complete responses
 /// to it within this time; entries report every 250 ms.
@@ -47,8 +48,6 @@
     evidence: CrashEvidence,
     /// Suspected traits, with the time since which they are suspected.
     suspected: BTreeMap<ServiceTrait, ClockTime>,
-    /// Suspected traits with [`PROBABLE_EVIDENCE`] or more.
-    probable: Vec<ServiceTrait>,
     quarantine: BTreeMap<ServiceTrait, QuarantineRecord>,
     /// Traits that an operator has lifted, with the time; entries may report them once more.
     lifted: BTreeMap<ServiceTrait, ClockTime>,
@@ -64,7 +63,6 @@
             source,
             evidence: CrashEvidence::default(),
             suspected: BTreeMap::new(),
-            probable: Vec::new(),
             quarantine: BTreeMap::new(),
             lifted: BTreeMap::new(),
             has_news: false,
@@ -103,7 +101,6 @@
         let reply = QuarantineReply {
             source: self.source,
             suspected: self.suspected.keys().cloned().collect(),
-            probable: self.probable.clone(),
             quarantine: self.quarantine_at(now),
             trials: self.grant_trials(&report.refused, now),
         };
@@ -137,7 +134,6 @@
         self.lifted.insert(subject.clone(), now);
         self.evidence.clear(subject, now);
         self.suspected.remove(subject);
-        self.probable.retain(|probable| probable != subject);
         self.quarantine.remove(subject).is_some()
     }
 
@@ -227,6 +223,7 @@
         let mut changes = Vec::new();
         loop {
             let mut candidates = self.evidence.candidates(self.quarantine.keys());
+            candidates.retain(|candidate| candidate.evidence >= SUSPICION_EVIDENCE);
             candidates.sort_by(|one, other| other.evidence.total_cmp(&one.evidence));
             candidates.truncate(MAX_SUSPECTED);
             let suspected_since = |subject: &ServiceTrait| self.suspected.get(subject).copied();
@@ -237,11 +234,6 @@
                     (candidate.subject.clone(), since)
                 })
                 .collect();
-            let is_probable = |candidate: &&CauseCandidate| candidate.evidence >= PROBABLE_EVIDENCE;
-            let probable = candidates.iter().filter(is_probable);
-            self.probable = probable
-                .map(|candidate| candidate.subject.clone())
-                .collect();
             let highest = candidates.first().map_or(0.0, |first| first.evidence);
             // Traits that always occur together cannot be told apart.
             candidates.retain(|candidate| candidate.evidence == highest);
--- a/components/quarantine/src/log.rs
+++ b/components/quarantine/src/log.rs
@@ -98,10 +98,7 @@
     served: BTreeMap<ServiceName, ServedResponses>,
     /// Control node that sent the quarantine.
     source: Option<HomeId>,
-    /// Traits to which complete responses are reported.
     suspected: BTreeSet<ServiceTrait>,
-    /// Suspected traits whose requests get no second target.
-    probable: BTreeSet<ServiceTrait>,
     quarantine: BTreeMap<ServiceTrait, AppliedTrait>,
     refused: BTreeSet<ServiceTrait>,
     /// Traits of which one request may be admitted, and the time until which it may.
@@ -228,12 +225,12 @@
         applied.cloned().collect()
     }
 
-    /// Whether a request with these traits is probably the cause of earlier crashes. It should not be
-    /// sent to another target after its connection broke.
-    pub fn is_probable_cause(&self, service: &ServiceName, traits: &[RequestTrait]) -> bool {
-        !self.probable.is_empty()
+    /// Whether a request with these traits may be the cause of earlier crashes. It should not be sent
+    /// to another target after its connection broke.
+    pub fn is_suspected(&self, service: &ServiceName, traits: &[RequestTrait]) -> bool {
+        !self.suspected.is_empty()
             && traits.iter().any(|request_trait| {
-                self.probable.contains(&ServiceTrait {
+                self.suspected.contains(&ServiceTrait {
                     service: service.clone(),
                     request_trait: *request_trait,
                 })
@@ -252,8 +249,10 @@
         record.is_crash && (record.reported.is_none() || record.reported != known)
     }
 
-    /// Report of what the home does not know yet.
-    pub fn report(&self, now: ClockTime) -> CrashReport {
+    /// Report of what the home does not know yet. The counts of responses start anew: those of a report
+    /// without a reply are lost, and are not taken for later ones.
+    pub fn take_report(&mut self, now: ClockTime) -> CrashReport {
+        let served = self.take_served(now);
         let due = || self.breaks.iter().filter(|(_, record)| self.is_due(record));
         let observations = due().map(|(target, record)| {
             let known = record
@@ -278,17 +277,17 @@
         CrashReport {
             source: self.source,
             observations: observations.collect(),
-            served: self.served_counts(now),
+            served,
             successes: successes.collect(),
             quarantine: self.applied_quarantine(now),
             refused: self.refused.iter().cloned().collect(),
         }
     }
 
-    fn served_counts(&self, now: ClockTime) -> Vec<ServedCount> {
-        let served = self.served.iter();
+    fn take_served(&mut self, now: ClockTime) -> Vec<ServedCount> {
+        let served = std::mem::take(&mut self.served).into_iter();
         let counts = served.map(|(service, served)| ServedCount {
-            service: service.clone(),
+            service,
             responses: served.responses,
             age_ms: now.since(served.first_at).as_millis() as u64,
         });
@@ -321,18 +320,11 @@
                 record.reported = Some((reply.source, known));
             }
         }
-        for count in &report.served {
-            if let Some(served) = self.served.get_mut(&count.service) {
-                served.responses -= count.responses;
-            }
-        }
-        self.served.retain(|_, served| served.responses > 0);
         for subject in &report.refused {
             self.refused.remove(subject);
         }
         self.source = Some(reply.source);
         self.suspected = reply.suspected.iter().cloned().collect();
-        self.probable = reply.probable.iter().cloned().collect();
         let quarantine = reply.quarantine.iter().map(|quarantined| {
             let applied = AppliedTrait {
                 trial_at: now + Duration::from_millis(quarantined.trial_ms),
--- a/components/quarantine/tests/common/mod.rs
+++ b/components/quarantine/tests/common/mod.rs
@@ -224,9 +224,9 @@
         }
         for run in runs {
             self.entries[run.entry].resolve_break(&ended, true);
-            let is_probable_cause =
-                self.entries[run.entry].is_probable_cause(&service(), &traits(&run.request));
-            if !run.is_retry && !is_probable_cause {
+            let is_suspected =
+                self.entries[run.entry].is_suspected(&service(), &traits(&run.request));
+            if !run.is_retry && !is_suspected {
                 self.send(run.entry, run.request, true);
             }
         }
@@ -238,7 +238,7 @@
             if (self.now.0 + phase) % REPORT_INTERVAL_MS >= STEP.as_millis() as u64 {
                 continue;
             }
-            let report = entry.report(self.now);
+            let report = entry.take_report(self.now);
             let (reply, _) = self.home.apply_report(&report, self.now);
             entry.apply_reply(&report, &reply, self.now);
         }
--- a/components/quarantine/tests/patterns.rs
+++ b/components/quarantine/tests/patterns.rs
@@ -162,7 +162,7 @@
     let attackers_refused = fleet.record.shared_refused;
 
     let mut log = CrashLog::new();
-    let report = log.report(fleet.now);
+    let report = log.take_report(fleet.now);
     let (reply, _) = fleet.home.apply_report(&report, fleet.now);
     log.apply_reply(&report, &reply, fleet.now);
 
@@ -179,6 +179,36 @@
     assert_eq!(verdict(7), quarantine::QuarantineVerdict::Admitted);
 }
 
+/// Guards against a crashing part that is not found because targets crash far more often for other
+/// reasons: with one request in five seconds, and a crash without it every two seconds.
+#[test]
+fn rare_crashing_part_is_found_among_other_crashes() {
+    let mut fleet = crashing_fleet(7, 12);
+    fleet.run(Duration::from_secs(5), sound_load);
+    let rare_load = |fleet: &mut SimFleet| {
+        let mut load = sound_load(fleet);
+        if fleet.now.0.is_multiple_of(5_000) {
+            load.push(SimRequest {
+                organisation: fleet.draw(16),
+                parts: vec![FIRST, CRASHING, 1_000_000 + fleet.draw(1 << 40)],
+            });
+        }
+        load
+    };
+
+    for round in 0..45 {
+        fleet.run(Duration::from_secs(2), rare_load);
+        fleet.crash(round % 12);
+    }
+
+    let sends = fleet.record.watched_sends.len();
+    assert!(
+        sends <= 5 + 1 + MAX_LATE_SENDS,
+        "{sends} requests with the part"
+    );
+    assert_eq!(fleet.quarantined(), [part(CRASHING)]);
+}
+
 /// Guards against a quarantine that stays with the organisation that had the crashing part first, while
 /// the targets crash under requests of another one.
 #[test]
@@ -274,7 +304,7 @@
         fleet.crash(round % 6);
     }
 
-    let report = CrashLog::new().report(fleet.now);
+    let report = CrashLog::new().take_report(fleet.now);
     let (reply, _) = fleet.home.apply_report(&report, fleet.now);
 
     assert!(report_bytes(&report) < 64);
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -59,7 +59,7 @@
             }
             EntryReport {
                 demand: state.gate.take_report(name, incarnation, now),
-                crashes: state.crashes.report(now),
+                crashes: state.crashes.take_report(now),
             }
         });
         match send_report(&client, home, &report).await {
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -290,7 +290,7 @@
                 reason = reason
             );
             let is_retryable =
-                !may_have_run || (self.route.repeat.is_repeatable() && !self.is_probable_cause());
+                !may_have_run || (self.route.repeat.is_repeatable() && !self.is_suspected());
             if !is_retryable || !self.may_retry() {
                 break self.failure(&reason);
             }
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -66,10 +66,10 @@
         Err(refusal.retry_after(Duration::from_millis(quarantined.trial_ms).max(RETRY_AFTER)))
     }
 
-    /// Whether the request is probably the cause of earlier crashes.
-    pub(super) fn is_probable_cause(&self) -> bool {
+    /// Whether the request may be the cause of earlier crashes.
+    pub(super) fn is_suspected(&self) -> bool {
         self.shared
             .board
-            .read(|state| state.crashes.is_probable_cause(&self.service, &self.traits))
+            .read(|state| state.crashes.is_suspected(&self.service, &self.traits))
     }
 }
--- a/components/wire/src/crash.rs
+++ b/components/wire/src/crash.rs
@@ -111,10 +111,9 @@
     pub struct QuarantineReply {
         /// Replying control node.
         pub source: HomeId,
-        /// Traits that may have caused crashes; the entry reports complete responses to them.
+        /// Traits that may have caused crashes. The entry reports complete responses to them, and sends
+        /// requests with them to no second target.
         pub suspected: Vec<ServiceTrait>,
-        /// Those that probably have; requests with them get no second target.
-        pub probable: Vec<ServiceTrait>,
         /// Quarantine in force.
         pub quarantine: Vec<QuarantinedTrait>,
         /// Traits of which the entry admits one request as a trial.
