Do not hold requests for limited targets that cannot take them

Found by reading the diff: a large request waited for a limited target with full slots or late responses while others were free, a small one while nobody used what a limited target took, and waiting requests counted in the mean work each time that they were tried.

Large requests now try limited targets first and then the others; small ones may use what was left for 1 s; the mean is taken over started runs.

--- a/components/place/src/limit.rs
+++ b/components/place/src/limit.rs
@@ -10,6 +10,10 @@
 /// request cannot state that its limit has ended.
 const MIN_RATE: MilliRate = MilliRate(500);
 
+/// Time for which a request that the limit allows is reserved for a large one. No capacity may stay
+/// idle while work waits.
+const RESERVE_TIME: Duration = Duration::from_millis(1_000);
+
 /// Position of this entry among all entries that send requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EntryPosition {
@@ -79,6 +83,11 @@
         self.opens_at
     }
 
+    /// Whether the next request is reserved for a large one.
+    pub(crate) fn is_reserved(&self, now: ClockTime) -> bool {
+        now < self.opens_at + RESERVE_TIME
+    }
+
     /// Records a sent request.
     pub(crate) fn record_request(&mut self, position: EntryPosition, now: ClockTime) {
         self.opens_at = now + send_interval(self.rate, position.count);
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -191,30 +191,46 @@
         };
         // A session moves to another target rather than wait for one that takes few requests.
         candidates.retain(|key| self.targets[*key].is_within_limit(now));
-        self.select_by_work(&mut candidates, request);
-        let selected = match request.affinity {
-            Some(session) => self.select_for_session(session, request.objective, candidates, now),
-            None => self.select_least_loaded(&candidates, now),
-        };
-        match selected {
+        let (limited, others): (Vec<TargetKey>, Vec<TargetKey>) = candidates
+            .into_iter()
+            .partition(|key| self.targets[*key].is_reserved(now));
+        let mut selected = None;
+        if others.is_empty() || self.is_large(request) {
+            selected = self.select(request, limited, now);
+        }
+        match selected.or_else(|| self.select(request, others, now)) {
             Some(key) => PlacementOutcome::Run(self.start_run(key, request, now)),
             None => PlacementOutcome::NoCapacity,
         }
     }
 
-    /// Leaves targets with limits to the requests with the mean work or more, and the other targets to
-    /// the rest, if there are both: a limit counts requests, whatever their work is.
-    fn select_by_work(&mut self, candidates: &mut Vec<TargetKey>, request: &PlacementRequest) {
-        let mean = self
-            .mean_work
-            .entry(request.service.clone())
-            .or_insert(request.work);
-        *mean = (*mean * (MEAN_WORK_SAMPLES - 1) + request.work) / MEAN_WORK_SAMPLES;
-        let is_heavy = request.work >= *mean;
-        let is_limited = |key: &TargetKey| self.targets[*key].limit.is_some();
-        let limited_count = candidates.iter().filter(|key| is_limited(key)).count();
-        if limited_count > 0 && limited_count < candidates.len() {
-            candidates.retain(|key| is_limited(key) == is_heavy);
+    /// Whether a request has the mean work of its service or more. A limit counts requests, whatever
+    /// their work is, so targets with limits are left to large ones.
+    fn is_large(&self, request: &PlacementRequest) -> bool {
+        let mean = self.mean_work.get(&request.service);
+        mean.is_none_or(|mean| request.work >= *mean)
+    }
+
+    fn record_work(&mut self, request: &PlacementRequest) {
+        match self.mean_work.get_mut(&request.service) {
+            Some(mean) => {
+                *mean = (*mean * (MEAN_WORK_SAMPLES - 1) + request.work) / MEAN_WORK_SAMPLES;
+            }
+            None => {
+                self.mean_work.insert(request.service.clone(), request.work);
+            }
+        }
+    }
+
+    fn select(
+        &self,
+        request: &PlacementRequest,
+        candidates: Vec<TargetKey>,
+        now: ClockTime,
+    ) -> Option<TargetKey> {
+        match request.affinity {
+            Some(session) => self.select_for_session(session, request.objective, candidates, now),
+            None => self.select_least_loaded(&candidates, now),
         }
     }
 
@@ -333,6 +349,7 @@
     }
 
     fn start_run(&mut self, key: TargetKey, request: &PlacementRequest, now: ClockTime) -> RunKey {
+        self.record_work(request);
         let run = self.runs.insert(RunRecord {
             target: key,
             sent_at: now,
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -103,6 +103,11 @@
         self.limit.is_none_or(|limit| limit.opens_at() <= now)
     }
 
+    /// Whether the next request that the stated limit allows is reserved for a large one.
+    pub(crate) fn is_reserved(&self, now: ClockTime) -> bool {
+        self.limit.is_some_and(|limit| limit.is_reserved(now))
+    }
+
     /// Time since the oldest request without a first byte was sent; zero if there is none.
     pub fn longest_wait(&self, now: ClockTime) -> Duration {
         let oldest = self.pending.first();
--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -177,6 +177,36 @@
     );
 }
 
+/// Guards against large requests that wait for a limited target with full slots, and small ones that
+/// wait while nobody uses what a limited target takes.
+#[test]
+fn reserved_capacity_does_not_stay_idle() {
+    let mut table = table(&[1], EntryPosition { rank: 0, count: 1 });
+    let with_work = |work: u64| PlacementRequest {
+        work,
+        ..request(None)
+    };
+    let PlacementOutcome::Run(first) = table.place(&with_work(100), ClockTime(0)) else {
+        panic!("no capacity");
+    };
+    table.record_stated_limit(first, Some(MilliRate(1_000)), ClockTime(0));
+    let mut full = target(2);
+    full.slots = SlotCount(1);
+    table.sync(vec![target(1), full], EntryPosition::SINGLE, ClockTime(10));
+    let PlacementOutcome::Run(blocking) = table.place(&with_work(100), ClockTime(20)) else {
+        panic!("no capacity");
+    };
+
+    let reserved = table.place(&with_work(10), ClockTime(1_010));
+    let unused = table.place(&with_work(10), ClockTime(2_010));
+    table.end_run(blocking);
+    let large = table.place(&with_work(1_000), ClockTime(2_100));
+
+    assert_eq!(reserved, PlacementOutcome::NoCapacity);
+    assert!(matches!(unused, PlacementOutcome::Run(_)), "{unused:?}");
+    assert!(matches!(large, PlacementOutcome::Run(_)), "{large:?}");
+}
+
 /// Guards against a limit that stays in force after a response without one or a restart of its
 /// target, and against one that is ended by a response from before it was stated.
 #[test]
