Break off an event stream without a length at the agent, too

A caller of the project's own interface got a stream as complete that its target had ended inside an event: a response with neither a length nor chunks ends with its connection, and the agent took that end for the end of the stream.

The agent now takes such a stream as complete only after a blank line, by the same EventTail as the relay. Two of three cases of the new test in agent/tests/target.rs failed before.

--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -24,4 +24,6 @@
 pub use meter::{CostMeter, meter_for};
 pub use seen::{MAX_SEEN_REQUESTS, SeenRequests, SeenVerdict};
 pub use settings::{AgentSettings, TargetKind};
-pub use target::{HttpTarget, TargetClient, TargetError, TargetRequest, TargetResponse};
+pub use target::{
+    HttpTarget, ResponseBody, TargetClient, TargetError, TargetRequest, TargetResponse,
+};
--- a/components/agent/src/target.rs
+++ b/components/agent/src/target.rs
@@ -6,10 +6,13 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::BoxStream;
 use futures_util::{FutureExt, StreamExt};
-use http::header::{HeaderName, HeaderValue};
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use thiserror::Error;
 use units::error_chain;
-use wire::{HeaderField, RequestHead, ResponseHead};
+use wire::{EventTail, HeaderField, RequestHead, ResponseHead};
+
+use crate::meter::is_event_stream;
 
 /// Connection timeout. The target is on the same host or in the same rack.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -52,12 +55,15 @@
     pub trace: Option<String>,
 }
 
+/// Parts of the body of a response as they arrive.
+pub type ResponseBody = BoxStream<'static, Result<Vec<u8>, TargetError>>;
+
 /// Response of the target.
 pub struct TargetResponse {
     /// Status and headers.
     pub head: ResponseHead,
-    /// Parts of the body as they arrive.
-    pub body: BoxStream<'static, Result<Vec<u8>, TargetError>>,
+    /// Body.
+    pub body: ResponseBody,
 }
 
 /// Client of one target.
@@ -144,13 +150,15 @@
                 }
             })?;
             let head = response_head(&response);
-            let body = response
-                .bytes_stream()
-                .map(|part| match part {
-                    Ok(bytes) => Ok(bytes.to_vec()),
-                    Err(error) => Err(TargetError::Lost(error_chain(&error))),
-                })
-                .boxed();
+            let is_unframed_stream = is_unframed_stream(response.headers());
+            let body = response.bytes_stream().map(|part| match part {
+                Ok(bytes) => Ok(bytes.to_vec()),
+                Err(error) => Err(TargetError::Lost(error_chain(&error))),
+            });
+            let body = match is_unframed_stream {
+                true => check_end(body.boxed()),
+                false => body.boxed(),
+            };
             Ok(TargetResponse { head, body })
         }
         .boxed()
@@ -176,6 +184,36 @@
         .no_proxy()
 }
 
+/// Whether a response is an event stream of which only the end of the connection tells the end.
+fn is_unframed_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    content_type.is_some_and(is_event_stream)
+        && !headers.contains_key(CONTENT_LENGTH)
+        && !headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Adds an error to the end of an event stream that ends inside an event.
+fn check_end(body: ResponseBody) -> ResponseBody {
+    let state = Some((body, EventTail::default()));
+    futures_util::stream::unfold(state, |state| async move {
+        let (mut body, mut tail) = state?;
+        match body.next().await {
+            Some(Ok(bytes)) => {
+                tail.record(&bytes);
+                Some((Ok(bytes), Some((body, tail))))
+            }
+            Some(Err(error)) => Some((Err(error), None)),
+            None if tail.is_after_event() => None,
+            None => {
+                let reason = "the stream ended inside an event".into();
+                Some((Err(TargetError::Lost(reason)), None))
+            }
+        }
+    })
+    .boxed()
+}
+
 fn response_head(response: &reqwest::Response) -> ResponseHead {
     let headers = response
         .headers()
--- /dev/null
+++ b/components/agent/tests/target.rs
@@ -0,0 +1,60 @@
+//! Tests of the HTTP client for the target.
+
+use agent::{HttpTarget, TargetClient, TargetError, TargetRequest};
+use futures_util::StreamExt;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use wire::RequestHead;
+
+/// Starts a target that answers one request with these bytes and closes the connection. Returns its
+/// URL.
+async fn start_target(response: String) -> String {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await.unwrap());
+        }
+        stream.write_all(response.as_bytes()).await.unwrap();
+    });
+    format!("http://{address}")
+}
+
+fn get_request() -> TargetRequest {
+    TargetRequest {
+        head: RequestHead {
+            method: "GET".into(),
+            path: "/".into(),
+            headers: Vec::new(),
+        },
+        body: Vec::new(),
+        is_repeatable: true,
+        trace: None,
+    }
+}
+
+/// Guards against a stream without a length that looks complete although its target ended it inside
+/// an event, or before the first one.
+#[rstest]
+#[case::after_an_event("data: a\n\ndata: b\n\n", true)]
+#[case::inside_an_event("data: a\n\ndata: b\n", false)]
+#[case::before_the_first_event("", false)]
+#[tokio::test]
+async fn stream_without_a_length_is_complete_after_an_event(
+    #[case] events: &str,
+    #[case] is_complete: bool,
+) {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+    let url = start_target(format!("{head}{events}")).await;
+    let target = HttpTarget::new(&url).unwrap();
+
+    let response = target.send(get_request()).await.unwrap();
+    let parts: Vec<_> = response.body.collect().await;
+
+    let last = parts.last();
+    let is_lost = matches!(last, Some(Err(TargetError::Lost(_))));
+    assert_eq!(!is_lost, is_complete, "{parts:?}");
+}
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Bytes, Incoming};
 
 use units::MilliRate;
+use wire::EventTail;
 
 use crate::dialect::{CallerDialect, ForwardMetadata, ResponseVerdict};
 use crate::pool::{ConnectionPool, ExchangeError, TargetConnection};
@@ -27,9 +28,6 @@
     "upgrade",
 ];
 
-/// Number of bytes at the end of a stream that tell whether its last event is complete.
-const TAIL_LEN: usize = 3;
-
 /// Size from which a response is forwarded before it is complete. A target in trouble may send bytes
 /// without end, and a small host has memory for a few of such responses only.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
@@ -49,8 +47,7 @@
     body: Incoming,
     connection: TargetConnection,
     pool: ConnectionPool,
-    /// Last bytes of the body so far.
-    tail: [u8; TAIL_LEN],
+    tail: EventTail,
 }
 
 /// Response of which the first part is buffered.
@@ -109,7 +106,7 @@
             body,
             connection,
             pool: pool.clone(),
-            tail: [0; TAIL_LEN],
+            tail: EventTail::default(),
         }),
     })
 }
@@ -187,7 +184,7 @@
             match self.body.frame().await? {
                 Ok(frame) => {
                     if let Ok(bytes) = frame.into_data() {
-                        self.record_tail(&bytes);
+                        self.tail.record(&bytes);
                         return Some(Ok(bytes));
                     }
                 }
@@ -196,22 +193,14 @@
         }
     }
 
-    fn record_tail(&mut self, bytes: &[u8]) {
-        let kept = bytes.len().min(TAIL_LEN);
-        self.tail.rotate_left(kept);
-        self.tail[TAIL_LEN - kept..].copy_from_slice(&bytes[bytes.len() - kept..]);
-    }
-
     /// Whether a part of the body has arrived.
     pub(crate) fn has_body(&self) -> bool {
-        self.tail != [0; TAIL_LEN]
+        self.tail.has_bytes()
     }
 
-    /// Whether an event stream that has ended was broken off. Without a length or chunks, only the
-    /// blank line after its last event shows that it is complete.
+    /// Whether an event stream that has ended was broken off.
     pub(crate) fn is_truncated_stream(&self) -> bool {
-        let ends: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
-        !is_framed(&self.head) && !ends.iter().any(|end| self.tail.ends_with(end))
+        !is_framed(&self.head) && !self.tail.is_after_event()
     }
 
     /// Returns the connection to the pool; the body must have ended.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod crash;
 mod demand;
+mod event_tail;
 mod hash;
 mod hello;
 mod run;
@@ -25,6 +26,7 @@
     RequestTrait, ServedCount, ServiceTrait, TraitError, TraitSuccess,
 };
 pub use demand::{DemandReport, EntryReply, EntryReport, FlowAllowance, FlowDemand, ShareReply};
+pub use event_tail::EventTail;
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
 pub use run::{
