Refuse HTTP/1.0, in which a broken response looks complete

A response of unknown length ends with the connection in HTTP/1.0, so its caller took a stream or a long response that was broken off for a complete one.

Callers of HTTP/1.0 get 505 before the request runs, at relays and entries; the design offers HTTP/1.1 and HTTP/2.

--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -82,6 +82,7 @@
         traceparent: Option<String>,
     ) -> Result<OpenRequest, Refusal> {
         let deadline = Instant::now() + self.shared.settings.limits.request_timeout;
+        Refusal::check_version(req.version())?;
         self.check_headers(req)?;
         let caller = self.identify(req)?;
         self.check_serving()?;
--- a/components/entry/src/refusal.rs
+++ b/components/entry/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::Version;
 use serde_json::json;
 use wire::{FailureCode, RunStatus};
 
@@ -70,6 +71,18 @@
         }
     }
 
+    /// Refuses HTTP/1.0, in which the end of the connection ends a response of unknown length. A
+    /// caller could not tell a response that was broken off from a complete one.
+    pub fn check_version(version: Version) -> Result<(), Self> {
+        match version >= Version::HTTP_11 {
+            true => Ok(()),
+            false => {
+                let message = format!("Failed to accept {version:?}: want HTTP/1.1 or newer");
+                Err(Self::not_run(505, "http-version", message))
+            }
+        }
+    }
+
     /// Sets the time after which the caller may retry.
     pub fn retry_after(self, wait: Duration) -> Self {
         Self {
--- a/components/entry/tests/refusals.rs
+++ b/components/entry/tests/refusals.rs
@@ -26,6 +26,27 @@
     )
 }
 
+/// Guards against a broken response that looks complete to a caller of HTTP/1.0, for which the end of
+/// the connection ends the body.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn version_without_chunks_is_refused_as_not_run() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(0).await;
+    let _records = fleet
+        .start_agent("agent-1", "records", TargetKind::Plain, target.address)
+        .await;
+    let entry = fleet.start_entry("entry-1").await;
+
+    let request = Caller::new(&entry).post("/services/records/x", "");
+    let response = request.version(reqwest::Version::HTTP_10).send().await;
+
+    let (status, code, outcome) = read_refusal(response.unwrap()).await;
+    assert_eq!(
+        (status, &*code, &*outcome),
+        (505, "http-version", "not-run")
+    );
+}
+
 #[rstest]
 #[case::service("/services/unknown/x", "", 404, "not-found")]
 #[case::path("/elsewhere", "", 404, "not-found")]
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -42,6 +42,7 @@
     ) -> Result<ForwardedResponse, Refusal> {
         let arrived_at = Instant::now();
         let head = request_head(req);
+        Refusal::check_version(head.version)?;
         let metadata = self
             .shared
             .dialect
--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -168,6 +168,80 @@
     }
 }
 
+/// Guards against a body without a length that looks complete although the connection of its target
+/// was reset: before its first bytes, after an event, and in a response that is not a stream, whether
+/// it is buffered or too long for that.
+#[rstest]
+#[case::stream_before_the_first_event("/stream/x", String::new(), None)]
+#[case::stream_after_an_event("/stream/x", "id: 1\ndata: a\n\n".into(), Some(200))]
+#[case::buffered("/once/x", "half".into(), None)]
+#[case::long("/once/x", "half".repeat(20_000), Some(200))]
+#[tokio::test(flavor = "multi_thread")]
+async fn body_without_a_length_is_broken_by_a_reset(
+    #[case] path: &str,
+    #[case] body: String,
+    #[case] status: Option<u16>,
+) {
+    let script = Arc::new(move |head: &str| {
+        let id = header(head, "request-id").unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n\r\n");
+        TargetStep::Reset((head + &body).into_bytes())
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+
+    let response = fleet.request(path, "r1").send().await.unwrap();
+    let received_status = response.status().as_u16();
+    let body = response.bytes().await;
+
+    match status {
+        Some(status) => assert_eq!((received_status, body.is_err()), (status, true)),
+        None => assert_eq!(received_status, 502),
+    }
+}
+
+/// Guards against a broken body that looks complete to a caller of HTTP/1.0, for which the end of the
+/// connection ends the body, and to one that asks for the connection to be closed.
+#[rstest]
+#[case::old_stream("HTTP/1.0", "/stream/x", "id: 1\ndata: a\n\n".into())]
+#[case::old_long_response("HTTP/1.0", "/once/x", "half".repeat(20_000))]
+#[case::closed_stream("HTTP/1.1", "/stream/x", "id: 1\ndata: a\n\n".into())]
+#[case::closed_long_response("HTTP/1.1", "/once/x", "half".repeat(20_000))]
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_body_is_broken_for_callers_without_kept_connections(
+    #[case] version: &str,
+    #[case] path: &str,
+    #[case] body: String,
+) {
+    let script = Arc::new(move |head: &str| {
+        let id = header(head, "request-id").unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n\r\n");
+        TargetStep::Reset((head + &body).into_bytes())
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+    let request = format!(
+        "POST {path} {version}\r\nhost: mill.example\r\nrequest-id: r1\r\nkey: secret\r\n\
+         connection: close\r\ncontent-length: 0\r\n\r\n"
+    );
+
+    let (answer, end) = common::exchange_bytes(fleet.relay.http(), request.as_bytes()).await;
+
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    let is_refused = [" 502 ", " 505 "]
+        .iter()
+        .any(|status| head.contains(status));
+    let has_length = header(head, "content-length")
+        .and_then(|length| length.parse::<usize>().ok())
+        .is_some_and(|length| length > body.len());
+    let is_open_chunk = header(head, "transfer-encoding").is_some() && !body.ends_with("0\r\n\r\n");
+    let is_reset = end.is_err();
+    assert!(
+        is_refused || has_length || is_open_chunk || is_reset,
+        "{head}"
+    );
+}
+
 /// Guards against a request that must run at most once but is sent to a second target, and against
 /// a repeatable request that is not.
 #[rstest]
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod crashing;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -111,6 +112,8 @@
     Write(Vec<u8>),
     /// Writes these bytes and closes the connection.
     Close(Vec<u8>),
+    /// Writes these bytes and resets the connection after they have been read.
+    Reset(Vec<u8>),
     /// Writes these bytes and keeps the connection open.
     Hang(Vec<u8>),
     /// Writes the first bytes, and then the others again and again until the connection is closed.
@@ -195,6 +198,14 @@
                 stream.write_all(&bytes).await.unwrap();
                 return;
             }
+            TargetStep::Reset(bytes) => {
+                stream.write_all(&bytes).await.unwrap();
+                // A reset discards what the receiver has not read yet.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                let socket = socket2::SockRef::from(&stream);
+                socket.set_linger(Some(Duration::ZERO)).unwrap();
+                return;
+            }
             TargetStep::Hang(bytes) => stream.write_all(&bytes).await.unwrap(),
             TargetStep::Endless(start, part, interval) => {
                 return drip(&mut stream, &start, &part, interval, usize::MAX).await;
@@ -393,6 +404,16 @@
     relay::start(settings, parts).await.unwrap()
 }
 
+/// Sends bytes on a new connection, and returns what is received, and how the connection ends.
+pub(crate) async fn exchange_bytes(address: SocketAddr, bytes: &[u8]) -> (String, io::Result<()>) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut received = Vec::new();
+    let reading = stream.read_to_end(&mut received);
+    let end = tokio::time::timeout(EVENT_TIMEOUT, reading).await.unwrap();
+    (String::from_utf8(received).unwrap(), end.map(|_| ()))
+}
+
 /// Polls every 5 ms until a condition holds.
 pub(crate) async fn wait_until(condition: impl Fn() -> bool) {
     let waiting = async {
