Log the version that answers a request, and the stream that it continues

Targets' announcements now carry their version through the directory to the entries, the dialect reads which stream a request continues, and relay-answered (1509) logs both.

--- a/components/directory/src/record.rs
+++ b/components/directory/src/record.rs
@@ -76,6 +76,7 @@
         (NodeKind::Entry, NodeKind::Entry) => false,
         (NodeKind::Target(old), NodeKind::Target(new)) => {
             old.service != new.service
+                || old.version != new.version
                 || old.slots != new.slots
                 || (old.cold_ms > 0) != (new.cold_ms > 0)
         }
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use units::{
-    ClockTime, DataCentreName, Incarnation, MilliRate, NodeName, RegionName, ServiceName, SlotCount,
+    ClockTime, DataCentreName, Incarnation, MilliRate, NodeName, RegionName, ServiceName,
+    SlotCount, SoftwareVersion,
 };
 
 use crate::limit::StatedLimit;
@@ -31,6 +32,8 @@
     pub address: SocketAddr,
     /// Service that it serves.
     pub service: ServiceName,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Data centre that it runs in.
     pub data_centre: DataCentreName,
     /// Region of the data centre, if known.
--- a/components/place/tests/choice.rs
+++ b/components/place/tests/choice.rs
@@ -20,6 +20,7 @@
         sequence: 1,
         address: ([10, 0, 0, number], 8080).into(),
         service: "advice".into(),
+        version: "v1".into(),
         data_centre: "praha-1".into(),
         region: Some("bohemia".into()),
         slots: SlotCount(8),
--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -19,6 +19,7 @@
         sequence: 1,
         address: ([10, 0, 0, number], 8080).into(),
         service: "advice".into(),
+        version: "v1".into(),
         data_centre: "praha-1".into(),
         region: None,
         slots: SlotCount(1_000),
--- a/components/place/tests/queue.rs
+++ b/components/place/tests/queue.rs
@@ -16,6 +16,7 @@
         sequence: 1,
         address: ([10, 0, 0, 1], 8080).into(),
         service: "advice".into(),
+        version: "v1".into(),
         data_centre: "praha-1".into(),
         region: None,
         slots: SlotCount(slots),
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -20,6 +20,15 @@
     pub remaining: Option<Duration>,
     /// Expected usage of a model, if stated.
     pub model_usage: Option<ModelUsage>,
+    /// Stream that the request continues, if it does.
+    pub continuation: Option<StreamContinuation>,
+}
+
+/// Stream of which a caller has received the first events.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamContinuation {
+    /// Id of the attempt that brought the first event, if stated.
+    pub first_attempt: Option<String>,
 }
 
 /// Model usage that a request is expected to cause.
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -139,6 +139,7 @@
         sequence: target.sequence,
         address: entry.address,
         service: target.service.clone(),
+        version: target.version.clone(),
         data_centre: entry.data_centre.clone(),
         region: settings.regions.get(&entry.data_centre).cloned(),
         slots: target.slots,
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -13,7 +13,9 @@
 use telemetry::{event, events};
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
-use units::{CostUnits, FlowWeight, NodeName, OrganisationName, PlanNumber, ServiceName};
+use units::{
+    CostUnits, FlowWeight, NodeName, OrganisationName, PlanNumber, ServiceName, SoftwareVersion,
+};
 use wire::{FlowId, FlowKey, RequestTrait, stable_hash};
 
 use cadence::prelude::*;
@@ -66,6 +68,8 @@
     send_count: u32,
     /// Whether the request may have run at a target.
     may_have_run: bool,
+    /// Version of the target to which the request was last sent.
+    last_version: Option<SoftwareVersion>,
     /// Number of the plan by which the request was admitted.
     plan_number: PlanNumber,
     /// Time from the arrival of the request to its last assignment to a target.
@@ -218,6 +222,7 @@
             arrived_at,
             send_count: 0,
             may_have_run: false,
+            last_version: None,
             plan_number: admission.plan_number,
             wait_time: Duration::ZERO,
             traits: Vec::new(),
@@ -314,12 +319,23 @@
             plan = self.plan_number,
             organisation = organisation.map_or("", OrganisationName::as_str),
             target = self.last_target(),
+            version = self
+                .last_version
+                .as_ref()
+                .map_or("", SoftwareVersion::as_str),
+            continues = self.first_attempt().unwrap_or_default(),
             sends = self.send_count + 1,
             waited_ms = self.wait_time.as_millis(),
             first_byte_ms = self.arrived_at.elapsed().as_millis()
         );
     }
 
+    /// Id of the attempt that began the stream that the request continues, if stated.
+    fn first_attempt(&self) -> Option<&str> {
+        let continuation = self.metadata.continuation.as_ref()?;
+        continuation.first_attempt.as_deref()
+    }
+
     fn last_target(&self) -> String {
         let last = self.placement.tried.last();
         last.map(NodeName::to_string).unwrap_or_default()
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -28,6 +28,7 @@
         let name = target.name.clone();
         self.wait_time = self.arrived_at.elapsed();
         self.placement.tried.push(name.clone());
+        self.last_version = Some(target.version.clone());
         let span = info_span!(
             "relay.send",
             request = self.metadata.attempt_id.as_str(),
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -24,7 +24,7 @@
 pub use daemon::{RelayHandle, RelayParts, start};
 pub use dialect::{
     CallerDialect, ForwardMetadata, MetadataError, ModelUsage, PromptPart, RequestMetadata,
-    ResponseVerdict,
+    ResponseVerdict, StreamContinuation,
 };
 pub use limits::WindowBound;
 pub use settings::RelaySettings;
--- a/components/relay/tests/common/crashing.rs
+++ b/components/relay/tests/common/crashing.rs
@@ -54,6 +54,7 @@
     for number in 0..count {
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0)));
         let target = TestTarget {
+            version: "v1".into(),
             name: format!("target-{number}"),
             address: listener.local_addr().unwrap(),
             heads: Arc::default(),
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -19,7 +19,7 @@
 use raft::RaftSettings;
 use relay::{
     CallerDialect, ForwardMetadata, MetadataError, ModelUsage, PromptPart, RelayHandle, RelayParts,
-    RelaySettings, RequestMetadata, ResponseVerdict, WindowBound,
+    RelaySettings, RequestMetadata, ResponseVerdict, StreamContinuation, WindowBound,
 };
 use routes::{
     CallerBounds, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec, ServicePool,
@@ -52,6 +52,9 @@
             key: text("key").map(key),
             remaining: text("deadline-ms").and_then(millis),
             model_usage: text("prompt-parts").map(model_usage),
+            continuation: text("last-event").map(|_| StreamContinuation {
+                first_attempt: text("continues").map(Into::into),
+            }),
         })
     }
 
@@ -134,6 +137,7 @@
 /// A target that reacts to requests as its script says.
 pub(crate) struct TestTarget {
     pub(crate) name: String,
+    pub(crate) version: String,
     pub(crate) address: SocketAddr,
     /// Heads of the received requests.
     pub(crate) heads: Arc<Mutex<Vec<String>>>,
@@ -146,6 +150,7 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let target = Self {
             name: name.into(),
+            version: "v1".into(),
             address: listener.local_addr().unwrap(),
             heads: Arc::default(),
             closed: Arc::default(),
@@ -163,6 +168,12 @@
         target
     }
 
+    /// Sets the version of the software that the target announces.
+    pub(crate) fn with_version(self, version: &str) -> Self {
+        let version = version.into();
+        Self { version, ..self }
+    }
+
     pub(crate) fn arrivals(&self) -> usize {
         self.heads.lock().unwrap().len()
     }
@@ -181,6 +192,7 @@
             config: ConfigVersion(0),
             kind: NodeKind::Target(AnnouncedTarget {
                 service: "visits".into(),
+                version: self.version.as_str().into(),
                 slots: SlotCount(4),
                 cold_ms: 0,
                 sequence: 1,
@@ -363,6 +375,20 @@
         self.request_with_deadline(path, id, Duration::from_secs(2))
     }
 
+    /// A request to a given entry, with an id, the key of the only organisation and a deadline of 2 s.
+    pub(crate) fn request_at(
+        &self,
+        entry: &RelayHandle,
+        path: &str,
+        id: &str,
+    ) -> reqwest::RequestBuilder {
+        let url = format!("http://{}{path}", entry.http());
+        let request = self.client.post(url).header("request-id", id);
+        request
+            .header("key", "secret")
+            .header("deadline-ms", "2000")
+    }
+
     /// A request with an id, the key of the only organisation and a deadline.
     pub(crate) fn request_with_deadline(
         &self,
@@ -445,13 +471,14 @@
     }
 }
 
-/// A plan that routes `/once/`, `/again/` and `/stream/` to the service of the targets.
+/// A plan that routes `/once/`, `/again/`, `/stream/` and `/resumable/` to the service of the targets.
 pub(crate) fn plan() -> RoutePlan {
     RoutePlan {
         routes: vec![
             route("/once/", RepeatRule::Once, 2),
             route("/again/", RepeatRule::Repeatable, 2),
             route("/stream/", RepeatRule::Stream, 1),
+            route("/resumable/", RepeatRule::ResumableStream, 2),
         ],
         pools: BTreeMap::from([(
             "visits".into(),
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -14,7 +14,7 @@
 pub use fault::error_chain;
 pub use names::{
     DataCentreName, IdempotencyKey, NodeName, OrderId, OrganisationName, RegionName, RouteName,
-    ServiceName, TargetName,
+    ServiceName, SoftwareVersion, TargetName,
 };
 pub use numbers::{
     ByteSize, ConfigVersion, CostUnits, DiskId, FencingNumber, FlowWeight, Incarnation, MilliRate,
--- a/components/units/src/names.rs
+++ b/components/units/src/names.rs
@@ -26,6 +26,10 @@
     /// Name of a target.
     TargetName
 );
+crate::name!(
+    /// Version of the software that a target runs.
+    SoftwareVersion
+);
 crate::name!(
     /// Name of a process of the system, unique within the fleet.
     NodeName
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -4,7 +4,7 @@
 
 use units::{
     ConfigVersion, DataCentreName, FencingNumber, IdempotencyKey, Incarnation, NodeName, OrderId,
-    OrganisationName, RequestId, ServiceName, SlotCount, TargetName,
+    OrganisationName, RequestId, ServiceName, SlotCount, SoftwareVersion, TargetName,
 };
 
 use crate::crash::ServiceTrait;
@@ -34,6 +34,8 @@
     pub struct AnnouncedTarget {
         /// Service that the target runs requests of.
         pub service: ServiceName,
+        /// Version of the target's software.
+        pub version: SoftwareVersion,
         /// Maximum number of concurrent requests.
         pub slots: SlotCount,
         /// Remaining time for which the target is cold, in milliseconds; 0 once it is warm.
