--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -16,6 +16,7 @@
 
 use crate::requests::{commit_or_forward, confirm_newest};
 use crate::state::ControlContext;
+use crate::versions::check_version;
 
 /// Reason why a request of an adapter failed.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -92,7 +93,13 @@
     }
 
     /// Records the announcement of a target and forwards it to the other control nodes immediately.
-    pub fn announce(&self, entry: DirectoryEntry) {
+    /// Registers the target's version first if it is new.
+    pub async fn announce(&self, mut entry: DirectoryEntry) {
+        check_version(&self.context, &mut entry).await;
+        self.update_directory(entry);
+    }
+
+    fn update_directory(&self, entry: DirectoryEntry) {
         let now = self.context.clock.now();
         let accepted = self
             .context
@@ -122,7 +129,7 @@
         if let (false, NodeKind::Target(target)) = (is_late, &mut entry.kind) {
             target.sequence = u64::MAX;
             entry.state = NodeState::Leaving;
-            self.announce(entry);
+            self.update_directory(entry);
         }
     }
 
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -23,12 +23,14 @@
 use crate::driver::RaftDriver;
 use crate::driver_event::DriverEvent;
 use crate::health::{bind_health, serve_health};
+use crate::origins::{JournalThread, OriginStore};
 use crate::peer_link::replicate_directory;
 use crate::peers::PeerTable;
 use crate::server::serve;
 use crate::settings::ControlSettings;
 use crate::state::ControlContext;
 use crate::status::{FleetStatus, fleet_status_json};
+use crate::versions::remove_old_versions;
 
 /// Interval between ticks of the Raft node.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -52,6 +54,7 @@
     tasks: JoinSet<()>,
     driver_thread: Option<JoinHandle<()>>,
     driver_result: Option<oneshot::Receiver<Result<()>>>,
+    journal_thread: Option<JournalThread>,
 }
 
 /// Starts a control node with the keys and the address in its settings. It runs until the handle is
@@ -90,6 +93,7 @@
     let (driver, events) = mpsc::channel(MAX_QUEUED_EVENTS);
     let address = Some(endpoint.address()).filter(|address| !address.ip().is_unspecified());
     let raft = RaftDriver::open(settings.clone(), clock.clone(), peers.clone(), address)?;
+    let (origins, journal_thread) = OriginStore::open(&settings.data, clock.as_ref());
     let context = ControlContext {
         view: raft.view(),
         nodes: StateBoard::new(
@@ -98,6 +102,7 @@
         ),
         usage: StateBoard::new(UsageHome::new()),
         demand: StateBoard::new(DemandHome::new()),
+        origins,
         quarantine: StateBoard::new(QuarantineHome::new(home_id(&settings.name))),
         driver,
         peers,
@@ -109,6 +114,7 @@
         context.peers.add(&context, &endpoint, name, *address);
     }
     tasks.spawn(replicate_directory(context.clone()));
+    tasks.spawn(remove_old_versions(context.clone()));
     tasks.spawn(send_ticks(context.driver.clone()));
     tasks.spawn(serve(context.clone(), endpoint.clone()));
     if let Some(address) = settings.http {
@@ -138,6 +144,7 @@
         tasks,
         driver_thread: Some(driver_thread),
         driver_result: Some(driver_result),
+        journal_thread,
     })
 }
 
@@ -216,6 +223,9 @@
             // The data folder can be reopened only after the thread has ended.
             let _ = tokio::task::spawn_blocking(move || driver_thread.join()).await;
         }
+        if let Some(journal_thread) = self.journal_thread.take() {
+            journal_thread.stop().await;
+        }
     }
 
     /// Id of the data folder.
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod health;
 pub mod members;
 mod orders;
+mod origins;
 mod peer_link;
 mod peers;
 mod requests;
@@ -19,6 +20,7 @@
 mod settings;
 mod state;
 mod status;
+mod versions;
 
 pub use api::{ApiError, ControlApi, PublishedText};
 pub use handle::{ControlHandle, start, start_on};
--- /dev/null
+++ b/components/control/src/origins.rs
@@ -0,0 +1,166 @@
+//! Origins of streams at a control node, in memory and in a journal on disk.
+//!
+//! An entry sends each origin to several control nodes, and a copy that is found anywhere is true, so
+//! the origins need no quorum. The journal brings them back after all control nodes have lost power
+//! at once. It is written in groups by a thread of its own, so a slow disk delays nobody.
+
+use std::path::Path;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use board::StateBoard;
+use origins::OriginTable;
+use registry::WallTime;
+use store::{RecordJournal, StoreError};
+use telemetry::{event, events};
+use units::{ClockSource, ClockTime};
+use wire::{OriginAnswer, OriginBatch, StreamId};
+
+/// Name of the journal's folder in the data folder.
+const JOURNAL_FOLDER: &str = "origins";
+
+/// Size of a journal file, in bytes, at which the next one is started. Two files hold the streams of
+/// a minute at 2,000 new streams a second.
+const MAX_FILE_BYTES: u64 = 2 << 20;
+
+/// Time for which reports are collected before they are written together.
+const GROUP_TIME: Duration = Duration::from_millis(50);
+
+/// Maximum number of reports that wait to be written. Further ones are only kept in memory.
+const MAX_QUEUED_REPORTS: usize = 4_096;
+
+/// Reported origins and the time of their arrival, as written to the journal.
+type JournalRecord = (WallTime, Vec<OriginBatch>);
+
+/// Message to the thread that writes the journal.
+#[derive(Debug)]
+enum JournalMessage {
+    Write(JournalRecord),
+    Stop,
+}
+
+/// Origins of streams that entries have reported. Clones share their state.
+#[derive(Debug, Clone)]
+pub(crate) struct OriginStore {
+    table: StateBoard<OriginTable>,
+    journal: SyncSender<JournalMessage>,
+}
+
+/// Thread that writes the journal.
+pub(crate) struct JournalThread {
+    journal: SyncSender<JournalMessage>,
+    thread: JoinHandle<()>,
+}
+
+impl JournalThread {
+    /// Writes the queued origins and closes the journal, so that its folder can be opened again.
+    pub(crate) async fn stop(self) {
+        let stopping = tokio::task::spawn_blocking(move || {
+            // The thread has ended already if the message cannot be sent.
+            let _ = self.journal.send(JournalMessage::Stop);
+            let _ = self.thread.join();
+        });
+        let _ = stopping.await;
+    }
+}
+
+impl OriginStore {
+    /// Opens the journal in a data folder. Without a usable journal, origins are kept in memory only.
+    pub(crate) fn open(data: &Path, clock: &dyn ClockSource) -> (Self, Option<JournalThread>) {
+        let (sender, receiver) = sync_channel(MAX_QUEUED_REPORTS);
+        let store = Self {
+            table: StateBoard::new(OriginTable::default()),
+            journal: sender,
+        };
+        let thread = match open_journal(data, &store.table, clock.now()) {
+            Ok(journal) => Some(JournalThread {
+                journal: store.journal.clone(),
+                thread: std::thread::spawn(move || write_journal(journal, &receiver)),
+            }),
+            Err(error) => {
+                event!(events::ORIGINS_UNWRITTEN, error = error);
+                None
+            }
+        };
+        (store, thread)
+    }
+
+    /// Records the origins in a report of an entry.
+    pub(crate) fn record(&self, report: Vec<OriginBatch>, now: ClockTime) {
+        self.table
+            .write_quietly(|table| record_report(table, &report, Duration::ZERO, now));
+        // If the queue is full or the journal failed to open, the origins are kept in memory only.
+        let message = JournalMessage::Write((wall_time(), report));
+        match self.journal.try_send(message) {
+            Ok(()) | Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {}
+        }
+    }
+
+    /// What is known about the origin of a stream.
+    pub(crate) fn find(&self, stream: StreamId, now: ClockTime) -> OriginAnswer {
+        self.table.read(|table| table.find(stream, now))
+    }
+}
+
+fn record_report(table: &mut OriginTable, report: &[OriginBatch], age: Duration, now: ClockTime) {
+    for batch in report {
+        for (stream, lifetime_ms) in &batch.streams {
+            let lifetime = Duration::from_millis((*lifetime_ms).into()).saturating_sub(age);
+            if !lifetime.is_zero() {
+                table.record(*stream, &batch.origin, now + lifetime, now);
+            }
+        }
+    }
+}
+
+/// Opens the journal and records its origins in the table.
+fn open_journal(
+    data: &Path,
+    table: &StateBoard<OriginTable>,
+    now: ClockTime,
+) -> Result<RecordJournal, StoreError> {
+    let folder = data.join(JOURNAL_FOLDER);
+    let (journal, records) = RecordJournal::open::<JournalRecord>(&folder, MAX_FILE_BYTES)?;
+    let wall_now = wall_time();
+    table.write_quietly(|table| {
+        for (written_at, report) in records {
+            let age = Duration::from_millis(wall_now.0.saturating_sub(written_at.0));
+            record_report(table, &report, age, now);
+        }
+    });
+    event!(
+        events::ORIGINS_RESTORED,
+        streams = table.read(OriginTable::len)
+    );
+    Ok(journal)
+}
+
+/// Writes queued reports until it is told to stop, or the store is dropped.
+fn write_journal(mut journal: RecordJournal, messages: &Receiver<JournalMessage>) {
+    let (mut has_failed, mut is_stopping) = (false, false);
+    while !is_stopping && let Ok(JournalMessage::Write((written_at, mut report))) = messages.recv()
+    {
+        std::thread::sleep(GROUP_TIME);
+        for message in messages.try_iter() {
+            match message {
+                JournalMessage::Write((_, later)) => report.extend(later),
+                JournalMessage::Stop => is_stopping = true,
+            }
+        }
+        match journal.append(&(written_at, report)) {
+            Ok(()) => has_failed = false,
+            Err(error) => {
+                if !std::mem::replace(&mut has_failed, true) {
+                    event!(events::ORIGINS_UNWRITTEN, error = error);
+                }
+            }
+        }
+    }
+}
+
+/// Time of the host's clock. Ages of records must span restarts of the process.
+fn wall_time() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    WallTime(since.map_or(0, |since| since.as_millis() as u64))
+}
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -19,6 +19,7 @@
 use crate::peer_link::apply_directory;
 use crate::state::ControlContext;
 use crate::status::fleet_status_json;
+use crate::versions::registered_versions;
 
 /// Timeout for a commit or a read barrier. Shorter than the timeout of one attempt of a client.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -63,6 +64,14 @@
             );
             ControlReply::Lifted(was_in_force)
         }
+        ControlRequest::RecordOrigins(report) => {
+            context.origins.record(report, context.clock.now());
+            ControlReply::Done
+        }
+        ControlRequest::FindOrigin(stream) => {
+            ControlReply::Origin(context.origins.find(stream, context.clock.now()))
+        }
+        ControlRequest::Versions(service) => registered_versions(context, &service).await,
         ControlRequest::Text(_) => ControlReply::BadRequest("a text without its order".into()),
         request => commit_or_forward(context, peer.role == NodeRole::Control, request).await,
     }
@@ -80,8 +89,13 @@
         ControlRequest::Order(_) | ControlRequest::Text(_) | ControlRequest::Status => {
             matches!(role, NodeRole::Operator | NodeRole::Control)
         }
-        ControlRequest::Directory(_) => role == NodeRole::Control,
-        ControlRequest::Report(_) => role == NodeRole::Entry,
+        ControlRequest::Directory(_) | ControlRequest::RegisterVersion(_) => {
+            role == NodeRole::Control
+        }
+        ControlRequest::Report(_)
+        | ControlRequest::RecordOrigins(_)
+        | ControlRequest::FindOrigin(_)
+        | ControlRequest::Versions(_) => role == NodeRole::Entry,
         ControlRequest::LiftQuarantine(_) => role == NodeRole::Operator,
         ControlRequest::Usage(_) => role == NodeRole::Agent,
     }
@@ -249,11 +263,16 @@
     let actions = match request {
         ControlRequest::Begin(begin) => vec![RegistryAction::Begin(begin)],
         ControlRequest::End(end) => vec![RegistryAction::End(end)],
+        ControlRequest::RegisterVersion(version) => vec![RegistryAction::RegisterVersion(version)],
         ControlRequest::Order(order) => match order_actions(context, order).await {
             Ok(actions) => actions,
             Err(reason) => return ControlReply::Order(OrderReply::Invalid(reason)),
         },
-        _ => return ControlReply::BadRequest("only calls and orders are committed".into()),
+        _ => {
+            return ControlReply::BadRequest(
+                "only calls, orders and versions are committed".into(),
+            );
+        }
     };
     let mut outcome = RegistryOutcome::Done;
     for action in actions {
@@ -267,6 +286,7 @@
         RegistryOutcome::Done => ControlReply::Done,
         RegistryOutcome::Order(reply) => ControlReply::Order(reply),
         RegistryOutcome::Begin(outcome) => ControlReply::Begun(outcome),
+        RegistryOutcome::Registered(is_registered) => ControlReply::Registered(is_registered),
     }
 }
 
@@ -292,7 +312,7 @@
 }
 
 /// Proposes an action and waits until it is committed and applied on this node.
-async fn propose(
+pub(crate) async fn propose(
     context: &ControlContext,
     action: RegistryAction,
 ) -> Result<RegistryOutcome, ProposeFailure> {
@@ -307,7 +327,7 @@
     }
 }
 
-fn no_quorum_reply(context: &ControlContext) -> ControlReply {
+pub(crate) fn no_quorum_reply(context: &ControlContext) -> ControlReply {
     let own = &context.settings.name;
     let leader = context.view.read(|view| view.leader_name(own));
     ControlReply::NoQuorum { leader }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -16,6 +16,7 @@
 
 use crate::driver_event::DriverEvent;
 use crate::formation::{PeerAnnouncement, SeenPeers};
+use crate::origins::OriginStore;
 use crate::peers::PeerTable;
 use crate::settings::ControlSettings;
 
@@ -109,6 +110,8 @@
     pub(crate) demand: StateBoard<DemandHome>,
     /// Requests that crash targets, if this node is the home of the entries' reports.
     pub(crate) quarantine: StateBoard<QuarantineHome>,
+    /// Origins of streams that entries have reported.
+    pub(crate) origins: OriginStore,
     /// Event queue of the driver.
     pub(crate) driver: mpsc::Sender<DriverEvent>,
     /// Addresses, queues and clients of the other control nodes.
--- a/components/directory/tests/targets.rs
+++ b/components/directory/tests/targets.rs
@@ -17,7 +17,7 @@
         state,
         config: ConfigVersion(0),
         kind: NodeKind::Target(AnnouncedTarget {
-            version: "v1".into(),
+            version: Some("v1".into()),
             service: "visits".into(),
             slots: SlotCount(6),
             cold_ms: 0,
--- /dev/null
+++ b/components/origins/src/log.rs
@@ -0,0 +1,95 @@
+//! Origins of the streams of one entry, and those that it has not reported yet.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use units::ClockTime;
+use wire::{OriginAnswer, OriginBatch, StreamId, StreamOrigin};
+
+use crate::table::{MAX_STREAMS, OriginTable};
+
+/// Stream whose origin has not been reported.
+#[derive(Debug, Clone)]
+struct UnreportedStream {
+    stream: StreamId,
+    origin: StreamOrigin,
+    expires_at: ClockTime,
+}
+
+/// Origins of the streams that an entry has begun.
+#[derive(Debug, Default)]
+pub struct OriginLog {
+    table: OriginTable,
+    unreported: Vec<UnreportedStream>,
+}
+
+impl OriginLog {
+    /// Creates an empty log.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records the origin of a stream that may be continued for `lifetime`.
+    pub fn record(
+        &mut self,
+        stream: StreamId,
+        origin: StreamOrigin,
+        lifetime: Duration,
+        now: ClockTime,
+    ) {
+        let expires_at = now + lifetime;
+        self.table.record(stream, &origin, expires_at, now);
+        self.add_unreported(UnreportedStream {
+            stream,
+            origin,
+            expires_at,
+        });
+    }
+
+    /// What is known here about the origin of a stream.
+    pub fn find(&self, stream: StreamId, now: ClockTime) -> OriginAnswer {
+        self.table.find(stream, now)
+    }
+
+    /// Whether there are streams to report.
+    pub fn has_report(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
+    /// Returns the streams that have not been reported, by their origins.
+    pub fn take_report(&mut self, now: ClockTime) -> Vec<OriginBatch> {
+        let mut batches: BTreeMap<StreamOrigin, Vec<(StreamId, u32)>> = BTreeMap::new();
+        for stream in std::mem::take(&mut self.unreported) {
+            let lifetime = stream.expires_at.since(now).as_millis();
+            let lifetime = u32::try_from(lifetime).unwrap_or(u32::MAX);
+            if lifetime > 0 {
+                let streams = batches.entry(stream.origin).or_default();
+                streams.push((stream.stream, lifetime));
+            }
+        }
+        let batches = batches.into_iter();
+        batches
+            .map(|(origin, streams)| OriginBatch { origin, streams })
+            .collect()
+    }
+
+    /// Adds a report that no control node has received to the next one.
+    pub fn requeue_report(&mut self, report: Vec<OriginBatch>, now: ClockTime) {
+        for batch in report {
+            for (stream, lifetime) in batch.streams {
+                self.add_unreported(UnreportedStream {
+                    stream,
+                    origin: batch.origin.clone(),
+                    expires_at: now + Duration::from_millis(lifetime.into()),
+                });
+            }
+        }
+    }
+
+    fn add_unreported(&mut self, stream: UnreportedStream) {
+        // While no control node can be reached, further streams are only known to this entry.
+        if self.unreported.len() < MAX_STREAMS {
+            self.unreported.push(stream);
+        }
+    }
+}
--- /dev/null
+++ b/components/origins/tests/origins.rs
@@ -0,0 +1,111 @@
+//! Records of the software versions at which streams began.
+
+use std::time::Duration;
+
+use origins::{MAX_STREAMS, OriginLog, OriginTable, stream_id};
+use units::ClockTime;
+use wire::{OriginAnswer, StreamId, StreamOrigin};
+
+const LIFETIME: Duration = Duration::from_secs(3);
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: "advice".into(),
+        version: version.into(),
+    }
+}
+
+fn known(version: &str, age_ms: u64) -> OriginAnswer {
+    OriginAnswer::Known {
+        origin: origin(version),
+        age_ms,
+    }
+}
+
+/// Guards against a caller that learns of, or changes, how streams of another organisation continue.
+#[test]
+fn ids_of_organisations_differ_for_the_same_attempt() {
+    let mill = stream_id(Some(&"mill".into()), "a1");
+    let bakery = stream_id(Some(&"bakery".into()), "a1");
+    let shifted = stream_id(Some(&"milla".into()), "1");
+
+    assert_ne!(mill, bakery);
+    assert_ne!(mill, shifted);
+    assert_ne!(mill, stream_id(None, "a1"));
+    assert_eq!(mill, stream_id(Some(&"mill".into()), "a1"));
+}
+
+/// Guards against a stream that goes on at one of two versions that began streams of its name.
+#[test]
+fn streams_of_the_same_name_at_two_versions_conflict() {
+    let mut table = OriginTable::default();
+    let expires_at = ClockTime(3_000);
+    table.record(StreamId(1), &origin("v1"), expires_at, ClockTime(0));
+    table.record(StreamId(1), &origin("v1"), expires_at, ClockTime(10));
+    let repeated = table.find(StreamId(1), ClockTime(20));
+
+    table.record(StreamId(1), &origin("v2"), expires_at, ClockTime(30));
+    table.record(StreamId(1), &origin("v1"), expires_at, ClockTime(40));
+
+    assert_eq!(repeated, known("v1", 20));
+    assert_eq!(
+        table.find(StreamId(1), ClockTime(50)),
+        OriginAnswer::Conflicting
+    );
+}
+
+/// Guards against memory that grows with the streams of the past, and against a record that ends
+/// before its stream may no longer be continued.
+#[test]
+fn record_ends_with_the_time_of_its_caller() {
+    let mut table = OriginTable::default();
+    for number in 0..100 {
+        let now = ClockTime(number * 1_000);
+        let expires_at = now + LIFETIME;
+        table.record(StreamId(number), &origin("v1"), expires_at, now);
+    }
+
+    let now = ClockTime(99_999);
+
+    assert_eq!(table.find(StreamId(97), now), known("v1", 2_999));
+    assert_eq!(table.find(StreamId(96), now), OriginAnswer::Unknown);
+    assert_eq!(table.len(), 3);
+}
+
+/// Guards against memory without a bound under a flood of streams.
+#[test]
+fn stream_that_ends_first_makes_room() {
+    let mut table = OriginTable::default();
+    for number in 0..=MAX_STREAMS as u64 {
+        let expires_at = ClockTime(100_000 + number);
+        table.record(StreamId(number), &origin("v1"), expires_at, ClockTime(0));
+    }
+
+    assert_eq!(table.len(), MAX_STREAMS);
+    assert_eq!(table.find(StreamId(0), ClockTime(1)), OriginAnswer::Unknown);
+    assert_eq!(table.find(StreamId(1), ClockTime(1)), known("v1", 1));
+}
+
+/// Guards against origins that no control node gets because the first report of them failed, and
+/// against ones that are reported for longer than their streams may be continued.
+#[test]
+fn failed_report_is_repeated_with_the_remaining_time() {
+    let mut log = OriginLog::new();
+    log.record(StreamId(1), origin("v1"), LIFETIME, ClockTime(0));
+    log.record(StreamId(2), origin("v2"), LIFETIME, ClockTime(500));
+    let first = log.take_report(ClockTime(1_000));
+    assert!(!log.has_report());
+
+    log.requeue_report(first.clone(), ClockTime(1_000));
+    let second = log.take_report(ClockTime(3_000));
+
+    let lifetimes = |report: &[wire::OriginBatch]| {
+        let batches = report.iter().flat_map(|batch| batch.streams.clone());
+        batches.collect::<Vec<_>>()
+    };
+    assert_eq!(
+        lifetimes(&first),
+        [(StreamId(1), 2_000), (StreamId(2), 2_500)]
+    );
+    assert_eq!(lifetimes(&second), [(StreamId(2), 500)]);
+}
--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -17,6 +17,6 @@
 pub use pace::ColdPacer;
 pub use queue::{DequeuedRequest, QueuedRequest, WaitKey, WaitQueue};
 pub use table::{
-    PlacementOutcome, PlacementRequest, PlacementSettings, PlacementTable, RunLatency,
+    PlacementOutcome, PlacementRequest, PlacementSettings, PlacementTable, RunLatency, VersionRule,
 };
 pub use target::{ListedTarget, RunKey, TargetKey, TargetRecord};
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use slotmap::SlotMap;
-use units::{ClockTime, CostUnits, MilliRate, NodeName, RegionName, ServiceName};
+use units::{ClockTime, CostUnits, MilliRate, NodeName, RegionName, ServiceName, SoftwareVersion};
 use wire::stable_hash;
 
 use crate::limit::{EntryPosition, LimitChange, StatedLimit};
@@ -31,11 +31,35 @@
     pub avoid_duration: Duration,
 }
 
+/// Requirement for the version of a target's software.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum VersionRule {
+    /// Any version may run the request.
+    #[default]
+    Any,
+    /// Any version that control has registered may run the request.
+    Registered,
+    /// Only this version may run the request.
+    Only(SoftwareVersion),
+}
+
+impl VersionRule {
+    fn allows(&self, version: Option<&SoftwareVersion>) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Registered => version.is_some(),
+            Self::Only(only) => version == Some(only),
+        }
+    }
+}
+
 /// Requirements of a request for its target.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
     /// Service that the target must serve.
     pub service: ServiceName,
+    /// Version that the target must have.
+    pub version: VersionRule,
     /// Hash of the session whose prompt a target may have cached.
     pub affinity: Option<u64>,
     /// Work until the first byte, in tokens or calls.
@@ -165,6 +189,12 @@
         self.targets.is_empty()
     }
 
+    /// Number of targets that accept new requests.
+    pub fn serving_count(&self) -> usize {
+        let targets = self.targets.values();
+        targets.filter(|record| record.info.is_serving).count()
+    }
+
     /// Target of a run; `None` if the run has ended or the target is no longer listed.
     pub fn target(&self, run: RunKey) -> Option<&TargetRecord> {
         self.targets.get(self.runs.get(run)?.target)
@@ -333,6 +363,7 @@
         self.targets
             .iter()
             .filter(|(_, record)| record.info.is_serving && record.info.service == request.service)
+            .filter(|(_, record)| request.version.allows(record.info.version.as_ref()))
             .filter(|(_, record)| !request.tried.contains(&record.info.name))
             .filter(|(_, record)| {
                 let region = record.info.region.as_ref();
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -32,8 +32,8 @@
     pub address: SocketAddr,
     /// Service that it serves.
     pub service: ServiceName,
-    /// Version of its software.
-    pub version: SoftwareVersion,
+    /// Version of its software; `None` until control has registered it.
+    pub version: Option<SoftwareVersion>,
     /// Data centre that it runs in.
     pub data_centre: DataCentreName,
     /// Region of the data centre, if known.
--- a/components/place/tests/choice.rs
+++ b/components/place/tests/choice.rs
@@ -5,7 +5,7 @@
 
 use place::{
     ColdPacer, EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings,
-    PlacementTable, RunKey,
+    PlacementTable, RunKey, VersionRule,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -20,7 +20,7 @@
         sequence: 1,
         address: ([10, 0, 0, number], 8080).into(),
         service: "advice".into(),
-        version: "v1".into(),
+        version: Some("v1".into()),
         data_centre: "praha-1".into(),
         region: Some("bohemia".into()),
         slots: SlotCount(8),
@@ -33,6 +33,7 @@
 fn request(affinity: Option<u64>) -> PlacementRequest {
     PlacementRequest {
         service: "advice".into(),
+        version: VersionRule::Any,
         affinity,
         work: 10,
         cost: None,
--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -4,7 +4,7 @@
 
 use place::{
     EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings,
-    PlacementTable, RunKey,
+    PlacementTable, RunKey, VersionRule,
 };
 use rstest::rstest;
 use units::{ClockTime, Incarnation, MilliRate, SlotCount};
@@ -19,7 +19,7 @@
         sequence: 1,
         address: ([10, 0, 0, number], 8080).into(),
         service: "advice".into(),
-        version: "v1".into(),
+        version: Some("v1".into()),
         data_centre: "praha-1".into(),
         region: None,
         slots: SlotCount(1_000),
@@ -32,6 +32,7 @@
 fn request(affinity: Option<u64>) -> PlacementRequest {
     PlacementRequest {
         service: "advice".into(),
+        version: VersionRule::Any,
         affinity,
         work: 10,
         cost: None,
--- a/components/place/tests/queue.rs
+++ b/components/place/tests/queue.rs
@@ -4,7 +4,7 @@
 
 use place::{
     EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings,
-    PlacementTable, QueuedRequest, WaitQueue,
+    PlacementTable, QueuedRequest, VersionRule, WaitQueue,
 };
 use units::{ClockTime, Incarnation, SlotCount};
 use wire::FlowKey;
@@ -16,7 +16,7 @@
         sequence: 1,
         address: ([10, 0, 0, 1], 8080).into(),
         service: "advice".into(),
-        version: "v1".into(),
+        version: Some("v1".into()),
         data_centre: "praha-1".into(),
         region: None,
         slots: SlotCount(slots),
@@ -45,6 +45,7 @@
 fn request() -> PlacementRequest {
     PlacementRequest {
         service: "advice".into(),
+        version: VersionRule::Any,
         affinity: None,
         work: 10,
         cost: None,
--- a/components/registry/src/command.rs
+++ b/components/registry/src/command.rs
@@ -1,9 +1,11 @@
 //! Commands of the replicated log and their outcomes.
 
+use std::collections::BTreeSet;
+
 use manifest::ManifestChange;
 use routes::PublishedPlan;
 use units::{ConfigVersion, DataCentreName, DiskId, NodeName, OrderId, TargetName};
-use wire::{BeginCall, BeginOutcome, EndCall, OrderReply};
+use wire::{BeginCall, BeginOutcome, EndCall, OrderReply, StreamOrigin};
 
 units::number!(
     /// Wall-clock time of a leader, in milliseconds since the Unix epoch.
@@ -103,6 +105,16 @@
             /// Name of the control node.
             name: NodeName,
         },
+        /// Registers a software version of a service.
+        RegisterVersion(StreamOrigin),
+        /// Counts a round of the leader for each registered version without a target, and removes
+        /// the versions that had none for too many rounds.
+        CountVersions {
+            /// Versions that have targets.
+            present: BTreeSet<StreamOrigin>,
+            /// Number of consecutive rounds without a target after which a version is removed.
+            max_rounds: u32,
+        },
     }
 
     /// Outcome of a command.
@@ -113,5 +125,7 @@
         Order(OrderReply),
         /// Outcome of [`RegistryAction::Begin`].
         Begin(BeginOutcome),
+        /// Outcome of [`RegistryAction::RegisterVersion`]: whether the version is registered.
+        Registered(bool),
     }
 }
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -13,6 +13,7 @@
 use crate::config::{ConfigChange, ConfigUpdate, FleetConfig};
 use crate::history::ConfigHistory;
 use crate::orders::OrderOutcomes;
+use crate::versions::VersionTable;
 
 /// Maximum number of targets that are out at the same time.
 pub const MAX_OUT_TARGETS: usize = 10_000;
@@ -56,6 +57,9 @@
         controls: BTreeMap<DiskId, NodeName>,
         calls: CallTable,
         published_text: Option<String>,
+        /// Follows the other state in a snapshot, so that older snapshots can be restored.
+        #[serde(skip)]
+        versions: VersionTable,
     }
 }
 
@@ -121,6 +125,16 @@
                 self.controls.insert(*id, name.clone());
                 RegistryOutcome::Done
             }
+            RegistryAction::RegisterVersion(version) => {
+                RegistryOutcome::Registered(self.versions.register(version))
+            }
+            RegistryAction::CountVersions {
+                present,
+                max_rounds,
+            } => {
+                self.versions.count_round(present, *max_rounds);
+                RegistryOutcome::Done
+            }
             RegistryAction::Apply { order, .. }
             | RegistryAction::DataCentre { order, .. }
             | RegistryAction::Target { order, .. }
@@ -336,6 +350,11 @@
         &self.controls
     }
 
+    /// Software versions at which streams of a service may have begun.
+    pub fn versions(&self) -> &VersionTable {
+        &self.versions
+    }
+
     /// Number of call records.
     pub fn call_count(&self) -> usize {
         self.calls.len()
@@ -360,14 +379,20 @@
 
     /// Encodes the complete state.
     pub fn snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("the state encodes into memory")
+        let mut bytes = postcard::to_stdvec(self).expect("the state encodes into memory");
+        let versions = postcard::to_stdvec(&self.versions);
+        bytes.extend(versions.expect("the versions encode into memory"));
+        bytes
     }
 
     /// Decodes a state from a snapshot.
     pub fn restore(snapshot: &[u8]) -> Result<Self, RegistryError> {
         let size = snapshot.len();
-        let mut state: Self = postcard::from_bytes(snapshot)
-            .map_err(|source| RegistryError::Malformed { size, source })?;
+        let to_error = |source| RegistryError::Malformed { size, source };
+        let (mut state, rest): (Self, _) = postcard::take_from_bytes(snapshot).map_err(to_error)?;
+        if !rest.is_empty() {
+            state.versions = postcard::from_bytes(rest).map_err(to_error)?;
+        }
         state.calls.rebuild();
         Ok(state)
     }
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -10,6 +10,7 @@
 use eyre::WrapErr;
 use fair::ShareGate;
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
+use origins::OriginLog;
 use place::{PlacementSettings, PlacementTable, WaitQueue};
 use quarantine::CrashLog;
 use salvo::server::ServerHandle;
@@ -23,6 +24,7 @@
 use crate::dialect::CallerDialect;
 use crate::follow::{follow_view, poll_queue, prune_connections};
 use crate::http::{ReadyCheck, RelayHandler};
+use crate::origins::report_origins;
 use crate::pool::ConnectionPool;
 use crate::settings::RelaySettings;
 use crate::state::{RelayShared, RelayState};
@@ -99,6 +101,8 @@
         dialect: parts.dialect,
         metrics: Arc::new(parts.metrics),
         pool: ConnectionPool::default(),
+        origins: StateBoard::new(OriginLog::new()),
+        client: client.clone(),
     };
     let mut server_task = JoinSet::new();
     let (http_address, server) = serve_http(&shared, &mut server_task).await?;
@@ -106,6 +110,7 @@
     tasks.spawn(follow_view(shared.clone()));
     tasks.spawn(poll_queue(shared.clone()));
     tasks.spawn(prune_connections(shared.clone()));
+    tasks.spawn(report_origins(shared.clone()));
     tasks.spawn(report_demand(shared.clone(), client.clone()));
     let (view, clock, entry_shared) = (shared.view.clone(), shared.clock.clone(), shared.clone());
     let directory_entry = move || entry_shared.directory_entry();
@@ -158,6 +163,11 @@
         self.shared.board.read(|state| state.table.len())
     }
 
+    /// Number of these targets that accept new requests.
+    pub fn serving_target_count(&self) -> usize {
+        self.shared.board.read(|state| state.table.serving_count())
+    }
+
     /// Number of other serving entries that the directory lists for the relay.
     pub fn other_entry_count(&self) -> u32 {
         self.shared.board.read(|state| state.other_entries)
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -8,8 +8,8 @@
 
 use http::{StatusCode, response};
 use hyper::body::Bytes;
-use place::PlacementRequest;
-use routes::{KeyHolder, RouteIndex, RouteMatch};
+use place::{PlacementRequest, VersionRule};
+use routes::{KeyHolder, RepeatRule, RouteIndex, RouteMatch, RouteSpec, WeightedService};
 use telemetry::{event, events};
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
@@ -25,6 +25,7 @@
 use crate::crash::SentRequest;
 use crate::demand::model_pool;
 use crate::dialect::{ModelUsage, RequestMetadata};
+use crate::origins::{ContinuedOrigin, refuse_continuation};
 use crate::places::{PlacementError, RunGuard, start_run};
 use crate::state::RelayShared;
 use crate::stop::RunTimer;
@@ -70,6 +71,8 @@
     may_have_run: bool,
     /// Version of the target to which the request was last sent.
     last_version: Option<SoftwareVersion>,
+    /// Where the stream began that the request continues; `None` if it begins a new one.
+    continued: Option<ContinuedOrigin>,
     /// Number of the plan by which the request was admitted.
     plan_number: PlanNumber,
     /// Time from the arrival of the request to its last assignment to a target.
@@ -176,14 +179,11 @@
         shared: RelayShared,
         metadata: RequestMetadata,
         admission: RequestAdmission,
+        continued: Option<ContinuedOrigin>,
         arrived_at: Instant,
     ) -> Result<Self, Refusal> {
         let route = admission.route;
-        let draw = stable_hash(&[metadata.attempt_id.as_bytes()]);
-        let Some(service) = route.service(draw).cloned() else {
-            let message = format!("Failed to find a service for route {}", route.name);
-            return Err(Refusal::not_run(503, "no-service", message));
-        };
+        let service = select_service(&route, &metadata, continued.as_ref())?;
         let affinity = metadata.model_usage.as_ref().and_then(ModelUsage::session);
         let organisation = admission
             .holder
@@ -198,6 +198,7 @@
         let regions = admission.holder.iter().map(|holder| holder.regions.clone());
         let placement = PlacementRequest {
             service: service.clone(),
+            version: version_rule(&route, continued.as_ref()),
             affinity: affinity.filter(|_| route.affinity),
             work: metadata
                 .model_usage
@@ -223,6 +224,7 @@
             send_count: 0,
             may_have_run: false,
             last_version: None,
+            continued,
             plan_number: admission.plan_number,
             wait_time: Duration::ZERO,
             traits: Vec::new(),
@@ -230,9 +232,11 @@
         })
     }
 
-    /// Refuses a request beyond the share of its organisation, before its body is read.
+    /// Refuses a request beyond the share of its organisation, before its body is read. A stream that
+    /// was admitted once may be continued.
     pub(crate) fn check_share(&self) -> Result<(), Refusal> {
-        match self.is_within_share {
+        let is_recorded = |continued: &ContinuedOrigin| continued.is_recorded;
+        match self.is_within_share || self.continued.as_ref().is_some_and(is_recorded) {
             true => Ok(()),
             false => Err(self.share_refusal()),
         }
@@ -382,6 +386,12 @@
     }
 
     fn placement_refusal(&self, reason: PlacementError) -> Refusal {
+        if let (Some(continued), PlacementError::NoTarget) = (&self.continued, reason) {
+            let version = &continued.origin.version;
+            let reason =
+                format!("no target of software version {version}, which began it, is left");
+            return refuse_continuation(self.first_attempt(), &reason);
+        }
         let message = match reason {
             PlacementError::NoTarget => format!("service {} has no live target", self.service),
             PlacementError::Full => format!("all targets of service {} are full", self.service),
@@ -430,6 +440,38 @@
     }
 }
 
+/// Service of a request: the one at which its stream began, or one that is drawn by weight.
+fn select_service(
+    route: &RouteSpec,
+    metadata: &RequestMetadata,
+    continued: Option<&ContinuedOrigin>,
+) -> Result<ServiceName, Refusal> {
+    if let Some(ContinuedOrigin { origin, .. }) = continued {
+        let mut parts = route.split.iter();
+        let is_routed = |part: &WeightedService| part.weight > 0 && part.service == origin.service;
+        if parts.any(is_routed) {
+            return Ok(origin.service.clone());
+        }
+        let stream = metadata.continuation.as_ref();
+        let first_attempt = stream.and_then(|stream| stream.first_attempt.as_deref());
+        let reason = format!("its route no longer leads to service {}", origin.service);
+        return Err(refuse_continuation(first_attempt, &reason));
+    }
+    let draw = stable_hash(&[metadata.attempt_id.as_bytes()]);
+    route.service(draw).cloned().ok_or_else(|| {
+        let message = format!("Failed to find a service for route {}", route.name);
+        Refusal::not_run(503, "no-service", message)
+    })
+}
+
+fn version_rule(route: &RouteSpec, continued: Option<&ContinuedOrigin>) -> VersionRule {
+    match continued {
+        Some(continued) => VersionRule::Only(continued.origin.version.clone()),
+        None if route.repeat == RepeatRule::ResumableStream => VersionRule::Registered,
+        None => VersionRule::Any,
+    }
+}
+
 fn model_cost(model: &ModelUsage) -> CostUnits {
     CostUnits(model.prompt_tokens + OUTPUT_TOKEN_COST * model.max_output_tokens)
 }
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -2,15 +2,18 @@
 
 use http::StatusCode;
 use hyper::body::Bytes;
+use origins::stream_id;
 use place::ListedTarget;
+use routes::RepeatRule;
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
-use wire::FlowId;
+use wire::{FlowId, StreamOrigin};
 
 use super::{ForwardedRequest, ForwardedResponse, SendResult, StreamedResponse, TRUNCATED_STREAM};
 use crate::backend::{BufferedResponse, CallerRequest, ExchangeResponse, OpenResponse, exchange};
 use crate::crash::SentRequest;
 use crate::dialect::ForwardMetadata;
+use crate::origins::record_origin;
 use crate::places::RunGuard;
 use crate::pool::ExchangeError;
 use crate::stop::RunTimer;
@@ -28,7 +31,7 @@
         let name = target.name.clone();
         self.wait_time = self.arrived_at.elapsed();
         self.placement.tried.push(name.clone());
-        self.last_version = Some(target.version.clone());
+        self.last_version = target.version.clone();
         let span = info_span!(
             "relay.send",
             request = self.metadata.attempt_id.as_str(),
@@ -117,6 +120,9 @@
                 None => None,
             };
             run_guard.record_first_byte();
+            if first_chunk.is_some() {
+                self.record_origin(&sent.target);
+            }
             let deadline = self.caller_deadline;
             return self.streamed(response, first_chunk, run_guard, sent, deadline);
         }
@@ -142,6 +148,22 @@
         }
     }
 
+    /// Records where a new stream begins that its caller may continue.
+    fn record_origin(&self, target: &ListedTarget) {
+        let is_new = self.continued.is_none();
+        if let (true, RepeatRule::ResumableStream, Some(version)) =
+            (is_new, self.route.repeat, &target.version)
+        {
+            let origin = StreamOrigin {
+                service: target.service.clone(),
+                version: version.clone(),
+            };
+            let stream = stream_id(self.organisation.as_ref(), &self.metadata.attempt_id);
+            let remaining = self.caller_deadline.duration_since(Instant::now());
+            record_origin(&self.shared, stream, origin, remaining);
+        }
+    }
+
     fn has_events(&self, response: &OpenResponse) -> bool {
         self.route.repeat.is_stream() && response.head.status.is_success()
     }
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -4,6 +4,7 @@
 
 use cadence::prelude::*;
 use http_body_util::BodyExt;
+use routes::RepeatRule;
 use salvo::prelude::*;
 use telemetry::{event, events};
 use tokio::time::Instant;
@@ -13,6 +14,7 @@
 
 use crate::backend::CallerRequest;
 use crate::forward::{ForwardedRequest, ForwardedResponse, PLAN_RETRY_AFTER, admit};
+use crate::origins::find_origin;
 use crate::respond;
 use crate::state::RelayShared;
 use crate::stop::check_stop;
@@ -64,8 +66,14 @@
             let refusal = Refusal::not_run(503, "entry-busy", message);
             return Err(refusal.retry_after(BUSY_RETRY_AFTER));
         }
+        let origin = match &metadata.continuation {
+            Some(stream) if admission.route.repeat == RepeatRule::ResumableStream => {
+                Some(find_origin(&self.shared, stream, &admission, attempt_id).await?)
+            }
+            _ => None,
+        };
         let forwarded =
-            ForwardedRequest::new(self.shared.clone(), metadata, admission, arrived_at)?;
+            ForwardedRequest::new(self.shared.clone(), metadata, admission, origin, arrived_at)?;
         forwarded.check_share()?;
         let max_body_bytes = route_index.plan.bounds.max_body.0;
         let body = req
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod forward;
 mod http;
+mod origins;
 mod places;
 mod pool;
 mod respond;
--- /dev/null
+++ b/components/relay/src/origins.rs
@@ -0,0 +1,270 @@
+//! Software versions at which streams began: records of this entry's streams, reports to control
+//! nodes, and the search for the origin of a stream that a caller continues.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cadence::prelude::*;
+use client::ControlClient;
+use entry::Refusal;
+use futures_util::StreamExt;
+use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
+use origins::stream_id;
+use telemetry::{event, events};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use units::ServiceName;
+use wire::{
+    ControlReply, ControlRequest, OriginAnswer, OriginBatch, StreamId, StreamOrigin, stable_hash,
+};
+
+use crate::dialect::StreamContinuation;
+use crate::forward::RequestAdmission;
+use crate::state::{RelayShared, RelayState};
+
+/// Number of control nodes that get each origin. Two hosts with a disk may be lost at once.
+const MAX_COPIES: usize = 3;
+
+/// Interval between the reports of an entry, for each entry of the fleet. All entries together then
+/// send at most 333 reports a second to a control node.
+const REPORT_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(3);
+
+/// Maximum number of reports in transit. Control nodes that are cut off answer none for a second.
+const MAX_OPEN_REPORTS: usize = 16;
+
+/// Time within which control nodes must answer where a stream began.
+const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time that a new origin needs to be sent to a control node, beyond the interval of reports.
+const REPORT_TRANSIT_TIME: Duration = Duration::from_millis(40);
+
+/// Number of searches for an origin that may not have been reported yet.
+const MAX_SEARCHES: u32 = 3;
+
+/// `Retry-After` of a refused continuation. A new stream may begin at once.
+const CONTINUATION_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Where a continued stream began.
+#[derive(Debug, Clone)]
+pub(crate) struct ContinuedOrigin {
+    pub(crate) origin: StreamOrigin,
+    /// Whether an entry recorded the origin. Otherwise, only one version can have begun the stream.
+    pub(crate) is_recorded: bool,
+}
+
+/// Records where a stream began, before its first event is forwarded.
+pub(crate) fn record_origin(
+    shared: &RelayShared,
+    stream: StreamId,
+    origin: StreamOrigin,
+    remaining: Duration,
+) {
+    let now = shared.now();
+    shared.origins.write(|log| {
+        // The time in transit of a repeated request does not count as its caller's time.
+        let lifetime = remaining + Duration::from_secs(1);
+        log.record(stream, origin, lifetime, now);
+    });
+}
+
+/// Finds where the stream began that a caller continues, and refuses the request if that is not
+/// certain.
+pub(crate) async fn find_origin(
+    shared: &RelayShared,
+    continuation: &StreamContinuation,
+    admission: &RequestAdmission,
+    attempt_id: &str,
+) -> Result<ContinuedOrigin, Refusal> {
+    let organisation = admission.holder.as_ref().map(|holder| &holder.organisation);
+    let first_attempt = continuation.first_attempt.as_deref();
+    let stream = first_attempt.map(|attempt| stream_id(organisation, attempt));
+    let searched_at = Instant::now();
+    let found = search(shared, stream, admission).await;
+    let search_ms = searched_at.elapsed().as_millis();
+    match found {
+        Ok((found, age_ms)) => {
+            let _ = shared.metrics.incr("continuations.placed");
+            event!(
+                events::STREAM_CONTINUED,
+                request = attempt_id,
+                first_attempt = first_attempt.unwrap_or_default(),
+                service = found.origin.service,
+                version = found.origin.version,
+                is_recorded = found.is_recorded,
+                age_ms = age_ms,
+                search_ms = search_ms
+            );
+            Ok(found)
+        }
+        Err(reason) => {
+            let _ = shared.metrics.incr("continuations.refused");
+            Err(refuse_continuation(first_attempt, &reason))
+        }
+    }
+}
+
+/// Refusal of a request that cannot continue its stream.
+pub(crate) fn refuse_continuation(first_attempt: Option<&str>, reason: &str) -> Refusal {
+    let stream = first_attempt.unwrap_or("of an unnamed attempt");
+    let message =
+        format!("Failed to continue stream {stream}: {reason}; begin the stream anew instead");
+    Refusal::not_run(503, "stream-origin", message).retry_after(CONTINUATION_RETRY_AFTER)
+}
+
+/// Returns the origin of a stream and the age of its record, or the reason why it is not certain.
+async fn search(
+    shared: &RelayShared,
+    stream: Option<StreamId>,
+    admission: &RequestAdmission,
+) -> Result<(ContinuedOrigin, u64), String> {
+    let mut is_single_checked = false;
+    for number in 1..=MAX_SEARCHES {
+        match search_record(shared, stream).await {
+            OriginAnswer::Known { origin, age_ms } => {
+                let is_recorded = true;
+                return Ok((
+                    ContinuedOrigin {
+                        origin,
+                        is_recorded,
+                    },
+                    age_ms,
+                ));
+            }
+            OriginAnswer::Conflicting => {
+                return Err("streams of several versions have this name".into());
+            }
+            OriginAnswer::Unknown => {}
+        }
+        if !std::mem::replace(&mut is_single_checked, true) {
+            let services = admission.route.split.iter();
+            let services = services.filter(|part| part.weight > 0);
+            let services: HashSet<&ServiceName> = services.map(|part| &part.service).collect();
+            if let Some(origin) = only_origin(shared, &services).await? {
+                let is_recorded = false;
+                return Ok((
+                    ContinuedOrigin {
+                        origin,
+                        is_recorded,
+                    },
+                    0,
+                ));
+            }
+        }
+        if stream.is_none() {
+            break;
+        }
+        if number < MAX_SEARCHES {
+            tokio::time::sleep(report_interval(shared) + REPORT_TRANSIT_TIME).await;
+        }
+    }
+    Err("it is not known which of several software versions began it".into())
+}
+
+/// Searches the records of this entry, and then those of the control nodes.
+async fn search_record(shared: &RelayShared, stream: Option<StreamId>) -> OriginAnswer {
+    let Some(stream) = stream else {
+        return OriginAnswer::Unknown;
+    };
+    let now = shared.now();
+    let own = shared.origins.read(|log| log.find(stream, now));
+    if own != OriginAnswer::Unknown {
+        return own;
+    }
+    let request = ControlRequest::FindOrigin(stream);
+    let controls = shared.client.controls();
+    let answers = controls.iter();
+    let mut answers: FuturesUnordered<_> = answers
+        .map(|control| shared.client.request_at(*control, &request))
+        .collect();
+    let searching = async {
+        while let Some(reply) = answers.next().await {
+            if let Ok(ControlReply::Origin(answer)) = reply
+                && answer != OriginAnswer::Unknown
+            {
+                return answer;
+            }
+        }
+        OriginAnswer::Unknown
+    };
+    let searched = tokio::time::timeout(SEARCH_TIMEOUT, searching).await;
+    searched.unwrap_or(OriginAnswer::Unknown)
+}
+
+/// The only service and version at which a stream may have begun; `None` if there are several.
+async fn only_origin(
+    shared: &RelayShared,
+    services: &HashSet<&ServiceName>,
+) -> Result<Option<StreamOrigin>, String> {
+    let mut services = services.iter();
+    let (Some(service), None) = (services.next(), services.next()) else {
+        return Ok(None);
+    };
+    let request = ControlRequest::Versions((*service).clone());
+    let asking = shared.client.request(&request);
+    let reply = tokio::time::timeout(SEARCH_TIMEOUT, asking).await;
+    let Ok(Ok(ControlReply::Versions(versions))) = reply else {
+        return Err("no control node can tell which software versions may have begun it".into());
+    };
+    let mut versions = versions.into_iter();
+    Ok(match (versions.next(), versions.next()) {
+        (Some(version), None) => Some(StreamOrigin {
+            service: (*service).clone(),
+            version,
+        }),
+        _ => None,
+    })
+}
+
+/// Reports new origins to control nodes; never returns.
+pub(crate) async fn report_origins(shared: RelayShared) {
+    let mut open_reports = JoinSet::new();
+    loop {
+        shared
+            .origins
+            .wait_for(|log| log.has_report().then_some(()))
+            .await;
+        while open_reports.len() >= MAX_OPEN_REPORTS {
+            open_reports.join_next().await;
+        }
+        while open_reports.try_join_next().is_some() {}
+        let now = shared.now();
+        let report = shared.origins.write_quietly(|log| log.take_report(now));
+        open_reports.spawn(send_report(shared.clone(), report));
+        tokio::time::sleep(report_interval(&shared)).await;
+    }
+}
+
+fn report_interval(shared: &RelayShared) -> Duration {
+    REPORT_INTERVAL_PER_ENTRY * shared.board.read(RelayState::entry_count)
+}
+
+async fn send_report(shared: RelayShared, report: Vec<OriginBatch>) {
+    let request = ControlRequest::RecordOrigins(report.clone());
+    let homes = report_homes(&shared.client, shared.settings.name.as_str());
+    let sending = homes
+        .iter()
+        .map(|control| shared.client.request_at(*control, &request));
+    let replies = join_all(sending).await;
+    let is_recorded = replies
+        .iter()
+        .any(|reply| matches!(reply, Ok(ControlReply::Done)));
+    if !is_recorded {
+        let streams: usize = report.iter().map(|batch| batch.streams.len()).sum();
+        event!(events::ORIGINS_UNREPORTED, streams = streams);
+        let now = shared.now();
+        shared.origins.write(|log| log.requeue_report(report, now));
+    }
+}
+
+/// Control nodes that get the reports of an entry: all, or some that a hash of its name selects.
+fn report_homes(client: &ControlClient, name: &str) -> Vec<SocketAddr> {
+    let mut controls = client.controls().to_vec();
+    if controls.len() > MAX_COPIES {
+        controls
+            .sort_by_key(|control| stable_hash(&[name.as_bytes(), control.to_string().as_bytes()]));
+        controls.truncate(MAX_COPIES);
+    }
+    controls
+}
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -6,9 +6,10 @@
 
 use board::StateBoard;
 use cadence::StatsdClient;
-use client::FleetView;
+use client::{ControlClient, FleetView};
 use fair::ShareGate;
 use limits::{DurationHistory, WindowBound, WindowBudget};
+use origins::OriginLog;
 use place::{ListedTarget, PlacementTable, RunKey, WaitKey, WaitQueue};
 use quarantine::CrashLog;
 use routes::RouteIndex;
@@ -103,6 +104,10 @@
     pub(crate) dialect: Arc<dyn CallerDialect>,
     pub(crate) metrics: Arc<StatsdClient>,
     pub(crate) pool: ConnectionPool,
+    /// Where this entry's streams began that may be continued.
+    pub(crate) origins: StateBoard<OriginLog>,
+    /// Client for the control nodes.
+    pub(crate) client: ControlClient,
 }
 
 impl RelayShared {
--- a/components/relay/tests/common/crashing.rs
+++ b/components/relay/tests/common/crashing.rs
@@ -85,7 +85,7 @@
     for incarnation in 1.. {
         let mut entry = target.announcement();
         entry.incarnation = Incarnation(incarnation);
-        api.announce(entry);
+        api.announce(entry).await;
         serve_until_crash(listener, &rule, &record).await;
         record.crashes.lock().unwrap().push(Instant::now());
         tokio::time::sleep(RESTART_DELAY).await;
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -192,7 +192,7 @@
             config: ConfigVersion(0),
             kind: NodeKind::Target(AnnouncedTarget {
                 service: "visits".into(),
-                version: self.version.as_str().into(),
+                version: Some(self.version.as_str().into()),
                 slots: SlotCount(4),
                 cold_ms: 0,
                 sequence: 1,
@@ -292,7 +292,7 @@
     pub(crate) client: reqwest::Client,
     control: ControlHandle,
     keys: PathBuf,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 impl TestFleet {
@@ -305,27 +305,7 @@
         let authority = KeyAuthority::open_or_create(&keys).unwrap();
         authority.issue_role(NodeRole::Control).unwrap();
         authority.issue_role(NodeRole::Entry).unwrap();
-        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
-        let control = control::start(ControlSettings {
-            name: "control-1".into(),
-            listen: loopback,
-            data: folder.path().join("data"),
-            keys: keys.clone(),
-            peers: BTreeMap::new(),
-            is_join_only: false,
-            has_peer_discovery: false,
-            http: None,
-            region: None,
-            data_centre: None,
-            raft: RaftSettings::default(),
-            target_silence_timeout: Duration::from_secs(600),
-        })
-        .await
-        .unwrap();
-        let confirmed = control.wait_until(|status| status.confirmed_ms.is_some());
-        tokio::time::timeout(EVENT_TIMEOUT, confirmed)
-            .await
-            .unwrap();
+        let control = start_control(folder.path()).await;
         let relay = start_relay("entry-1", control.address(), keys.clone()).await;
         let fleet = Self {
             api: control.api(),
@@ -333,18 +313,68 @@
             client: reqwest::Client::new(),
             control,
             keys,
-            _folder: folder,
+            folder,
         };
         if let Some(plan) = plan {
             fleet.publish(1, plan).await;
         }
+        fleet.announce_all(targets).await;
+        fleet
+    }
+
+    async fn announce_all(&self, targets: &[&TestTarget]) {
         for target in targets {
-            fleet.api.announce(target.announcement());
+            self.api.announce(target.announcement()).await;
         }
-        fleet.wait_for_targets(targets.len()).await;
+        self.wait_for_targets(targets.len()).await;
+    }
+
+    /// Stops the control node and the relay at once, and starts others with the same data folder.
+    pub(crate) async fn restart_all(self, targets: &[&TestTarget]) -> Self {
+        let Self {
+            mut control,
+            relay,
+            client,
+            keys,
+            folder,
+            ..
+        } = self;
+        drop(relay);
+        control.kill().await;
+        drop(control);
+        let control = start_control(folder.path()).await;
+        let relay = start_relay("entry-1", control.address(), keys.clone()).await;
+        let fleet = Self {
+            api: control.api(),
+            relay,
+            client,
+            control,
+            keys,
+            folder,
+        };
+        fleet.announce_all(targets).await;
         fleet
     }
 
+    /// Stops the control node.
+    pub(crate) async fn kill_control(&mut self) {
+        self.control.kill().await;
+    }
+
+    /// Waits until the control node has written origins of streams to its journal.
+    pub(crate) async fn wait_for_journal(&self) {
+        let folder = data_folder(self.folder.path()).join("origins");
+        let file_size =
+            |entry: io::Result<std::fs::DirEntry>| entry.unwrap().metadata().unwrap().len();
+        let size = || {
+            std::fs::read_dir(&folder)
+                .unwrap()
+                .map(file_size)
+                .sum::<u64>()
+        };
+        wait_until(|| size() > 0).await;
+    }
+
     /// Starts another relay, and returns when the first one lists it.
     pub(crate) async fn start_other_relay(&self) -> RelayHandle {
         let others = self.relay.other_entry_count();
@@ -405,6 +435,35 @@
     }
 }
 
+fn data_folder(folder: &Path) -> PathBuf {
+    folder.join("data")
+}
+
+/// Starts a control node with a data folder and keys in `folder`, and waits until it has a quorum.
+async fn start_control(folder: &Path) -> ControlHandle {
+    let control = control::start(ControlSettings {
+        name: "control-1".into(),
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        data: data_folder(folder),
+        keys: folder.join("keys"),
+        peers: BTreeMap::new(),
+        is_join_only: false,
+        has_peer_discovery: false,
+        http: None,
+        region: None,
+        data_centre: None,
+        raft: RaftSettings::default(),
+        target_silence_timeout: Duration::from_secs(600),
+    })
+    .await
+    .unwrap();
+    let confirmed = control.wait_until(|status| status.confirmed_ms.is_some());
+    tokio::time::timeout(EVENT_TIMEOUT, confirmed)
+        .await
+        .unwrap();
+    control
+}
+
 async fn start_relay(name: &str, control: SocketAddr, keys: PathBuf) -> RelayHandle {
     let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = RelaySettings {
--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -4,17 +4,19 @@
 
 use std::sync::Arc;
 
-use common::{TargetScript, TargetStep, TestFleet, TestTarget, header, plan, wait_until};
+use common::{TargetScript, TargetStep, TestFleet, TestTarget, header, key, plan, wait_until};
 use relay::RelayHandle;
 
 /// A target that breaks off new streams after their first event, completes continued ones, and does
 /// not answer other requests.
 async fn start_target(name: &str, version: &str) -> TestTarget {
-    let script: TargetScript = Arc::new(|head: &str| {
+    let own_version = version.to_owned();
+    let script: TargetScript = Arc::new(move |head: &str| {
         let id = header(head, "request-id").unwrap();
         let start = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n\r\n");
         match header(head, "last-event") {
             _ if head.contains("/once/") => TargetStep::Hang(Vec::new()),
+            _ if header(head, "fail-at") == Some(&own_version) => TargetStep::Close(Vec::new()),
             Some(_) => TargetStep::Close(format!("{start}id: 2\ndata: b\n\n").into_bytes()),
             None => TargetStep::Close(format!("{start}id: 1\ndata: a\n\nid: 2\nda").into_bytes()),
         }
@@ -55,16 +57,21 @@
     (status, response.text().await.unwrap())
 }
 
+/// Starts a fleet with one target. Its plan has a second organisation.
 async fn start_one_version() -> (TestFleet, TestTarget) {
     let old = start_target("target-1", "v1").await;
-    let fleet = TestFleet::start(Some(plan()), &[&old]).await;
+    let mut plan = plan();
+    let mut access = plan.organisations[&"mlyn-hora".into()].clone();
+    access.keys = [key("bakery")].into();
+    plan.organisations.insert("pekarna".into(), access);
+    let fleet = TestFleet::start(Some(plan), &[&old]).await;
     (fleet, old)
 }
 
 /// Starts a target of a newer version, and returns when the entries list it besides the old one.
 async fn announce_new_version(fleet: &TestFleet, entries: &[&RelayHandle]) -> TestTarget {
     let new = start_target("target-2", "v1.1").await;
-    fleet.api.announce(new.announcement());
+    fleet.api.announce(new.announcement()).await;
     wait_until(|| entries.iter().all(|entry| entry.target_count() == 2)).await;
     new
 }
@@ -122,3 +129,111 @@
 
     assert_eq!((named.0, unnamed.0), (200, 200));
 }
+
+/// Guards against a stream of another organisation whose version a caller learns or uses.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_another_organisation_is_unknown() {
+    let (fleet, old) = start_one_version().await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let new = announce_new_version(&fleet, &[&fleet.relay]).await;
+    let request = fleet.client.post(fleet.url("/resumable/x"));
+    let request = request.header("request-id", "a2").header("key", "bakery");
+
+    let request = request.header("last-event", "1").header("continues", "a1");
+    let response = request.send().await.unwrap();
+
+    assert_eq!(response.status().as_u16(), 503);
+    assert_eq!((old.arrivals(), new.arrivals()), (1, 0));
+}
+
+/// Guards against a stream that its entry repeats at another version after a target has failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_continuation_stays_at_the_version() {
+    let (fleet, old) = start_one_version().await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let new = announce_new_version(&fleet, &[&fleet.relay]).await;
+    let request = fleet.request_at(&fleet.relay, "/resumable/x", "a2");
+
+    let request = request.header("last-event", "1").header("continues", "a1");
+    let response = request.header("fail-at", "v1").send().await.unwrap();
+
+    assert_eq!(response.status().as_u16(), 502);
+    assert_eq!((old.arrivals(), new.arrivals()), (2, 0));
+}
+
+/// Guards against a record of the target that was tried first, where another one brought the first
+/// event.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_that_brings_the_first_event_counts() {
+    let (fleet, old) = start_one_version().await;
+    let new = announce_new_version(&fleet, &[&fleet.relay]).await;
+    let request = fleet.request_at(&fleet.relay, "/resumable/x", "a1");
+    let response = request.header("fail-at", "v1").send().await.unwrap();
+    assert!(response.bytes().await.is_err());
+    let arrivals = [old.arrivals(), new.arrivals()];
+
+    let (status, _) = continue_stream(&fleet, &fleet.relay, "a2", Some("a1")).await;
+
+    assert_eq!(status, 200);
+    assert_eq!(
+        [old.arrivals(), new.arrivals()],
+        [arrivals[0], arrivals[1] + 1]
+    );
+}
+
+/// Guards against callers that are not told that their stream cannot go on, and against a stream that
+/// goes on at another version when its own has left.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_version_has_left_is_refused_as_not_run() {
+    let (fleet, old) = start_one_version().await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let new = announce_new_version(&fleet, &[&fleet.relay]).await;
+    fleet.api.mark_leaving(&old.name.as_str().into(), None);
+    wait_until(|| fleet.relay.serving_target_count() == 1).await;
+
+    let request = fleet.request_at(&fleet.relay, "/resumable/x", "a2");
+    let request = request.header("last-event", "1").header("continues", "a1");
+    let response = request.send().await.unwrap();
+
+    assert_eq!(response.status().as_u16(), 503);
+    assert_eq!(response.headers()["bilberry-outcome"], "not-run");
+    assert!(response.headers().contains_key("retry-after"));
+    let text = response.text().await.unwrap();
+    assert!(
+        text.contains("stream-origin") && text.contains("anew"),
+        "{text}"
+    );
+    assert_eq!((old.arrivals(), new.arrivals()), (1, 0));
+}
+
+/// Guards against streams that nobody knows any more after all control nodes and entries have lost
+/// power at once, while two versions serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_goes_on_at_its_version_after_all_have_restarted() {
+    let (fleet, old) = start_one_version().await;
+    let new = announce_new_version(&fleet, &[&fleet.relay]).await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let arrivals = [old.arrivals(), new.arrivals()];
+    fleet.wait_for_journal().await;
+
+    let fleet = fleet.restart_all(&[&old, &new]).await;
+    let known = continue_stream(&fleet, &fleet.relay, "a2", Some("a1")).await;
+    let unknown = continue_stream(&fleet, &fleet.relay, "a3", Some("unknown")).await;
+
+    assert_eq!((known.0, unknown.0), (200, 503));
+    let expected = arrivals.map(|arrivals| arrivals * 2);
+    assert_eq!([old.arrivals(), new.arrivals()], expected);
+}
+
+/// Guards against a guess by an entry that can reach no control node.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_cannot_ask_refuses_unknown_streams() {
+    let (mut fleet, old) = start_one_version().await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    fleet.kill_control().await;
+
+    let unknown = continue_stream(&fleet, &fleet.relay, "a2", Some("unknown")).await;
+    let own = continue_stream(&fleet, &fleet.relay, "a3", Some("a1")).await;
+
+    assert_eq!((unknown.0, own.0, old.arrivals()), (503, 200, 2));
+}
--- a/components/routes/src/plan.rs
+++ b/components/routes/src/plan.rs
@@ -9,6 +9,10 @@
     SlotCount,
 };
 
+/// Time for which each stream may be continued. A plan that lowers a timeout applies to streams that
+/// began before it, too.
+const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(30);
+
 units::data! {
     /// Whether a request that may have started to run may be sent to another target.
     #[derive(Copy)]
@@ -140,6 +144,19 @@
     }
 }
 
+impl RoutePlan {
+    /// Maximum time from the first event of a stream for which its callers may continue it. Callers
+    /// repeat requests within the timeout of the route.
+    pub fn stream_lifetime(&self) -> Duration {
+        let resumable = self.routes.iter();
+        let resumable = resumable.filter(|route| route.repeat == RepeatRule::ResumableStream);
+        let longest = resumable.map(RouteSpec::timeout).max();
+        longest.map_or(MIN_STREAM_LIFETIME, |timeout| {
+            MIN_STREAM_LIFETIME.max(timeout * 2)
+        })
+    }
+}
+
 impl RouteSpec {
     /// Maximum time that a caller waits for the response.
     pub fn timeout(&self) -> Duration {
--- a/components/store/src/folder.rs
+++ b/components/store/src/folder.rs
@@ -67,14 +67,16 @@
         self.path.join(name)
     }
 
-    /// Names of all files, in no particular order.
+    /// Names of all files, in no particular order. Folders are left out.
     pub(crate) fn file_names(&self) -> Result<Vec<String>, StoreError> {
         let to_error = io_error("list", &self.path);
         let entries = fs::read_dir(&self.path).map_err(&to_error)?;
         let mut names = Vec::new();
         for entry in entries {
-            let name = entry.map_err(&to_error)?.file_name();
-            names.extend(name.into_string());
+            let entry = entry.map_err(&to_error)?;
+            if entry.file_type().map_err(&to_error)?.is_file() {
+                names.extend(entry.file_name().into_string());
+            }
         }
         Ok(names)
     }
--- /dev/null
+++ b/components/store/src/journal.rs
@@ -0,0 +1,108 @@
+//! Journal of records that are only needed for a limited time.
+
+use std::fs::File;
+use std::path::Path;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::StoreError;
+use crate::folder::{self, StoreFolder};
+use crate::record::{self, RecordRead};
+
+/// Prefix of the names of the journal's files; a number follows.
+const FILE_PREFIX: &str = "journal-";
+
+/// Journal that keeps its newest records in two files and deletes older ones.
+///
+/// Unlike a log, it may lose its last records: reading a file ends at the first damaged record.
+#[derive(Debug)]
+pub struct RecordJournal {
+    folder: StoreFolder,
+    file: File,
+    number: u64,
+    length: u64,
+    max_file_bytes: u64,
+}
+
+impl RecordJournal {
+    /// Opens a folder, and returns its records in the order in which they were written. Creates the
+    /// folder if it does not exist.
+    pub fn open<T: DeserializeOwned>(
+        path: &Path,
+        max_file_bytes: u64,
+    ) -> Result<(Self, Vec<T>), StoreError> {
+        let folder = StoreFolder::open(path)?;
+        let mut numbers = file_numbers(&folder)?;
+        numbers.sort_unstable();
+        let mut records = Vec::new();
+        for number in &numbers {
+            let bytes = folder.read(&file_name(*number))?;
+            read_records(&bytes.unwrap_or_default(), &mut records);
+        }
+        let number = numbers.last().map_or(0, |last| last + 1);
+        let journal = Self {
+            file: folder.create(&file_name(number))?,
+            folder,
+            number,
+            length: 0,
+            max_file_bytes,
+        };
+        journal.remove_before(number.saturating_sub(1))?;
+        Ok((journal, records))
+    }
+
+    /// Writes and syncs a record. After an error, the records that were written before are kept.
+    pub fn append<T: Serialize>(&mut self, record: &T) -> Result<(), StoreError> {
+        if self.length >= self.max_file_bytes {
+            self.start_file()?;
+        }
+        let name = file_name(self.number);
+        let bytes = folder::encode(&self.folder.file(&name), record)?;
+        let result = self.folder.append(&mut self.file, &name, &bytes);
+        match result {
+            Ok(()) => self.length += bytes.len() as u64,
+            // A part of the record may have been written. Records after it would not be read.
+            Err(_) => self.file = self.folder.open_truncated(&name, self.length)?,
+        }
+        result
+    }
+
+    fn start_file(&mut self) -> Result<(), StoreError> {
+        let number = self.number + 1;
+        self.file = self.folder.create(&file_name(number))?;
+        self.remove_before(self.number)?;
+        self.number = number;
+        self.length = 0;
+        Ok(())
+    }
+
+    fn remove_before(&self, first: u64) -> Result<(), StoreError> {
+        for number in file_numbers(&self.folder)? {
+            if number < first {
+                self.folder.remove(&file_name(number))?;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn file_name(number: u64) -> String {
+    format!("{FILE_PREFIX}{number}")
+}
+
+fn file_numbers(folder: &StoreFolder) -> Result<Vec<u64>, StoreError> {
+    let names = folder.file_names()?;
+    let numbers = names
+        .iter()
+        .filter_map(|name| name.strip_prefix(FILE_PREFIX)?.parse().ok());
+    Ok(numbers.collect())
+}
+
+fn read_records<T: DeserializeOwned>(bytes: &[u8], records: &mut Vec<T>) {
+    let mut remaining = bytes;
+    while let RecordRead::Complete { body, rest } = record::read(remaining) {
+        records.extend(record::decode(body));
+        remaining = rest;
+    }
+}
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -11,12 +11,16 @@
 //! newest segment, whose write was never acknowledged. Any other damage, including a last record of
 //! full length with a wrong checksum, is [`StoreError::Corrupt`]: the host must then rejoin with an
 //! empty folder, which gives it a new id.
+//!
+//! A [`RecordJournal`] owns a folder of its own for records that expire.
 
 mod error;
 mod folder;
+mod journal;
 mod log_store;
 mod record;
 mod segments;
 
 pub use error::StoreError;
+pub use journal::RecordJournal;
 pub use log_store::{LogStore, SEGMENT_BYTES};
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -35,6 +35,12 @@
          forwarded again.";
     QUARANTINE_LIFTED = 3038, Info, "quarantine-lifted",
         "An operator ended the quarantine of a trait.";
+    ORIGINS_RESTORED = 3042, Info, "origins-restored",
+        "The node has read from its journal at which software versions streams began that may \
+         still be continued.";
+    ORIGINS_UNWRITTEN = 3043, Warn, "origins-unwritten",
+        "The journal of the software versions at which streams began cannot be written. New \
+         origins are only in memory until it can be written again; check the disk.";
     CALL_INVALID = 3040, Warn, "call-invalid",
         "A call of an operator or target was invalid and had no effect; the field reason states \
          why.";
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -33,6 +33,13 @@
          a request per second; this entry sends its part of them.";
     LIMIT_ENDED = 1516, Info, "limit-ended",
         "A response of a target no longer states a limit; it gets requests as before.";
+    STREAM_CONTINUED = 1517, Info, "stream-continued",
+        "A caller continues a stream; it goes on at the software version that began it. The field \
+         is_recorded states whether an entry recorded that version, age_ms how long ago; otherwise, \
+         only one version can have begun the stream.";
+    ORIGINS_UNREPORTED = 1518, Warn, "origins-unreported",
+        "No control node has received at which software versions new streams began. Until one \
+         does, only this entry can continue them.";
     RELAY_STREAM_BROKEN = 1512, Info, "relay-stream-broken",
         "A response stream ended before its last event, so the connection of the caller was \
          closed.";
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -1,5 +1,6 @@
 //! Requests to the control nodes and their replies.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use units::{
@@ -10,6 +11,7 @@
 use crate::crash::ServiceTrait;
 use crate::demand::{EntryReply, EntryReport};
 use crate::hello::NodeRole;
+use crate::origin::{OriginAnswer, OriginBatch, StreamId, StreamOrigin};
 use crate::run::{HeaderField, ResponseHead};
 use crate::usage::{UsageReport, UsageTotals};
 
@@ -34,8 +36,8 @@
     pub struct AnnouncedTarget {
         /// Service that the target runs requests of.
         pub service: ServiceName,
-        /// Version of the target's software.
-        pub version: SoftwareVersion,
+        /// Version of the target's software; `None` if control has not registered the version yet.
+        pub version: Option<SoftwareVersion>,
         /// Maximum number of concurrent requests.
         pub slots: SlotCount,
         /// Remaining time for which the target is cold, in milliseconds; 0 once it is warm.
@@ -294,6 +296,14 @@
         /// Ends the quarantine of requests with a trait. It is soft state of each control node, so
         /// an operator sends this to all of them.
         LiftQuarantine(ServiceTrait),
+        /// Origins of streams that an entry has begun. It sends them to several control nodes.
+        RecordOrigins(Vec<OriginBatch>),
+        /// Queries the origin of a stream at one control node.
+        FindOrigin(StreamId),
+        /// Queries the registered versions of a service, as confirmed by a quorum.
+        Versions(ServiceName),
+        /// Registers the version of a target, forwarded by another control node.
+        RegisterVersion(StreamOrigin),
     }
 
     /// Reply of a control node.
@@ -302,7 +312,7 @@
         Renewed(RenewReply),
         /// Reply to [`ControlRequest::Begin`].
         Begun(BeginOutcome),
-        /// Reply to [`ControlRequest::End`] and [`ControlRequest::Text`].
+        /// Reply to requests that succeed without a result.
         Done,
         /// Reply to [`ControlRequest::Order`].
         Order(OrderReply),
@@ -314,6 +324,12 @@
         Report(EntryReply),
         /// Reply to [`ControlRequest::LiftQuarantine`]: whether the trait was in quarantine here.
         Lifted(bool),
+        /// Reply to [`ControlRequest::FindOrigin`].
+        Origin(OriginAnswer),
+        /// Reply to [`ControlRequest::Versions`].
+        Versions(BTreeSet<SoftwareVersion>),
+        /// Reply to [`ControlRequest::RegisterVersion`]: whether the version is registered.
+        Registered(bool),
         /// The node currently has no quorum.
         NoQuorum {
             /// Current leader, if known.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod event_tail;
 mod hash;
 mod hello;
+mod origin;
 mod run;
 mod session;
 mod usage;
@@ -29,6 +30,7 @@
 pub use event_tail::EventTail;
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
+pub use origin::{OriginAnswer, OriginBatch, StreamId, StreamOrigin};
 pub use run::{
     FailureCode, HeaderField, RequestHead, ResponseHead, RunMessage, RunReply, RunStart, RunStatus,
 };
