Serve continued streams before new ones while targets are full

Callers of a continued stream waited behind new streams of their own flow and of all others, and were refused after half of the objective, although new streams can begin at the targets of any version and theirs goes on at those of one only.

Cause: the queue took turns by flow alone, and a request of a flow that waits joined the end of its line. Requests that continue a recorded stream now leave the queue first and need not wait for their flow. A stream without a record gets no precedence, so a caller gains none by claiming to continue something.

continued_stream_gets_released_capacity_first failed before.

--- a/components/place/src/queue.rs
+++ b/components/place/src/queue.rs
@@ -38,6 +38,8 @@
 pub struct WaitQueue {
     waiting: SlotMap<WaitKey, QueuedRequest>,
     flows: BTreeMap<FlowKey, VecDeque<WaitKey>>,
+    /// Those of the waiting requests that continue a stream, oldest first.
+    continued: VecDeque<WaitKey>,
     ledger: UsageLedger,
 }
 
@@ -66,7 +68,11 @@
     pub fn push(&mut self, waiting: QueuedRequest, now: ClockTime) -> WaitKey {
         let flow = waiting.flow.clone();
         self.ledger.mark_backlogged(&flow, FlowWeight::UNIT, now);
+        let is_continued = waiting.request.is_continued;
         let key = self.waiting.insert(waiting);
+        if is_continued {
+            self.continued.push_back(key);
+        }
         self.flows.entry(flow).or_default().push_back(key);
         key
     }
@@ -76,6 +82,9 @@
         let Some(waiting) = self.waiting.remove(key) else {
             return;
         };
+        if waiting.request.is_continued {
+            self.continued.retain(|other| *other != key);
+        }
         if let Some(keys) = self.flows.get_mut(&waiting.flow) {
             keys.retain(|other| *other != key);
             if keys.is_empty() {
@@ -90,9 +99,14 @@
     }
 
     /// Places waiting requests while there is capacity, and drops those that no live target may
-    /// serve. Flows take turns, starting with the one that has received the least service.
+    /// serve. Continued streams come first, since only the targets of one version can serve them.
+    /// Then flows take turns, starting with the one that has received the least service.
     pub fn drain(&mut self, table: &mut PlacementTable, now: ClockTime) -> Vec<DequeuedRequest> {
-        let mut dequeued = Vec::new();
+        let continued: Vec<WaitKey> = self.continued.iter().copied().collect();
+        let mut dequeued: Vec<DequeuedRequest> = continued
+            .into_iter()
+            .filter_map(|key| self.try_dequeue(key, table, now))
+            .collect();
         let mut order: Vec<(u64, FlowKey)> = self
             .flows
             .keys()
@@ -119,23 +133,28 @@
         now: ClockTime,
     ) -> Option<DequeuedRequest> {
         let keys: Vec<WaitKey> = self.flows.get(flow)?.iter().copied().collect();
-        for key in keys {
-            let waiting = &self.waiting[key];
-            let work = waiting.request.work;
-            match table.place(&waiting.request, now) {
-                PlacementOutcome::Run(run) => {
-                    self.charge(flow, work, now);
-                    self.remove(key);
-                    let run = Some(run);
-                    return Some(DequeuedRequest { key, run });
-                }
-                PlacementOutcome::NoTarget => {
-                    self.remove(key);
-                    return Some(DequeuedRequest { key, run: None });
-                }
-                PlacementOutcome::NoCapacity => {}
+        keys.into_iter()
+            .find_map(|key| self.try_dequeue(key, table, now))
+    }
+
+    /// Dequeues a request if it finds capacity or has no live target left.
+    fn try_dequeue(
+        &mut self,
+        key: WaitKey,
+        table: &mut PlacementTable,
+        now: ClockTime,
+    ) -> Option<DequeuedRequest> {
+        let waiting = &self.waiting[key];
+        let run = match table.place(&waiting.request, now) {
+            PlacementOutcome::Run(run) => {
+                let (flow, work) = (waiting.flow.clone(), waiting.request.work);
+                self.charge(&flow, work, now);
+                Some(run)
             }
-        }
-        None
+            PlacementOutcome::NoTarget => None,
+            PlacementOutcome::NoCapacity => return None,
+        };
+        self.remove(key);
+        Some(DequeuedRequest { key, run })
     }
 }
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -72,6 +72,9 @@
     pub regions: Vec<BTreeSet<RegionName>>,
     /// Targets that have already been tried and are excluded.
     pub tried: Vec<NodeName>,
+    /// Whether it continues a stream that was admitted before. It goes before new streams, which more
+    /// targets may run.
+    pub is_continued: bool,
 }
 
 /// Result of [`PlacementTable::place`].
--- a/components/place/tests/choice.rs
+++ b/components/place/tests/choice.rs
@@ -40,6 +40,7 @@
         objective: OBJECTIVE,
         regions: Vec::new(),
         tried: Vec::new(),
+        is_continued: false,
     }
 }
 
--- a/components/place/tests/queue.rs
+++ b/components/place/tests/queue.rs
@@ -52,6 +52,7 @@
         objective: Duration::from_millis(300),
         regions: Vec::new(),
         tried: Vec::new(),
+        is_continued: false,
     }
 }
 
@@ -83,6 +84,28 @@
     assert!(!burst.contains(&dequeued[0].key));
 }
 
+/// Guards against a continued stream that waits behind new ones for the few targets of its version,
+/// while new ones may begin at the targets of another.
+#[test]
+fn continued_stream_gets_released_capacity_first() {
+    let (mut table, mut queue) = (table(1), WaitQueue::new());
+    let PlacementOutcome::Run(first) = table.place(&request(), ClockTime(0)) else {
+        panic!("the target is free");
+    };
+    for organisation in ["large", "small"] {
+        queue.push(waiting(organisation), ClockTime(1));
+    }
+    let mut continued = waiting("large");
+    continued.request.is_continued = true;
+    let continued = queue.push(continued, ClockTime(2));
+
+    table.end_run(first);
+    let dequeued = queue.drain(&mut table, ClockTime(3));
+
+    assert_eq!(dequeued.len(), 1);
+    assert_eq!(dequeued[0].key, continued);
+}
+
 /// Guards against requests that keep waiting after the last target of their service is removed.
 #[test]
 fn requests_without_a_target_are_dropped() {
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -208,6 +208,9 @@
             objective: route.objective(),
             regions: regions.chain([route.regions.clone()]).collect(),
             tried: Vec::new(),
+            is_continued: continued
+                .as_ref()
+                .is_some_and(|continued| continued.is_recorded),
         };
         let caller_deadline = arrived_at + remaining;
         Ok(Self {
@@ -235,8 +238,7 @@
     /// Refuses a request beyond the share of its organisation, before its body is read. A stream that
     /// was admitted once may be continued.
     pub(crate) fn check_share(&self) -> Result<(), Refusal> {
-        let is_recorded = |continued: &ContinuedOrigin| continued.is_recorded;
-        match self.is_within_share || self.continued.as_ref().is_some_and(is_recorded) {
+        match self.is_within_share || self.placement.is_continued {
             true => Ok(()),
             false => Err(self.share_refusal()),
         }
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -106,10 +106,11 @@
     };
     let (run_sender, run_receiver) = oneshot::channel();
     let placement = shared.board.write_quietly(|state| {
-        // Waiting requests of the same flow are served first.
-        let outcome = match state.queue.has_flow(flow) {
-            true => PlacementOutcome::NoCapacity,
-            false => state.table.place(&request, now),
+        // Waiting requests of the same flow are served first, but for continued streams.
+        let has_turn = request.is_continued || !state.queue.has_flow(flow);
+        let outcome = match has_turn {
+            true => state.table.place(&request, now),
+            false => PlacementOutcome::NoCapacity,
         };
         match outcome {
             PlacementOutcome::Run(run) => {
