Place a continued stream at any target of its version that has capacity

A continued stream was refused after a wait although targets of its version had capacity: its session allows only the preferred target and the second choice, and after a release these two may be among few that are left of the version.

Cause: the choice for a session protects prompt caches, but reading the prompt again costs less than a stream that cannot go on. If neither choice takes a continued stream, the least loaded target of its version does.

continued_stream_uses_any_target_of_its_version failed before: the 17th of 32 streams found no capacity at four targets with eight slots each. The second test guards the registration of versions and passed before.

--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -261,9 +261,14 @@
         candidates: Vec<TargetKey>,
         now: ClockTime,
     ) -> Option<TargetKey> {
-        match request.affinity {
-            Some(session) => self.select_for_session(session, request.objective, candidates, now),
-            None => self.select_least_loaded(&candidates, now),
+        let Some(session) = request.affinity else {
+            return self.select_least_loaded(&candidates, now);
+        };
+        let selected = self.select_for_session(session, request.objective, &candidates, now);
+        // Reading the prompt again costs less than a stream that cannot go on.
+        match request.is_continued {
+            true => selected.or_else(|| self.select_least_loaded(&candidates, now)),
+            false => selected,
         }
     }
 
@@ -414,10 +419,10 @@
         &self,
         session: u64,
         objective: Duration,
-        candidates: Vec<TargetKey>,
+        candidates: &[TargetKey],
         now: ClockTime,
     ) -> Option<TargetKey> {
-        let (preferred, second) = self.highest_scores(session, &candidates)?;
+        let (preferred, second) = self.highest_scores(session, candidates)?;
         let is_late =
             |key: TargetKey| self.targets[key].longest_wait(now) > objective * LATE_PERCENT / 100;
         if self.has_capacity(preferred, now) && !is_late(preferred) {
--- a/components/place/tests/choice.rs
+++ b/components/place/tests/choice.rs
@@ -287,3 +287,50 @@
         }
     }
 }
+
+/// Guards against a continued stream that is refused although a target of its version has capacity:
+/// new streams of other sessions have filled those that its session prefers.
+#[test]
+fn continued_stream_uses_any_target_of_its_version() {
+    let mut targets: Vec<ListedTarget> = (1..=6).map(target).collect();
+    for target in &mut targets[4..] {
+        target.version = Some("v2".into());
+    }
+    let mut table = table(targets);
+    let continued = PlacementRequest {
+        version: VersionRule::Only("v1".into()),
+        is_continued: true,
+        ..request(Some(7))
+    };
+
+    // Four targets of v1 have eight slots each.
+    let names: Vec<String> = (0..32)
+        .map(|_| {
+            let (run, name) = place(&mut table, &continued, 0);
+            table.record_first_byte(run, ClockTime(0));
+            name
+        })
+        .collect();
+    let outcome = table.place(&continued, ClockTime(0));
+
+    assert!(names.iter().all(|name| name.as_str() < "target-5"));
+    assert_eq!(outcome, PlacementOutcome::NoCapacity);
+}
+
+/// Guards against a stream that may be continued and begins at a target whose version control does
+/// not know.
+#[test]
+fn unregistered_version_gets_no_stream_that_may_be_continued() {
+    let mut unregistered = target(1);
+    unregistered.version = None;
+    let mut table = table(vec![unregistered]);
+    let registered = PlacementRequest {
+        version: VersionRule::Registered,
+        ..request(None)
+    };
+
+    let outcome = table.place(&registered, ClockTime(0));
+
+    assert_eq!(outcome, PlacementOutcome::NoTarget);
+    place(&mut table, &request(None), 0);
+}
