--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -225,6 +225,72 @@
     assert_eq!([old.arrivals(), new.arrivals()], expected);
 }
 
+/// Guards against a guess after all control nodes and entries have lost power, when the version that
+/// began the stream has just left and only another one announces itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_version_that_has_left_is_refused_after_all_have_restarted() {
+    let (fleet, old) = start_one_version().await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let new = announce_new_version(&fleet, &[&fleet.relay]).await;
+    fleet.wait_for_journal().await;
+
+    let fleet = fleet.restart_all(&[&new]).await;
+    let known = continue_stream(&fleet, &fleet.relay, "a2", Some("a1")).await;
+    let unknown = continue_stream(&fleet, &fleet.relay, "a3", Some("unknown")).await;
+
+    assert_eq!((known.0, unknown.0), (503, 503));
+    assert!(known.1.contains("version v1"), "{}", known.1);
+    assert_eq!((old.arrivals(), new.arrivals()), (1, 0));
+}
+
+/// Guards against refusals after all control nodes and entries have lost power, while only one version
+/// can have begun a stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_stream_goes_on_at_the_only_version_after_all_have_restarted() {
+    let (fleet, target) = start_one_version().await;
+
+    let fleet = fleet.restart_all(&[&target]).await;
+    let (status, _) = continue_stream(&fleet, &fleet.relay, "a2", Some("unknown")).await;
+
+    assert_eq!((status, target.arrivals()), (200, 1));
+}
+
+/// Guards against a stream that is refused or split when its caller continues it twice at the same
+/// moment, at two entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_continued_twice_at_once_stays_at_its_version() {
+    let (fleet, old) = start_one_version().await;
+    let other = fleet.start_other_relay().await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let new = announce_new_version(&fleet, &[&fleet.relay, &other]).await;
+
+    let (here, there) = tokio::join!(
+        continue_stream(&fleet, &fleet.relay, "a2", Some("a1")),
+        continue_stream(&fleet, &other, "a3", Some("a1")),
+    );
+
+    assert_eq!((here.0, there.0), (200, 200));
+    assert_eq!((old.arrivals(), new.arrivals()), (3, 0));
+}
+
+/// Guards against a stream whose version is lost over a chain of continuations: each of them names the
+/// attempt that brought the first event.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_stays_at_its_version_over_a_chain_of_continuations() {
+    let (fleet, old) = start_one_version().await;
+    let other = fleet.start_other_relay().await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let new = announce_new_version(&fleet, &[&fleet.relay, &other]).await;
+
+    let mut statuses = Vec::new();
+    for (entry, id) in [(&other, "a2"), (&fleet.relay, "a3"), (&other, "a4")] {
+        statuses.push(continue_stream(&fleet, entry, id, Some("a1")).await.0);
+    }
+
+    assert_eq!(statuses, [200; 3]);
+    assert_eq!((old.arrivals(), new.arrivals()), (4, 0));
+}
+
 /// Guards against a guess by an entry that can reach no control node.
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_that_cannot_ask_refuses_unknown_streams() {
