--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -17,7 +17,7 @@
 use salvo::{Router, Server};
 use telemetry::{event, events};
 use tokio::task::JoinSet;
-use units::{ClockSource, Incarnation, SystemClock};
+use units::{ClockSource, Incarnation, PlanNumber, SystemClock};
 use wire::{NodeRole, stable_hash};
 
 use crate::demand::{model_pool, report_demand};
@@ -168,6 +168,12 @@
         self.shared.board.read(|state| state.table.serving_count())
     }
 
+    /// Number of the installed plan; `None` before the first plan arrives.
+    pub fn plan_number(&self) -> Option<PlanNumber> {
+        let index = self.shared.board.read(|state| state.route_index.clone());
+        index.map(|index| index.number)
+    }
+
     /// Number of other serving entries that the directory lists for the relay.
     pub fn other_entry_count(&self) -> u32 {
         self.shared.board.read(|state| state.other_entries)
--- a/components/relay/tests/common/crashing.rs
+++ b/components/relay/tests/common/crashing.rs
@@ -53,13 +53,8 @@
     let record = CrashRecord::default();
     for number in 0..count {
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0)));
-        let target = TestTarget {
-            version: "v1".into(),
-            name: format!("target-{number}"),
-            address: listener.local_addr().unwrap(),
-            heads: Arc::default(),
-            closed: Arc::default(),
-        };
+        let address = listener.local_addr().unwrap();
+        let target = TestTarget::at(&format!("target-{number}"), address);
         let (api, rule) = (fleet.api.clone(), rule.clone());
         tokio::spawn(run_crashing_target(
             target,
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -138,6 +138,8 @@
 pub(crate) struct TestTarget {
     pub(crate) name: String,
     pub(crate) version: String,
+    pub(crate) service: String,
+    pub(crate) incarnation: Incarnation,
     pub(crate) address: SocketAddr,
     /// Heads of the received requests.
     pub(crate) heads: Arc<Mutex<Vec<String>>>,
@@ -146,15 +148,22 @@
 }
 
 impl TestTarget {
-    pub(crate) async fn start(name: &str, script: TargetScript) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let target = Self {
+    /// A target that does not accept connections yet.
+    pub(crate) fn at(name: &str, address: SocketAddr) -> Self {
+        Self {
             name: name.into(),
             version: "v1".into(),
-            address: listener.local_addr().unwrap(),
+            service: "visits".into(),
+            incarnation: Incarnation(1),
+            address,
             heads: Arc::default(),
             closed: Arc::default(),
-        };
+        }
+    }
+
+    pub(crate) async fn start(name: &str, script: TargetScript) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let target = Self::at(name, listener.local_addr().unwrap());
         let (heads, closed) = (target.heads.clone(), target.closed.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -174,6 +183,12 @@
         Self { version, ..self }
     }
 
+    /// Sets the service that the target announces.
+    pub(crate) fn with_service(self, service: &str) -> Self {
+        let service = service.into();
+        Self { service, ..self }
+    }
+
     pub(crate) fn arrivals(&self) -> usize {
         self.heads.lock().unwrap().len()
     }
@@ -185,13 +200,13 @@
     pub(crate) fn announcement(&self) -> DirectoryEntry {
         DirectoryEntry {
             name: self.name.as_str().into(),
-            incarnation: Incarnation(1),
+            incarnation: self.incarnation,
             address: self.address,
             data_centre: "praha-1".into(),
             state: NodeState::Serving,
             config: ConfigVersion(0),
             kind: NodeKind::Target(AnnouncedTarget {
-                service: "visits".into(),
+                service: self.service.as_str().into(),
                 version: Some(self.version.as_str().into()),
                 slots: SlotCount(4),
                 cold_ms: 0,
--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -6,6 +6,8 @@
 
 use common::{TargetScript, TargetStep, TestFleet, TestTarget, header, key, plan, wait_until};
 use relay::RelayHandle;
+use routes::{RoutePlan, WeightedService};
+use units::PlanNumber;
 
 /// A target that breaks off new streams after their first event, completes continued ones, and does
 /// not answer other requests.
@@ -68,6 +70,21 @@
     (fleet, old)
 }
 
+/// A plan whose route of continued streams splits requests evenly between services.
+fn split_plan(services: &[&str]) -> RoutePlan {
+    let mut plan = plan();
+    let pool = plan.pools[&"visits".into()].clone();
+    plan.pools.insert("orders".into(), pool);
+    for route in &mut plan.routes {
+        let services = services.iter().map(|service| WeightedService {
+            service: (*service).into(),
+            weight: 1,
+        });
+        route.split = services.collect();
+    }
+    plan
+}
+
 /// Starts a target of a newer version, and returns when the entries list it besides the old one.
 async fn announce_new_version(fleet: &TestFleet, entries: &[&RelayHandle]) -> TestTarget {
     let new = start_target("target-2", "v1.1").await;
@@ -255,6 +272,51 @@
     assert_eq!((status, target.arrivals()), (200, 1));
 }
 
+/// Guards against a stream that goes on at another service than the one that began it, where its route
+/// splits requests between two.
+#[tokio::test(flavor = "multi_thread")]
+async fn continued_stream_stays_at_the_service_that_began_it() {
+    let visits = start_target("target-1", "v1").await;
+    let orders = start_target("target-2", "v1").await.with_service("orders");
+    let fleet =
+        TestFleet::start(Some(split_plan(&["visits", "orders"])), &[&visits, &orders]).await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let began_at_visits = visits.arrivals() == 1;
+
+    for number in 0..8 {
+        let id = format!("b{number}");
+        let (status, _) = continue_stream(&fleet, &fleet.relay, &id, Some("a1")).await;
+        assert_eq!(status, 200);
+    }
+
+    let (at_visits, at_orders) = match began_at_visits {
+        true => (9, 0),
+        false => (0, 9),
+    };
+    assert_eq!(
+        (visits.arrivals(), orders.arrivals()),
+        (at_visits, at_orders)
+    );
+}
+
+/// Guards against a stream that goes on at the only service that is left on its route, although another
+/// one began it.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_service_has_left_the_route_is_refused() {
+    let visits = start_target("target-1", "v1").await;
+    let orders = start_target("target-2", "v1").await.with_service("orders");
+    let fleet = TestFleet::start(Some(split_plan(&["visits"])), &[&visits, &orders]).await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    fleet.publish(2, split_plan(&["orders"])).await;
+    wait_until(|| fleet.relay.plan_number() == Some(PlanNumber(2))).await;
+
+    let (status, text) = continue_stream(&fleet, &fleet.relay, "a2", Some("a1")).await;
+
+    assert_eq!(status, 503);
+    assert!(text.contains("service visits"), "{text}");
+    assert_eq!((visits.arrivals(), orders.arrivals()), (1, 0));
+}
+
 /// Guards against a stream that is refused or split when its caller continues it twice at the same
 /// moment, at two entries.
 #[tokio::test(flavor = "multi_thread")]
