Do not continue streams of targets that restarted unnoticed with another version

Callers got text joined from two versions (ORDER) if a target had restarted under its name with newer software and the directory still listed the old version: the entry recorded the listed version, and the stream went on at a target of that one. A continued stream that was on its way to such a target got events of the newer version.

Cause: the expected instance tells two processes of one name apart no better than the directory does, which lags by an announcement. When the directory tells of another version, the entry now also records it for the streams which that target began in the 5 s before. Two versions of one stream conflict, here and at control nodes, and it is refused as not run. A continued stream of which nothing was forwarded is sent elsewhere.

Both new tests of components/relay/tests/versions.rs failed before (200 instead of 503, 200 instead of 502). Open: the directory may tell only after the first event of a continued stream was forwarded.

--- a/components/origins/src/log.rs
+++ b/components/origins/src/log.rs
@@ -1,13 +1,17 @@
 //! Origins of the streams of one entry, and those that it has not reported yet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use units::ClockTime;
+use units::{ClockTime, NodeName, SoftwareVersion};
 use wire::{OriginAnswer, OriginBatch, StreamId, StreamOrigin};
 
 use crate::table::{MAX_STREAMS, OriginTable};
 
+/// Time within which the directory tells of a target that has restarted. Announcements may arrive
+/// seconds late.
+const RESTART_NOTICE_TIME: Duration = Duration::from_secs(5);
+
 /// Stream whose origin has not been reported.
 #[derive(Debug, Clone)]
 struct UnreportedStream {
@@ -16,11 +20,23 @@
     expires_at: ClockTime,
 }
 
+/// Stream whose target may have restarted before it began.
+#[derive(Debug, Clone)]
+struct RecentStream {
+    stream: StreamId,
+    target: NodeName,
+    version: SoftwareVersion,
+    began_at: ClockTime,
+    expires_at: ClockTime,
+}
+
 /// Origins of the streams that an entry has begun.
 #[derive(Debug, Default)]
 pub struct OriginLog {
     table: OriginTable,
     unreported: Vec<UnreportedStream>,
+    /// Streams that have begun within [`RESTART_NOTICE_TIME`], oldest first.
+    recent: VecDeque<RecentStream>,
 }
 
 impl OriginLog {
@@ -29,15 +45,54 @@
         Self::default()
     }
 
-    /// Records the origin of a stream that may be continued for `lifetime`.
+    /// Records the origin of a stream at a target that may be continued for `lifetime`.
     pub fn record(
         &mut self,
         stream: StreamId,
+        target: &NodeName,
         origin: StreamOrigin,
         lifetime: Duration,
         now: ClockTime,
     ) {
+        self.evict_recent(now);
         let expires_at = now + lifetime;
+        self.recent.push_back(RecentStream {
+            stream,
+            target: target.clone(),
+            version: origin.version.clone(),
+            began_at: now,
+            expires_at,
+        });
+        self.add(stream, origin, expires_at, now);
+    }
+
+    /// Records that a target has restarted with another version, and returns the number of streams
+    /// for which it is not certain whether they began before. They cannot be continued.
+    pub fn record_restart(
+        &mut self,
+        target: &NodeName,
+        origin: &StreamOrigin,
+        now: ClockTime,
+    ) -> usize {
+        self.evict_recent(now);
+        let recent = self.recent.iter();
+        let uncertain: Vec<RecentStream> = recent
+            .filter(|recent| recent.target == *target && recent.version != origin.version)
+            .cloned()
+            .collect();
+        for recent in &uncertain {
+            self.add(recent.stream, origin.clone(), recent.expires_at, now);
+        }
+        uncertain.len()
+    }
+
+    fn add(
+        &mut self,
+        stream: StreamId,
+        origin: StreamOrigin,
+        expires_at: ClockTime,
+        now: ClockTime,
+    ) {
         self.table.record(stream, &origin, expires_at, now);
         self.add_unreported(UnreportedStream {
             stream,
@@ -46,6 +101,13 @@
         });
     }
 
+    fn evict_recent(&mut self, now: ClockTime) {
+        let is_settled = |recent: &RecentStream| now.since(recent.began_at) > RESTART_NOTICE_TIME;
+        while self.recent.len() >= MAX_STREAMS || self.recent.front().is_some_and(is_settled) {
+            self.recent.pop_front();
+        }
+    }
+
     /// What is known here about the origin of a stream.
     pub fn find(&self, stream: StreamId, now: ClockTime) -> OriginAnswer {
         self.table.find(stream, now)
--- a/components/origins/tests/origins.rs
+++ b/components/origins/tests/origins.rs
@@ -91,8 +91,20 @@
 #[test]
 fn failed_report_is_repeated_with_the_remaining_time() {
     let mut log = OriginLog::new();
-    log.record(StreamId(1), origin("v1"), LIFETIME, ClockTime(0));
-    log.record(StreamId(2), origin("v2"), LIFETIME, ClockTime(500));
+    log.record(
+        StreamId(1),
+        &"target-1".into(),
+        origin("v1"),
+        LIFETIME,
+        ClockTime(0),
+    );
+    log.record(
+        StreamId(2),
+        &"target-2".into(),
+        origin("v2"),
+        LIFETIME,
+        ClockTime(500),
+    );
     let first = log.take_report(ClockTime(1_000));
     assert!(!log.has_report());
 
@@ -109,3 +121,41 @@
     );
     assert_eq!(lifetimes(&second), [(StreamId(2), 500)]);
 }
+
+/// Guards against a stream that goes on at the version that its target had before an unnoticed restart,
+/// and against refusals of streams of other targets, and of earlier or later ones.
+#[test]
+fn restart_makes_only_recent_streams_of_the_target_uncertain() {
+    let mut log = OriginLog::new();
+    let lifetime = Duration::from_secs(60);
+    let streams = [
+        (1, "target-1", "v1", 1_000),
+        (2, "target-1", "v1", 9_000),
+        (3, "target-2", "v1", 9_000),
+        (4, "target-1", "v2", 10_000),
+    ];
+    for (number, target, version, began_at) in streams {
+        let began_at = ClockTime(began_at);
+        log.record(
+            StreamId(number),
+            &target.into(),
+            origin(version),
+            lifetime,
+            began_at,
+        );
+    }
+    log.take_report(ClockTime(10_000));
+
+    let now = ClockTime(10_500);
+    let uncertain = log.record_restart(&"target-1".into(), &origin("v2"), now);
+
+    assert_eq!(uncertain, 1);
+    assert_eq!(log.find(StreamId(1), now), known("v1", 9_500));
+    assert_eq!(log.find(StreamId(2), now), OriginAnswer::Conflicting);
+    assert_eq!(log.find(StreamId(3), now), known("v1", 1_500));
+    assert_eq!(log.find(StreamId(4), now), known("v2", 500));
+    let report = log.take_report(now);
+    assert_eq!(report.len(), 1);
+    assert_eq!(report[0].origin, origin("v2"));
+    assert_eq!(report[0].streams[0].0, StreamId(2));
+}
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -17,7 +17,7 @@
 use salvo::{Router, Server};
 use telemetry::{event, events};
 use tokio::task::JoinSet;
-use units::{ClockSource, Incarnation, PlanNumber, SystemClock};
+use units::{ClockSource, Incarnation, NodeName, PlanNumber, SoftwareVersion, SystemClock};
 use wire::{NodeRole, stable_hash};
 
 use crate::demand::{model_pool, report_demand};
@@ -168,6 +168,12 @@
         self.shared.board.read(|state| state.table.serving_count())
     }
 
+    /// Software version of a target as listed by the directory; `None` for an unknown target or an
+    /// unregistered version.
+    pub fn target_version(&self, name: &NodeName) -> Option<SoftwareVersion> {
+        self.shared.listed(name)?.version
+    }
+
     /// Number of the installed plan; `None` before the first plan arrives.
     pub fn plan_number(&self) -> Option<PlanNumber> {
         let index = self.shared.board.read(|state| state.route_index.clone());
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use client::FleetView;
-use place::{EntryPosition, ListedTarget};
+use place::{EntryPosition, ListedTarget, PlacementTable};
 use routes::{RouteIndex, ServicePool};
 use telemetry::{event, events};
 use units::{NodeName, PlanNumber, RouteName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
+use crate::origins::record_restarts;
 use crate::settings::RelaySettings;
 use crate::state::RelayShared;
 
@@ -83,7 +84,7 @@
             routes = index.plan.routes.len()
         );
     }
-    shared.board.write(|state| {
+    let changed = shared.board.write(|state| {
         if let Some(index) = index {
             let routes: HashSet<&RouteName> =
                 index.plan.routes.iter().map(|route| &route.name).collect();
@@ -91,9 +92,21 @@
             state.route_index = Some(Arc::new(index));
         }
         state.other_entries = position.count - 1;
+        let changed = changed_versions(&state.table, &targets);
         state.table.sync(targets, position, now);
         state.drain_queue(now);
+        changed
     });
+    record_restarts(shared, &changed);
+}
+
+/// Listed targets whose version differs from that under which the table has them.
+fn changed_versions(table: &PlacementTable, targets: &[ListedTarget]) -> Vec<ListedTarget> {
+    let is_changed = |target: &&ListedTarget| {
+        let listed = table.listed(&target.name);
+        listed.is_some_and(|listed| listed.version != target.version)
+    };
+    targets.iter().filter(is_changed).cloned().collect()
 }
 
 /// Index of the plan in the view, unless that plan is installed. The view never returns to an older
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -7,7 +7,7 @@
 use routes::RepeatRule;
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
-use wire::{FlowId, StreamOrigin};
+use wire::FlowId;
 
 use super::{ForwardedRequest, ForwardedResponse, SendResult, StreamedResponse, TRUNCATED_STREAM};
 use crate::backend::{BufferedResponse, CallerRequest, ExchangeResponse, OpenResponse, exchange};
@@ -120,6 +120,10 @@
                 None => None,
             };
             run_guard.record_first_byte();
+            if self.has_restarted(&sent.target) {
+                let reason = "the target has restarted with another software version";
+                return SendResult::Unknown(reason.into());
+            }
             if first_chunk.is_some() {
                 self.record_origin(&sent.target);
             }
@@ -148,19 +152,28 @@
         }
     }
 
+    /// Whether the target is now known to have restarted with another version than that of the stream
+    /// which the request continues.
+    fn has_restarted(&self, target: &ListedTarget) -> bool {
+        let Some(continued) = &self.continued else {
+            return false;
+        };
+        let listed = self.shared.listed(&target.name);
+        listed.is_some_and(|listed| {
+            listed.incarnation != target.incarnation
+                && listed.version.as_ref() != Some(&continued.origin.version)
+        })
+    }
+
     /// Records where a new stream begins that its caller may continue.
     fn record_origin(&self, target: &ListedTarget) {
         let is_new = self.continued.is_none();
         if let (true, RepeatRule::ResumableStream, Some(version)) =
             (is_new, self.route.repeat, &target.version)
         {
-            let origin = StreamOrigin {
-                service: target.service.clone(),
-                version: version.clone(),
-            };
             let stream = stream_id(self.organisation.as_ref(), &self.metadata.attempt_id);
             let remaining = self.caller_deadline.duration_since(Instant::now());
-            record_origin(&self.shared, stream, origin, remaining);
+            record_origin(&self.shared, stream, target, version, remaining);
         }
     }
 
--- a/components/relay/src/origins.rs
+++ b/components/relay/src/origins.rs
@@ -12,10 +12,11 @@
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
 use origins::stream_id;
+use place::ListedTarget;
 use telemetry::{event, events};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use units::ServiceName;
+use units::{ServiceName, SoftwareVersion};
 use wire::{
     ControlReply, ControlRequest, OriginAnswer, OriginBatch, StreamId, StreamOrigin, stable_hash,
 };
@@ -58,15 +59,51 @@
 pub(crate) fn record_origin(
     shared: &RelayShared,
     stream: StreamId,
-    origin: StreamOrigin,
+    target: &ListedTarget,
+    version: &SoftwareVersion,
     remaining: Duration,
 ) {
     let now = shared.now();
-    shared.origins.write(|log| {
-        // The time in transit of a repeated request does not count as its caller's time.
-        let lifetime = remaining + Duration::from_secs(1);
-        log.record(stream, origin, lifetime, now);
-    });
+    // The time in transit of a repeated request does not count as its caller's time.
+    let lifetime = remaining + Duration::from_secs(1);
+    let origin = StreamOrigin {
+        service: target.service.clone(),
+        version: version.clone(),
+    };
+    shared
+        .origins
+        .write(|log| log.record(stream, &target.name, origin, lifetime, now));
+    // The target may have restarted since the request was placed.
+    if let Some(listed) = shared.listed(&target.name)
+        && listed.version.as_ref() != Some(version)
+    {
+        record_restarts(shared, &[listed]);
+    }
+}
+
+/// Records the versions of targets that may have restarted under their names.
+pub(crate) fn record_restarts(shared: &RelayShared, targets: &[ListedTarget]) {
+    let now = shared.now();
+    for target in targets {
+        let Some(version) = &target.version else {
+            continue;
+        };
+        let origin = StreamOrigin {
+            service: target.service.clone(),
+            version: version.clone(),
+        };
+        let streams = shared
+            .origins
+            .write(|log| log.record_restart(&target.name, &origin, now));
+        if streams > 0 {
+            event!(
+                events::ORIGINS_UNCERTAIN,
+                target = target.name,
+                version = version,
+                streams = streams
+            );
+        }
+    }
 }
 
 /// Finds where the stream began that a caller continues, and refuses the request if that is not
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -14,7 +14,7 @@
 use quarantine::CrashLog;
 use routes::RouteIndex;
 use tokio::sync::oneshot;
-use units::{ClockSource, ClockTime, Incarnation, RouteName, ServiceName};
+use units::{ClockSource, ClockTime, Incarnation, NodeName, RouteName, ServiceName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
 use crate::dialect::CallerDialect;
@@ -135,6 +135,11 @@
             .read(|state| state.table.target(run).map(|record| record.info.clone()))
     }
 
+    /// Target with this name, as listed now.
+    pub(crate) fn listed(&self, name: &NodeName) -> Option<ListedTarget> {
+        self.board.read(|state| state.table.listed(name).cloned())
+    }
+
     /// Current directory entry of the relay.
     pub(crate) fn directory_entry(&self) -> DirectoryEntry {
         let is_leaving = self.board.read(RelayState::is_leaving);
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -29,6 +29,7 @@
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use units::{ByteSize, ConfigVersion, Incarnation, MilliRate, PlanNumber, SlotCount};
 use wire::{AnnouncedTarget, DirectoryEntry, NodeKind, NodeRole, NodeState};
 
@@ -119,6 +120,8 @@
     Reset(Vec<u8>),
     /// Writes these bytes and keeps the connection open.
     Hang(Vec<u8>),
+    /// Writes these bytes and closes the connection after it was notified.
+    Await(Arc<Notify>, Vec<u8>),
     /// Writes the first bytes, and then the others again and again until the connection is closed.
     Endless(Vec<u8>, Vec<u8>, Duration),
     /// Writes `part` up to `count` times, one in each interval, between `start` and `end`.
@@ -234,6 +237,11 @@
                 return;
             }
             TargetStep::Hang(bytes) => stream.write_all(&bytes).await.unwrap(),
+            TargetStep::Await(notify, bytes) => {
+                notify.notified().await;
+                stream.write_all(&bytes).await.unwrap();
+                return;
+            }
             TargetStep::Endless(start, part, interval) => {
                 return drip(&mut stream, &start, &part, interval, usize::MAX).await;
             }
--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -3,11 +3,13 @@
 mod common;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use common::{TargetScript, TargetStep, TestFleet, TestTarget, header, key, plan, wait_until};
 use relay::RelayHandle;
 use routes::{RoutePlan, WeightedService};
-use units::PlanNumber;
+use tokio::sync::Notify;
+use units::{Incarnation, PlanNumber};
 
 /// A target that breaks off new streams after their first event, completes continued ones, and does
 /// not answer other requests.
@@ -317,6 +319,67 @@
     assert_eq!((visits.arrivals(), orders.arrivals()), (1, 0));
 }
 
+/// Guards against a wrong record of a stream that a restarted target began before the directory told of
+/// its newer software: the stream would go on at the older version.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_target_that_restarted_unnoticed_is_not_continued_at_its_old_version() {
+    let (fleet, mut restarted) = start_one_version().await;
+    let other = start_target("target-2", "v1").await;
+    fleet.api.announce(other.announcement()).await;
+    wait_until(|| fleet.relay.target_count() == 2).await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let arrivals = [restarted.arrivals(), other.arrivals()];
+
+    restarted.version = "v1.1".into();
+    restarted.incarnation = Incarnation(2);
+    fleet.api.announce(restarted.announcement()).await;
+    wait_until(|| fleet.relay.target_version(&"target-1".into()) == Some("v1.1".into())).await;
+    let (status, _) = continue_stream(&fleet, &fleet.relay, "a2", Some("a1")).await;
+
+    assert_eq!(status, 503);
+    assert_eq!([restarted.arrivals(), other.arrivals()], arrivals);
+}
+
+/// Guards against events of a newer version in a continued stream, when the directory tells of the restart
+/// of its target before the first of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn continued_stream_gets_no_event_of_a_target_that_has_restarted() {
+    let restart = Arc::new(Notify::new());
+    let restarted = restart.clone();
+    let script: TargetScript = Arc::new(move |head: &str| {
+        let id = header(head, "request-id").unwrap();
+        let start = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n\r\n");
+        match header(head, "last-event") {
+            Some(_) => {
+                let event = format!("{start}id: 2\ndata: b\n\n");
+                TargetStep::Await(restarted.clone(), event.into_bytes())
+            }
+            None => TargetStep::Close(format!("{start}id: 1\ndata: a\n\nid: 2\nda").into_bytes()),
+        }
+    });
+    let mut target = TestTarget::start("target-1", script).await;
+    let mut plan = plan();
+    for route in &mut plan.routes {
+        route.timeout_ms = 20_000;
+    }
+    let fleet = TestFleet::start(Some(plan), &[&target]).await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    let request = fleet.request_with_deadline("/resumable/x", "a2", Duration::from_secs(20));
+    let request = request.header("last-event", "1").header("continues", "a1");
+    let continuing = tokio::spawn(request.send());
+    wait_until(|| target.arrivals() == 2).await;
+
+    target.version = "v1.1".into();
+    target.incarnation = Incarnation(2);
+    fleet.api.announce(target.announcement()).await;
+    wait_until(|| fleet.relay.target_version(&"target-1".into()) == Some("v1.1".into())).await;
+    restart.notify_one();
+    let response = continuing.await.unwrap().unwrap();
+
+    assert_eq!(response.status().as_u16(), 502);
+    assert!(!response.text().await.unwrap().contains("data: b"));
+}
+
 /// Guards against a stream that is refused or split when its caller continues it twice at the same
 /// moment, at two entries.
 #[tokio::test(flavor = "multi_thread")]
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -40,6 +40,9 @@
     ORIGINS_UNREPORTED = 1518, Warn, "origins-unreported",
         "No control node has received at which software versions new streams began. Until one \
          does, only this entry can continue them.";
+    ORIGINS_UNCERTAIN = 1519, Warn, "origins-uncertain",
+        "A target has restarted under its name with another software version. It is not certain at \
+         which of both its newest streams began, so they cannot be continued.";
     RELAY_STREAM_BROKEN = 1512, Info, "relay-stream-broken",
         "A response stream ended before its last event, so the connection of the caller was \
          closed.";
