Give a continued stream precedence once at each entry

An organisation could exceed its share without bound: each continuation of one admitted stream was exempt from the share and, since, went before new streams of others.

Cause: the exemption depended on the record of the stream alone. An entry now remembers the streams that were continued there, in a table with the bounds and expiry of the origins. The first continuation has precedence; further ones are checked and queued like new streams, and still go on at their version only.

only_the_first_continuation_of_a_stream_goes_first covers the memory. The refusal of a further continuation beyond the share is not tested at an entry: no test there has an organisation beyond its share.

--- a/components/origins/src/log.rs
+++ b/components/origins/src/log.rs
@@ -37,6 +37,8 @@
     unreported: Vec<UnreportedStream>,
     /// Streams that have begun within [`RESTART_NOTICE_TIME`], oldest first.
     recent: VecDeque<RecentStream>,
+    /// Streams that have been continued here.
+    continued: OriginTable,
 }
 
 impl OriginLog {
@@ -108,6 +110,20 @@
         }
     }
 
+    /// Records that a stream is continued here, and returns whether it is so for the first time within
+    /// `lifetime`.
+    pub fn record_continuation(
+        &mut self,
+        stream: StreamId,
+        origin: &StreamOrigin,
+        lifetime: Duration,
+        now: ClockTime,
+    ) -> bool {
+        let is_first = self.continued.find(stream, now) == OriginAnswer::Unknown;
+        self.continued.record(stream, origin, now + lifetime, now);
+        is_first
+    }
+
     /// What is known here about the origin of a stream.
     pub fn find(&self, stream: StreamId, now: ClockTime) -> OriginAnswer {
         self.table.find(stream, now)
--- a/components/origins/tests/origins.rs
+++ b/components/origins/tests/origins.rs
@@ -159,3 +159,19 @@
     assert_eq!(report[0].origin, origin("v2"));
     assert_eq!(report[0].streams[0].0, StreamId(2));
 }
+
+/// Guards against an organisation that exceeds its share with one admitted stream, which it continues
+/// again and again.
+#[test]
+fn only_the_first_continuation_of_a_stream_goes_first() {
+    let mut log = OriginLog::new();
+    let mut continue_at = |number: u64, now: u64| {
+        log.record_continuation(StreamId(number), &origin("v1"), LIFETIME, ClockTime(now))
+    };
+
+    let firsts = [continue_at(1, 0), continue_at(2, 10)];
+    let repeated: Vec<bool> = (1..100).map(|round| continue_at(1, round * 100)).collect();
+
+    assert_eq!(firsts, [true, true]);
+    assert!(!repeated.contains(&true));
+}
--- a/components/place/src/queue.rs
+++ b/components/place/src/queue.rs
@@ -38,8 +38,8 @@
 pub struct WaitQueue {
     waiting: SlotMap<WaitKey, QueuedRequest>,
     flows: BTreeMap<FlowKey, VecDeque<WaitKey>>,
-    /// Those of the waiting requests that continue a stream, oldest first.
-    continued: VecDeque<WaitKey>,
+    /// Those of the waiting requests that have precedence, oldest first.
+    preferred: VecDeque<WaitKey>,
     ledger: UsageLedger,
 }
 
@@ -68,10 +68,10 @@
     pub fn push(&mut self, waiting: QueuedRequest, now: ClockTime) -> WaitKey {
         let flow = waiting.flow.clone();
         self.ledger.mark_backlogged(&flow, FlowWeight::UNIT, now);
-        let is_continued = waiting.request.is_continued;
+        let has_precedence = waiting.request.has_precedence;
         let key = self.waiting.insert(waiting);
-        if is_continued {
-            self.continued.push_back(key);
+        if has_precedence {
+            self.preferred.push_back(key);
         }
         self.flows.entry(flow).or_default().push_back(key);
         key
@@ -82,8 +82,8 @@
         let Some(waiting) = self.waiting.remove(key) else {
             return;
         };
-        if waiting.request.is_continued {
-            self.continued.retain(|other| *other != key);
+        if waiting.request.has_precedence {
+            self.preferred.retain(|other| *other != key);
         }
         if let Some(keys) = self.flows.get_mut(&waiting.flow) {
             keys.retain(|other| *other != key);
@@ -99,11 +99,10 @@
     }
 
     /// Places waiting requests while there is capacity, and drops those that no live target may
-    /// serve. Continued streams come first, since only the targets of one version can serve them.
-    /// Then flows take turns, starting with the one that has received the least service.
+    /// serve. Requests with precedence come first. Then flows take turns, starting with the one that has received the least service.
     pub fn drain(&mut self, table: &mut PlacementTable, now: ClockTime) -> Vec<DequeuedRequest> {
-        let continued: Vec<WaitKey> = self.continued.iter().copied().collect();
-        let mut dequeued: Vec<DequeuedRequest> = continued
+        let preferred: Vec<WaitKey> = self.preferred.iter().copied().collect();
+        let mut dequeued: Vec<DequeuedRequest> = preferred
             .into_iter()
             .filter_map(|key| self.try_dequeue(key, table, now))
             .collect();
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -72,9 +72,9 @@
     pub regions: Vec<BTreeSet<RegionName>>,
     /// Targets that have already been tried and are excluded.
     pub tried: Vec<NodeName>,
-    /// Whether it continues a stream that was admitted before. It goes before new streams, which more
-    /// targets may run.
-    pub is_continued: bool,
+    /// Whether it continues a stream that was admitted before. It goes before other requests, which
+    /// more targets may run.
+    pub has_precedence: bool,
 }
 
 /// Result of [`PlacementTable::place`].
@@ -266,7 +266,7 @@
         };
         let selected = self.select_for_session(session, request.objective, &candidates, now);
         // Reading the prompt again costs less than a stream that cannot go on.
-        match request.is_continued {
+        match request.has_precedence {
             true => selected.or_else(|| self.select_least_loaded(&candidates, now)),
             false => selected,
         }
--- a/components/place/tests/choice.rs
+++ b/components/place/tests/choice.rs
@@ -40,7 +40,7 @@
         objective: OBJECTIVE,
         regions: Vec::new(),
         tried: Vec::new(),
-        is_continued: false,
+        has_precedence: false,
     }
 }
 
@@ -299,7 +299,7 @@
     let mut table = table(targets);
     let continued = PlacementRequest {
         version: VersionRule::Only("v1".into()),
-        is_continued: true,
+        has_precedence: true,
         ..request(Some(7))
     };
 
--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -39,7 +39,7 @@
         objective: Duration::from_millis(300),
         regions: Vec::new(),
         tried: Vec::new(),
-        is_continued: false,
+        has_precedence: false,
     }
 }
 
--- a/components/place/tests/queue.rs
+++ b/components/place/tests/queue.rs
@@ -52,7 +52,7 @@
         objective: Duration::from_millis(300),
         regions: Vec::new(),
         tried: Vec::new(),
-        is_continued: false,
+        has_precedence: false,
     }
 }
 
@@ -96,7 +96,7 @@
         queue.push(waiting(organisation), ClockTime(1));
     }
     let mut continued = waiting("large");
-    continued.request.is_continued = true;
+    continued.request.has_precedence = true;
     let continued = queue.push(continued, ClockTime(2));
 
     table.end_run(first);
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -208,9 +208,9 @@
             objective: route.objective(),
             regions: regions.chain([route.regions.clone()]).collect(),
             tried: Vec::new(),
-            is_continued: continued
+            has_precedence: continued
                 .as_ref()
-                .is_some_and(|continued| continued.is_recorded),
+                .is_some_and(|continued| continued.has_precedence),
         };
         let caller_deadline = arrived_at + remaining;
         Ok(Self {
@@ -236,9 +236,9 @@
     }
 
     /// Refuses a request beyond the share of its organisation, before its body is read. A stream that
-    /// was admitted once may be continued.
+    /// was admitted once may be continued once.
     pub(crate) fn check_share(&self) -> Result<(), Refusal> {
-        match self.is_within_share || self.placement.is_continued {
+        match self.is_within_share || self.placement.has_precedence {
             true => Ok(()),
             false => Err(self.share_refusal()),
         }
--- a/components/relay/src/origins.rs
+++ b/components/relay/src/origins.rs
@@ -47,12 +47,25 @@
 /// `Retry-After` of a refused continuation. A new stream may begin at once.
 const CONTINUATION_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Time without continuations of a stream after which the next one goes before new streams again.
+/// Origins are mostly forgotten before.
+const PRECEDENCE_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Where a continued stream began.
 #[derive(Debug, Clone)]
 pub(crate) struct ContinuedOrigin {
     pub(crate) origin: StreamOrigin,
-    /// Whether an entry recorded the origin. Otherwise, only one version can have begun the stream.
-    pub(crate) is_recorded: bool,
+    /// Whether the request goes before those of new streams. The stream was admitted once, so that
+    /// holds once.
+    pub(crate) has_precedence: bool,
+}
+
+/// Origin that a search has found.
+struct FoundOrigin {
+    origin: StreamOrigin,
+    /// Age of the record, in milliseconds; `None` if there is no record and only one version can have
+    /// begun the stream.
+    record_age_ms: Option<u64>,
 }
 
 /// Records where a stream began, before its first event is forwarded.
@@ -121,7 +134,11 @@
     let found = search(shared, stream, admission).await;
     let search_ms = searched_at.elapsed().as_millis();
     match found {
-        Ok((found, age_ms)) => {
+        Ok(found) => {
+            let is_recorded = found.record_age_ms.is_some();
+            let has_precedence = stream
+                .filter(|_| is_recorded)
+                .is_some_and(|stream| takes_precedence(shared, stream, &found.origin));
             let _ = shared.metrics.incr("continuations.placed");
             event!(
                 events::STREAM_CONTINUED,
@@ -129,11 +146,15 @@
                 first_attempt = first_attempt.unwrap_or_default(),
                 service = found.origin.service,
                 version = found.origin.version,
-                is_recorded = found.is_recorded,
-                age_ms = age_ms,
+                is_recorded = is_recorded,
+                age_ms = found.record_age_ms.unwrap_or_default(),
+                has_precedence = has_precedence,
                 search_ms = search_ms
             );
-            Ok(found)
+            Ok(ContinuedOrigin {
+                origin: found.origin,
+                has_precedence,
+            })
         }
         Err(reason) => {
             let _ = shared.metrics.incr("continuations.refused");
@@ -142,6 +163,14 @@
     }
 }
 
+/// Whether the continuation of a stream goes before new streams.
+fn takes_precedence(shared: &RelayShared, stream: StreamId, origin: &StreamOrigin) -> bool {
+    let now = shared.now();
+    shared
+        .origins
+        .write_quietly(|log| log.record_continuation(stream, origin, PRECEDENCE_INTERVAL, now))
+}
+
 /// Refusal of a request that cannot continue its stream.
 pub(crate) fn refuse_continuation(first_attempt: Option<&str>, reason: &str) -> Refusal {
     let stream = first_attempt.unwrap_or("of an unnamed attempt");
@@ -150,24 +179,20 @@
     Refusal::not_run(503, "stream-origin", message).retry_after(CONTINUATION_RETRY_AFTER)
 }
 
-/// Returns the origin of a stream and the age of its record, or the reason why it is not certain.
+/// Returns the origin of a stream, or the reason why it is not certain.
 async fn search(
     shared: &RelayShared,
     stream: Option<StreamId>,
     admission: &RequestAdmission,
-) -> Result<(ContinuedOrigin, u64), String> {
+) -> Result<FoundOrigin, String> {
     let mut is_single_checked = false;
     for number in 1..=MAX_SEARCHES {
         match search_record(shared, stream).await {
             OriginAnswer::Known { origin, age_ms } => {
-                let is_recorded = true;
-                return Ok((
-                    ContinuedOrigin {
-                        origin,
-                        is_recorded,
-                    },
-                    age_ms,
-                ));
+                return Ok(FoundOrigin {
+                    origin,
+                    record_age_ms: Some(age_ms),
+                });
             }
             OriginAnswer::Conflicting => {
                 return Err("streams of several versions have this name".into());
@@ -179,14 +204,10 @@
             let services = services.filter(|part| part.weight > 0);
             let services: HashSet<&ServiceName> = services.map(|part| &part.service).collect();
             if let Some(origin) = only_origin(shared, &services).await? {
-                let is_recorded = false;
-                return Ok((
-                    ContinuedOrigin {
-                        origin,
-                        is_recorded,
-                    },
-                    0,
-                ));
+                return Ok(FoundOrigin {
+                    origin,
+                    record_age_ms: None,
+                });
             }
         }
         if stream.is_none() {
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -106,8 +106,8 @@
     };
     let (run_sender, run_receiver) = oneshot::channel();
     let placement = shared.board.write_quietly(|state| {
-        // Waiting requests of the same flow are served first, but for continued streams.
-        let has_turn = request.is_continued || !state.queue.has_flow(flow);
+        // Waiting requests of the same flow are served before a request without precedence.
+        let has_turn = request.has_precedence || !state.queue.has_flow(flow);
         let outcome = match has_turn {
             true => state.table.place(&request, now),
             false => PlacementOutcome::NoCapacity,
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -36,7 +36,8 @@
     STREAM_CONTINUED = 1517, Info, "stream-continued",
         "A caller continues a stream; it goes on at the software version that began it. The field \
          is_recorded states whether an entry recorded that version, age_ms how long ago; otherwise, \
-         only one version can have begun the stream.";
+         only one version can have begun the stream. The field has_precedence states whether it goes \
+         before new streams.";
     ORIGINS_UNREPORTED = 1518, Warn, "origins-unreported",
         "No control node has received at which software versions new streams began. Until one \
          does, only this entry can continue them.";
