Bound the time for which a caller keeps the origin of its stream

A caller states for how long it waits, and entries and control nodes kept the origins of its streams for so long. One organisation that states hours could fill the tables of 50,000 streams, which then forget the streams of others first, since these end earlier. Found by reading.

A route now bounds that time by twice its timeout, at least 30 s: the time after which control removes a version without targets, so no origin is needed for longer.

The new test of components/routes/tests/plan.rs covers the bound; the function is new, so it did not fail before.

--- a/components/control/src/versions.rs
+++ b/components/control/src/versions.rs
@@ -73,7 +73,7 @@
             let is_leader = view.status.role == RaftRole::Leader;
             let is_needed = is_leader && view.registry.versions().has_mixed_service();
             let published = view.registry.config().published.as_ref();
-            let lifetime = published.map(|published| published.plan.stream_lifetime());
+            let lifetime = published.map(|published| published.plan.max_stream_lifetime());
             lifetime.filter(|_| is_needed)
         });
         let Some(lifetime) = lifetime else {
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -173,7 +173,8 @@
         {
             let stream = stream_id(self.organisation.as_ref(), &self.metadata.attempt_id);
             let remaining = self.caller_deadline.duration_since(Instant::now());
-            record_origin(&self.shared, stream, target, version, remaining);
+            let lifetime = self.route.stream_lifetime(remaining);
+            record_origin(&self.shared, stream, target, version, lifetime);
         }
     }
 
--- a/components/relay/src/origins.rs
+++ b/components/relay/src/origins.rs
@@ -74,11 +74,9 @@
     stream: StreamId,
     target: &ListedTarget,
     version: &SoftwareVersion,
-    remaining: Duration,
+    lifetime: Duration,
 ) {
     let now = shared.now();
-    // The time in transit of a repeated request does not count as its caller's time.
-    let lifetime = remaining + Duration::from_secs(1);
     let origin = StreamOrigin {
         service: target.service.clone(),
         version: version.clone(),
--- a/components/routes/src/plan.rs
+++ b/components/routes/src/plan.rs
@@ -13,6 +13,9 @@
 /// began before it, too.
 const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(30);
 
+/// Time that a repeated request may need to arrive, beyond the time for which its caller waits.
+const REPEAT_TRANSIT_TIME: Duration = Duration::from_secs(1);
+
 units::data! {
     /// Whether a request that may have started to run may be sent to another target.
     #[derive(Copy)]
@@ -145,19 +148,29 @@
 }
 
 impl RoutePlan {
-    /// Maximum time from the first event of a stream for which its callers may continue it. Callers
-    /// repeat requests within the timeout of the route.
-    pub fn stream_lifetime(&self) -> Duration {
+    /// Maximum time from the first event of any stream for which its callers may continue it.
+    pub fn max_stream_lifetime(&self) -> Duration {
         let resumable = self.routes.iter();
         let resumable = resumable.filter(|route| route.repeat == RepeatRule::ResumableStream);
-        let longest = resumable.map(RouteSpec::timeout).max();
-        longest.map_or(MIN_STREAM_LIFETIME, |timeout| {
-            MIN_STREAM_LIFETIME.max(timeout * 2)
-        })
+        let longest = resumable.map(RouteSpec::max_stream_lifetime).max();
+        longest.unwrap_or(MIN_STREAM_LIFETIME)
     }
 }
 
 impl RouteSpec {
+    /// Time for which a stream may be continued whose caller waits for `remaining` from its first event
+    /// on. Callers state any time.
+    pub fn stream_lifetime(&self, remaining: Duration) -> Duration {
+        let max = self.max_stream_lifetime();
+        max.min(remaining.saturating_add(REPEAT_TRANSIT_TIME))
+    }
+
+    /// Maximum time from the first event of a stream for which its callers may continue it. Callers
+    /// repeat requests within the timeout of the route.
+    fn max_stream_lifetime(&self) -> Duration {
+        MIN_STREAM_LIFETIME.max(self.timeout() * 2)
+    }
+
     /// Maximum time that a caller waits for the response.
     pub fn timeout(&self) -> Duration {
         Duration::from_millis(self.timeout_ms)
--- a/components/routes/tests/plan.rs
+++ b/components/routes/tests/plan.rs
@@ -1,6 +1,7 @@
 //! Validation of plans, and lookups of routes and keys.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use manifest::KeyHash;
 use routes::{
@@ -184,3 +185,26 @@
     assert_eq!(holder(3).as_deref(), Some("mlyn-dol"));
     assert_eq!(holder(4), None);
 }
+
+/// Guards against memory of control nodes that a caller fills by stating that it waits for hours, and
+/// against streams that are forgotten while their callers wait.
+#[test]
+fn stream_is_remembered_while_its_caller_waits_within_a_bound() {
+    let mut short = route("short", "/short/", vec![part("visits", 1)]);
+    let mut long = route("long", "/long/", vec![part("visits", 1)]);
+    for route in [&mut short, &mut long] {
+        route.repeat = RepeatRule::ResumableStream;
+    }
+    long.timeout_ms = 60_000;
+    let seconds = Duration::from_secs;
+
+    let lifetimes = [
+        short.stream_lifetime(seconds(3)),
+        short.stream_lifetime(Duration::MAX),
+        long.stream_lifetime(Duration::MAX),
+    ];
+    let max_lifetime = plan(vec![short, long]).max_stream_lifetime();
+
+    assert_eq!(lifetimes, [seconds(4), seconds(30), seconds(120)]);
+    assert_eq!(max_lifetime, seconds(120));
+}
