Accept any time that a caller states without a panic

A caller who stated a time beyond the range of a duration or of the clock got a broken connection, and the entry a panic in the task of that request. Found by reading while the lifetime of origins was bounded.

--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -50,6 +50,9 @@
 /// organisation's share. Callers wait at most a third of that time before a retry.
 const RETRY_AFTER_DIVISOR: u32 = 4;
 
+/// Bound on the time that a caller states, within the range of the clock.
+const MAX_REMAINING: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// An admitted request and the state of its attempts at targets.
 pub(crate) struct ForwardedRequest {
     shared: RelayShared,
@@ -191,6 +194,7 @@
             .map(|holder| holder.organisation.clone());
         let cost = metadata.model_usage.as_ref().map(model_cost);
         let remaining = metadata.remaining.unwrap_or(route.timeout());
+        let remaining = remaining.min(MAX_REMAINING);
         // A caller with less time left than the timeout of its route has already waited for the
         // difference.
         let is_late = route.timeout().saturating_sub(remaining) > route.objective();
--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -387,3 +387,17 @@
     assert!(body.contains("entry-busy"), "{body}");
     assert_eq!(target.arrivals(), 0);
 }
+
+/// Guards against a panic that breaks the connection of a caller who states a time beyond that of the
+/// clock.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_may_wait_for_ever() {
+    let script = Arc::new(|head: &str| TargetStep::Write(ok_response(head, "done")));
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+
+    let request = fleet.request_with_deadline("/again/x", "a1", Duration::from_secs(1 << 63));
+    let response = request.send().await.unwrap();
+
+    assert_eq!(response.text().await.unwrap(), "done");
+}
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -46,7 +46,10 @@
 impl CallerDialect for TestDialect {
     fn parse_request(&self, head: &request::Parts) -> Result<RequestMetadata, MetadataError> {
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
-        let millis = |text: &str| text.parse().ok().map(Duration::from_millis);
+        let millis = |text: &str| {
+            let millis: f64 = text.parse().ok()?;
+            Some(Duration::from_secs_f64(millis / 1_000.0))
+        };
         Ok(RequestMetadata {
             attempt_id: text("request-id").unwrap_or("none").into(),
             host: "mill.example".into(),
