--- a/components/origins/src/lib.rs
+++ b/components/origins/src/lib.rs
@@ -9,5 +9,5 @@
 mod log;
 mod table;
 
-pub use log::OriginLog;
+pub use log::{OriginLog, report_interval};
 pub use table::{MAX_STREAMS, OriginTable, stream_id};
--- a/components/origins/src/log.rs
+++ b/components/origins/src/log.rs
@@ -12,6 +12,15 @@
 /// seconds late.
 const RESTART_NOTICE_TIME: Duration = Duration::from_secs(5);
 
+/// Interval between the reports of an entry, for each entry of the fleet. All entries together then
+/// send at most 333 reports a second to a control node.
+const REPORT_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(3);
+
+/// Interval between the reports of an entry, in a fleet with so many entries.
+pub fn report_interval(entries: u32) -> Duration {
+    REPORT_INTERVAL_PER_ENTRY * entries
+}
+
 /// Stream whose origin has not been reported.
 #[derive(Debug, Clone)]
 struct UnreportedStream {
--- a/components/relay/src/origins.rs
+++ b/components/relay/src/origins.rs
@@ -11,7 +11,7 @@
 use futures_util::StreamExt;
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
-use origins::stream_id;
+use origins::{report_interval, stream_id};
 use place::ListedTarget;
 use telemetry::{event, events};
 use tokio::task::JoinSet;
@@ -28,10 +28,6 @@
 /// Number of control nodes that get each origin. Two hosts with a disk may be lost at once.
 const MAX_COPIES: usize = 3;
 
-/// Interval between the reports of an entry, for each entry of the fleet. All entries together then
-/// send at most 333 reports a second to a control node.
-const REPORT_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(3);
-
 /// Maximum number of reports in transit. Control nodes that are cut off answer none for a second.
 const MAX_OPEN_REPORTS: usize = 16;
 
@@ -212,7 +208,7 @@
             break;
         }
         if number < MAX_SEARCHES {
-            tokio::time::sleep(report_interval(shared) + REPORT_TRANSIT_TIME).await;
+            tokio::time::sleep(own_report_interval(shared) + REPORT_TRANSIT_TIME).await;
         }
     }
     Err("it is not known which of several software versions began it".into())
@@ -288,12 +284,12 @@
         let now = shared.now();
         let report = shared.origins.write_quietly(|log| log.take_report(now));
         open_reports.spawn(send_report(shared.clone(), report));
-        tokio::time::sleep(report_interval(&shared)).await;
+        tokio::time::sleep(own_report_interval(&shared)).await;
     }
 }
 
-fn report_interval(shared: &RelayShared) -> Duration {
-    REPORT_INTERVAL_PER_ENTRY * shared.board.read(RelayState::entry_count)
+fn own_report_interval(shared: &RelayShared) -> Duration {
+    report_interval(shared.board.read(RelayState::entry_count))
 }
 
 async fn send_report(shared: RelayShared, report: Vec<OriginBatch>) {
