--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -3,27 +3,25 @@
 mod admission;
 mod attempt;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use http::{StatusCode, response};
 use hyper::body::Bytes;
 use place::{PlacementRequest, VersionRule};
-use routes::{KeyHolder, RepeatRule, RouteIndex, RouteMatch, RouteSpec, WeightedService};
+use routes::{RepeatRule, RouteMatch, RouteSpec, WeightedService};
 use telemetry::{event, events};
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
-use units::{
-    CostUnits, FlowWeight, NodeName, OrganisationName, PlanNumber, ServiceName, SoftwareVersion,
-};
-use wire::{FlowId, FlowKey, RequestTrait, stable_hash};
+use units::{CostUnits, NodeName, OrganisationName, PlanNumber, ServiceName, SoftwareVersion};
+use wire::{FlowKey, RequestTrait, stable_hash};
 
 use cadence::prelude::*;
 use entry::Refusal;
 
+use self::admission::admit_by_share;
+pub(crate) use self::admission::{RequestAdmission, admit};
 use crate::backend::{CallerRequest, OpenResponse};
 use crate::crash::SentRequest;
-use crate::demand::model_pool;
 use crate::dialect::{ModelUsage, RequestMetadata};
 use crate::origins::{ContinuedOrigin, refuse_continuation};
 use crate::places::{PlacementError, RunGuard, start_run};
@@ -128,53 +126,6 @@
     ServerError(response::Parts, Bytes),
 }
 
-/// Route and key holder of an admitted request.
-pub(crate) struct RequestAdmission {
-    pub(crate) route: RouteMatch,
-    pub(crate) holder: Option<Arc<KeyHolder>>,
-    /// Number of the plan by which the request was admitted.
-    pub(crate) plan_number: PlanNumber,
-}
-
-/// Finds the route of a request and checks the caller's key.
-pub(crate) fn admit(
-    shared: &RelayShared,
-    route_index: &RouteIndex,
-    metadata: &RequestMetadata,
-    path: &str,
-) -> Result<RequestAdmission, Refusal> {
-    let Some(route) = route_index.find(&metadata.host, path) else {
-        let message = format!("Failed to find a route for {}{path}", metadata.host);
-        return Err(Refusal::not_run(404, "no-route", message));
-    };
-    let plan_number = route_index.number;
-    if !route_index.requires_keys() || (route.anonymous && metadata.key.is_none()) {
-        return Ok(RequestAdmission {
-            route,
-            holder: None,
-            plan_number,
-        });
-    }
-    if !shared.has_lease() {
-        let message = "Failed to check the key: the newest keys are not confirmed";
-        let refusal = Refusal::not_run(503, "no-lease", message);
-        return Err(refusal.retry_after(PLAN_RETRY_AFTER));
-    }
-    let holder = metadata
-        .key
-        .as_ref()
-        .and_then(|key| route_index.holder(key));
-    if holder.is_none() && !route.anonymous {
-        let message = "Failed to identify the caller: unknown or missing key";
-        return Err(Refusal::not_run(401, "unauthorised", message));
-    }
-    Ok(RequestAdmission {
-        route,
-        holder,
-        plan_number,
-    })
-}
-
 impl ForwardedRequest {
     /// Selects the service of an admitted request, and checks the request against the share of its
     /// organisation.
@@ -481,24 +432,3 @@
 fn model_cost(model: &ModelUsage) -> CostUnits {
     CostUnits(model.prompt_tokens + OUTPUT_TOKEN_COST * model.max_output_tokens)
 }
-
-/// Records an organisation's demand for the model engines, and returns whether the request is
-/// within its share.
-fn admit_by_share(
-    shared: &RelayShared,
-    organisation: Option<&OrganisationName>,
-    cost: Option<CostUnits>,
-    is_late: bool,
-) -> bool {
-    let (Some(organisation), Some(cost)) = (organisation, cost) else {
-        return true;
-    };
-    let flow = FlowId::of(&FlowKey {
-        organisation: organisation.clone(),
-        service: model_pool(),
-    });
-    let now = shared.now();
-    shared
-        .board
-        .write_quietly(|state| state.gate.admit(flow, FlowWeight::UNIT, cost, is_late, now))
-}
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -1,15 +1,88 @@
-//! Admission of requests by the quarantine of those that crash targets.
+//! Admission of requests by route, key, share, and the quarantine of those that crash targets.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use entry::Refusal;
 use quarantine::QuarantineVerdict;
+use routes::{KeyHolder, RouteIndex, RouteMatch};
 use telemetry::{event, events};
-use units::OrganisationName;
-use wire::{FlowId, RequestTrait, stable_hash};
+use units::{CostUnits, FlowWeight, OrganisationName, PlanNumber};
+use wire::{FlowId, FlowKey, RequestTrait, stable_hash};
 
-use super::{ForwardedRequest, RETRY_AFTER};
+use super::{ForwardedRequest, PLAN_RETRY_AFTER, RETRY_AFTER};
 use crate::backend::CallerRequest;
+use crate::demand::model_pool;
+use crate::dialect::RequestMetadata;
+use crate::state::RelayShared;
+
+/// Route and key holder of an admitted request.
+pub(crate) struct RequestAdmission {
+    pub(crate) route: RouteMatch,
+    pub(crate) holder: Option<Arc<KeyHolder>>,
+    /// Number of the plan by which the request was admitted.
+    pub(crate) plan_number: PlanNumber,
+}
+
+/// Finds the route of a request and checks the caller's key.
+pub(crate) fn admit(
+    shared: &RelayShared,
+    route_index: &RouteIndex,
+    metadata: &RequestMetadata,
+    path: &str,
+) -> Result<RequestAdmission, Refusal> {
+    let Some(route) = route_index.find(&metadata.host, path) else {
+        let message = format!("Failed to find a route for {}{path}", metadata.host);
+        return Err(Refusal::not_run(404, "no-route", message));
+    };
+    let plan_number = route_index.number;
+    if !route_index.requires_keys() || (route.anonymous && metadata.key.is_none()) {
+        return Ok(RequestAdmission {
+            route,
+            holder: None,
+            plan_number,
+        });
+    }
+    if !shared.has_lease() {
+        let message = "Failed to check the key: the newest keys are not confirmed";
+        let refusal = Refusal::not_run(503, "no-lease", message);
+        return Err(refusal.retry_after(PLAN_RETRY_AFTER));
+    }
+    let holder = metadata
+        .key
+        .as_ref()
+        .and_then(|key| route_index.holder(key));
+    if holder.is_none() && !route.anonymous {
+        let message = "Failed to identify the caller: unknown or missing key";
+        return Err(Refusal::not_run(401, "unauthorised", message));
+    }
+    Ok(RequestAdmission {
+        route,
+        holder,
+        plan_number,
+    })
+}
+
+/// Records an organisation's demand for the model engines, and returns whether the request is
+/// within its share.
+pub(super) fn admit_by_share(
+    shared: &RelayShared,
+    organisation: Option<&OrganisationName>,
+    cost: Option<CostUnits>,
+    is_late: bool,
+) -> bool {
+    let (Some(organisation), Some(cost)) = (organisation, cost) else {
+        return true;
+    };
+    let flow = FlowId::of(&FlowKey {
+        organisation: organisation.clone(),
+        service: model_pool(),
+    });
+    let now = shared.now();
+    shared
+        .board
+        .write_quietly(|state| state.gate.admit(flow, FlowWeight::UNIT, cost, is_late, now))
+}
 
 impl ForwardedRequest {
     /// Traits of the request. The parts of a prompt stand for its content, which may be long.
