Take the number of entries from the placement table

The relay kept it twice: on its board and as the position in the table. In place, the targets whose next slot is reserved for large requests are now called so.

--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -164,6 +164,11 @@
         }
     }
 
+    /// Position of the entry among the live entries.
+    pub fn position(&self) -> EntryPosition {
+        self.position
+    }
+
     fn upsert_target(&mut self, target: ListedTarget, now: ClockTime) {
         let key = self.keys.get(&target.name).copied();
         let existing = key.and_then(|key| self.targets.get_mut(key));
@@ -224,12 +229,12 @@
         };
         // A session moves to another target rather than wait for one that takes few requests.
         candidates.retain(|key| self.targets[*key].is_within_limit(now));
-        let (limited, others): (Vec<TargetKey>, Vec<TargetKey>) = candidates
+        let (reserved, others): (Vec<TargetKey>, Vec<TargetKey>) = candidates
             .into_iter()
             .partition(|key| self.targets[*key].is_reserved(now));
         let mut selected = None;
         if others.is_empty() || self.is_large(request) {
-            selected = self.select(request, limited, now);
+            selected = self.select(request, reserved, now);
         }
         match selected.or_else(|| self.select(request, others, now)) {
             Some(key) => PlacementOutcome::Run(self.start_run(key, request, now)),
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -88,7 +88,6 @@
             waiters: Default::default(),
             gate: ShareGate::new(model_pool(), gate_seed, clock.now()),
             retry_budgets: Default::default(),
-            other_entries: 0,
             run_durations: Default::default(),
             crashes: CrashLog::new(),
             stop_at: None,
@@ -182,7 +181,7 @@
 
     /// Number of other serving entries that the directory lists for the relay.
     pub fn other_entry_count(&self) -> u32 {
-        self.shared.board.read(|state| state.other_entries)
+        self.shared.board.read(RelayState::other_entry_count)
     }
 
     /// Client for the control nodes, whose configured addresses may be changed through it.
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -91,7 +91,6 @@
             state.run_durations.retain(|name, _| routes.contains(name));
             state.route_index = Some(Arc::new(index));
         }
-        state.other_entries = position.count - 1;
         let changed = changed_versions(&state.table, &targets);
         state.table.sync(targets, position, now);
         state.drain_queue(now);
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -1,4 +1,4 @@
-//! Forwards a request: finds its route, waits for a target, sends the request and retries.
+//! Forwards an admitted request: waits for a target, sends the request and retries.
 
 mod admission;
 mod attempt;
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -34,8 +34,6 @@
     pub(crate) gate: ShareGate,
     /// Retry budget of each service.
     pub(crate) retry_budgets: HashMap<ServiceName, WindowBudget>,
-    /// Number of other serving entries in the directory.
-    pub(crate) other_entries: u32,
     /// Durations of recent runs of each route.
     pub(crate) run_durations: HashMap<RouteName, DurationHistory>,
     /// Requests that were at targets when these crashed.
@@ -53,7 +51,12 @@
     /// Number of entries that send requests, including this one. A leaving entry counts, since it
     /// still sends the requests that it accepts.
     pub(crate) fn entry_count(&self) -> u32 {
-        self.other_entries + 1
+        self.table.position().count
+    }
+
+    /// Number of other serving entries in the directory.
+    pub(crate) fn other_entry_count(&self) -> u32 {
+        self.entry_count() - 1
     }
 
     /// Starts runs of waiting requests while targets have capacity.
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -74,6 +74,7 @@
     let time_left = state.stop_at?.since(now);
     let no_history = DurationHistory::new();
     let history = state.run_durations.get(route).unwrap_or(&no_history);
-    let is_refused = state.other_entries > 0 && history.may_outlast(time_left, max_duration, now);
+    let is_refused =
+        state.other_entry_count() > 0 && history.may_outlast(time_left, max_duration, now);
     is_refused.then_some(time_left)
 }
