--- a/components/store/src/journal.rs
+++ b/components/store/src/journal.rs
@@ -35,17 +35,21 @@
         let folder = StoreFolder::open(path)?;
         let mut numbers = file_numbers(&folder)?;
         numbers.sort_unstable();
-        let mut records = Vec::new();
+        let (mut records, mut length) = (Vec::new(), 0);
         for number in &numbers {
             let bytes = folder.read(&file_name(*number))?;
-            read_records(&bytes.unwrap_or_default(), &mut records);
+            length = read_records(&bytes.unwrap_or_default(), &mut records);
         }
-        let number = numbers.last().map_or(0, |last| last + 1);
+        // A process may restart again and again, so its restarts start no files.
+        let (number, file) = match numbers.last() {
+            Some(last) => (*last, folder.open_truncated(&file_name(*last), length)?),
+            None => (0, folder.create(&file_name(0))?),
+        };
         let journal = Self {
-            file: folder.create(&file_name(number))?,
             folder,
+            file,
             number,
-            length: 0,
+            length,
             max_file_bytes,
         };
         journal.remove_before(number.saturating_sub(1))?;
@@ -99,10 +103,12 @@
     Ok(numbers.collect())
 }
 
-fn read_records<T: DeserializeOwned>(bytes: &[u8], records: &mut Vec<T>) {
+/// Reads the records of a file up to the first damaged one, and returns their length in bytes.
+fn read_records<T: DeserializeOwned>(bytes: &[u8], records: &mut Vec<T>) -> u64 {
     let mut remaining = bytes;
     while let RecordRead::Complete { body, rest } = record::read(remaining) {
         records.extend(record::decode(body));
         remaining = rest;
     }
+    (bytes.len() - remaining.len()) as u64
 }
--- a/components/store/tests/journal.rs
+++ b/components/store/tests/journal.rs
@@ -40,6 +40,27 @@
     assert_eq!(second, [1, 2, 3]);
 }
 
+/// Guards against records that are lost because a process restarts several times before it writes
+/// others.
+#[test]
+fn records_survive_restarts_in_quick_succession() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut journal, _) = open(&folder);
+    journal.append(&1_u32).unwrap();
+    drop(journal);
+
+    for _ in 0..5 {
+        open(&folder);
+    }
+    let (mut journal, kept) = open(&folder);
+    journal.append(&2_u32).unwrap();
+    drop(journal);
+    let (_, continued) = open(&folder);
+
+    assert_eq!(kept, [1]);
+    assert_eq!(continued, [1, 2]);
+}
+
 /// Guards against a journal that fills the disk, and against one that forgets its newest records.
 #[test]
 fn oldest_records_make_room() {
