Share the fixtures of the tests of placement

Targets, requests and tables stood in three files of place/tests, with small differences; each new field was added three times. Targets of the tests now differ from one base.

--- a/components/place/tests/choice.rs
+++ b/components/place/tests/choice.rs
@@ -1,56 +1,29 @@
 //! Tests of target selection.
 
+mod common;
+
 use std::collections::BTreeSet;
-use std::time::Duration;
 
+use common::request;
 use place::{
-    ColdPacer, EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings,
-    PlacementTable, RunKey, VersionRule,
+    ColdPacer, EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementTable,
+    RunKey, VersionRule,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use units::{ClockTime, Incarnation, MilliRate, SlotCount};
-
-const OBJECTIVE: Duration = Duration::from_millis(300);
+use units::{ClockTime, Incarnation, MilliRate};
 
+/// A target in the region of the entry that is limited while it is cold.
 fn target(number: u8) -> ListedTarget {
     ListedTarget {
-        name: format!("target-{number}").as_str().into(),
-        incarnation: Incarnation(1),
-        sequence: 1,
-        address: ([10, 0, 0, number], 8080).into(),
-        service: "advice".into(),
-        version: Some("v1".into()),
-        data_centre: "praha-1".into(),
         region: Some("bohemia".into()),
-        slots: SlotCount(8),
-        is_serving: true,
-        cold_ms: 0,
         cold_rate: Some(MilliRate(20_000)),
-    }
-}
-
-fn request(affinity: Option<u64>) -> PlacementRequest {
-    PlacementRequest {
-        service: "advice".into(),
-        version: VersionRule::Any,
-        affinity,
-        work: 10,
-        cost: None,
-        objective: OBJECTIVE,
-        regions: Vec::new(),
-        tried: Vec::new(),
-        has_precedence: false,
+        ..common::target(number)
     }
 }
 
 fn table(targets: Vec<ListedTarget>) -> PlacementTable {
-    let mut table = PlacementTable::new(PlacementSettings {
-        region: Some("bohemia".into()),
-        avoid_duration: Duration::from_secs(1),
-    });
-    table.sync(targets, EntryPosition::SINGLE, ClockTime(0));
-    table
+    common::table(targets, EntryPosition::SINGLE)
 }
 
 fn place(table: &mut PlacementTable, request: &PlacementRequest, now: u64) -> (RunKey, String) {
--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -1,10 +1,12 @@
 //! Targets that state limits, and the entries that share them.
 
+mod common;
+
 use std::time::Duration;
 
+use common::request;
 use place::{
-    EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings,
-    PlacementTable, RunKey, VersionRule,
+    EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementTable, RunKey,
 };
 use rstest::rstest;
 use units::{ClockTime, Incarnation, MilliRate, SlotCount};
@@ -12,45 +14,17 @@
 /// Span in which the requests to a limited target are counted, in milliseconds.
 const LIMIT_WINDOW_MS: u64 = 4_000;
 
+/// A target whose limit is lower than what its slots allow.
 fn target(number: u8) -> ListedTarget {
     ListedTarget {
-        name: format!("target-{number}").as_str().into(),
-        incarnation: Incarnation(1),
-        sequence: 1,
-        address: ([10, 0, 0, number], 8080).into(),
-        service: "advice".into(),
-        version: Some("v1".into()),
-        data_centre: "praha-1".into(),
-        region: None,
         slots: SlotCount(1_000),
-        is_serving: true,
-        cold_ms: 0,
-        cold_rate: None,
-    }
-}
-
-fn request(affinity: Option<u64>) -> PlacementRequest {
-    PlacementRequest {
-        service: "advice".into(),
-        version: VersionRule::Any,
-        affinity,
-        work: 10,
-        cost: None,
-        objective: Duration::from_millis(300),
-        regions: Vec::new(),
-        tried: Vec::new(),
-        has_precedence: false,
+        ..common::target(number)
     }
 }
 
 fn table(targets: &[u8], position: EntryPosition) -> PlacementTable {
-    let mut table = PlacementTable::new(PlacementSettings {
-        region: None,
-        avoid_duration: Duration::from_secs(1),
-    });
     let targets = targets.iter().copied().map(target).collect();
-    table.sync(targets, position, ClockTime(0));
-    table
+    common::table(targets, position)
 }
 
 /// Sends a request if the table allows it, and gets a response with this limit.
--- a/components/place/tests/queue.rs
+++ b/components/place/tests/queue.rs
@@ -1,38 +1,20 @@
 //! Tests of the order in which waiting requests get released capacity.
 
-use std::time::Duration;
+mod common;
 
+use common::request;
 use place::{
-    EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementSettings,
-    PlacementTable, QueuedRequest, VersionRule, WaitQueue,
+    EntryPosition, ListedTarget, PlacementOutcome, PlacementTable, QueuedRequest, WaitQueue,
 };
-use units::{ClockTime, Incarnation, SlotCount};
+use units::{ClockTime, SlotCount};
 use wire::FlowKey;
 
-fn target(slots: u32) -> ListedTarget {
-    ListedTarget {
-        name: "target".into(),
-        incarnation: Incarnation(1),
-        sequence: 1,
-        address: ([10, 0, 0, 1], 8080).into(),
-        service: "advice".into(),
-        version: Some("v1".into()),
-        data_centre: "praha-1".into(),
-        region: None,
-        slots: SlotCount(slots),
-        is_serving: true,
-        cold_ms: 0,
-        cold_rate: None,
-    }
-}
-
 fn table(slots: u32) -> PlacementTable {
-    let mut table = PlacementTable::new(PlacementSettings {
-        region: None,
-        avoid_duration: Duration::from_secs(1),
-    });
-    table.sync(vec![target(slots)], EntryPosition::SINGLE, ClockTime(0));
-    table
+    let target = ListedTarget {
+        slots: SlotCount(slots),
+        ..common::target(1)
+    };
+    common::table(vec![target], EntryPosition::SINGLE)
 }
 
 fn flow(organisation: &str) -> FlowKey {
@@ -42,24 +24,10 @@
     }
 }
 
-fn request() -> PlacementRequest {
-    PlacementRequest {
-        service: "advice".into(),
-        version: VersionRule::Any,
-        affinity: None,
-        work: 10,
-        cost: None,
-        objective: Duration::from_millis(300),
-        regions: Vec::new(),
-        tried: Vec::new(),
-        has_precedence: false,
-    }
-}
-
 fn waiting(organisation: &str) -> QueuedRequest {
     QueuedRequest {
         flow: flow(organisation),
-        request: request(),
+        request: request(None),
     }
 }
 
@@ -67,7 +35,7 @@
 #[test]
 fn burst_of_one_organisation_does_not_delay_others() {
     let (mut table, mut queue) = (table(1), WaitQueue::new());
-    let PlacementOutcome::Run(first) = table.place(&request(), ClockTime(0)) else {
+    let PlacementOutcome::Run(first) = table.place(&request(None), ClockTime(0)) else {
         panic!("the target is free");
     };
     queue.charge(&flow("large"), 10, ClockTime(0));
@@ -89,7 +57,7 @@
 #[test]
 fn continued_stream_gets_released_capacity_first() {
     let (mut table, mut queue) = (table(1), WaitQueue::new());
-    let PlacementOutcome::Run(first) = table.place(&request(), ClockTime(0)) else {
+    let PlacementOutcome::Run(first) = table.place(&request(None), ClockTime(0)) else {
         panic!("the target is free");
     };
     for organisation in ["large", "small"] {
