--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -8,6 +8,7 @@
 use common::{TargetScript, TargetStep, TestFleet, TestTarget, header, key, plan, wait_until};
 use relay::RelayHandle;
 use routes::{RoutePlan, WeightedService};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use units::{Incarnation, PlanNumber};
 
@@ -28,6 +29,23 @@
     TestTarget::start(name, script).await.with_version(version)
 }
 
+/// A target that breaks off new streams after their first event once it is notified, and completes
+/// continued ones.
+async fn start_awaited_target(name: &str, version: &str, begin: Arc<Notify>) -> TestTarget {
+    let script: TargetScript = Arc::new(move |head: &str| {
+        let id = header(head, "request-id").unwrap();
+        let start = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n\r\n");
+        match header(head, "last-event") {
+            Some(_) => TargetStep::Close(format!("{start}id: 2\ndata: b\n\n").into_bytes()),
+            None => {
+                let event = format!("{start}id: 1\ndata: a\n\nid: 2\nda");
+                TargetStep::Await(begin.clone(), event.into_bytes())
+            }
+        }
+    });
+    TestTarget::start(name, script).await.with_version(version)
+}
+
 /// Starts a stream at an entry and reads it up to its break.
 async fn begin_stream(fleet: &TestFleet, entry: &RelayHandle, id: &str) {
     let request = fleet.request_at(entry, "/resumable/x", id);
@@ -72,6 +90,15 @@
     (fleet, old)
 }
 
+/// A plan in which callers may wait for 20 s.
+fn patient_plan() -> RoutePlan {
+    let mut plan = plan();
+    for route in &mut plan.routes {
+        route.timeout_ms = 20_000;
+    }
+    plan
+}
+
 /// A plan whose route of continued streams splits requests evenly between services.
 fn split_plan(services: &[&str]) -> RoutePlan {
     let mut plan = plan();
@@ -358,11 +385,7 @@
         }
     });
     let mut target = TestTarget::start("target-1", script).await;
-    let mut plan = plan();
-    for route in &mut plan.routes {
-        route.timeout_ms = 20_000;
-    }
-    let fleet = TestFleet::start(Some(plan), &[&target]).await;
+    let fleet = TestFleet::start(Some(patient_plan()), &[&target]).await;
     begin_stream(&fleet, &fleet.relay, "a1").await;
     let request = fleet.request_with_deadline("/resumable/x", "a2", Duration::from_secs(20));
     let request = request.header("last-event", "1").header("continues", "a1");
@@ -380,6 +403,35 @@
     assert!(!response.text().await.unwrap().contains("data: b"));
 }
 
+/// Guards against a stream that cannot be continued because its entry, which was leaving when it began, no
+/// longer reported where.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_began_at_a_leaving_entry_can_be_continued() {
+    let begin = Arc::new(Notify::new());
+    let (awaited, other_awaited) = (begin.clone(), begin.clone());
+    let old = start_awaited_target("target-1", "v1", awaited).await;
+    let new = start_awaited_target("target-2", "v1.1", other_awaited).await;
+    let fleet = TestFleet::start(Some(patient_plan()), &[&old, &new]).await;
+    let leaving = fleet.start_other_relay().await;
+    wait_until(|| leaving.target_count() == 2).await;
+    let address = leaving.http();
+    let request = fleet.client.post(format!("http://{address}/resumable/x"));
+    let request = request.header("request-id", "a1").header("key", "secret");
+    let streaming = tokio::spawn(async { request.send().await?.bytes().await });
+    wait_until(|| old.arrivals() + new.arrivals() == 1).await;
+
+    let leaving = tokio::spawn(leaving.leave());
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    begin.notify_one();
+    assert!(streaming.await.unwrap().is_err());
+    let (status, text) = continue_stream(&fleet, &fleet.relay, "a2", Some("a1")).await;
+
+    leaving.await.unwrap();
+    assert_eq!(status, 200, "{text}");
+}
+
 /// Guards against a stream that is refused or split when its caller continues it twice at the same
 /// moment, at two entries.
 #[tokio::test(flavor = "multi_thread")]
