--- a/components/control/src/versions.rs
+++ b/components/control/src/versions.rs
@@ -1,8 +1,8 @@
 //! Software versions of targets in the replicated state.
 //!
-//! Entries begin streams that may be continued only at targets whose version a quorum has registered.
-//! So the registered versions of a service include each at which a stream of unknown origin may have
-//! begun, also for a control node that has not heard of all targets.
+//! Entries begin streams that may be continued only at targets whose version a quorum has
+//! registered. So the registered versions of a service include each at which a stream of unknown
+//! origin may have begun, also for a control node that has not heard of all targets.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -16,16 +16,16 @@
 use crate::requests::{commit_or_forward, confirm_newest, no_quorum_reply, propose};
 use crate::state::ControlContext;
 
-/// Time within which a version must be registered before the announcement of its target is answered.
-/// Targets wait a second for that answer.
+/// Time within which a version must be registered before the announcement of its target is
+/// answered. Targets wait a second for that answer.
 const REGISTER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Interval between the rounds in which the leader counts versions without targets.
 const ROUND_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Removes the version from the announcement of a target unless a quorum has registered it, or
-/// registers it now. The target then gets no streams that may be continued until it announces itself
-/// again.
+/// registers it now. The target then gets no streams that may be continued until it announces
+/// itself again.
 pub(crate) async fn check_version(context: &ControlContext, entry: &mut DirectoryEntry) {
     let Some(version) = announced_version(entry) else {
         return;
@@ -62,8 +62,8 @@
     ControlReply::Versions(versions)
 }
 
-/// Removes versions that have had no target for as long as a stream may be continued. Runs until the
-/// task is aborted.
+/// Removes versions that have had no target for as long as a stream may be continued. Runs until
+/// the task is aborted.
 pub(crate) async fn remove_old_versions(context: ControlContext) {
     let mut interval = tokio::time::interval(ROUND_INTERVAL);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/components/origins/src/log.rs
+++ b/components/origins/src/log.rs
@@ -119,8 +119,8 @@
         }
     }
 
-    /// Records that a stream is continued here, and returns whether it is so for the first time within
-    /// `lifetime`.
+    /// Records that a stream is continued here, and returns whether it is so for the first time
+    /// within `lifetime`.
     pub fn record_continuation(
         &mut self,
         stream: StreamId,
--- a/components/origins/tests/origins.rs
+++ b/components/origins/tests/origins.rs
@@ -22,7 +22,8 @@
     }
 }
 
-/// Guards against a caller that learns of, or changes, how streams of another organisation continue.
+/// Guards against a caller that learns of, or changes, how streams of another organisation
+/// continue.
 #[test]
 fn ids_of_organisations_differ_for_the_same_attempt() {
     let mill = stream_id(Some(&"mill".into()), "a1");
@@ -122,8 +123,8 @@
     assert_eq!(lifetimes(&second), [(StreamId(2), 500)]);
 }
 
-/// Guards against a stream that goes on at the version that its target had before an unnoticed restart,
-/// and against refusals of streams of other targets, and of earlier or later ones.
+/// Guards against a stream that goes on at the version that its target had before an unnoticed
+/// restart, and against refusals of streams of other targets, and of earlier or later ones.
 #[test]
 fn restart_makes_only_recent_streams_of_the_target_uncertain() {
     let mut log = OriginLog::new();
@@ -160,8 +161,8 @@
     assert_eq!(report[0].streams[0].0, StreamId(2));
 }
 
-/// Guards against an organisation that exceeds its share with one admitted stream, which it continues
-/// again and again.
+/// Guards against an organisation that exceeds its share with one admitted stream, which it
+/// continues again and again.
 #[test]
 fn only_the_first_continuation_of_a_stream_goes_first() {
     let mut log = OriginLog::new();
--- a/components/place/src/queue.rs
+++ b/components/place/src/queue.rs
@@ -99,8 +99,8 @@
     }
 
     /// Places waiting requests while there is capacity, and drops those that no live target may
-    /// serve. Requests with precedence come first. Then flows take turns, starting with the one that
-    /// has received the least service.
+    /// serve. Requests with precedence come first. Then flows take turns, starting with the one
+    /// that has received the least service.
     pub fn drain(&mut self, table: &mut PlacementTable, now: ClockTime) -> Vec<DequeuedRequest> {
         let preferred: Vec<WaitKey> = self.preferred.iter().copied().collect();
         let mut dequeued: Vec<DequeuedRequest> = preferred
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -135,7 +135,8 @@
         }
     }
 
-    /// Replaces the targets by those of the directory, and sets the position among the live entries.
+    /// Replaces the targets by those of the directory, and sets the position among the live
+    /// entries.
     ///
     /// If several targets have the same address, only the one with the highest incarnation is kept,
     /// since the other processes must have ended.
@@ -242,8 +243,8 @@
         }
     }
 
-    /// Whether a request has the mean work of its service or more. A limit counts requests, whatever
-    /// their work is, so targets with limits are left to large ones.
+    /// Whether a request has the mean work of its service or more. A limit counts requests,
+    /// whatever their work is, so targets with limits are left to large ones.
     fn is_large(&self, request: &PlacementRequest) -> bool {
         let mean = self.mean_work.get(&request.service);
         mean.is_none_or(|mean| request.work >= *mean)
@@ -296,8 +297,8 @@
         })
     }
 
-    /// Records the limit that a target stated, or did not, in its response to a run. Returns whether
-    /// that starts or ends a limit.
+    /// Records the limit that a target stated, or did not, in its response to a run. Returns
+    /// whether that starts or ends a limit.
     pub fn record_stated_limit(
         &mut self,
         run: RunKey,
--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -37,9 +37,9 @@
     Some(run)
 }
 
-/// Guards against entries that together exceed the limit that a target states, by 1.5 times and five
-/// requests in four seconds: many entries with one request each, and few entries with many. Also
-/// guards against a limit that is mostly unused.
+/// Guards against entries that together exceed the limit that a target states, by 1.5 times and
+/// five requests in four seconds: many entries with one request each, and few entries with many.
+/// Also guards against a limit that is mostly unused.
 #[rstest]
 #[case::few_entries(7, 5_000)]
 #[case::many_entries(100, 5_000)]
@@ -154,8 +154,8 @@
     );
 }
 
-/// Guards against large requests that wait for a limited target with full slots, and small ones that
-/// wait while nobody uses what a limited target takes.
+/// Guards against large requests that wait for a limited target with full slots, and small ones
+/// that wait while nobody uses what a limited target takes.
 #[test]
 fn reserved_capacity_does_not_stay_idle() {
     let mut table = table(&[1], EntryPosition { rank: 0, count: 1 });
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -190,8 +190,8 @@
         })
     }
 
-    /// Refuses a request beyond the share of its organisation, before its body is read. A stream that
-    /// was admitted once may be continued once.
+    /// Refuses a request beyond the share of its organisation, before its body is read. A stream
+    /// that was admitted once may be continued once.
     pub(crate) fn check_share(&self) -> Result<(), Refusal> {
         match self.is_within_share || self.placement.has_precedence {
             true => Ok(()),
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -152,8 +152,8 @@
         }
     }
 
-    /// Whether the target is now known to have restarted with another version than that of the stream
-    /// which the request continues.
+    /// Whether the target is now known to have restarted with another version than that of the
+    /// stream which the request continues.
     fn has_restarted(&self, target: &ListedTarget) -> bool {
         let Some(continued) = &self.continued else {
             return false;
--- a/components/relay/src/origins.rs
+++ b/components/relay/src/origins.rs
@@ -59,8 +59,8 @@
 /// Origin that a search has found.
 struct FoundOrigin {
     origin: StreamOrigin,
-    /// Age of the record, in milliseconds; `None` if there is no record and only one version can have
-    /// begun the stream.
+    /// Age of the record, in milliseconds; `None` if there is no record and only one version can
+    /// have begun the stream.
     record_age_ms: Option<u64>,
 }
 
--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -169,8 +169,8 @@
 }
 
 /// Guards against a body without a length that looks complete although the connection of its target
-/// was reset: before its first bytes, after an event, and in a response that is not a stream, whether
-/// it is buffered or too long for that.
+/// was reset: before its first bytes, after an event, and in a response that is not a stream,
+/// whether it is buffered or too long for that.
 #[rstest]
 #[case::stream_before_the_first_event("/stream/x", String::new(), None)]
 #[case::stream_after_an_event("/stream/x", "id: 1\ndata: a\n\n".into(), Some(200))]
@@ -200,8 +200,8 @@
     }
 }
 
-/// Guards against a broken body that looks complete to a caller of HTTP/1.0, for which the end of the
-/// connection ends the body, and to one that asks for the connection to be closed.
+/// Guards against a broken body that looks complete to a caller of HTTP/1.0, for which the end of
+/// the connection ends the body, and to one that asks for the connection to be closed.
 #[rstest]
 #[case::old_stream("HTTP/1.0", "/stream/x", "id: 1\ndata: a\n\n".into())]
 #[case::old_long_response("HTTP/1.0", "/once/x", "half".repeat(20_000))]
@@ -388,8 +388,8 @@
     assert_eq!(target.arrivals(), 0);
 }
 
-/// Guards against a panic that breaks the connection of a caller who states a time beyond that of the
-/// clock.
+/// Guards against a panic that breaks the connection of a caller who states a time beyond that of
+/// the clock.
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_may_wait_for_ever() {
     let script = Arc::new(|head: &str| TargetStep::Write(ok_response(head, "done")));
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -431,7 +431,8 @@
         self.request_with_deadline(path, id, Duration::from_secs(2))
     }
 
-    /// A request to a given entry, with an id, the key of the only organisation and a deadline of 2 s.
+    /// A request to a given entry, with an id, the key of the only organisation and a deadline of 2
+    /// s.
     pub(crate) fn request_at(
         &self,
         entry: &RelayHandle,
@@ -556,7 +557,8 @@
     }
 }
 
-/// A plan that routes `/once/`, `/again/`, `/stream/` and `/resumable/` to the service of the targets.
+/// A plan that routes `/once/`, `/again/`, `/stream/` and `/resumable/` to the service of the
+/// targets.
 pub(crate) fn plan() -> RoutePlan {
     RoutePlan {
         routes: vec![
--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -122,8 +122,8 @@
     new
 }
 
-/// Guards against a stream that goes on at another software version than the one that began it, when
-/// its caller continues it at the same entry.
+/// Guards against a stream that goes on at another software version than the one that began it,
+/// when its caller continues it at the same entry.
 #[tokio::test(flavor = "multi_thread")]
 async fn continued_stream_stays_at_the_version_that_began_it() {
     let (fleet, old) = start_one_version().await;
@@ -227,8 +227,8 @@
     );
 }
 
-/// Guards against callers that are not told that their stream cannot go on, and against a stream that
-/// goes on at another version when its own has left.
+/// Guards against callers that are not told that their stream cannot go on, and against a stream
+/// that goes on at another version when its own has left.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_whose_version_has_left_is_refused_as_not_run() {
     let (fleet, old) = start_one_version().await;
@@ -271,8 +271,8 @@
     assert_eq!([old.arrivals(), new.arrivals()], expected);
 }
 
-/// Guards against a guess after all control nodes and entries have lost power, when the version that
-/// began the stream has just left and only another one announces itself.
+/// Guards against a guess after all control nodes and entries have lost power, when the version
+/// that began the stream has just left and only another one announces itself.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_a_version_that_has_left_is_refused_after_all_have_restarted() {
     let (fleet, old) = start_one_version().await;
@@ -289,8 +289,8 @@
     assert_eq!((old.arrivals(), new.arrivals()), (1, 0));
 }
 
-/// Guards against refusals after all control nodes and entries have lost power, while only one version
-/// can have begun a stream.
+/// Guards against refusals after all control nodes and entries have lost power, while only one
+/// version can have begun a stream.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_stream_goes_on_at_the_only_version_after_all_have_restarted() {
     let (fleet, target) = start_one_version().await;
@@ -301,8 +301,8 @@
     assert_eq!((status, target.arrivals()), (200, 1));
 }
 
-/// Guards against a stream that goes on at another service than the one that began it, where its route
-/// splits requests between two.
+/// Guards against a stream that goes on at another service than the one that began it, where its
+/// route splits requests between two.
 #[tokio::test(flavor = "multi_thread")]
 async fn continued_stream_stays_at_the_service_that_began_it() {
     let visits = start_target("target-1", "v1").await;
@@ -328,8 +328,8 @@
     );
 }
 
-/// Guards against a stream that goes on at the only service that is left on its route, although another
-/// one began it.
+/// Guards against a stream that goes on at the only service that is left on its route, although
+/// another one began it.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_whose_service_has_left_the_route_is_refused() {
     let visits = start_target("target-1", "v1").await;
@@ -346,8 +346,8 @@
     assert_eq!((visits.arrivals(), orders.arrivals()), (1, 0));
 }
 
-/// Guards against a wrong record of a stream that a restarted target began before the directory told of
-/// its newer software: the stream would go on at the older version.
+/// Guards against a wrong record of a stream that a restarted target began before the directory
+/// told of its newer software: the stream would go on at the older version.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_a_target_that_restarted_unnoticed_is_not_continued_at_its_old_version() {
     let (fleet, mut restarted) = start_one_version().await;
@@ -367,8 +367,8 @@
     assert_eq!([restarted.arrivals(), other.arrivals()], arrivals);
 }
 
-/// Guards against events of a newer version in a continued stream, when the directory tells of the restart
-/// of its target before the first of them.
+/// Guards against events of a newer version in a continued stream, when the directory tells of the
+/// restart of its target before the first of them.
 #[tokio::test(flavor = "multi_thread")]
 async fn continued_stream_gets_no_event_of_a_target_that_has_restarted() {
     let restart = Arc::new(Notify::new());
@@ -403,8 +403,8 @@
     assert!(!response.text().await.unwrap().contains("data: b"));
 }
 
-/// Guards against a stream that cannot be continued because its entry, which was leaving when it began, no
-/// longer reported where.
+/// Guards against a stream that cannot be continued because its entry, which was leaving when it
+/// began, no longer reported where.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_began_at_a_leaving_entry_can_be_continued() {
     let begin = Arc::new(Notify::new());
@@ -450,8 +450,8 @@
     assert_eq!((old.arrivals(), new.arrivals()), (3, 0));
 }
 
-/// Guards against a stream whose version is lost over a chain of continuations: each of them names the
-/// attempt that brought the first event.
+/// Guards against a stream whose version is lost over a chain of continuations: each of them names
+/// the attempt that brought the first event.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_stays_at_its_version_over_a_chain_of_continuations() {
     let (fleet, old) = start_one_version().await;
--- a/components/routes/src/plan.rs
+++ b/components/routes/src/plan.rs
@@ -9,8 +9,8 @@
     SlotCount,
 };
 
-/// Time for which each stream may be continued. A plan that lowers a timeout applies to streams that
-/// began before it, too.
+/// Time for which each stream may be continued. A plan that lowers a timeout applies to streams
+/// that began before it, too.
 const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(30);
 
 /// Time that a repeated request may need to arrive, beyond the time for which its caller waits.
@@ -158,8 +158,8 @@
 }
 
 impl RouteSpec {
-    /// Time for which a stream may be continued whose caller waits for `remaining` from its first event
-    /// on. Callers state any time.
+    /// Time for which a stream may be continued whose caller waits for `remaining` from its first
+    /// event on. Callers state any time.
     pub fn stream_lifetime(&self, remaining: Duration) -> Duration {
         let max = self.max_stream_lifetime();
         max.min(remaining.saturating_add(REPEAT_TRANSIT_TIME))
--- a/components/routes/tests/plan.rs
+++ b/components/routes/tests/plan.rs
@@ -186,8 +186,8 @@
     assert_eq!(holder(4), None);
 }
 
-/// Guards against memory of control nodes that a caller fills by stating that it waits for hours, and
-/// against streams that are forgotten while their callers wait.
+/// Guards against memory of control nodes that a caller fills by stating that it waits for hours,
+/// and against streams that are forgotten while their callers wait.
 #[test]
 fn stream_is_remembered_while_its_caller_waits_within_a_bound() {
     let mut short = route("short", "/short/", vec![part("visits", 1)]);
