Report origins until the last stream of a leaving entry has ended

What callers saw: a stream that began at a leaving entry 2.5 s after SIGTERM or later, or shortly before, and was broken off, could not be continued while two software versions served (503 stream-origin).

Cause: RelayHandle::leave ended all tasks when it stopped accepting connections, among them the reports of origins, so these streams were known to the leaving entry alone. The directory stood still, too, so a restart of a target with another version would not have been noticed.

Change: the tasks run until the HTTP server has ended.

The listed test could not pass on any code: it waited until connections were refused, which happens only after the server has ended, so the stream was cut before its first event. Now it waits until the entry has closed an idle connection, which is when it stops accepting, and asserts that the caller got the first event.

--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -24,8 +24,8 @@
 use crate::dialect::CallerDialect;
 use crate::follow::{follow_view, poll_queue, prune_connections};
 use crate::http::{ReadyCheck, RelayHandler};
-use crate::origins::report_origins;
 use crate::pool::ConnectionPool;
+use crate::reporter::OriginReporter;
 use crate::settings::RelaySettings;
 use crate::state::{RelayShared, RelayState};
 
@@ -41,9 +41,13 @@
 /// once a second and stops sending callers after two failures.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
 
-/// Part of the stop timeout that is reserved for the exit of the process.
+/// Part of the stop timeout that is reserved for the last report of origins, for closing the links,
+/// and for the exit of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time within which the peers must acknowledge that the links are closed.
+const LINK_CLOSE_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Handle of a running relay. Dropping it stops the relay immediately.
 pub struct RelayHandle {
     shared: RelayShared,
@@ -53,6 +57,7 @@
     server: ServerHandle,
     /// Task of the HTTP server, which ends after a graceful stop.
     server_task: JoinSet<()>,
+    reporter: OriginReporter,
     /// Tasks that never end.
     tasks: JoinSet<()>,
 }
@@ -109,7 +114,6 @@
     tasks.spawn(follow_view(shared.clone()));
     tasks.spawn(poll_queue(shared.clone()));
     tasks.spawn(prune_connections(shared.clone()));
-    tasks.spawn(report_origins(shared.clone()));
     tasks.spawn(report_demand(shared.clone(), client.clone()));
     let (view, clock, entry_shared) = (shared.view.clone(), shared.clock.clone(), shared.clone());
     let directory_entry = move || entry_shared.directory_entry();
@@ -122,6 +126,7 @@
     ));
     event!(events::RELAY_STARTED, address = http_address);
     Ok(RelayHandle {
+        reporter: OriginReporter::start(shared.clone()),
         shared,
         endpoint,
         client,
@@ -209,12 +214,14 @@
             .write(|state| state.stop_at = Some(stop_at));
         let drain_delay = DRAIN_DELAY.min(drain_timeout);
         tokio::time::sleep(drain_delay).await;
-        // Idle connections are closed now, the others after their response. No further request is
-        // accepted, so the links are no longer needed.
+        // Idle connections are closed now, the others after their response.
         self.server.stop_graceful(Some(drain_timeout - drain_delay));
+        // The other tasks run on: accepted requests still need the directory, and streams that begin
+        // now are continued at other relays, which need their origins.
+        self.server_task.join_next().await;
+        self.reporter.finish().await;
         self.tasks.shutdown().await;
-        let server_end = self.server_task.join_next();
-        tokio::join!(self.endpoint.close(), server_end);
+        let _ = tokio::time::timeout(LINK_CLOSE_TIMEOUT, self.endpoint.close()).await;
         event!(events::RELAY_STOPPED);
     }
 }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod origins;
 mod places;
 mod pool;
+mod reporter;
 mod respond;
 mod settings;
 mod state;
--- a/components/relay/src/origins.rs
+++ b/components/relay/src/origins.rs
@@ -1,35 +1,24 @@
-//! Software versions at which streams began: records of this entry's streams, reports to control
-//! nodes, and the search for the origin of a stream that a caller continues.
+//! Software versions at which streams began: records of this entry's streams, and the search for the
+//! origin of a stream that a caller continues.
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use cadence::prelude::*;
-use client::ControlClient;
 use entry::Refusal;
 use futures_util::StreamExt;
-use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
-use origins::{report_interval, stream_id};
+use origins::stream_id;
 use place::ListedTarget;
 use telemetry::{event, events};
-use tokio::task::JoinSet;
 use tokio::time::Instant;
 use units::{ServiceName, SoftwareVersion};
-use wire::{
-    ControlReply, ControlRequest, OriginAnswer, OriginBatch, StreamId, StreamOrigin, stable_hash,
-};
+use wire::{ControlReply, ControlRequest, OriginAnswer, StreamId, StreamOrigin};
 
 use crate::dialect::StreamContinuation;
 use crate::forward::RequestAdmission;
-use crate::state::{RelayShared, RelayState};
-
-/// Number of control nodes that get each origin. Two hosts with a disk may be lost at once.
-const MAX_COPIES: usize = 3;
-
-/// Maximum number of reports in transit. Control nodes that are cut off answer none for a second.
-const MAX_OPEN_REPORTS: usize = 16;
+use crate::reporter::own_report_interval;
+use crate::state::RelayShared;
 
 /// Time within which control nodes must answer where a stream began.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(400);
@@ -268,55 +257,3 @@
         _ => None,
     })
 }
-
-/// Reports new origins to control nodes; never returns.
-pub(crate) async fn report_origins(shared: RelayShared) {
-    let mut open_reports = JoinSet::new();
-    loop {
-        shared
-            .origins
-            .wait_for(|log| log.has_report().then_some(()))
-            .await;
-        while open_reports.len() >= MAX_OPEN_REPORTS {
-            open_reports.join_next().await;
-        }
-        while open_reports.try_join_next().is_some() {}
-        let now = shared.now();
-        let report = shared.origins.write_quietly(|log| log.take_report(now));
-        open_reports.spawn(send_report(shared.clone(), report));
-        tokio::time::sleep(own_report_interval(&shared)).await;
-    }
-}
-
-fn own_report_interval(shared: &RelayShared) -> Duration {
-    report_interval(shared.board.read(RelayState::entry_count))
-}
-
-async fn send_report(shared: RelayShared, report: Vec<OriginBatch>) {
-    let request = ControlRequest::RecordOrigins(report.clone());
-    let homes = report_homes(&shared.client, shared.settings.name.as_str());
-    let sending = homes
-        .iter()
-        .map(|control| shared.client.request_at(*control, &request));
-    let replies = join_all(sending).await;
-    let is_recorded = replies
-        .iter()
-        .any(|reply| matches!(reply, Ok(ControlReply::Done)));
-    if !is_recorded {
-        let streams: usize = report.iter().map(|batch| batch.streams.len()).sum();
-        event!(events::ORIGINS_UNREPORTED, streams = streams);
-        let now = shared.now();
-        shared.origins.write(|log| log.requeue_report(report, now));
-    }
-}
-
-/// Control nodes that get the reports of an entry: all, or some that a hash of its name selects.
-fn report_homes(client: &ControlClient, name: &str) -> Vec<SocketAddr> {
-    let mut controls = client.controls().to_vec();
-    if controls.len() > MAX_COPIES {
-        controls
-            .sort_by_key(|control| stable_hash(&[name.as_bytes(), control.to_string().as_bytes()]));
-        controls.truncate(MAX_COPIES);
-    }
-    controls
-}
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -123,8 +123,8 @@
     Reset(Vec<u8>),
     /// Writes these bytes and keeps the connection open.
     Hang(Vec<u8>),
-    /// Writes these bytes and closes the connection after it was notified.
-    Await(Arc<Notify>, Vec<u8>),
+    /// Does the other step after it was notified.
+    Await(Arc<Notify>, Box<TargetStep>),
     /// Writes the first bytes, and then the others again and again until the connection is closed.
     Endless(Vec<u8>, Vec<u8>, Duration),
     /// Writes `part` up to `count` times, one in each interval, between `start` and `end`.
@@ -225,7 +225,12 @@
 async fn serve(mut stream: TcpStream, script: TargetScript, heads: Arc<Mutex<Vec<String>>>) {
     while let Some(head) = read_request(&mut stream).await {
         heads.lock().unwrap().push(head.clone());
-        match script(&head) {
+        let mut step = script(&head);
+        while let TargetStep::Await(notify, awaited) = step {
+            notify.notified().await;
+            step = *awaited;
+        }
+        match step {
             TargetStep::Write(bytes) => stream.write_all(&bytes).await.unwrap(),
             TargetStep::Close(bytes) => {
                 stream.write_all(&bytes).await.unwrap();
@@ -240,11 +245,7 @@
                 return;
             }
             TargetStep::Hang(bytes) => stream.write_all(&bytes).await.unwrap(),
-            TargetStep::Await(notify, bytes) => {
-                notify.notified().await;
-                stream.write_all(&bytes).await.unwrap();
-                return;
-            }
+            TargetStep::Await(..) => unreachable!("the step was awaited"),
             TargetStep::Endless(start, part, interval) => {
                 return drip(&mut stream, &start, &part, interval, usize::MAX).await;
             }
--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -2,14 +2,17 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use common::{TargetScript, TargetStep, TestFleet, TestTarget, header, key, plan, wait_until};
 use relay::RelayHandle;
 use routes::{RoutePlan, WeightedService};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use units::{Incarnation, PlanNumber};
 
 /// A target that breaks off new streams after their first event, completes continued ones, and does
@@ -29,19 +32,26 @@
     TestTarget::start(name, script).await.with_version(version)
 }
 
-/// A target that breaks off new streams after their first event once it is notified, and completes
-/// continued ones.
-async fn start_awaited_target(name: &str, version: &str, begin: Arc<Notify>) -> TestTarget {
+/// A target that begins new streams once it is notified, and completes continued ones. It breaks new
+/// streams off after their first event, or keeps them open.
+async fn start_awaited_target(
+    name: &str,
+    version: &str,
+    begin: Arc<Notify>,
+    keeps_open: bool,
+) -> TestTarget {
     let script: TargetScript = Arc::new(move |head: &str| {
         let id = header(head, "request-id").unwrap();
         let start = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n\r\n");
-        match header(head, "last-event") {
-            Some(_) => TargetStep::Close(format!("{start}id: 2\ndata: b\n\n").into_bytes()),
-            None => {
-                let event = format!("{start}id: 1\ndata: a\n\nid: 2\nda");
-                TargetStep::Await(begin.clone(), event.into_bytes())
-            }
+        if header(head, "last-event").is_some() {
+            return TargetStep::Close(format!("{start}id: 2\ndata: b\n\n").into_bytes());
         }
+        let event = format!("{start}id: 1\ndata: a\n\nid: 2\nda").into_bytes();
+        let step = match keeps_open {
+            true => TargetStep::Hang(event),
+            false => TargetStep::Close(event),
+        };
+        TargetStep::Await(begin.clone(), Box::new(step))
     });
     TestTarget::start(name, script).await.with_version(version)
 }
@@ -54,6 +64,30 @@
     assert!(response.bytes().await.is_err());
 }
 
+/// Reads the body of a stream up to its break.
+async fn read_first_event(mut response: reqwest::Response) -> String {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.transpose() {
+        match chunk {
+            Ok(chunk) => body.extend_from_slice(&chunk),
+            Err(_) => return String::from_utf8(body).unwrap(),
+        }
+    }
+    panic!("the stream ended as complete");
+}
+
+/// Opens a connection on which the entry has answered one request.
+async fn open_idle_connection(address: SocketAddr) -> TcpStream {
+    let mut connection = TcpStream::connect(address).await.unwrap();
+    let request = "POST /unknown HTTP/1.1\r\nhost: mill.example\r\ncontent-length: 0\r\n\r\n";
+    connection.write_all(request.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    while !response.ends_with("}}") {
+        response.push(connection.read_u8().await.unwrap().into());
+    }
+    connection
+}
+
 /// Keeps an idle target busy, so that a new request at the entry is sent to another one.
 async fn occupy(fleet: &TestFleet, entry: &RelayHandle, target: &TestTarget) {
     let arrivals = target.arrivals();
@@ -379,7 +413,8 @@
         match header(head, "last-event") {
             Some(_) => {
                 let event = format!("{start}id: 2\ndata: b\n\n");
-                TargetStep::Await(restarted.clone(), event.into_bytes())
+                let step = TargetStep::Close(event.into_bytes());
+                TargetStep::Await(restarted.clone(), Box::new(step))
             }
             None => TargetStep::Close(format!("{start}id: 1\ndata: a\n\nid: 2\nda").into_bytes()),
         }
@@ -403,35 +438,90 @@
     assert!(!response.text().await.unwrap().contains("data: b"));
 }
 
+/// A stream that begins at an entry which no longer accepts connections.
+struct LateStream {
+    fleet: TestFleet,
+    leaving: JoinHandle<()>,
+    /// Returns the body up to its break.
+    streaming: JoinHandle<String>,
+    /// Lets the targets return the first event.
+    begin: Arc<Notify>,
+    /// Targets of the versions v1 and v1.1.
+    targets: [TestTarget; 2],
+}
+
+async fn start_late_stream(keeps_open: bool) -> LateStream {
+    let begin = Arc::new(Notify::new());
+    let targets = [
+        start_awaited_target("target-1", "v1", begin.clone(), keeps_open).await,
+        start_awaited_target("target-2", "v1.1", begin.clone(), keeps_open).await,
+    ];
+    let fleet = TestFleet::start(Some(patient_plan()), &[&targets[0], &targets[1]]).await;
+    let entry = fleet.start_other_relay().await;
+    wait_until(|| entry.target_count() == 2).await;
+    let address = entry.http();
+    let request = fleet.client.post(format!("http://{address}/resumable/x"));
+    let request = request.header("request-id", "a1").header("key", "secret");
+    let streaming = tokio::spawn(async { read_first_event(request.send().await.unwrap()).await });
+    wait_until(|| targets.iter().any(|target| target.arrivals() == 1)).await;
+    let mut idle = open_idle_connection(address).await;
+    let leaving = tokio::spawn(entry.leave());
+    // The entry closes idle connections when it stops accepting new ones.
+    assert_eq!(idle.read(&mut [0]).await.unwrap(), 0);
+    LateStream {
+        fleet,
+        leaving,
+        streaming,
+        begin,
+        targets,
+    }
+}
+
 /// Guards against a stream that cannot be continued because its entry, which was leaving when it
 /// began, no longer reported where.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_that_began_at_a_leaving_entry_can_be_continued() {
-    let begin = Arc::new(Notify::new());
-    let (awaited, other_awaited) = (begin.clone(), begin.clone());
-    let old = start_awaited_target("target-1", "v1", awaited).await;
-    let new = start_awaited_target("target-2", "v1.1", other_awaited).await;
-    let fleet = TestFleet::start(Some(patient_plan()), &[&old, &new]).await;
-    let leaving = fleet.start_other_relay().await;
-    wait_until(|| leaving.target_count() == 2).await;
-    let address = leaving.http();
-    let request = fleet.client.post(format!("http://{address}/resumable/x"));
-    let request = request.header("request-id", "a1").header("key", "secret");
-    let streaming = tokio::spawn(async { request.send().await?.bytes().await });
-    wait_until(|| old.arrivals() + new.arrivals() == 1).await;
+    let late = start_late_stream(false).await;
 
-    let leaving = tokio::spawn(leaving.leave());
-    while TcpStream::connect(address).await.is_ok() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    begin.notify_one();
-    assert!(streaming.await.unwrap().is_err());
-    let (status, text) = continue_stream(&fleet, &fleet.relay, "a2", Some("a1")).await;
+    late.begin.notify_one();
+    assert_eq!(late.streaming.await.unwrap(), "id: 1\ndata: a\n\nid: 2\nda");
+    let (status, text) = continue_stream(&late.fleet, &late.fleet.relay, "a2", Some("a1")).await;
 
-    leaving.await.unwrap();
+    late.leaving.await.unwrap();
     assert_eq!(status, 200, "{text}");
 }
 
+/// Guards against a wrong record of a stream that a restarted target begins at a leaving entry: the
+/// stream would go on at the version that the target had before.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_entry_notices_that_a_target_has_restarted() {
+    let mut late = start_late_stream(true).await;
+    let began_at = late
+        .targets
+        .iter()
+        .position(|target| target.arrivals() == 1);
+    let restarted = &mut late.targets[began_at.unwrap()];
+    restarted.version = "v2".into();
+    restarted.incarnation = Incarnation(2);
+    let name = restarted.name.as_str().into();
+    late.fleet.api.announce(restarted.announcement()).await;
+    let relay = &late.fleet.relay;
+    wait_until(|| relay.target_version(&name) == Some("v2".into())).await;
+    late.begin.notify_one();
+
+    // The leaving entry learns of the restart with its next renewal.
+    let mut last_text = String::new();
+    while !last_text.contains("several versions have this name") {
+        assert!(!late.leaving.is_finished(), "{last_text}");
+        let (status, text) = continue_stream(&late.fleet, relay, "a2", Some("a1")).await;
+        assert_eq!(status, 503, "{text}");
+        last_text = text;
+    }
+
+    late.leaving.await.unwrap();
+    assert_eq!(late.streaming.await.unwrap(), "id: 1\ndata: a\n\nid: 2\nda");
+}
+
 /// Guards against a stream that is refused or split when its caller continues it twice at the same
 /// moment, at two entries.
 #[tokio::test(flavor = "multi_thread")]
