Do not call a request not run after an attempt that may have run

What callers saw: an entry of the project's own path answered 503 or 504 with the outcome not-run, although the first attempt of the request may have run at a target that crashed, when the second attempt found no target before the deadline. Found by reading while the quarantine of this path was planned.

Cause: the end of the last attempt was the answer, and one that does not run knows nothing of those before it.

Change: the entry keeps the failure of the last attempt that may have run, and returns it if later attempts do not run.

request_without_a_second_target_has_an_unknown_outcome fails without the change (outcome not-run) and passes with it; all tests of entry pass.

--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -149,28 +149,57 @@
     request: &OpenRequest,
     sink: &mut ResponseSink,
 ) -> AttemptEnd {
-    let (mut retries, mut requeues) = (0, 0);
+    let mut counts = AttemptCounts::default();
+    // Failure of the last attempt that may have run. A later attempt that does not run cannot tell
+    // the outcome of the request.
+    let mut unknown_end = None;
     loop {
         let end = run_attempt(shared, request, sink).await;
-        let AttemptEnd::Failed { status, code, .. } = &end else {
-            return end;
+        let (status, code) = match &end {
+            AttemptEnd::Answered => return end,
+            AttemptEnd::Refused(_) => return unknown_end.unwrap_or(end),
+            AttemptEnd::Failed { status, code, .. } => (*status, *code),
         };
-        let has_lost_claim = *status == RunStatus::NotRun
+        let has_lost_claim = status == RunStatus::NotRun
             && matches!(code, FailureCode::NotClaimed | FailureCode::NotServing);
-        if sink.is_closed() || !may_repeat(request, sink, *status, *code) {
-            return end;
-        }
-        if has_lost_claim && requeues < MAX_REQUEUES {
-            requeues += 1;
-        } else if retries < MAX_RETRIES && try_retry(shared, request) {
-            retries += 1;
-        } else {
-            return end;
+        let is_repeated = !sink.is_closed()
+            && may_repeat(request, sink, status, code)
+            && counts.try_count(shared, request, has_lost_claim);
+        match (status, is_repeated) {
+            (RunStatus::NotRun, true) => {}
+            (RunStatus::NotRun, false) => return unknown_end.unwrap_or(end),
+            (_, true) => unknown_end = Some(end),
+            (_, false) => return end,
         }
         sink.reset();
     }
 }
 
+/// Further attempts of a request.
+#[derive(Default)]
+struct AttemptCounts {
+    retries: u32,
+    requeues: u32,
+}
+
+impl AttemptCounts {
+    /// Counts another attempt, or returns false if the limits do not allow it.
+    fn try_count(
+        &mut self,
+        shared: &EntryShared,
+        request: &OpenRequest,
+        has_lost_claim: bool,
+    ) -> bool {
+        if has_lost_claim && self.requeues < MAX_REQUEUES {
+            self.requeues += 1;
+            return true;
+        }
+        let is_allowed = self.retries < MAX_RETRIES && try_retry(shared, request);
+        self.retries += u32::from(is_allowed);
+        is_allowed
+    }
+}
+
 /// Whether another attempt may follow a failed one.
 fn may_repeat(
     request: &OpenRequest,
--- a/components/entry/tests/lost_target.rs
+++ b/components/entry/tests/lost_target.rs
@@ -2,11 +2,15 @@
 
 mod common;
 
+use std::time::Duration;
+
 use agent::TargetKind;
 use common::target::FakeTarget;
 use common::{
-    Caller, EVENT_TIMEOUT, Fleet, expected_tokens, parse_tokens, read_tokens, wait_until,
+    Caller, EVENT_TIMEOUT, Fleet, expected_tokens, header_value, parse_tokens, read_tokens,
+    wait_until,
 };
+use entry::EntryLimits;
 
 /// Guards against a stream that ends as if it were complete after its engine crashed, and against a
 /// retry after a part of the response was sent.
@@ -113,3 +117,31 @@
     assert_eq!(response.unwrap(), "held");
     assert_eq!(other_target.count(|state| &state.requests), 1);
 }
+
+/// Guards against callers that are told that their request did not run, when its first attempt may
+/// have run at a target that crashed and no other target took the second one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_without_a_second_target_has_an_unknown_outcome() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(0).await;
+    let _agent = fleet
+        .start_agent("agent-1", "visits", TargetKind::Plain, target.address)
+        .await;
+    let limits = EntryLimits {
+        request_timeout: Duration::from_secs(2),
+        ..EntryLimits::default()
+    };
+    let entry = fleet.start_entry_with_limits("entry-1", limits).await;
+    let caller = Caller::new(&entry);
+    let response = tokio::spawn(async move { caller.get("/services/visits/held").await });
+    wait_until("the request is at the target", || {
+        target.count(|state| &state.requests) == 1
+    })
+    .await;
+
+    drop(target);
+    let response = tokio::time::timeout(EVENT_TIMEOUT, response).await.unwrap();
+
+    let outcome = header_value(&response.unwrap(), "bilberry-outcome");
+    assert_eq!(outcome, "unknown");
+}
