Announce free slots again a second after an agent returns

What callers saw: after all targets of a service had crashed and were back within 0.3 s, the waiting requests waited for 5.1 to 5.2 s more (project's own path; seen in a test of requests that crash targets).

Cause: an agent whose target is lost drops its offers and ignores new ones. When the target returns, it announces free slots, but entries do not repeat an offer that is younger than a second. The next announcement followed after 5 s. Only entries that learned of the loss from the directory offered the requests anew, and agents renew their listing every 500 ms.

Change: the first repetition of the announcement after the return follows after the interval from which entries repeat offers (1 s).

agent_that_returns_gets_waiting_requests_soon fails without the change (no claim within 2 s).

--- a/components/offers/src/book.rs
+++ b/components/offers/src/book.rs
@@ -19,7 +19,7 @@
 ///
 /// An agent that sends `FreeSlots` holds no offers. It has therefore dropped any offer that was
 /// sent longer ago than the longest message delay.
-const MIN_REOFFER_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const MIN_REOFFER_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Lower bound of [`BookSettings::wave_interval`]. With an interval of zero, the next wave would be
 /// due at once and [`OfferBook::tick`] would not terminate.
--- a/components/offers/src/table.rs
+++ b/components/offers/src/table.rs
@@ -7,6 +7,7 @@
 use units::{ClockTime, CostUnits, FlowWeight, NodeName, RequestId, ServiceName, SlotCount};
 use wire::{FlowId, FlowKey, FlowUsage, RequestOffer, UsageTotals};
 
+use crate::book::MIN_REOFFER_INTERVAL;
 use crate::runs::{SlotTable, SlotUse};
 use crate::waiting::{OfferQueue, ReserveChange};
 
@@ -69,6 +70,8 @@
     free_slots_sent_at: Option<ClockTime>,
     /// Whether `FreeSlots` has been sent since slots became free with no offers held.
     has_announced_free_slots: bool,
+    /// Interval at which `FreeSlots` is next repeated.
+    repeat_interval: Duration,
     last_eviction: ClockTime,
 }
 
@@ -85,6 +88,7 @@
             entries: BTreeSet::new(),
             free_slots_sent_at: None,
             has_announced_free_slots: false,
+            repeat_interval: FREE_SLOTS_REPEAT_INTERVAL,
             last_eviction: ClockTime::default(),
         }
     }
@@ -247,6 +251,8 @@
             }
         }
         self.free_slots_sent_at = None;
+        // Entries do not repeat the offers at once that they made shortly before, which were dropped.
+        self.repeat_interval = MIN_REOFFER_INTERVAL;
         self.claim_free_slots(now)
     }
 
@@ -332,13 +338,16 @@
             return;
         }
         let interval = if self.has_announced_free_slots {
-            FREE_SLOTS_REPEAT_INTERVAL
+            self.repeat_interval
         } else {
             MIN_FREE_SLOTS_INTERVAL
         };
         if !is_due(self.free_slots_sent_at, interval, now) {
             return;
         }
+        if self.has_announced_free_slots {
+            self.repeat_interval = FREE_SLOTS_REPEAT_INTERVAL;
+        }
         self.has_announced_free_slots = true;
         self.free_slots_sent_at = Some(now);
         let free = self.free_slots();
--- a/components/offers/tests/book.rs
+++ b/components/offers/tests/book.rs
@@ -4,7 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use offers::{AgentView, BookAction, BookSettings, OfferBook, QueueError, WaitingRequest};
+use offers::{
+    AgentView, BookAction, BookSettings, OfferBook, OfferTable, QueueError, TableAction,
+    WaitingRequest,
+};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use units::{ClockTime, CostUnits, FlowWeight, NodeName, OrganisationName, PrefixHash, RequestId};
@@ -314,6 +317,58 @@
     assert!(is_offer, "request 1 was not offered: {actions:?}");
 }
 
+/// Guards against an agent that remains idle for seconds while a request waits that was offered to
+/// it shortly before its target returned: the agent has dropped the offer, and its entry does not
+/// repeat an offer at once.
+#[test]
+fn agent_that_returns_gets_waiting_requests_soon() {
+    let start = ClockTime(1000);
+    let entry = NodeName::from("entry-1");
+    let mut book = OfferBook::new(settings());
+    book.set_agents(vec![view(0)], start);
+    let mut table = OfferTable::new(ServiceName::from("stone-advice"), SlotCount(1));
+    table.connect_entry(&entry, start);
+    table.set_serving(false, start);
+    let offers = book.enqueue(waiting(1, start + Duration::from_secs(60)), start);
+    for action in offers.expect("the request is queued") {
+        if let BookAction::Send {
+            message: EntryMessage::Offer(offer),
+            ..
+        } = action
+        {
+            assert!(table.add_offer(&entry, offer, start).is_empty());
+        }
+    }
+
+    let returned = start + Duration::from_millis(300);
+    let mut now = returned;
+    let mut actions = table.set_serving(true, now);
+    while !actions.iter().any(is_claim) {
+        assert!(now.since(returned) < Duration::from_secs(2), "no claim");
+        let mut replies = Vec::new();
+        for action in actions {
+            if let TableAction::FreeSlots { free, .. } = action {
+                replies.extend(book.handle_free_slots(&agent(0), free, now));
+            }
+        }
+        now = now + Duration::from_millis(50);
+        actions = table.tick(now);
+        for reply in replies {
+            if let BookAction::Send {
+                message: EntryMessage::Offer(offer),
+                ..
+            } = reply
+            {
+                actions.extend(table.add_offer(&entry, offer, now));
+            }
+        }
+    }
+}
+
+fn is_claim(action: &TableAction) -> bool {
+    matches!(action, TableAction::Claim { .. })
+}
+
 /// Guards against an organisation with many waiting requests that receives all free slots of an
 /// agent.
 #[test]
