Quarantine requests that crash targets behind agents

Cause: an entry retries a request whose target was lost at most twice, and nothing remembered the request after that. Agents could not tell a crash from a broken connection.

Change: an agent whose connection to its target breaks connects once more; if the address refuses, it ends the run with TargetCrashed and the process of the target. The entry records the request by its content and reports it to the home that relays report to, refuses quarantined requests as not run, and does not retry suspected ones. Relay and entry share the sending of reports (entry::ReportSender); relays report as before.

--- a/components/agent/src/forward.rs
+++ b/components/agent/src/forward.rs
@@ -7,7 +7,7 @@
 use limits::RunSample;
 use telemetry::TraceContext;
 use tracing::{Instrument, Span, info_span};
-use units::{ClockTime, CostUnits, RequestId};
+use units::{ClockTime, CostUnits, Incarnation, RequestId};
 use wire::{FailureCode, RunStart, RunStatus};
 
 use crate::meter::{CostMeter, is_event_stream, meter_for};
@@ -38,11 +38,13 @@
     let Some(running_count) = acquire_slot(&shared, &run, &start) else {
         return;
     };
+    let target_incarnation = shared.board.read(|state| state.target_incarnation);
     let mut task = ForwardTask {
         shared: &shared,
         run: &run,
         id,
         running_count,
+        target_incarnation,
         started_at: shared.now(),
         first_byte_latency: None,
         response_traits: ResponseTraits::default(),
@@ -108,6 +110,8 @@
     run: &'a AgentRun,
     id: RequestId,
     running_count: u32,
+    /// Process of the target to which the request is forwarded.
+    target_incarnation: Incarnation,
     started_at: ClockTime,
     first_byte_latency: Option<Duration>,
     response_traits: ResponseTraits,
@@ -143,10 +147,33 @@
                 format!("the target refused with status {}", response.head.status),
             )),
             Ok(response) => self.read_response(response).await,
-            Err(error) => RunEnd::Failed(target_failure(&error)),
+            Err(error) => RunEnd::Failed(self.target_failure(&error).await),
         }
     }
 
+    async fn target_failure(&self, error: &TargetError) -> RunFailure {
+        let code = match error {
+            TargetError::Unreachable(_) => {
+                return RunFailure::not_run(FailureCode::TargetUnreachable, error);
+            }
+            TargetError::BadRequest(_) => {
+                return RunFailure::not_run(FailureCode::BadMessage, error);
+            }
+            TargetError::Lost(_) if self.has_crashed().await => {
+                FailureCode::TargetCrashed(self.target_incarnation)
+            }
+            TargetError::Lost(_) => FailureCode::TargetLost,
+        };
+        RunFailure::new(RunStatus::Unknown, code, error)
+    }
+
+    /// Whether the target's process has ended unexpectedly. The target of a leaving agent may be
+    /// stopped, too.
+    async fn has_crashed(&self) -> bool {
+        let is_leaving = self.shared.board.read(|state| state.is_leaving);
+        !is_leaving && self.shared.target.has_ended().await
+    }
+
     /// Whether a model engine refused the request because it is at its capacity.
     ///
     /// A status of 429 or 503 from a plain service is a response to the caller and is passed on.
@@ -173,7 +200,7 @@
         while let Some(part) = body.next().await {
             match part {
                 Ok(bytes) => self.forward_bytes(&bytes, meter.as_mut()).await,
-                Err(error) => return RunEnd::Failed(target_failure(&error)),
+                Err(error) => return RunEnd::Failed(self.target_failure(&error).await),
             }
         }
         let cost = meter.finish();
@@ -236,6 +263,7 @@
             RunEnd::Failed(failure) => match failure.code {
                 FailureCode::TargetUnreachable
                 | FailureCode::TargetLost
+                | FailureCode::TargetCrashed(_)
                 | FailureCode::TargetBusy => state.limit.record_refusal(now),
                 _ => {}
             },
@@ -268,14 +296,6 @@
     };
     matches!(
         failure.code,
-        FailureCode::TargetUnreachable | FailureCode::TargetLost
+        FailureCode::TargetUnreachable | FailureCode::TargetLost | FailureCode::TargetCrashed(_)
     )
 }
-
-fn target_failure(error: &TargetError) -> RunFailure {
-    match error {
-        TargetError::Unreachable(_) => RunFailure::not_run(FailureCode::TargetUnreachable, error),
-        TargetError::BadRequest(_) => RunFailure::not_run(FailureCode::BadMessage, error),
-        TargetError::Lost(_) => RunFailure::new(RunStatus::Unknown, FailureCode::TargetLost, error),
-    }
-}
--- a/components/agent/src/state.rs
+++ b/components/agent/src/state.rs
@@ -39,6 +39,9 @@
     pub(crate) last_generation: u64,
     /// Whether the target accepted a connection at the last probe and was not lost since.
     pub(crate) is_healthy: bool,
+    /// Incarnation of the target's process. A new one begins when the target returns after it was
+    /// lost.
+    pub(crate) target_incarnation: Incarnation,
     /// Whether the target was lost since the last probe, so that the next one is due immediately.
     pub(crate) is_probe_requested: bool,
     pub(crate) is_leaving: bool,
@@ -62,6 +65,7 @@
             sessions: HashMap::new(),
             last_generation: 0,
             is_healthy: false,
+            target_incarnation: Incarnation::starting_now(),
             is_probe_requested: false,
             is_leaving: false,
             is_refusing_starts: false,
--- a/components/agent/src/target.rs
+++ b/components/agent/src/target.rs
@@ -1,5 +1,6 @@
 //! HTTP client for the target of the agent.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -9,6 +10,8 @@
 use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::error::Elapsed;
 use units::error_chain;
 use wire::{EventTail, HeaderField, RequestHead, ResponseHead};
 
@@ -73,6 +76,9 @@
 
     /// Whether the target accepts connections.
     fn probe(&self) -> BoxFuture<'_, bool>;
+
+    /// Whether the process of the target has ended: its address refuses connections.
+    fn has_ended(&self) -> BoxFuture<'_, bool>;
 }
 
 /// Client of a target that is reached by HTTP/1.1.
@@ -112,6 +118,11 @@
         })
     }
 
+    /// Opens a connection, or fails after [`CONNECT_TIMEOUT`].
+    async fn connect(&self) -> Result<std::io::Result<TcpStream>, Elapsed> {
+        tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&self.address)).await
+    }
+
     fn request(&self, request: TargetRequest) -> Result<reqwest::RequestBuilder, TargetError> {
         let bad_request = |reason: String| TargetError::BadRequest(reason);
         let method = http::Method::from_bytes(request.head.method.as_bytes())
@@ -165,12 +176,13 @@
     }
 
     fn probe(&self) -> BoxFuture<'_, bool> {
+        async move { matches!(self.connect().await, Ok(Ok(_))) }.boxed()
+    }
+
+    fn has_ended(&self) -> BoxFuture<'_, bool> {
         async move {
-            let connecting = tokio::net::TcpStream::connect(&self.address);
-            matches!(
-                tokio::time::timeout(CONNECT_TIMEOUT, connecting).await,
-                Ok(Ok(_))
-            )
+            let connected = self.connect().await;
+            matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
         }
         .boxed()
     }
--- a/components/agent/src/upkeep.rs
+++ b/components/agent/src/upkeep.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use units::Incarnation;
+
 use crate::state::AgentShared;
 
 /// Interval at which the permission to claim is checked. An order or the end of the lease takes
@@ -58,6 +60,9 @@
         let now = shared.now();
         shared.board.write(|state| {
             state.is_healthy = is_healthy;
+            if is_healthy {
+                state.target_incarnation = Incarnation::starting_now();
+            }
             state.limit.record_refusal(now);
             state.apply_limit(now);
         });
--- a/components/entry/src/calls.rs
+++ b/components/entry/src/calls.rs
@@ -11,7 +11,7 @@
 use crate::call_flow::{CallAttempt, CallFlow, CallStep, CallVerdict};
 use crate::refusal::Refusal;
 use crate::run::{RunBegin, RunJob, RunResult, query_run, run};
-use crate::serve::{AttemptEnd, OpenRequest, RETRY_AFTER, SlotGrant, release_slot};
+use crate::serve::{AttemptEnd, OpenRequest, RETRY_AFTER, SlotGrant, release_slot, run_in_slot};
 use crate::sink::{ResponsePart, ResponseSink};
 use crate::state::EntryShared;
 
@@ -107,9 +107,7 @@
 
     async fn run_attempt(&mut self) -> RunStatus {
         self.has_started = true;
-        let span = info_span!("entry.run");
-        let run_job = self.request.run_job(&self.grant);
-        let result = run(self.shared, run_job, self.sink).instrument(span).await;
+        let result = run_in_slot(self.shared, self.request, &self.grant, self.sink).await;
         let status = result.status();
         match result {
             // The response ends before the outcome is recorded, so that the caller does not wait
--- a/components/entry/src/daemon.rs
+++ b/components/entry/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::recorder::{CallRecorder, ControlRecorder};
 use crate::settings::EntrySettings;
 use crate::state::{EntryShared, EntryState};
-use crate::{http, links, upkeep};
+use crate::{crashes, http, links, upkeep};
 
 /// Time for which a leaving entry still accepts connections and answers requests with a refusal.
 /// The load balancer needs it to see the failing readiness check before connections are rejected.
@@ -145,6 +145,7 @@
     tasks.spawn(upkeep::tick_book(shared.clone()));
     tasks.spawn(upkeep::update_agents(shared.clone()));
     tasks.spawn(links::refuse_links(shared.clone()));
+    tasks.spawn(crashes::report_crashes(shared.clone(), client.clone()));
     if parts.view.is_none() {
         let (view, clock, node) = (shared.view.clone(), shared.clock.clone(), shared.clone());
         let directory_entry = move || node.directory_entry();
--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -11,6 +11,7 @@
 use units::{CostUnits, FlowWeight, OrganisationName, PrefixHash, ServiceName};
 use wire::{FlowKey, HeaderField, RequestHead};
 
+use crate::crashes::content_trait;
 use crate::fleet::{KeyIndex, has_target, missing_dependency};
 use crate::refusal::Refusal;
 use crate::reply;
@@ -96,6 +97,7 @@
         });
         Ok(OpenRequest {
             body: Arc::new(checked.body.clone()),
+            content: content_trait(&checked),
             checked,
             weight: caller.weight,
             max_waiting,
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod call_flow;
 mod calls;
 mod chunks;
+mod crashes;
 mod daemon;
 mod fleet;
 mod http;
@@ -16,6 +17,7 @@
 mod recorder;
 mod refusal;
 mod reply;
+mod report;
 mod request;
 mod run;
 mod serve;
@@ -32,6 +34,7 @@
 };
 pub use recorder::{CallRecorder, ControlRecorder};
 pub use refusal::{Refusal, RequestOutcome};
+pub use report::{IDLE_REPORT_INTERVAL, ReportSender, model_pool};
 pub use request::{
     ChatBody, CheckedRequest, is_canonical_path, parse_idempotency_key, split_service_path,
 };
--- a/components/entry/src/refusal.rs
+++ b/components/entry/src/refusal.rs
@@ -96,7 +96,7 @@
         let (http_status, name) = match code {
             FailureCode::NotClaimed | FailureCode::NotServing => (503, "not-serving"),
             FailureCode::TargetUnreachable => (503, "target-unreachable"),
-            FailureCode::TargetLost => (502, "target-lost"),
+            FailureCode::TargetLost | FailureCode::TargetCrashed(_) => (502, "target-lost"),
             FailureCode::TargetBusy => (503, "target-busy"),
             FailureCode::BufferLost => (502, "response-lost"),
             FailureCode::DeadlinePassed => (504, "deadline-passed"),
--- a/components/entry/src/serve.rs
+++ b/components/entry/src/serve.rs
@@ -11,9 +11,10 @@
 use tokio::time::Instant;
 use tracing::{Instrument, Span, info_span};
 use units::{FlowWeight, Incarnation, NodeName, RequestId};
-use wire::{EntryMessage, FailureCode, RequestOffer, RunStart, RunStatus};
+use wire::{EntryMessage, FailureCode, RequestOffer, RequestTrait, RunStart, RunStatus};
 
 use crate::calls;
+use crate::crashes::{check_quarantine, is_suspected, record_crash, record_success};
 use crate::links::acquire_link;
 use crate::refusal::Refusal;
 use crate::request::CheckedRequest;
@@ -38,6 +39,8 @@
     pub(crate) max_waiting: u32,
     pub(crate) deadline: Instant,
     pub(crate) body: Arc<Vec<u8>>,
+    /// Trait that it shares with its repetitions.
+    pub(crate) content: RequestTrait,
     /// `traceparent` header of the caller.
     pub(crate) traceparent: Option<String>,
 }
@@ -48,6 +51,8 @@
     pub(crate) agent: NodeName,
     pub(crate) incarnation: Incarnation,
     pub(crate) request: RequestId,
+    /// Whether an earlier attempt of the request may have run at another target.
+    pub(crate) is_retry: bool,
 }
 
 /// Result of one attempt to run a request.
@@ -154,7 +159,8 @@
     // the outcome of the request.
     let mut unknown_end = None;
     loop {
-        let end = run_attempt(shared, request, sink).await;
+        let is_retry = unknown_end.is_some();
+        let end = run_attempt(shared, request, sink, is_retry).await;
         let (status, code) = match &end {
             AttemptEnd::Answered => return end,
             AttemptEnd::Refused(_) => return unknown_end.unwrap_or(end),
@@ -163,7 +169,7 @@
         let has_lost_claim = status == RunStatus::NotRun
             && matches!(code, FailureCode::NotClaimed | FailureCode::NotServing);
         let is_repeated = !sink.is_closed()
-            && may_repeat(request, sink, status, code)
+            && may_repeat(shared, request, sink, status, code)
             && counts.try_count(shared, request, has_lost_claim);
         match (status, is_repeated) {
             (RunStatus::NotRun, true) => {}
@@ -202,6 +208,7 @@
 
 /// Whether another attempt may follow a failed one.
 fn may_repeat(
+    shared: &EntryShared,
     request: &OpenRequest,
     sink: &ResponseSink,
     status: RunStatus,
@@ -211,7 +218,7 @@
         code,
         FailureCode::DeadlinePassed | FailureCode::Cancelled | FailureCode::BadMessage
     );
-    let is_repeatable = request.checked.idempotency_key.is_none();
+    let is_repeatable = request.checked.idempotency_key.is_none() && !is_suspected(shared, request);
     !is_final_code && !sink.has_sent_head() && (is_repeatable || status == RunStatus::NotRun)
 }
 
@@ -226,21 +233,30 @@
     shared: &EntryShared,
     request: &OpenRequest,
     sink: &mut ResponseSink,
+    is_retry: bool,
 ) -> AttemptEnd {
+    let is_trial = match check_quarantine(shared, request) {
+        Ok(is_trial) => is_trial,
+        Err(refusal) => return AttemptEnd::Refused(refusal),
+    };
     let queued_at = Instant::now();
     let waiting = wait_for_slot(shared, request, sink);
     let span = info_span!("entry.offer-wait");
-    let grant = match waiting.instrument(span).await {
+    let mut grant = match waiting.instrument(span).await {
         Ok(grant) => grant,
         Err(end) => return end,
     };
+    grant.is_retry = is_retry;
     let _ = shared.metrics.time("offer-wait", queued_at.elapsed());
+    // The quarantine may have begun during the wait.
+    if !is_trial && let Err(refusal) = check_quarantine(shared, request) {
+        release_slot(shared, &grant);
+        return AttemptEnd::Refused(refusal);
+    }
     if let Some(key) = &request.checked.idempotency_key {
         return calls::run_call(shared, request, key, grant, sink).await;
     }
-    let span = info_span!("entry.run");
-    let run_job = request.run_job(&grant);
-    match run(shared, run_job, sink).instrument(span).await {
+    match run_in_slot(shared, request, &grant, sink).await {
         RunResult::Complete => {
             sink.finish().await;
             AttemptEnd::Answered
@@ -257,6 +273,28 @@
     }
 }
 
+/// Runs a request in its slot, and records what the end of the run tells about the request.
+pub(crate) async fn run_in_slot(
+    shared: &EntryShared,
+    request: &OpenRequest,
+    grant: &SlotGrant,
+    sink: &mut ResponseSink,
+) -> RunResult {
+    let started_at = shared.now();
+    let span = info_span!("entry.run");
+    let run_job = request.run_job(grant);
+    let result = run(shared, run_job, sink).instrument(span).await;
+    match &result {
+        RunResult::Complete if sink.has_success() => record_success(shared, request),
+        RunResult::Failed {
+            code: FailureCode::TargetCrashed(target),
+            ..
+        } => record_crash(shared, request, grant, *target, started_at),
+        RunResult::Complete | RunResult::Failed { .. } => {}
+    }
+    result
+}
+
 /// Queues a request and waits until an agent has reserved a slot for it.
 async fn wait_for_slot(
     shared: &EntryShared,
@@ -305,6 +343,7 @@
             agent,
             incarnation: connection.incarnation,
             request: id,
+            is_retry: false,
         }),
         None => Err(AttemptEnd::Failed {
             status: RunStatus::NotRun,
--- a/components/entry/src/sink.rs
+++ b/components/entry/src/sink.rs
@@ -124,6 +124,12 @@
         self.remaining_bytes = None;
     }
 
+    /// Whether the response, as received so far, has a status of success.
+    pub(crate) fn has_success(&self) -> bool {
+        let recorded = self.recorded.as_ref();
+        recorded.is_some_and(|recorded| (200..300).contains(&recorded.head.status))
+    }
+
     /// Response as received so far, or `None` if it has no head or is too large to be recorded.
     pub(crate) fn recorded_response(&self) -> Option<StoredResponse> {
         self.recorded.clone().filter(|_| !self.is_too_large)
--- a/components/entry/src/state.rs
+++ b/components/entry/src/state.rs
@@ -11,6 +11,7 @@
 use limits::RetryBudget;
 use link::LinkEndpoint;
 use offers::{BookAction, BookSettings, OfferBook};
+use quarantine::CrashLog;
 use tokio::sync::{mpsc, oneshot};
 use units::{ClockSource, ClockTime, Incarnation, NodeName, RequestId, ServiceName};
 use wire::{DirectoryEntry, EntryMessage, NodeKind, NodeState};
@@ -85,6 +86,8 @@
     pub(crate) leaving_agents: HashSet<(NodeName, Incarnation)>,
     /// Agents that calls depend on and that the directory does not list.
     pub(crate) lost_agents: LostAgents,
+    /// Requests that were at targets when these crashed.
+    pub(crate) crashes: CrashLog,
     pub(crate) open_requests: usize,
     pub(crate) is_leaving: bool,
 }
@@ -105,6 +108,7 @@
             failed_agents: HashMap::new(),
             leaving_agents: HashSet::new(),
             lost_agents: LostAgents::default(),
+            crashes: CrashLog::new(),
             open_requests: 0,
             is_leaving: false,
         }
--- a/components/entry/tests/common/home.rs
+++ b/components/entry/tests/common/home.rs
@@ -1,37 +1,67 @@
-//! Fake control node that only adds up usage reports.
+//! Fake control node that only merges the reports of agents and entries.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 use fair::UsageHome;
 use link::{LinkEndpoint, PeerLink};
+use quarantine::QuarantineHome;
 use tokio::task::JoinSet;
 use units::ClockSource;
-use wire::{ControlReply, ControlRequest};
+use wire::{ControlReply, ControlRequest, EntryReply, HomeId, ShareReply};
 
 pub struct FakeHome {
     pub address: SocketAddr,
     endpoint: LinkEndpoint,
-    usage: Arc<Mutex<UsageHome>>,
+    state: Arc<Mutex<HomeState>>,
     _tasks: JoinSet<()>,
 }
 
+struct HomeState {
+    usage: UsageHome,
+    quarantine: QuarantineHome,
+    clock: Arc<dyn ClockSource>,
+}
+
+impl HomeState {
+    fn reply(&mut self, request: &ControlRequest) -> Option<ControlReply> {
+        let now = self.clock.now();
+        match request {
+            ControlRequest::Usage(report) => {
+                Some(ControlReply::Usage(self.usage.apply_report(report, now)))
+            }
+            ControlRequest::Report(report) => {
+                let (quarantine, _) = self.quarantine.apply_report(&report.crashes, now);
+                Some(ControlReply::Report(EntryReply {
+                    shares: ShareReply { flows: Vec::new() },
+                    quarantine,
+                }))
+            }
+            _ => None,
+        }
+    }
+}
+
 impl FakeHome {
     pub fn start(endpoint: LinkEndpoint, clock: Arc<dyn ClockSource>) -> Self {
-        let usage = Arc::new(Mutex::new(UsageHome::new()));
+        let state = Arc::new(Mutex::new(HomeState {
+            usage: UsageHome::new(),
+            quarantine: QuarantineHome::new(HomeId(1)),
+            clock,
+        }));
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept_links(endpoint.clone(), usage.clone(), clock));
+        tasks.spawn(accept_links(endpoint.clone(), state.clone()));
         Self {
             address: endpoint.address(),
             endpoint,
-            usage,
+            state,
             _tasks: tasks,
         }
     }
 
     /// Number of flows for which usage was reported to this node.
     pub fn flow_count(&self) -> usize {
-        self.usage.lock().unwrap().len()
+        self.state.lock().unwrap().usage.len()
     }
 
     /// Closes all connections and stops answering.
@@ -40,26 +70,24 @@
     }
 }
 
-async fn accept_links(
-    endpoint: LinkEndpoint,
-    usage: Arc<Mutex<UsageHome>>,
-    clock: Arc<dyn ClockSource>,
-) {
+async fn accept_links(endpoint: LinkEndpoint, state: Arc<Mutex<HomeState>>) {
     let mut links = JoinSet::new();
     while let Some(incoming) = endpoint.accept().await {
         if let Ok(link) = endpoint.complete_handshake(incoming).await {
-            links.spawn(serve_link(link, usage.clone(), clock.clone()));
+            links.spawn(serve_link(link, state.clone()));
         }
     }
 }
 
-async fn serve_link(link: PeerLink, usage: Arc<Mutex<UsageHome>>, clock: Arc<dyn ClockSource>) {
+async fn serve_link(link: PeerLink, state: Arc<Mutex<HomeState>>) {
     while let Ok(mut stream) = link.accept().await {
-        let Ok(Some(ControlRequest::Usage(report))) = stream.reader.receive().await else {
+        let Ok(Some(request)) = stream.reader.receive::<ControlRequest>().await else {
             continue;
         };
-        let totals = usage.lock().unwrap().apply_report(&report, clock.now());
-        let _ = stream.writer.send(&ControlReply::Usage(totals)).await;
-        stream.writer.finish();
+        let reply = state.lock().unwrap().reply(&request);
+        if let Some(reply) = reply {
+            let _ = stream.writer.send(&reply).await;
+            stream.writer.finish();
+        }
     }
 }
--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
+pub mod crashing;
 pub mod home;
 pub mod recorder;
 pub mod relay;
@@ -84,7 +85,7 @@
     pub agent_view: StateBoard<FleetView>,
     pub clock: Arc<dyn ClockSource>,
     pub recorder: Arc<FakeRecorder>,
-    /// Addresses of the control nodes that agents report usage to.
+    /// Addresses of the control nodes that agents and entries report to.
     pub controls: Vec<SocketAddr>,
     authority: KeyAuthority,
 }
@@ -149,7 +150,7 @@
             http: any_local_address(),
             listen: any_local_address(),
             data_centre: DataCentreName::from("praha-1"),
-            controls: vec![any_local_address()],
+            controls: self.controls.clone(),
             keys: self.folder.path().into(),
             limits,
         };
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -7,6 +7,7 @@
 use board::StateBoard;
 use cadence::StatsdClient;
 use client::{ControlClient, FleetView, keep_lease};
+use entry::model_pool;
 use eyre::WrapErr;
 use fair::ShareGate;
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
@@ -20,7 +21,7 @@
 use units::{ClockSource, Incarnation, NodeName, PlanNumber, SoftwareVersion, SystemClock};
 use wire::{NodeRole, stable_hash};
 
-use crate::demand::{model_pool, report_demand};
+use crate::demand::report_demand;
 use crate::dialect::CallerDialect;
 use crate::follow::{follow_view, poll_queue, prune_connections};
 use crate::http::{ReadyCheck, RelayHandler};
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use entry::Refusal;
+use entry::{Refusal, model_pool};
 use quarantine::QuarantineVerdict;
 use routes::{KeyHolder, RouteIndex, RouteMatch};
 use telemetry::{event, events};
@@ -12,7 +12,7 @@
 
 use super::{ForwardedRequest, PLAN_RETRY_AFTER, RETRY_AFTER};
 use crate::backend::CallerRequest;
-use crate::demand::model_pool;
+
 use crate::dialect::RequestMetadata;
 use crate::state::RelayShared;
 
--- a/components/wire/src/run.rs
+++ b/components/wire/src/run.rs
@@ -144,5 +144,7 @@
         Cancelled,
         /// The agent received an invalid message.
         BadMessage,
+        /// This process of the target, as counted by its agent, ended during the response.
+        TargetCrashed(Incarnation),
     }
 }
