--- a/components/ctl/tests/commands.rs
+++ b/components/ctl/tests/commands.rs
@@ -1,12 +1,9 @@
 //! Exit codes and outputs of the commands, run against one control node.
 
-use std::net::SocketAddr;
-use std::path::Path;
-use std::time::Duration;
+mod common;
 
-use control::{ControlHandle, ControlSettings, start};
-use ctl::{CommandReport, ExitStatus, run};
-use raft::RaftSettings;
+use common::{run_ctl, start_control};
+use ctl::ExitStatus;
 
 const SERVICES_TEXT: &str = r#"
 [[region]]
@@ -16,46 +13,6 @@
 region = "bohemia"
 "#;
 
-async fn run_ctl(folder: &Path, controls: &str, arguments: &[&str]) -> CommandReport {
-    let keys = folder.join("keys");
-    let mut all_arguments = vec!["--keys", keys.to_str().unwrap(), "--controls", controls];
-    all_arguments.extend(arguments);
-    let options = ctl::options().run_inner(all_arguments.as_slice()).unwrap();
-    run(options).await
-}
-
-/// Issues the keys of a control node and an operator, and starts the control node.
-async fn start_control(folder: &Path) -> ControlHandle {
-    for arguments in [
-        vec!["keys", "init"],
-        vec!["keys", "issue", "control", "control-1"],
-        vec!["keys", "issue", "operator", "operator"],
-    ] {
-        let report = run_ctl(folder, "", &arguments).await;
-        assert_eq!(report.status, ExitStatus::Done, "{report:?}");
-    }
-    let settings = ControlSettings {
-        name: "control-1".into(),
-        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-        data: folder.join("data"),
-        keys: folder.join("keys"),
-        peers: Default::default(),
-        http: None,
-        region: None,
-        data_centre: None,
-        raft: RaftSettings::default(),
-        target_silence_timeout: Duration::from_secs(2),
-        is_join_only: false,
-        has_peer_discovery: false,
-    };
-    let handle = start(settings).await.unwrap();
-    let ready = handle.wait_until(|status| status.confirmed_ms.is_some());
-    tokio::time::timeout(Duration::from_secs(30), ready)
-        .await
-        .unwrap();
-    handle
-}
-
 /// Guards against changes of exit codes and outputs on which scripts rely.
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_have_their_exit_codes() {
--- a/components/ctl/tests/quarantine.rs
+++ b/components/ctl/tests/quarantine.rs
@@ -1,14 +1,11 @@
 //! Listing and lifting of the quarantine, at a control node that has it from an entry.
 
-use std::net::SocketAddr;
-use std::path::Path;
-use std::time::Duration;
+mod common;
 
 use client::ControlClient;
-use control::{ControlHandle, ControlSettings, start};
-use ctl::{CommandReport, ExitStatus, run};
-use link::{KeyAuthority, KeyFiles, LinkEndpoint, LinkIdentity};
-use raft::RaftSettings;
+use common::{any_local_address, run_ctl, start_control};
+use ctl::ExitStatus;
+use link::{KeyFiles, LinkEndpoint, LinkIdentity};
 use units::Incarnation;
 use wire::{
     ControlReply, ControlRequest, CrashReport, DemandReport, EntryReport, NodeRole,
@@ -17,37 +14,6 @@
 
 const SUBJECT: &str = "drafts/part:5c1e07a2";
 
-const LOOPBACK: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
-
-async fn start_control(folder: &Path) -> ControlHandle {
-    let keys = folder.join("keys");
-    std::fs::create_dir_all(&keys).unwrap();
-    let authority = KeyAuthority::open_or_create(&keys).unwrap();
-    for (role, name) in [
-        (NodeRole::Control, "control-1"),
-        (NodeRole::Operator, "operator"),
-        (NodeRole::Entry, "entry-1"),
-    ] {
-        authority.issue(role, &name.into()).unwrap();
-    }
-    let settings = ControlSettings {
-        name: "control-1".into(),
-        listen: LOOPBACK,
-        data: folder.join("data"),
-        keys,
-        peers: Default::default(),
-        http: None,
-        region: None,
-        data_centre: None,
-        raft: RaftSettings::default(),
-        target_silence_timeout: Duration::from_secs(2),
-        is_join_only: false,
-        has_peer_discovery: false,
-    };
-    start(settings).await.unwrap()
-}
-
 /// Report of an entry that applies the quarantine of one trait, which it has from another home.
 fn quarantine_report() -> ControlRequest {
     ControlRequest::Report(EntryReport {
@@ -79,13 +45,6 @@
     })
 }
 
-async fn run_ctl(folder: &Path, controls: &str, arguments: &[&str]) -> CommandReport {
-    let keys = folder.join("keys");
-    let mut all_arguments = vec!["--keys", keys.to_str().unwrap(), "--controls", controls];
-    all_arguments.extend(arguments);
-    run(ctl::options().run_inner(all_arguments.as_slice()).unwrap()).await
-}
-
 /// Guards against a quarantine that operators cannot see or end, and that comes back with the next
 /// report of an entry.
 #[tokio::test(flavor = "multi_thread")]
@@ -99,7 +58,7 @@
         &"entry-1".into(),
     );
     let identity = LinkIdentity::load(NodeRole::Entry, &"entry-1".into(), &files).unwrap();
-    let endpoint = LinkEndpoint::bind(LOOPBACK, &identity, Incarnation(1)).unwrap();
+    let endpoint = LinkEndpoint::bind(any_local_address(), &identity, Incarnation(1)).unwrap();
     let entry = ControlClient::new(endpoint, vec![handle.address()]);
     let reply = entry
         .request_at(handle.address(), &quarantine_report())
