--- a/components/entry/tests/common/mod.rs
+++ b/components/entry/tests/common/mod.rs
@@ -165,8 +165,8 @@
         entry
     }
 
-    /// Starts a control node that only adds up usage reports.
-    pub fn start_usage_home(&self, name: &str) -> FakeHome {
+    /// Starts a control node that only merges the reports of agents and entries.
+    pub fn start_home(&self, name: &str) -> FakeHome {
         let name = NodeName::from(name);
         let files = self.authority.issue(NodeRole::Control, &name).unwrap();
         let identity = LinkIdentity::load(NodeRole::Control, &name, &files).unwrap();
--- a/components/entry/tests/crashes.rs
+++ b/components/entry/tests/crashes.rs
@@ -36,7 +36,7 @@
 
 async fn start_crash_fleet(targets: usize) -> CrashFleet {
     let mut fleet = Fleet::new();
-    let home = fleet.start_usage_home("control-1");
+    let home = fleet.start_home("control-1");
     fleet.controls = vec![home.address];
     let arrivals = CrashArrivals::default();
     let mut agents = Vec::new();
--- a/components/entry/tests/flow.rs
+++ b/components/entry/tests/flow.rs
@@ -48,10 +48,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn agents_learn_total_usage_of_their_service() {
     let mut fleet = Fleet::new();
-    let mut homes = vec![
-        fleet.start_usage_home("control-1"),
-        fleet.start_usage_home("control-2"),
-    ];
+    let mut homes = vec![fleet.start_home("control-1"), fleet.start_home("control-2")];
     fleet.controls = homes.iter().map(|home| home.address).collect();
     let targets = [FakeTarget::start(100).await, FakeTarget::start(50).await];
     let (service, kind) = ("stone-advice", TargetKind::Model);
