--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -65,7 +65,7 @@
 }
 
 /// Reads the body of a stream up to its break.
-async fn read_first_event(mut response: reqwest::Response) -> String {
+async fn read_until_break(mut response: reqwest::Response) -> String {
     let mut body = Vec::new();
     while let Some(chunk) = response.chunk().await.transpose() {
         match chunk {
@@ -462,7 +462,7 @@
     let address = entry.http();
     let request = fleet.client.post(format!("http://{address}/resumable/x"));
     let request = request.header("request-id", "a1").header("key", "secret");
-    let streaming = tokio::spawn(async { read_first_event(request.send().await.unwrap()).await });
+    let streaming = tokio::spawn(async { read_until_break(request.send().await.unwrap()).await });
     wait_until(|| targets.iter().any(|target| target.arrivals() == 1)).await;
     let mut idle = open_idle_connection(address).await;
     let leaving = tokio::spawn(entry.leave());
