--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -83,6 +83,34 @@
     );
 }
 
+/// Guards against entries that have lost their memory of a cold target together, and each send it a
+/// first request at once: over 1.5 times its rate and five requests in one second.
+#[rstest]
+#[case::few_entries(7)]
+#[case::many_entries(100)]
+fn entries_that_start_together_keep_to_the_rate_of_a_cold_target(#[case] count: u32) {
+    let rate = 14;
+    let cold = ListedTarget {
+        cold_ms: 3_000,
+        cold_rate: Some(MilliRate(rate * 1_000)),
+        ..target(1)
+    };
+    let position = |rank| EntryPosition { rank, count };
+    let mut tables: Vec<PlacementTable> = (0..count)
+        .map(|rank| common::table(vec![cold.clone()], position(rank)))
+        .collect();
+
+    let mut sent = 0;
+    for now in (0..1_000).step_by(10) {
+        for table in &mut tables {
+            let outcome = table.place(&request(None), ClockTime(now));
+            sent += u64::from(matches!(outcome, PlacementOutcome::Run(_)));
+        }
+    }
+
+    assert!(sent <= rate * 3 / 2 + 5, "{sent} requests in one second");
+}
+
 /// Guards against requests that wait for limited targets while another one is free, and against
 /// sessions that do not move there.
 #[rstest]
