--- a/components/relay/tests/crashes.rs
+++ b/components/relay/tests/crashes.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use common::crashing::{CrashRecord, CrashRule, start_crashing_targets};
+use common::crashing::{CrashKind, CrashRecord, CrashRule, start_crashing_targets};
 use common::{TestFleet, header, plan};
 use relay::RelayHandle;
 use rstest::rstest;
@@ -21,6 +21,9 @@
 /// Time for which the late arrivals are counted.
 const COUNT_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which the late arrivals at targets that end without a sign are counted.
+const LONG_COUNT_TIME: Duration = Duration::from_secs(12);
+
 /// Id of the prompt part that crashes targets.
 const CRASHING_PART: &str = "bad";
 
@@ -122,29 +125,26 @@
     record.crash(count).unwrap()
 }
 
-/// Guards against requests that go on crashing one target after the other: with one prompt part in
-/// common, new each time, and as the same request repeated by its caller. The sound requests beside
-/// them must still be served.
-#[rstest]
-#[case::requests_with_one_prompt_part(CrashingRequest::Part, 5)]
-#[case::repeated_request(CrashingRequest::Repeated, 3)]
-#[tokio::test(flavor = "multi_thread")]
-async fn requests_that_crash_targets_stop_reaching_them(
-    #[case] kind: CrashingRequest,
-    #[case] tolerated_crashes: usize,
+/// Asserts that hardly any crashing request reaches targets within `count_time` after the last
+/// tolerated crash and the contact window, and that the sound requests beside them are served.
+async fn assert_crashing_requests_stop(
+    request: CrashingRequest,
+    kind: CrashKind,
+    tolerated_crashes: usize,
+    count_time: Duration,
 ) {
     let fleet = TestFleet::start(Some(plan()), &[]).await;
     let other = fleet.start_other_relay().await;
-    let record = start_crashing_targets(&fleet, 8, kind.rule()).await;
+    let record = start_crashing_targets(&fleet, 8, request.rule(), kind).await;
     let relays = [&fleet.relay, &other];
     let counts: Arc<[AtomicUsize; 2]> = Arc::default();
     let _sound_load = start_sound_load(&fleet, &relays, &counts);
 
-    let _crashing_load = start_crashing_load(&fleet, &relays, kind);
+    let _crashing_load = start_crashing_load(&fleet, &relays, request);
     let tolerated_until = wait_for_crashes(&record, tolerated_crashes).await + CONTACT_WINDOW;
     tokio::time::sleep_until(tolerated_until.into()).await;
     let before = [0, 1].map(|index| counts[index].load(Ordering::SeqCst));
-    tokio::time::sleep(COUNT_TIME).await;
+    tokio::time::sleep(count_time).await;
 
     let late_arrivals = record.arrivals_after(tolerated_until);
     assert!(
@@ -157,3 +157,30 @@
         "{served} of {sent} sound requests are served"
     );
 }
+
+/// Guards against requests that go on crashing one target after the other: with one prompt part in
+/// common, new each time, and as the same request repeated by its caller.
+#[rstest]
+#[case::requests_with_one_prompt_part(CrashingRequest::Part, 5)]
+#[case::repeated_request(CrashingRequest::Repeated, 3)]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_crash_targets_stop_reaching_them(
+    #[case] request: CrashingRequest,
+    #[case] tolerated_crashes: usize,
+) {
+    let kind = CrashKind::Refusing;
+    assert_crashing_requests_stop(request, kind, tolerated_crashes, COUNT_TIME).await;
+}
+
+/// Guards against a repeated request that goes on crashing targets whose addresses never refuse a
+/// connection: their end shows only when the next process is announced, or in their silence.
+#[rstest]
+#[case::accepting_for_50_ms(CrashKind::Accepting(Duration::from_millis(50)))]
+#[case::accepting_for_1500_ms(CrashKind::Accepting(Duration::from_millis(1_500)))]
+#[case::silent_for_1500_ms(CrashKind::Silent(Duration::from_millis(1_500)))]
+#[case::silent_for_4_s(CrashKind::Silent(Duration::from_secs(4)))]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_crash_accepting_targets_stop_reaching_them(#[case] kind: CrashKind) {
+    let request = CrashingRequest::Repeated;
+    assert_crashing_requests_stop(request, kind, 3, LONG_COUNT_TIME).await;
+}
