Recognise targets that crash without refusing connections

Callers saw: a request that crashes its targets was sent on for as long as it was repeated, where the address of a crashed target accepts connections (a supervisor, a quick restart) or the target is silent.

Cause: one sign was taken for the end of a process, a refused connection within 500 ms of a break. Without it the break was forgotten, and a request that met its deadline or lost its caller left no observation at all.

Change: a request without a complete response stays with the process at which it failed until that process answers a later one. The process has ended if its address refuses a connection of any request, or if the directory lists its successor or no longer lists it, unless it was leaving. Until the end shows, the same request is held back after it has failed at three targets that have not answered since. A server error may be a target's last response.

--- a/components/entry/src/crashes.rs
+++ b/components/entry/src/crashes.rs
@@ -4,8 +4,6 @@
 //! there and reports it to a control node, which finds the content that recurs in the crashes; the
 //! entry then refuses requests with this content.
 
-use std::time::Duration;
-
 use cadence::prelude::*;
 use client::ControlClient;
 use fair::DEMAND_INTERVAL;
@@ -46,20 +44,17 @@
             .crashes
             .check_request(&flow.service, flow_id, traits, now)
     });
-    let quarantined = match verdict {
+    let cause = match verdict {
         QuarantineVerdict::Admitted => return Ok(false),
         QuarantineVerdict::Trial => {
             event!(events::QUARANTINE_TRIAL, traits = request.content);
             return Ok(true);
         }
-        QuarantineVerdict::Refused(quarantined) => quarantined,
+        QuarantineVerdict::Refused(cause) => cause,
     };
-    let message = format!(
-        "Failed to accept the request: requests with {} crashed {} targets",
-        quarantined.subject, quarantined.crashes
-    );
+    let message = format!("Failed to accept the request: {cause}");
     let refusal = Refusal::not_run(503, "quarantined", message);
-    Err(refusal.retry_after(Duration::from_millis(quarantined.trial_ms).max(RETRY_AFTER)))
+    Err(refusal.retry_after(cause.wait().max(RETRY_AFTER)))
 }
 
 /// Whether a request may be the cause of earlier crashes.
@@ -92,8 +87,9 @@
     };
     let requests = shared.board.write_quietly(|state| {
         let crashes = &mut state.crashes;
-        crashes.record_break(&target, &flow.service, broken, now);
-        crashes.resolve_break(&target, true).len()
+        crashes.record_failure(&target, &flow.service, broken, now);
+        crashes.record_end(&target, now);
+        crashes.failed_count(&target)
     });
     if requests == 1 {
         let _ = shared.metrics.incr("target-crashes");
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -215,6 +215,11 @@
         self.targets.get(*key).map(|record| &record.info)
     }
 
+    /// Targets as listed by the directory.
+    pub fn listed_targets(&self) -> impl Iterator<Item = &ListedTarget> {
+        self.targets.values().map(|record| &record.info)
+    }
+
     /// Selects a target for a request and starts a run at it if one has capacity.
     pub fn place(&mut self, request: &PlacementRequest, now: ClockTime) -> PlacementOutcome {
         let eligible: Vec<TargetKey> = self.eligible(request).collect();
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -1,7 +1,7 @@
 //! Finds the requests that crash targets, and keeps them away from targets.
 //!
-//! A target that crashes breaks off all of its requests, of which one may be the cause. Each entry
-//! records its requests at a target that crashed in a [`CrashLog`] and reports them to the
+//! A target that crashes leaves all of its requests without a response, and one of them may be the
+//! cause. Each entry records its requests at a target that crashed in a [`CrashLog`] and reports them to the
 //! [`QuarantineHome`], a control node. The home holds a trait responsible (a part of the prompt, or
 //! the content of a repeated request) if requests with it were at several targets that crashed one
 //! after the other, and none with it got a complete response meanwhile. Entries refuse requests with
@@ -10,6 +10,7 @@
 //! All state is soft. A home that starts empty gets recent crashes and the quarantine in force with
 //! the next reports.
 
+mod breaks;
 mod evidence;
 mod home;
 mod log;
@@ -17,7 +18,9 @@
 mod success;
 
 pub use home::{QuarantineChange, QuarantineHome};
-pub use log::{BrokenRequest, CrashLog, EndedTarget, QuarantineVerdict};
+pub use log::{
+    BrokenRequest, CrashLog, EndedTarget, ObservedCrash, QuarantineVerdict, RefusalCause,
+};
 
 use std::time::Duration;
 
--- a/components/quarantine/src/log.rs
+++ b/components/quarantine/src/log.rs
@@ -1,22 +1,32 @@
 //! Crashes that an entry has observed, and the quarantine that it applies.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::time::Duration;
 
 use units::{ClockTime, Incarnation, NodeName, ServiceName};
 use wire::{
-    CrashObservation, CrashReport, CrashSuspect, FlowId, HomeId, QuarantineReply, QuarantinedTrait,
-    RequestTrait, ServedCount, ServiceTrait, TraitSuccess,
+    CrashReport, FlowId, HomeId, QuarantineReply, QuarantinedTrait, RequestTrait, ServedCount,
+    ServiceTrait, TraitSuccess,
 };
 
+use crate::MAX_QUARANTINED;
+use crate::breaks::BreakRecord;
 use crate::success::SuccessHistory;
-use crate::{CRASH_RETENTION, MAX_QUARANTINED};
 
-/// Maximum number of crashes that an entry keeps.
-const MAX_CRASHES: usize = 64;
+/// Maximum number of processes whose failed requests an entry keeps.
+const MAX_RECORDS: usize = 64;
 
-/// Maximum number of suspects of one crash.
-const MAX_SUSPECTS: usize = 64;
+/// Number of targets at which the same request may fail, each without a later response, before it
+/// is held back.
+const MAX_SILENT_TARGETS: usize = 3;
+
+/// Time after the last of these failures for which the request is held back. The ends of the targets
+/// show within this time, or some of them answer other requests.
+const HOLD_TIME: Duration = Duration::from_secs(10);
+
+/// Time after the end of a process within which its last requests fail.
+const END_RETENTION: Duration = Duration::from_secs(30);
 
 /// Time for which a trial may be used. A later one would overlap with the next trial.
 const TRIAL_TTL: Duration = Duration::from_secs(20);
@@ -30,7 +40,7 @@
     pub incarnation: Incarnation,
 }
 
-/// Request whose connection broke before its response was complete.
+/// Request that got no complete response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BrokenRequest {
     /// Organisation and service of the request.
@@ -43,18 +53,6 @@
     pub traits: Vec<RequestTrait>,
 }
 
-/// Broken requests of one process of a target.
-#[derive(Debug, Clone)]
-struct BreakRecord {
-    service: ServiceName,
-    at: ClockTime,
-    /// Whether the process is known to have ended.
-    is_crash: bool,
-    suspects: Vec<BrokenRequest>,
-    /// Control node that knows the crash, and the number of suspects that it knows.
-    reported: Option<(HomeId, usize)>,
-}
-
 /// Complete responses of a service.
 #[derive(Debug, Clone)]
 struct ServedResponses {
@@ -78,6 +76,15 @@
     }
 }
 
+/// Crash of a target with requests of this entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ObservedCrash {
+    /// Service of the target.
+    pub service: ServiceName,
+    /// Requests that may be its cause.
+    pub suspects: Vec<BrokenRequest>,
+}
+
 /// Decision on a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuarantineVerdict {
@@ -85,14 +92,51 @@
     Admitted,
     /// The request is admitted as a trial: it may be sent to one target.
     Trial,
-    /// The request is refused because of this trait.
-    Refused(QuarantinedTrait),
+    /// The request is refused.
+    Refused(RefusalCause),
+}
+
+/// Cause for which a request is refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// Requests with this trait crash targets.
+    Trait(QuarantinedTrait),
+    /// The request has failed at several targets that have not answered since. It is held back for
+    /// this time.
+    SilentTargets(Duration),
+}
+
+impl RefusalCause {
+    /// Time after which the request may be admitted.
+    pub fn wait(&self) -> Duration {
+        match self {
+            Self::Trait(quarantined) => Duration::from_millis(quarantined.trial_ms),
+            Self::SilentTargets(time) => *time,
+        }
+    }
+}
+
+impl fmt::Display for RefusalCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Trait(quarantined) => {
+                let (subject, crashes) = (&quarantined.subject, quarantined.crashes);
+                write!(f, "requests with {subject} crashed {crashes} targets")
+            }
+            Self::SilentTargets(_) => write!(
+                f,
+                "the same request failed at {MAX_SILENT_TARGETS} targets that have not answered since"
+            ),
+        }
+    }
 }
 
 /// Crashes and quarantine of one entry.
 #[derive(Debug, Clone, Default)]
 pub struct CrashLog {
     breaks: BTreeMap<EndedTarget, BreakRecord>,
+    /// Processes that have ended unexpectedly.
+    ended: BTreeMap<EndedTarget, ClockTime>,
     successes: SuccessHistory,
     /// Complete responses since the last report.
     served: BTreeMap<ServiceName, ServedResponses>,
@@ -111,55 +155,78 @@
         Self::default()
     }
 
-    /// Records a request whose connection broke. Returns whether it is the first one at this
-    /// process of the target; the caller then finds out whether the process has ended.
-    pub fn record_break(
+    /// Records a request without a complete response at a process that was expected to serve. Returns
+    /// the crash if it is now known to be one.
+    pub fn record_failure(
         &mut self,
         target: &EndedTarget,
         service: &ServiceName,
         request: BrokenRequest,
         now: ClockTime,
-    ) -> bool {
-        self.breaks
-            .retain(|_, record| now.since(record.at) < CRASH_RETENTION);
-        if let Some(record) = self.breaks.get_mut(target) {
-            if record.suspects.len() < MAX_SUSPECTS {
-                record.suspects.push(request);
-            }
-            return false;
-        }
-        if self.breaks.len() >= MAX_CRASHES {
-            let oldest = self.breaks.iter().min_by_key(|(_, record)| record.at);
+    ) -> Option<ObservedCrash> {
+        self.breaks.retain(|_, record| record.is_kept(now));
+        if self.breaks.len() >= MAX_RECORDS && !self.breaks.contains_key(target) {
+            let records = self.breaks.iter();
+            let oldest = records.min_by_key(|(_, record)| (record.is_crash, record.at()));
             if let Some(oldest) = oldest.map(|(target, _)| target.clone()) {
                 self.breaks.remove(&oldest);
             }
         }
-        let record = BreakRecord {
-            service: service.clone(),
-            at: now,
-            is_crash: false,
-            suspects: vec![request],
-            reported: None,
-        };
-        self.breaks.insert(target.clone(), record);
-        true
+        let record = self.breaks.entry(target.clone());
+        let record = record.or_insert_with(|| BreakRecord::new(service));
+        record.add(request, now);
+        let has_ended = self.ended.contains_key(target) && !record.is_crash;
+        has_ended.then(|| record.record_end(now)).flatten()
     }
 
-    /// Records whether the process of a target has ended. Broken requests of a process that still
-    /// runs are no evidence. Returns the suspects of a crash.
-    pub fn resolve_break(&mut self, target: &EndedTarget, has_ended: bool) -> &[BrokenRequest] {
-        if !has_ended {
-            self.breaks.remove(target);
+    /// Whether a request that fails at the process is a suspect although the process is not listed:
+    /// the process has ended unexpectedly.
+    pub fn has_ended(&self, target: &EndedTarget) -> bool {
+        self.ended.contains_key(target)
+    }
+
+    /// Whether the caller should find out if a process with failed requests has ended.
+    pub fn try_probe(&mut self, target: &EndedTarget, now: ClockTime) -> bool {
+        let record = self.breaks.get_mut(target);
+        record.is_some_and(|record| record.try_probe(now))
+    }
+
+    /// Records that the process of a target has ended unexpectedly. Returns the crash if requests
+    /// had failed there.
+    pub fn record_end(&mut self, target: &EndedTarget, now: ClockTime) -> Option<ObservedCrash> {
+        self.ended
+            .retain(|_, ended_at| now.since(*ended_at) < END_RETENTION);
+        self.ended.entry(target.clone()).or_insert(now);
+        let record = self.breaks.get_mut(target)?;
+        match record.is_crash {
+            true => None,
+            false => record.record_end(now),
         }
-        match self.breaks.get_mut(target) {
-            Some(record) => {
-                record.is_crash = true;
-                &record.suspects
+    }
+
+    /// Records a response of a process, of any kind, to a request that was sent at `sent_at`.
+    pub fn record_response(&mut self, target: &EndedTarget, sent_at: ClockTime, now: ClockTime) {
+        if let Some(record) = self.breaks.get_mut(target) {
+            record.record_response(sent_at, now);
+            if record.len() == 0 {
+                self.breaks.remove(target);
             }
-            None => &[],
         }
     }
 
+    /// Records that a process is leaving: its end is no crash.
+    pub fn record_leaving(&mut self, target: &EndedTarget) {
+        let record = self.breaks.get(target);
+        if record.is_some_and(|record| !record.is_crash) {
+            self.breaks.remove(target);
+        }
+    }
+
+    /// Number of failed requests at a process.
+    pub fn failed_count(&self, target: &EndedTarget) -> usize {
+        self.breaks.get(target).map_or(0, BreakRecord::len)
+    }
+
     /// Records a complete response to a request with these traits.
     pub fn record_success(
         &mut self,
@@ -190,7 +257,10 @@
     ) -> QuarantineVerdict {
         let matched = self.quarantined_traits(service, flow, traits);
         let Some(first) = matched.first() else {
-            return QuarantineVerdict::Admitted;
+            return match self.hold_time(service, traits, now) {
+                Some(time) => QuarantineVerdict::Refused(RefusalCause::SilentTargets(time)),
+                None => QuarantineVerdict::Admitted,
+            };
         };
         self.trials.retain(|_, until| *until > now);
         let subjects = || matched.iter().map(|applied| &applied.quarantined.subject);
@@ -201,7 +271,7 @@
             return QuarantineVerdict::Trial;
         }
         self.refused.extend(subjects().cloned());
-        QuarantineVerdict::Refused(first.describe(now))
+        QuarantineVerdict::Refused(RefusalCause::Trait(first.describe(now)))
     }
 
     fn quarantined_traits(
@@ -225,6 +295,36 @@
         applied.cloned().collect()
     }
 
+    /// Time for which a request is held back. The same request has failed at several targets, each of
+    /// which has not answered a later one: they may have ended, although nothing else shows it yet.
+    fn hold_time(
+        &self,
+        service: &ServiceName,
+        traits: &[RequestTrait],
+        now: ClockTime,
+    ) -> Option<Duration> {
+        let records = self.breaks.values();
+        let records = records.filter(|record| record.service == *service);
+        let failures: Vec<ClockTime> = records
+            .filter_map(|record| record.last_failure(traits, now))
+            .collect();
+        if failures.len() < MAX_SILENT_TARGETS {
+            return None;
+        }
+        let first = failures.iter().min()?;
+        let ends_at = *failures.iter().max()? + HOLD_TIME;
+        let last_success = traits.iter().filter_map(|request_trait| {
+            self.successes.latest(&ServiceTrait {
+                service: service.clone(),
+                request_trait: *request_trait,
+            })
+        });
+        // The request has a trait of its own, which succeeds only if the same request does.
+        let has_succeeded = last_success.clone().count() == traits.len()
+            && last_success.min().is_some_and(|success| success > *first);
+        (now < ends_at && !has_succeeded).then(|| ends_at.since(now))
+    }
+
     /// Whether a request with these traits may be the cause of earlier crashes. It should not be sent
     /// to another target after its connection broke.
     pub fn is_suspected(&self, service: &ServiceName, traits: &[RequestTrait]) -> bool {
@@ -245,7 +345,7 @@
     }
 
     fn is_due(&self, record: &BreakRecord) -> bool {
-        let known = self.source.map(|source| (source, record.suspects.len()));
+        let known = self.source.map(|source| (source, record.len()));
         record.is_crash && (record.reported.is_none() || record.reported != known)
     }
 
@@ -263,7 +363,7 @@
         let mut asked: BTreeSet<ServiceTrait> = self.suspected.clone();
         asked.extend(self.quarantine.keys().cloned());
         for (_, record) in due() {
-            let traits = record.suspects.iter().flat_map(|request| &request.traits);
+            let traits = record.suspects().flat_map(|request| &request.traits);
             asked.extend(traits.map(|request_trait| ServiceTrait {
                 service: record.service.clone(),
                 request_trait: *request_trait,
@@ -338,23 +438,3 @@
         }
     }
 }
-
-impl BreakRecord {
-    /// Observation of the crash, without the first `known` suspects.
-    fn observe(&self, target: &EndedTarget, known: usize, now: ClockTime) -> CrashObservation {
-        let suspects = self.suspects.iter().skip(known);
-        let suspects = suspects.map(|request| CrashSuspect {
-            flow: request.flow,
-            sent_ms: now.since(request.sent_at).as_millis() as u64,
-            is_retry: request.is_retry,
-            traits: request.traits.clone(),
-        });
-        CrashObservation {
-            target: target.name.clone(),
-            incarnation: target.incarnation,
-            service: self.service.clone(),
-            age_ms: now.since(self.at).as_millis() as u64,
-            suspects: suspects.collect(),
-        }
-    }
-}
--- a/components/quarantine/tests/common/mod.rs
+++ b/components/quarantine/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Simulated fleet: entries with their crash logs, targets that crash, and the home of the reports.
 
+#![allow(dead_code)]
+
 use std::time::Duration;
 
 use quarantine::{BrokenRequest, CrashLog, EndedTarget, QuarantineHome, QuarantineVerdict};
@@ -220,10 +222,10 @@
                 is_retry: run.is_retry,
                 traits: traits(&run.request),
             };
-            self.entries[run.entry].record_break(&ended, &service(), request, now);
+            self.entries[run.entry].record_failure(&ended, &service(), request, now);
         }
         for run in runs {
-            self.entries[run.entry].resolve_break(&ended, true);
+            self.entries[run.entry].record_end(&ended, now);
             let is_suspected =
                 self.entries[run.entry].is_suspected(&service(), &traits(&run.request));
             if !run.is_retry && !is_suspected {
--- a/components/relay/src/crash.rs
+++ b/components/relay/src/crash.rs
@@ -1,23 +1,25 @@
 //! Requests that were at a target when it crashed.
 //!
-//! A broken connection alone is no sign of a crash: it may have been reset, or the target may have
-//! closed it. The process has ended if its address then refuses connections. A target that is leaving
-//! is expected to end.
+//! A failed request alone is no sign of a crash: its connection may have been reset, its caller may
+//! have left, or the target may be slow. The process has ended if its address refuses connections, or
+//! if the directory no longer lists it, or lists a later process under its name. A target that is
+//! leaving is expected to end.
 
+use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::time::Duration;
 
 use cadence::prelude::*;
 use http::response;
 use place::ListedTarget;
-use quarantine::{BrokenRequest, EndedTarget};
+use quarantine::{BrokenRequest, EndedTarget, ObservedCrash};
 use telemetry::{event, events};
 use tokio::net::TcpStream;
-use units::ClockTime;
+use units::{ClockTime, NodeName};
 use wire::{FlowId, RequestTrait};
 
 use crate::backend::is_framed;
-use crate::state::RelayShared;
+use crate::state::{RelayShared, RelayState};
 
 /// Time within which an ended process refuses a connection. It is longer than the round trip to
 /// other regions.
@@ -26,7 +28,26 @@
 /// Maximum number of requests of a crash whose traits are logged.
 const MAX_LOGGED_REQUESTS: usize = 8;
 
-/// A request that was sent to a target.
+/// Sign that the process of a target has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndSign {
+    /// Its address refuses connections.
+    Refusal,
+    /// It is no longer announced, or a later process under its name is.
+    Directory,
+}
+
+impl EndSign {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Refusal => "refusal",
+            Self::Directory => "directory",
+        }
+    }
+}
+
+/// A request that was sent to a target. It has failed there if it is dropped before its response is
+/// recorded.
 pub(crate) struct SentRequest {
     pub(crate) shared: RelayShared,
     pub(crate) target: ListedTarget,
@@ -35,14 +56,29 @@
     /// Whether the request was sent to another target before.
     pub(crate) is_retry: bool,
     pub(crate) traits: Vec<RequestTrait>,
+    pub(crate) is_settled: bool,
 }
 
 impl SentRequest {
+    /// Records that the target has begun to respond, or has refused the request.
+    pub(crate) fn record_head(&self) {
+        let now = self.shared.now();
+        let target = ended_target(&self.target);
+        self.shared
+            .board
+            .write_quietly(|state| state.crashes.record_response(&target, self.sent_at, now));
+    }
+
     /// Records a complete response, which shows that the target survived the request. Without a length
-    /// or chunks, an empty body may also come from a target that crashed.
-    pub(crate) fn record_response(&self, head: &response::Parts, has_body: bool) {
+    /// or chunks, an empty body may also come from a target that crashed, and a server error may be
+    /// the last response of one that is about to.
+    pub(crate) fn record_response(&mut self, head: &response::Parts, has_body: bool) {
         let is_complete = is_framed(head) || has_body;
-        if !head.status.is_success() || !is_complete {
+        if !is_complete || head.status.is_server_error() {
+            return;
+        }
+        self.is_settled = true;
+        if !head.status.is_success() {
             return;
         }
         let now = self.shared.now();
@@ -52,56 +88,144 @@
             .write_quietly(|state| state.crashes.record_success(service, &self.traits, now));
     }
 
+    /// Records that the request cannot have run at the target.
+    pub(crate) fn record_not_run(&mut self) {
+        self.is_settled = true;
+    }
+
     /// Records that the connection broke before the response was complete.
-    pub(crate) fn record_break(&self) {
+    pub(crate) fn record_break(&mut self) {
+        self.record_failure();
         let now = self.shared.now();
-        let target = EndedTarget {
-            name: self.target.name.clone(),
-            incarnation: self.target.incarnation,
-        };
+        let target = ended_target(&self.target);
+        let is_probe_due = self
+            .shared
+            .board
+            .write_quietly(|state| state.crashes.try_probe(&target, now));
+        if is_probe_due {
+            let (shared, listed) = (self.shared.clone(), self.target.clone());
+            tokio::spawn(async move { probe(&shared, &listed).await });
+        }
+    }
+
+    fn record_failure(&mut self) {
+        self.is_settled = true;
+        let now = self.shared.now();
+        let target = ended_target(&self.target);
         let request = BrokenRequest {
             flow: self.flow,
             sent_at: self.sent_at,
             is_retry: self.is_retry,
-            traits: self.traits.clone(),
+            traits: std::mem::take(&mut self.traits),
         };
-        let is_first = self.shared.board.write_quietly(|state| {
-            let listed = state.table.listed(&target.name);
-            let is_serving = listed.is_none_or(|listed| listed.is_serving);
-            is_serving
-                && state
-                    .crashes
-                    .record_break(&target, &self.target.service, request, now)
+        let crash = self.shared.board.write_quietly(|state| {
+            let is_suspect = is_serving(state, &target) || state.crashes.has_ended(&target);
+            is_suspect
+                .then(|| {
+                    let service = &self.target.service;
+                    state.crashes.record_failure(&target, service, request, now)
+                })
+                .flatten()
         });
-        if is_first {
-            let (shared, listed) = (self.shared.clone(), self.target.clone());
-            tokio::spawn(async move { resolve_break(&shared, &target, &listed).await });
+        if let Some(crash) = crash {
+            log_crash(&self.shared, &target, EndSign::Directory, &crash);
+        }
+    }
+}
+
+impl Drop for SentRequest {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.record_failure();
         }
     }
 }
 
-/// Finds out whether a process has ended, and logs a crash with the traits of its requests.
-async fn resolve_break(shared: &RelayShared, target: &EndedTarget, listed: &ListedTarget) {
+fn ended_target(target: &ListedTarget) -> EndedTarget {
+    EndedTarget {
+        name: target.name.clone(),
+        incarnation: target.incarnation,
+    }
+}
+
+/// Finds out whether the address of a target refuses connections.
+async fn probe(shared: &RelayShared, listed: &ListedTarget) {
     let connecting = TcpStream::connect(listed.address);
-    let has_ended = match tokio::time::timeout(REFUSAL_TIMEOUT, connecting).await {
-        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+    if let Ok(Err(error)) = tokio::time::timeout(REFUSAL_TIMEOUT, connecting).await
+        && error.kind() == ErrorKind::ConnectionRefused
+    {
+        record_refusal(shared, listed);
+    }
+}
+
+/// Records that the address of a target refuses connections.
+pub(crate) fn record_refusal(shared: &RelayShared, listed: &ListedTarget) {
+    let target = ended_target(listed);
+    if shared.board.read(|state| is_serving(state, &target)) {
+        record_end(shared, &target, EndSign::Refusal);
+    }
+}
+
+/// Whether the process is listed and not expected to end.
+fn is_serving(state: &RelayState, target: &EndedTarget) -> bool {
+    let listed = state.table.listed(&target.name);
+    listed.is_some_and(|listed| listed.is_serving && listed.incarnation == target.incarnation)
+}
+
+/// Finds out from the targets that the directory lists now which of those in the table have ended
+/// unexpectedly.
+pub(crate) fn record_listed(shared: &RelayShared, targets: &[ListedTarget]) {
+    let listed: HashMap<&NodeName, &ListedTarget> = targets
+        .iter()
+        .map(|target| (&target.name, target))
+        .collect();
+    let is_same = |target: &&ListedTarget| {
+        let listed = listed.get(&target.name);
+        listed.is_some_and(|listed| listed.incarnation == target.incarnation && listed.is_serving)
     };
-    let suspects = shared
+    let changed: Vec<ListedTarget> = shared.board.read(|state| {
+        let serving = state
+            .table
+            .listed_targets()
+            .filter(|target| target.is_serving);
+        serving.filter(|target| !is_same(target)).cloned().collect()
+    });
+    for target in &changed {
+        let ended = ended_target(target);
+        let is_leaving = listed
+            .get(&target.name)
+            .is_some_and(|listed| listed.incarnation == target.incarnation);
+        match is_leaving {
+            true => shared
+                .board
+                .write_quietly(|state| state.crashes.record_leaving(&ended)),
+            false => record_end(shared, &ended, EndSign::Directory),
+        }
+    }
+}
+
+/// Records that a process has ended, and logs a crash with the traits of its requests.
+fn record_end(shared: &RelayShared, target: &EndedTarget, sign: EndSign) {
+    let now = shared.now();
+    let crash = shared
         .board
-        .write_quietly(|state| state.crashes.resolve_break(target, has_ended).to_vec());
-    if !has_ended {
-        return;
+        .write_quietly(|state| state.crashes.record_end(target, now));
+    if let Some(crash) = crash {
+        log_crash(shared, target, sign, &crash);
     }
+}
+
+fn log_crash(shared: &RelayShared, target: &EndedTarget, sign: EndSign, crash: &ObservedCrash) {
     let _ = shared.metrics.incr("target-crashes");
-    let logged = suspects.iter().take(MAX_LOGGED_REQUESTS);
+    let logged = crash.suspects.iter().take(MAX_LOGGED_REQUESTS);
     let traits: Vec<String> = logged.map(describe_traits).collect();
     event!(
         events::TARGET_CRASHED,
         target = target.name,
         incarnation = target.incarnation,
-        service = listed.service,
-        requests = suspects.len(),
+        service = crash.service,
+        sign = sign.as_str(),
+        requests = crash.suspects.len(),
         traits = traits.join("; ")
     );
 }
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -11,6 +11,7 @@
 use units::{NodeName, PlanNumber, RouteName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
+use crate::crash::record_listed;
 use crate::origins::record_restarts;
 use crate::settings::RelaySettings;
 use crate::state::RelayShared;
@@ -84,6 +85,7 @@
             routes = index.plan.routes.len()
         );
     }
+    record_listed(shared, &targets);
     let changed = shared.board.write(|state| {
         if let Some(index) = index {
             let routes: HashSet<&RouteName> =
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -1,7 +1,6 @@
 //! Admission of requests by route, key, share, and the quarantine of those that crash targets.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use entry::{Refusal, model_pool};
 use quarantine::QuarantineVerdict;
@@ -118,25 +117,21 @@
             .shared
             .board
             .write_quietly(|state| state.crashes.check_request(service, flow, traits, now));
-        let quarantined = match verdict {
+        let cause = match verdict {
             QuarantineVerdict::Admitted => return Ok(()),
             QuarantineVerdict::Trial => {
                 event!(events::QUARANTINE_TRIAL, request = self.metadata.attempt_id);
                 self.is_trial = true;
                 return Ok(());
             }
-            QuarantineVerdict::Refused(quarantined) => quarantined,
+            QuarantineVerdict::Refused(cause) => cause,
         };
-        let reason = format!(
-            "requests with {} crashed {} targets",
-            quarantined.subject, quarantined.crashes
-        );
         if self.may_have_run {
-            return Err(self.failure(&reason));
+            return Err(self.failure(&cause.to_string()));
         }
-        let message = format!("Failed to accept the request: {reason}");
+        let message = format!("Failed to accept the request: {cause}");
         let refusal = Refusal::not_run(503, "quarantined", message);
-        Err(refusal.retry_after(Duration::from_millis(quarantined.trial_ms).max(RETRY_AFTER)))
+        Err(refusal.retry_after(cause.wait().max(RETRY_AFTER)))
     }
 
     /// Whether the request may be the cause of earlier crashes.
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -11,7 +11,7 @@
 
 use super::{ForwardedRequest, ForwardedResponse, SendResult, StreamedResponse, TRUNCATED_STREAM};
 use crate::backend::{BufferedResponse, CallerRequest, ExchangeResponse, OpenResponse, exchange};
-use crate::crash::SentRequest;
+use crate::crash::{SentRequest, record_refusal};
 use crate::dialect::ForwardMetadata;
 use crate::origins::record_origin;
 use crate::places::RunGuard;
@@ -55,6 +55,9 @@
             Ok(connection) => connection,
             Err(error) => {
                 run_guard.record_failure();
+                if matches!(error, ExchangeError::Refused(_)) {
+                    record_refusal(&self.shared, target);
+                }
                 return SendResult::NotSent(error.to_string());
             }
         };
@@ -65,13 +68,14 @@
                 .caller_deadline
                 .saturating_duration_since(Instant::now()),
         };
-        let sent = SentRequest {
+        let mut sent = SentRequest {
             shared: self.shared.clone(),
             target: target.clone(),
             flow: FlowId::of(&self.flow()),
             sent_at: self.shared.now(),
             is_retry: self.send_count > 0,
             traits: self.traits.clone(),
+            is_settled: false,
         };
         let dialect = self.shared.dialect.as_ref();
         let attempt_id = &self.metadata.attempt_id;
@@ -81,9 +85,15 @@
             Ok(ExchangeResponse::Valid(response)) => {
                 let stated_limit = dialect.stated_limit(&response.head);
                 run_guard.record_stated_limit(&target.name, stated_limit);
+                sent.record_head();
                 self.read_response(response, run_guard, sent).await
             }
             Ok(ExchangeResponse::NotRun(status, stated_limit)) => {
+                sent.record_not_run();
+                // Another process at the address refuses with this status.
+                if status != StatusCode::MISDIRECTED_REQUEST {
+                    sent.record_head();
+                }
                 // A refusal without a limit does not show that the target takes full load.
                 if stated_limit.is_some() && status != StatusCode::MISDIRECTED_REQUEST {
                     run_guard.record_stated_limit(&target.name, stated_limit);
@@ -91,7 +101,10 @@
                 SendResult::NotRun(format!("the target refused with status {status}"))
             }
             Ok(ExchangeResponse::Invalid(reason)) => SendResult::Unknown(reason),
-            Err(ExchangeError::NotSent(reason)) => SendResult::NotSent(reason),
+            Err(ExchangeError::NotSent(reason) | ExchangeError::Refused(reason)) => {
+                sent.record_not_run();
+                SendResult::NotSent(reason)
+            }
             Err(ExchangeError::Broken(reason)) => {
                 sent.record_break();
                 SendResult::Unknown(reason)
@@ -104,7 +117,7 @@
         &self,
         mut response: OpenResponse,
         run_guard: RunGuard,
-        sent: SentRequest,
+        mut sent: SentRequest,
     ) -> SendResult {
         if self.has_events(&response) {
             let first_chunk = match response.next_chunk().await {
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -76,6 +76,9 @@
     /// No byte of the request was sent.
     #[error("nothing was sent: {0}")]
     NotSent(String),
+    /// The address refuses connections: no process listens there.
+    #[error("nothing was sent: {0}")]
+    Refused(String),
     /// The request may have reached the target.
     #[error("the connection broke: {0}")]
     Broken(String),
@@ -93,6 +96,9 @@
         let opening = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(address));
         match opening.await {
             Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(ExchangeError::Refused(error.to_string()))
+            }
             Ok(Err(error)) => Err(ExchangeError::NotSent(error.to_string())),
             Err(_) => {
                 let message = format!("no connection within {CONNECT_TIMEOUT:?}");
--- a/components/relay/tests/crashes.rs
+++ b/components/relay/tests/crashes.rs
@@ -9,6 +9,7 @@
 use common::crashing::{CrashKind, CrashRecord, CrashRule, start_crashing_targets};
 use common::{TestFleet, header, plan};
 use relay::RelayHandle;
+use routes::RoutePlan;
 use rstest::rstest;
 use tokio::task::JoinSet;
 
@@ -24,6 +25,9 @@
 /// Time for which the late arrivals at targets that end without a sign are counted.
 const LONG_COUNT_TIME: Duration = Duration::from_secs(12);
 
+/// Capacity of the targets in tokens per second, three times what the sound load asks.
+const CAPACITY: u64 = 10_000;
+
 /// Id of the prompt part that crashes targets.
 const CRASHING_PART: &str = "bad";
 
@@ -128,12 +132,13 @@
 /// Asserts that hardly any crashing request reaches targets within `count_time` after the last
 /// tolerated crash and the contact window, and that the sound requests beside them are served.
 async fn assert_crashing_requests_stop(
+    plan: RoutePlan,
     request: CrashingRequest,
     kind: CrashKind,
     tolerated_crashes: usize,
     count_time: Duration,
 ) {
-    let fleet = TestFleet::start(Some(plan()), &[]).await;
+    let fleet = TestFleet::start(Some(plan), &[]).await;
     let other = fleet.start_other_relay().await;
     let record = start_crashing_targets(&fleet, 8, request.rule(), kind).await;
     let relays = [&fleet.relay, &other];
@@ -169,18 +174,25 @@
     #[case] tolerated_crashes: usize,
 ) {
     let kind = CrashKind::Refusing;
-    assert_crashing_requests_stop(request, kind, tolerated_crashes, COUNT_TIME).await;
+    assert_crashing_requests_stop(plan(), request, kind, tolerated_crashes, COUNT_TIME).await;
 }
 
 /// Guards against a repeated request that goes on crashing targets whose addresses never refuse a
-/// connection: their end shows only when the next process is announced, or in their silence.
+/// connection: their end shows only when the next process is announced, or in their silence. Without
+/// a stated capacity, the estimate of the capacity must recover as well.
 #[rstest]
-#[case::accepting_for_50_ms(CrashKind::Accepting(Duration::from_millis(50)))]
-#[case::accepting_for_1500_ms(CrashKind::Accepting(Duration::from_millis(1_500)))]
-#[case::silent_for_1500_ms(CrashKind::Silent(Duration::from_millis(1_500)))]
-#[case::silent_for_4_s(CrashKind::Silent(Duration::from_secs(4)))]
+#[case::accepting_for_50_ms(CrashKind::Accepting(Duration::from_millis(50)), Some(CAPACITY))]
+#[case::accepting_for_1500_ms(CrashKind::Accepting(Duration::from_millis(1_500)), Some(CAPACITY))]
+#[case::silent_for_1500_ms(CrashKind::Silent(Duration::from_millis(1_500)), Some(CAPACITY))]
+#[case::silent_for_4_s(CrashKind::Silent(Duration::from_secs(4)), Some(CAPACITY))]
+#[case::without_stated_capacity(CrashKind::Silent(Duration::from_secs(4)), None)]
 #[tokio::test(flavor = "multi_thread")]
-async fn requests_that_crash_accepting_targets_stop_reaching_them(#[case] kind: CrashKind) {
+async fn requests_that_crash_accepting_targets_stop_reaching_them(
+    #[case] kind: CrashKind,
+    #[case] tokens_per_second: Option<u64>,
+) {
+    let mut plan = plan();
+    plan.bounds.tokens_per_second = tokens_per_second;
     let request = CrashingRequest::Repeated;
-    assert_crashing_requests_stop(request, kind, 3, LONG_COUNT_TIME).await;
+    assert_crashing_requests_stop(plan, request, kind, 3, LONG_COUNT_TIME).await;
 }
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -22,9 +22,9 @@
         "A target did not answer a request; the field may_have_run states whether the request may \
          have run there.";
     TARGET_CRASHED = 1513, Info, "target-crashed",
-        "A target ended while it had requests of this entry: their connections broke, and its \
-         address refuses new ones. The field traits states what the first requests may share with \
-         others.";
+        "A target ended unexpectedly and left requests of this entry without a response. The field \
+         sign states how it showed: its address refuses connections, or the directory lists a later \
+         process or none. The field traits states what the first requests may share with others.";
     QUARANTINE_TRIAL = 1514, Info, "quarantine-trial",
         "A request with a quarantined trait is sent to a target; the quarantine ends if its \
          response is complete.";
