Keep to what targets state about the requests that they want

Callers saw: requests still reached a target that had said in its responses that it was leaving, and one that had refused a request with 503 and stated for how long it wants none; where it was the only one, each request was tried there and refused with a wait of 300 ms.

Cause: no source read Server-Leaving or a target's Retry-After, so an entry knew only what the directory lists. Ruled out: a statement that is lost with the next announcement (requests did not fall after the first one).

Change: an entry records the statements of each process of a target, and place() is the one door: a process that leaves gets no request, one that wants none gets none until the latest stated time. Both outlast a gap in the listing and an announcement from before; the next process is not bound. A request whose connection was being opened meanwhile goes elsewhere. Where no target wants a request before the deadline, it is refused at once with the time of the first one that will. Statements are read from refusals that are not believed, too, but not from 421, which another target sends, or from a response to another attempt.

--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -3,16 +3,19 @@
 //! [`PlacementTable`] holds the targets that the directory lists. A request of a session is sent to
 //! the target that may have the session's prompt cached, unless that target has stalled, is full or
 //! is cold. Any other request is sent to the least loaded target, preferably in the entry's region.
-//! Requests to a cold target, or to one that states a limit, are rate-limited. [`WaitQueue`] holds
-//! the requests that no target has capacity for and serves the organisation that has received the
-//! least service first.
+//! Requests to a cold target, or to one that states a limit, are rate-limited. A target gets none
+//! while it wants none, and none once it has stated that it is leaving. [`WaitQueue`] holds the
+//! requests that no target has capacity for and serves the organisation that has received the least
+//! service first.
 
+mod intake;
 mod limit;
 mod pace;
 mod queue;
 mod table;
 mod target;
 
+pub use intake::{StatementChange, TargetStatement};
 pub use limit::{EntryPosition, LimitChange};
 pub use pace::ColdPacer;
 pub use queue::{DequeuedRequest, QueuedRequest, WaitKey, WaitQueue};
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -5,9 +5,13 @@
 use std::time::Duration;
 
 use slotmap::SlotMap;
-use units::{ClockTime, CostUnits, MilliRate, NodeName, RegionName, ServiceName, SoftwareVersion};
+use units::{
+    ClockTime, CostUnits, Incarnation, MilliRate, NodeName, RegionName, ServiceName,
+    SoftwareVersion,
+};
 use wire::stable_hash;
 
+use crate::intake::{StatedIntake, StatementChange, TargetStatement};
 use crate::limit::{EntryPosition, LimitChange, StatedLimit};
 use crate::target::{ListedTarget, RunKey, TargetKey, TargetRecord};
 
@@ -22,6 +26,9 @@
 /// Number of requests over which the mean work is taken.
 const MEAN_WORK_SAMPLES: u64 = 64;
 
+/// Time for which the statements of a process are kept that is not listed.
+const STATEMENT_RETENTION: Duration = Duration::from_secs(600);
+
 /// Settings of a [`PlacementTable`].
 #[derive(Debug, Clone)]
 pub struct PlacementSettings {
@@ -118,6 +125,9 @@
     keys: HashMap<NodeName, TargetKey>,
     runs: SlotMap<RunKey, RunRecord>,
     position: EntryPosition,
+    /// Statements of processes that are not listed, and the time since which they are not. An
+    /// announcement from before a statement may list the process again.
+    unlisted: HashMap<(NodeName, Incarnation), (StatedIntake, ClockTime)>,
     /// Moving average of the work of requests to each service.
     mean_work: HashMap<ServiceName, u64>,
 }
@@ -131,6 +141,7 @@
             keys: HashMap::new(),
             runs: SlotMap::with_key(),
             position: EntryPosition::SINGLE,
+            unlisted: HashMap::new(),
             mean_work: HashMap::new(),
         }
     }
@@ -155,11 +166,15 @@
             newest.values().map(|target| target.name.clone()).collect();
         self.keys.retain(|name, key| {
             let is_listed = listed.contains(name);
-            if !is_listed {
-                self.targets.remove(*key);
+            if !is_listed && let Some(record) = self.targets.remove(*key) {
+                let process = (record.info.name, record.info.incarnation);
+                self.unlisted.insert(process, (record.stated, now));
             }
             is_listed
         });
+        self.unlisted.retain(|_, (stated, since)| {
+            stated.is_in_force(now) && now.since(*since) < STATEMENT_RETENTION
+        });
         for target in newest.into_values() {
             self.upsert_target(target, now);
         }
@@ -180,7 +195,12 @@
             _ => {
                 // A restarted target has none of the requests of the earlier process.
                 let name = target.name.clone();
-                let key = self.targets.insert(TargetRecord::new(target, now));
+                let process = (name.clone(), target.incarnation);
+                let mut record = TargetRecord::new(target, now);
+                if let Some((stated, _)) = self.unlisted.remove(&process) {
+                    record.stated = stated;
+                }
+                let key = self.targets.insert(record);
                 if let Some(old) = self.keys.insert(name, key) {
                     self.targets.remove(old);
                 }
@@ -201,7 +221,7 @@
     /// Number of targets that accept new requests.
     pub fn serving_count(&self) -> usize {
         let targets = self.targets.values();
-        targets.filter(|record| record.info.is_serving).count()
+        targets.filter(|record| record.is_serving()).count()
     }
 
     /// Target of a run; `None` if the run has ended or the target is no longer listed.
@@ -234,7 +254,7 @@
             available
         };
         // A session moves to another target rather than wait for one that takes few requests.
-        candidates.retain(|key| self.targets[*key].is_within_limit(now));
+        candidates.retain(|key| self.targets[*key].is_open(now));
         let (reserved, others): (Vec<TargetKey>, Vec<TargetKey>) = candidates
             .into_iter()
             .partition(|key| self.targets[*key].is_reserved(now));
@@ -312,30 +332,66 @@
     ) -> Option<LimitChange> {
         let record = self.runs.get(run)?;
         let target = self.targets.get_mut(record.target)?;
-        match (rate, &mut target.limit) {
+        match (rate, &mut target.stated.limit) {
             (Some(rate), Some(limit)) => {
                 limit.update(rate, now);
                 None
             }
             (Some(rate), None) => {
-                target.limit = Some(StatedLimit::new(rate, self.position, now));
+                target.stated.limit = Some(StatedLimit::new(rate, self.position, now));
                 Some(LimitChange::Started)
             }
             (None, Some(limit)) if limit.is_ended_by(record.sent_at) => {
-                target.limit = None;
+                target.stated.limit = None;
                 Some(LimitChange::Ended)
             }
             (None, _) => None,
         }
     }
 
-    /// Time until one of the targets that may serve a request takes one again, if the limits that
-    /// they state are the reason why none does now.
+    /// Records the pause and the departure that a process of a target stated in a response, also if
+    /// the process is not listed at present.
+    pub fn record_statement(
+        &mut self,
+        process: &ListedTarget,
+        statement: &TargetStatement,
+        now: ClockTime,
+    ) -> StatementChange {
+        let key = self.keys.get(&process.name);
+        let listed = key.and_then(|key| self.targets.get_mut(*key));
+        match listed {
+            Some(record) if record.info.incarnation == process.incarnation => {
+                record.stated.record(statement, now)
+            }
+            _ => {
+                let process = (process.name.clone(), process.incarnation);
+                let (stated, _) = self
+                    .unlisted
+                    .entry(process)
+                    .or_insert((StatedIntake::default(), now));
+                stated.record(statement, now)
+            }
+        }
+    }
+
+    /// Whether a request that was placed at a process may still be sent to it.
+    pub fn accepts(&self, process: &ListedTarget, now: ClockTime) -> bool {
+        let key = self.keys.get(&process.name);
+        let listed = key.and_then(|key| self.targets.get(*key));
+        listed.is_some_and(|record| {
+            record.info.incarnation == process.incarnation
+                && record.is_serving()
+                && !record.stated.is_paused(now)
+        })
+    }
+
+    /// Time until one of the targets that may serve a request takes one again, if what they have
+    /// stated is the reason why none does now.
     pub fn limit_wait(&self, request: &PlacementRequest, now: ClockTime) -> Option<Duration> {
         let targets = self.eligible(request).map(|key| &self.targets[key]);
-        let limits = targets.map(|target| target.limit.filter(|_| !target.is_within_limit(now)));
-        let limits: Option<Vec<StatedLimit>> = limits.collect();
-        let opens_at = limits?.iter().map(StatedLimit::opens_at).min()?;
+        let open_times: Option<Vec<ClockTime>> =
+            targets.map(|target| target.stated.opens_at(now)).collect();
+        let opens_at = open_times?.into_iter().min()?;
         Some(opens_at.since(now))
     }
 
@@ -381,7 +437,7 @@
     fn eligible(&self, request: &PlacementRequest) -> impl Iterator<Item = TargetKey> {
         self.targets
             .iter()
-            .filter(|(_, record)| record.info.is_serving && record.info.service == request.service)
+            .filter(|(_, record)| record.is_serving() && record.info.service == request.service)
             .filter(|(_, record)| request.version.allows(record.info.version.as_ref()))
             .filter(|(_, record)| !request.tried.contains(&record.info.name))
             .filter(|(_, record)| {
@@ -415,7 +471,7 @@
         if let Some(rate) = record.cold_rate(now) {
             record.pacer.record_request(rate, self.position.count, now);
         }
-        if let Some(limit) = &mut record.limit {
+        if let Some(limit) = &mut record.stated.limit {
             limit.record_request(self.position, now);
         }
         run
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -9,7 +9,7 @@
     SlotCount, SoftwareVersion,
 };
 
-use crate::limit::StatedLimit;
+use crate::intake::StatedIntake;
 use crate::pace::ColdPacer;
 
 slotmap::new_key_type! {
@@ -61,8 +61,8 @@
     pub(crate) pending: BTreeSet<(ClockTime, RunKey)>,
     cold_until: ClockTime,
     pub(crate) pacer: ColdPacer,
-    /// Limit that the target states; `None` if it takes full load.
-    pub(crate) limit: Option<StatedLimit>,
+    /// What the process has stated in its responses.
+    pub(crate) stated: StatedIntake,
     /// Time until which the target is avoided after a failed connection.
     pub(crate) avoid_until: ClockTime,
 }
@@ -76,7 +76,7 @@
             pending: BTreeSet::new(),
             cold_until: now,
             pacer: ColdPacer::default(),
-            limit: None,
+            stated: StatedIntake::default(),
             avoid_until: now,
         };
         record.restart_cold_period(now);
@@ -101,14 +101,21 @@
         self.info.cold_rate.filter(|_| now < self.cold_until)
     }
 
-    /// Whether the limit that the target states, if any, allows a request now.
-    pub(crate) fn is_within_limit(&self, now: ClockTime) -> bool {
-        self.limit.is_none_or(|limit| limit.opens_at() <= now)
+    /// Whether the target accepts new requests, now or later.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.info.is_serving && !self.stated.is_leaving()
+    }
+
+    /// Whether what the target has stated allows a request now.
+    pub(crate) fn is_open(&self, now: ClockTime) -> bool {
+        self.stated.opens_at(now).is_none()
     }
 
     /// Whether the next request that the stated limit allows is reserved for a large one.
     pub(crate) fn is_reserved(&self, now: ClockTime) -> bool {
-        self.limit.is_some_and(|limit| limit.is_reserved(now))
+        self.stated
+            .limit
+            .is_some_and(|limit| limit.is_reserved(now))
     }
 
     /// Time since the oldest request without a first byte was sent; zero if there is none.
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 
-use units::MilliRate;
+use place::TargetStatement;
 use wire::EventTail;
 
 use crate::dialect::{CallerDialect, ForwardMetadata, ResponseVerdict};
@@ -63,7 +63,7 @@
     /// The response belongs to the request; its body has not been read.
     Valid(OpenResponse),
     /// The target states that it has not run the request and will not.
-    NotRun(StatusCode, Option<MilliRate>),
+    NotRun(StatusCode),
     /// The response does not belong to the request, or is malformed.
     Invalid(String),
 }
@@ -74,7 +74,8 @@
     head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
 }
 
-/// Sends a request to a target and reads the head of the response.
+/// Sends a request to a target and reads the head of the response. Also returns what the target
+/// states in it, whether or not the response is valid.
 pub(crate) async fn exchange(
     pool: &ConnectionPool,
     dialect: &dyn CallerDialect,
@@ -82,21 +83,21 @@
     request: &CallerRequest,
     attempt_id: &str,
     metadata: &ForwardMetadata<'_>,
-) -> Result<ExchangeResponse, ExchangeError> {
+) -> Result<(ExchangeResponse, TargetStatement), ExchangeError> {
     let mut connection = connection;
     let outgoing = target_request(dialect, request, metadata)?;
     let response = connection.send(outgoing).await?;
     let (head, body) = response.into_parts();
-    Ok(match dialect.classify_response(attempt_id, &head) {
+    let statement = dialect.target_statement(attempt_id, &head);
+    let response = match dialect.classify_response(attempt_id, &head) {
         ResponseVerdict::NotRun => {
             let status = head.status;
-            let stated_limit = dialect.stated_limit(&head);
             // The body of a refusal is empty or short. The connection is reused only if the rest of
             // the body arrives within `BODY_DISCARD_TIMEOUT`.
             if try_discard_body(body).await {
                 pool.release(connection, &head.headers);
             }
-            ExchangeResponse::NotRun(status, stated_limit)
+            ExchangeResponse::NotRun(status)
         }
         ResponseVerdict::Invalid => {
             ExchangeResponse::Invalid(format!("unsound answer with status {}", head.status))
@@ -108,7 +109,8 @@
             pool: pool.clone(),
             tail: EventTail::default(),
         }),
-    })
+    };
+    Ok((response, statement))
 }
 
 fn target_request(
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -4,8 +4,9 @@
 
 use http::{HeaderMap, HeaderValue, request, response};
 use manifest::KeyHash;
+use place::TargetStatement;
 use thiserror::Error;
-use units::{MilliRate, NodeName, OrganisationName};
+use units::{NodeName, OrganisationName};
 
 /// Metadata in the head of a caller's request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -99,9 +100,9 @@
     /// Classifies the head of a target's response to an attempt.
     fn classify_response(&self, attempt_id: &str, head: &response::Parts) -> ResponseVerdict;
 
-    /// Requests per second that the target takes from all entries together, if its response states a
-    /// limit.
-    fn stated_limit(&self, head: &response::Parts) -> Option<MilliRate>;
+    /// What the target states about itself in its response to an attempt. A response to another
+    /// attempt, or one from another target, states nothing.
+    fn target_statement(&self, attempt_id: &str, head: &response::Parts) -> TargetStatement;
 
     /// Value of the `Retry-After` header for a wait.
     fn retry_after(&self, wait: Duration) -> HeaderValue;
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -353,7 +353,7 @@
             PlacementError::NoTarget => format!("service {} has no live target", self.service),
             PlacementError::Full => format!("all targets of service {} are full", self.service),
             PlacementError::Limited(_) => {
-                format!("all targets of service {} have stated limits", self.service)
+                format!("no target of service {} wants a request yet", self.service)
             }
         };
         let retry_after = match reason {
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -16,6 +16,7 @@
 use crate::origins::record_origin;
 use crate::places::RunGuard;
 use crate::pool::ExchangeError;
+use crate::state::RelayState;
 use crate::stop::RunTimer;
 
 impl ForwardedRequest {
@@ -61,6 +62,12 @@
                 return SendResult::NotSent(error.to_string());
             }
         };
+        // The target may have stated that it wants none while the connection was opened.
+        let now = self.shared.now();
+        let is_accepted = |state: &RelayState| state.table.accepts(target, now);
+        if !self.shared.board.read(is_accepted) {
+            return SendResult::NotSent("the target accepts no requests now".into());
+        }
         let metadata = ForwardMetadata {
             target: &target.name,
             organisation: self.organisation.as_ref(),
@@ -81,23 +88,22 @@
         let attempt_id = &self.metadata.attempt_id;
         let pool = &self.shared.pool;
         let exchanged = exchange(pool, dialect, connection, request, attempt_id, &metadata).await;
+        let exchanged = exchanged.map(|(response, statement)| {
+            let is_answer = matches!(response, ExchangeResponse::Valid(_));
+            run_guard.record_statement(target, &statement, is_answer);
+            response
+        });
         match exchanged {
             Ok(ExchangeResponse::Valid(response)) => {
-                let stated_limit = dialect.stated_limit(&response.head);
-                run_guard.record_stated_limit(&target.name, stated_limit);
                 sent.record_head();
                 self.read_response(response, run_guard, sent).await
             }
-            Ok(ExchangeResponse::NotRun(status, stated_limit)) => {
+            Ok(ExchangeResponse::NotRun(status)) => {
                 sent.record_not_run();
                 // Another process at the address refuses with this status.
                 if status != StatusCode::MISDIRECTED_REQUEST {
                     sent.record_head();
                 }
-                // A refusal without a limit does not show that the target takes full load.
-                if stated_limit.is_some() && status != StatusCode::MISDIRECTED_REQUEST {
-                    run_guard.record_stated_limit(&target.name, stated_limit);
-                }
                 SendResult::NotRun(format!("the target refused with status {status}"))
             }
             Ok(ExchangeResponse::Invalid(reason)) => SendResult::Unknown(reason),
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -29,4 +29,5 @@
     ResponseVerdict, StreamContinuation,
 };
 pub use limits::WindowBound;
+pub use place::TargetStatement;
 pub use settings::RelaySettings;
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use place::{LimitChange, PlacementOutcome, PlacementRequest, QueuedRequest, RunKey};
+use place::{
+    LimitChange, ListedTarget, PlacementOutcome, PlacementRequest, QueuedRequest, RunKey,
+    TargetStatement,
+};
 use telemetry::{event, events};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -31,8 +34,36 @@
         });
     }
 
-    /// Records the limit that the target stated, or did not, in its response.
-    pub(crate) fn record_stated_limit(&self, target: &NodeName, rate: Option<MilliRate>) {
+    /// Records what the target stated in its response. `is_answer` tells whether it has accepted the
+    /// request: a refusal without a limit does not show that it takes full load.
+    pub(crate) fn record_statement(
+        &self,
+        target: &ListedTarget,
+        statement: &TargetStatement,
+        is_answer: bool,
+    ) {
+        let now = self.shared.now();
+        let change = self
+            .shared
+            .board
+            .write_quietly(|state| state.table.record_statement(target, statement, now));
+        if change.is_now_leaving {
+            event!(events::LEAVING_STATED, target = target.name);
+        }
+        if let (true, Some(pause)) = (change.is_pause_extended, statement.pause) {
+            let pause_ms = pause.as_millis() as u64;
+            event!(
+                events::PAUSE_STATED,
+                target = target.name,
+                pause_ms = pause_ms
+            );
+        }
+        if is_answer || statement.limit.is_some() {
+            self.record_stated_limit(&target.name, statement.limit);
+        }
+    }
+
+    fn record_stated_limit(&self, target: &NodeName, rate: Option<MilliRate>) {
         let now = self.shared.now();
         let change = self
             .shared
@@ -78,7 +109,7 @@
     NoTarget,
     /// All targets stayed full until the deadline.
     Full,
-    /// The limits that all targets state allow no request until after the deadline; the next one is
+    /// What all targets have stated allows no request until after the deadline; the next one is
     /// allowed after this time.
     Limited(Duration),
 }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -19,7 +19,8 @@
 use raft::RaftSettings;
 use relay::{
     CallerDialect, ForwardMetadata, MetadataError, ModelUsage, PromptPart, RelayHandle, RelayParts,
-    RelaySettings, RequestMetadata, ResponseVerdict, StreamContinuation, WindowBound,
+    RelaySettings, RequestMetadata, ResponseVerdict, StreamContinuation, TargetStatement,
+    WindowBound,
 };
 use routes::{
     CallerBounds, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec, ServicePool,
@@ -81,10 +82,14 @@
         }
     }
 
-    fn stated_limit(&self, head: &response::Parts) -> Option<MilliRate> {
-        let text = head.headers.get("server-limit")?.to_str().ok()?;
-        let per_second: f64 = text.parse().ok()?;
-        Some(MilliRate((per_second * 1000.0) as u64))
+    fn target_statement(&self, _: &str, head: &response::Parts) -> TargetStatement {
+        let number =
+            |name: &str| -> Option<f64> { head.headers.get(name)?.to_str().ok()?.parse().ok() };
+        TargetStatement {
+            limit: number("server-limit").map(|limit| MilliRate((limit * 1000.0) as u64)),
+            pause: number("pause-ms").map(|pause| Duration::from_millis(pause as u64)),
+            is_leaving: head.headers.contains_key("leaving"),
+        }
     }
 
     fn retry_after(&self, wait: Duration) -> HeaderValue {
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -44,6 +44,12 @@
     ORIGINS_UNCERTAIN = 1519, Warn, "origins-uncertain",
         "A target has restarted under its name with another software version. It is not certain at \
          which of both its newest streams began, so they cannot be continued.";
+    LEAVING_STATED = 1520, Info, "leaving-stated",
+        "A target states in a response that it is leaving. This process of it gets no further \
+         requests of this entry.";
+    PAUSE_STATED = 1521, Info, "pause-stated",
+        "A target has refused a request and states for how long it wants none. It gets none of this \
+         entry in that time.";
     RELAY_STREAM_BROKEN = 1512, Info, "relay-stream-broken",
         "A response stream ended before its last event, so the connection of the caller was \
          closed.";
