Leave out announcements that no sound target sends

Callers would have seen: no new target is used, and no configuration comes into force, after one odd announcement.

Cause: what anybody may announce had no bounds. A name of 2 MiB exceeds the frames in which control nodes and entries exchange the directory (1 MiB), so no entry followed the directory afterwards; a version of that size went into the replicated log as well. After a sequence number or start time at the end of its range, no announcement of the same name was newer, so one odd writer kept a name out for good.

Ruled out by tests that pass before: deep nesting (200,000 levels), ports and numbers out of range are refused by the decoder without ending the process; times of 2^64 ms saturate.

An announcement within the bounds under the name of a sound target cannot be told from its own.

--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -14,6 +14,7 @@
     ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeState, OperatorOrder, OrderReply,
 };
 
+use crate::announced::check_announcement;
 use crate::requests::{commit_or_forward, confirm_newest};
 use crate::state::ControlContext;
 use crate::versions::check_version;
@@ -94,9 +95,13 @@
 
     /// Records the announcement of a target and forwards it to the other control nodes immediately.
     /// Registers the target's version first if it is new.
-    pub async fn announce(&self, mut entry: DirectoryEntry) {
+    ///
+    /// Returns [`ApiError::Invalid`] if the entry cannot be that of a target.
+    pub async fn announce(&self, mut entry: DirectoryEntry) -> Result<(), ApiError> {
+        check_announcement(&entry).map_err(ApiError::Invalid)?;
         check_version(&self.context, &mut entry).await;
         self.update_directory(entry);
+        Ok(())
     }
 
     fn update_directory(&self, entry: DirectoryEntry) {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! server for nodes and operators, the links to the other control nodes and the status report read
 //! the board.
 
+mod announced;
 mod api;
 mod driver;
 mod driver_event;
--- a/components/relay/tests/common/crashing.rs
+++ b/components/relay/tests/common/crashing.rs
@@ -94,7 +94,7 @@
         for incarnation in 1.. {
             let mut entry = self.target.announcement();
             entry.incarnation = Incarnation(incarnation);
-            api.announce(entry).await;
+            api.announce(entry).await.unwrap();
             let connections = self.serve_until_crash(&listener).await;
             self.record.crashes.lock().unwrap().push(Instant::now());
             match self.kind {
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -356,7 +356,7 @@
 
     async fn announce_all(&self, targets: &[&TestTarget]) {
         for target in targets {
-            self.api.announce(target.announcement()).await;
+            self.api.announce(target.announcement()).await.unwrap();
         }
         self.wait_for_targets(targets.len()).await;
     }
--- a/components/relay/tests/statements.rs
+++ b/components/relay/tests/statements.rs
@@ -192,14 +192,14 @@
 
     let _load = start_load(&fleet, &failures);
     let told_at = wait_for_arrival(&arrivals).await;
-    fleet.api.announce(serving_again(&target)).await;
+    fleet.api.announce(serving_again(&target)).await.unwrap();
     let counted_from = told_at + DRAIN_TIMEOUT;
     tokio::time::sleep_until((counted_from + Duration::from_secs(3)).into()).await;
     let late_arrivals = arrivals_between(&arrivals, counted_from, Instant::now());
     let mut restarted = target.announcement();
     restarted.incarnation = Incarnation(restarted.incarnation.0 + 1);
     let restarted_at = Instant::now();
-    fleet.api.announce(restarted).await;
+    fleet.api.announce(restarted).await.unwrap();
     common::wait_until(|| arrivals_between(&arrivals, restarted_at, Instant::now()) > 0).await;
 
     assert_eq!(late_arrivals, 0);
--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -151,7 +151,7 @@
 /// Starts a target of a newer version, and returns when the entries list it besides the old one.
 async fn announce_new_version(fleet: &TestFleet, entries: &[&RelayHandle]) -> TestTarget {
     let new = start_target("target-2", "v1.1").await;
-    fleet.api.announce(new.announcement()).await;
+    fleet.api.announce(new.announcement()).await.unwrap();
     wait_until(|| entries.iter().all(|entry| entry.target_count() == 2)).await;
     new
 }
@@ -386,14 +386,14 @@
 async fn stream_of_a_target_that_restarted_unnoticed_is_not_continued_at_its_old_version() {
     let (fleet, mut restarted) = start_one_version().await;
     let other = start_target("target-2", "v1").await;
-    fleet.api.announce(other.announcement()).await;
+    fleet.api.announce(other.announcement()).await.unwrap();
     wait_until(|| fleet.relay.target_count() == 2).await;
     begin_stream(&fleet, &fleet.relay, "a1").await;
     let arrivals = [restarted.arrivals(), other.arrivals()];
 
     restarted.version = "v1.1".into();
     restarted.incarnation = Incarnation(2);
-    fleet.api.announce(restarted.announcement()).await;
+    fleet.api.announce(restarted.announcement()).await.unwrap();
     wait_until(|| fleet.relay.target_version(&"target-1".into()) == Some("v1.1".into())).await;
     let (status, _) = continue_stream(&fleet, &fleet.relay, "a2", Some("a1")).await;
 
@@ -429,7 +429,7 @@
 
     target.version = "v1.1".into();
     target.incarnation = Incarnation(2);
-    fleet.api.announce(target.announcement()).await;
+    fleet.api.announce(target.announcement()).await.unwrap();
     wait_until(|| fleet.relay.target_version(&"target-1".into()) == Some("v1.1".into())).await;
     restart.notify_one();
     let response = continuing.await.unwrap().unwrap();
@@ -504,7 +504,11 @@
     restarted.version = "v2".into();
     restarted.incarnation = Incarnation(2);
     let name = restarted.name.as_str().into();
-    late.fleet.api.announce(restarted.announcement()).await;
+    late.fleet
+        .api
+        .announce(restarted.announcement())
+        .await
+        .unwrap();
     let relay = &late.fleet.relay;
     wait_until(|| relay.target_version(&name) == Some("v2".into())).await;
     late.begin.notify_one();
