Believe a refusal only if it names the attempt

Callers may have been told that a request had not run which ran, or it ran at a second target: a faulty target that writes an earlier refusal once more on a kept connection was believed if that refusal named no attempt.

Change: every response must name the attempt. Anything else has an unknown outcome and closes the connection.

An entry cannot see its own earlier refusal with the right id: it sends an attempt to each target once.

--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -271,13 +271,53 @@
     assert_eq!(one.arrivals() + two.arrivals(), arrivals);
 }
 
+/// A refusal by a target that has not run the request with this id.
+fn refusal_bytes(id: Option<&str>) -> Vec<u8> {
+    let id = id.map_or_else(String::new, |id| format!("request-id: {id}\r\n"));
+    format!("HTTP/1.1 503 Full\r\nnot-run: 1\r\n{id}content-length: 0\r\n\r\n").into_bytes()
+}
+
+/// Guards against a target that writes an earlier refusal once more on a kept connection: callers
+/// would be told that a request has not run that runs, or it would run at a second target. The
+/// connection must not be used again.
+#[rstest]
+#[case::that_names_its_request(Some("r1"))]
+#[case::without_an_id(None)]
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_of_an_earlier_refusal_is_not_believed(#[case] id: Option<&'static str>) {
+    let script: common::TargetScript = Arc::new(move |head: &str| {
+        let own_id = header(head, "request-id").unwrap();
+        match own_id {
+            "r1" => TargetStep::Write(refusal_bytes(Some(own_id))),
+            "r2" => TargetStep::Write([refusal_bytes(id), ok_response(head, "late")].concat()),
+            _ => TargetStep::Write(ok_response(head, "done")),
+        }
+    });
+    let one = TestTarget::start("target-1", script.clone()).await;
+    let two = TestTarget::start("target-2", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&one, &two]).await;
+    fleet.request("/once/x", "r1").send().await.unwrap();
+    let arrivals = || one.arrivals() + two.arrivals();
+    assert_eq!(arrivals(), 2);
+
+    let response = fleet.request("/once/x", "r2").send().await.unwrap();
+
+    assert_eq!(response.status().as_u16(), 502);
+    assert_eq!(response.headers()["bilberry-outcome"], "unknown");
+    assert_eq!(arrivals(), 3);
+    for number in 3..7 {
+        let response = fleet.request("/once/x", &format!("r{number}"));
+        let response = response.send().await.unwrap();
+        assert_eq!(response.text().await.unwrap(), "done");
+    }
+}
+
 /// Guards against a request that fails when one target is full although another could run it, and
 /// against an outcome other than not-run when all targets refuse it.
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_request_is_sent_to_another_target_and_ends_as_not_run() {
-    let script: common::TargetScript = Arc::new(|_: &str| {
-        TargetStep::Write(b"HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n".to_vec())
-    });
+    let script: common::TargetScript =
+        Arc::new(|head: &str| TargetStep::Write(refusal_bytes(header(head, "request-id"))));
     let one = TestTarget::start("target-1", script.clone()).await;
     let two = TestTarget::start("target-2", script).await;
     let fleet = TestFleet::start(Some(plan()), &[&one, &two]).await;
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -72,13 +72,13 @@
     }
 
     fn classify_response(&self, attempt_id: &str, head: &response::Parts) -> ResponseVerdict {
-        if head.headers.contains_key("not-run") {
-            return ResponseVerdict::NotRun;
-        }
         let response_id = head.headers.get("request-id");
-        match response_id.is_some_and(|response_id| response_id == attempt_id) {
-            true => ResponseVerdict::Valid,
-            false => ResponseVerdict::Invalid,
+        if response_id.is_none_or(|response_id| response_id != attempt_id) {
+            return ResponseVerdict::Invalid;
+        }
+        match head.headers.contains_key("not-run") {
+            true => ResponseVerdict::NotRun,
+            false => ResponseVerdict::Valid,
         }
     }
 
