Do not continue streams at an entry that is out of step

Callers may have seen: events of two software versions in one stream, at an entry that was cut off or stood still while a target restarted with a newer version under its name and at its address.

Cause: the version at which a stream began is found with certainty (record, or the registered versions that a quorum confirms), but the versions of the targets came from a directory that may be as old as the lease, several seconds.

Change: a stream is continued only while a quorum has confirmed the entry's view within the last three renewals; the entry waits up to 400 ms for the next one, for example after it stood still. The same is checked before the first event is forwarded. Otherwise it refuses as not run, and the caller begins anew.

The same cause elsewhere: a control node that starts anew may list no target for a moment, which the crash log took for their end; a process that is listed again has not ended.

--- a/components/client/src/view.rs
+++ b/components/client/src/view.rs
@@ -50,6 +50,11 @@
         now < self.lease_end
     }
 
+    /// Time since a quorum confirmed what the node knows.
+    pub fn age(&self, now: ClockTime) -> Duration {
+        now.since(self.lease_end - self.lease_time)
+    }
+
     /// Applies a change of the directory. An incomplete delta is ignored if it comes from another
     /// control node or has an older revision.
     pub fn update_directory(&mut self, delta: DirectoryDelta) {
--- a/components/quarantine/src/log.rs
+++ b/components/quarantine/src/log.rs
@@ -204,6 +204,15 @@
         }
     }
 
+    /// Records that a process is listed again: it had not ended.
+    pub fn record_return(&mut self, target: &EndedTarget) {
+        let has_returned = self.ended.remove(target).is_some();
+        let record = self.breaks.get(target);
+        if has_returned && record.is_some_and(|record| record.reported.is_none()) {
+            self.breaks.remove(target);
+        }
+    }
+
     /// Records a response of a process, of any kind, to a request that was sent at `sent_at`.
     pub fn record_response(&mut self, target: &EndedTarget, sent_at: ClockTime, now: ClockTime) {
         if let Some(record) = self.breaks.get_mut(target) {
--- a/components/quarantine/tests/ends.rs
+++ b/components/quarantine/tests/ends.rs
@@ -75,6 +75,19 @@
     assert_eq!(crash.map(|crash| crash.suspects.len()), Some(1));
 }
 
+/// Guards against requests that are taken for the cause of a crash because a control node that
+/// started anew did not list their target for a moment.
+#[test]
+fn failed_request_at_a_target_that_returns_is_no_suspect() {
+    let mut log = log_with_failures(1);
+    log.record_end(&target(0), ClockTime(1_000));
+    log.record_return(&target(0));
+
+    let later = log.record_failure(&target(0), &service(), failed_request(7), ClockTime(2_000));
+
+    assert_eq!((later, log.failed_count(&target(0))), (None, 1));
+}
+
 /// Guards against requests of a planned stop that are taken for the cause of a crash.
 #[test]
 fn failed_request_at_a_leaving_target_is_no_suspect() {
--- a/components/relay/src/crash.rs
+++ b/components/relay/src/crash.rs
@@ -183,6 +183,14 @@
         let listed = listed.get(&target.name);
         listed.is_some_and(|listed| listed.incarnation == target.incarnation && listed.is_serving)
     };
+    shared.board.write_quietly(|state| {
+        for target in targets {
+            let known = state.table.listed(&target.name);
+            if known.is_none_or(|known| known.incarnation != target.incarnation) {
+                state.crashes.record_return(&ended_target(target));
+            }
+        }
+    });
     let changed: Vec<ListedTarget> = shared.board.read(|state| {
         let serving = state
             .table
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -23,7 +23,7 @@
 use crate::backend::{CallerRequest, OpenResponse};
 use crate::crash::SentRequest;
 use crate::dialect::{ModelUsage, RequestMetadata};
-use crate::origins::{ContinuedOrigin, refuse_continuation};
+use crate::origins::{ContinuedOrigin, refuse_continuation, wait_for_current_view};
 use crate::places::{PlacementError, RunGuard, start_run};
 use crate::state::RelayShared;
 use crate::stop::RunTimer;
@@ -220,6 +220,9 @@
             if let Err(refusal) = self.check_quarantine() {
                 break refusal;
             }
+            if self.continued.is_some() && !wait_for_current_view(&self.shared).await {
+                break self.outdated_refusal();
+            }
             let result = self.send(&request, run_guard).await;
             let (reason, may_have_run) = match result {
                 SendResult::Response(response) => {
@@ -342,6 +345,15 @@
         Refusal::not_run(429, "over-share", message).retry_after(remaining / RETRY_AFTER_DIVISOR)
     }
 
+    /// Refusal of a stream that cannot be continued because the entry is cut off.
+    fn outdated_refusal(&self) -> Refusal {
+        let reason = "it is not known which software versions the targets run now";
+        match self.may_have_run {
+            true => self.failure(reason),
+            false => refuse_continuation(self.first_attempt(), reason),
+        }
+    }
+
     fn placement_refusal(&self, reason: PlacementError) -> Refusal {
         if let (Some(continued), PlacementError::NoTarget) = (&self.continued, reason) {
             let version = &continued.origin.version;
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -13,7 +13,7 @@
 use crate::backend::{BufferedResponse, CallerRequest, ExchangeResponse, OpenResponse, exchange};
 use crate::crash::{SentRequest, record_refusal};
 use crate::dialect::ForwardMetadata;
-use crate::origins::record_origin;
+use crate::origins::{has_current_view, record_origin};
 use crate::places::RunGuard;
 use crate::pool::ExchangeError;
 use crate::state::RelayState;
@@ -139,8 +139,8 @@
                 None => None,
             };
             run_guard.record_first_byte();
-            if self.has_restarted(&sent.target) {
-                let reason = "the target has restarted with another software version";
+            if self.may_have_restarted(&sent.target) {
+                let reason = "the target may have restarted with another software version";
                 return SendResult::Unknown(reason.into());
             }
             if first_chunk.is_some() {
@@ -171,17 +171,18 @@
         }
     }
 
-    /// Whether the target is now known to have restarted with another version than that of the
-    /// stream which the request continues.
-    fn has_restarted(&self, target: &ListedTarget) -> bool {
+    /// Whether the target may have restarted with another version than that of the stream which the
+    /// request continues.
+    fn may_have_restarted(&self, target: &ListedTarget) -> bool {
         let Some(continued) = &self.continued else {
             return false;
         };
         let listed = self.shared.listed(&target.name);
-        listed.is_some_and(|listed| {
+        let has_restarted = listed.is_some_and(|listed| {
             listed.incarnation != target.incarnation
                 && listed.version.as_ref() != Some(&continued.origin.version)
-        })
+        });
+        has_restarted || !has_current_view(&self.shared)
     }
 
     /// Records where a new stream begins that its caller may continue.
--- a/components/relay/src/origins.rs
+++ b/components/relay/src/origins.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cadence::prelude::*;
+use client::FleetView;
 use entry::Refusal;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -26,6 +27,10 @@
 /// Time that a new origin needs to be sent to a control node, beyond the interval of reports.
 const REPORT_TRANSIT_TIME: Duration = Duration::from_millis(40);
 
+/// Age of the view from which an entry does not continue streams, three renewals. A target may have
+/// restarted under its name with another software version since.
+const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
+
 /// Number of searches for an origin that may not have been reported yet.
 const MAX_SEARCHES: u32 = 3;
 
@@ -146,6 +151,19 @@
     }
 }
 
+/// Whether the entry knows the targets well enough to continue a stream.
+pub(crate) fn has_current_view(shared: &RelayShared) -> bool {
+    let now = shared.now();
+    shared.view.read(|view| view.age(now) < MAX_VIEW_AGE)
+}
+
+/// Waits for a renewal if the entry was cut off or did not run. Returns whether the view is current.
+pub(crate) async fn wait_for_current_view(shared: &RelayShared) -> bool {
+    let is_current = |view: &mut FleetView| (view.age(shared.now()) < MAX_VIEW_AGE).then_some(());
+    let waiting = shared.view.wait_for(is_current);
+    tokio::time::timeout(SEARCH_TIMEOUT, waiting).await.is_ok()
+}
+
 /// Whether the continuation of a stream goes before new streams.
 fn takes_precedence(shared: &RelayShared, stream: StreamId, origin: &StreamOrigin) -> bool {
     let now = shared.now();
--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -562,6 +562,22 @@
     assert_eq!((old.arrivals(), new.arrivals()), (4, 0));
 }
 
+/// Guards against a stream that goes on at another software version at an entry that is out of step:
+/// it knows the version that began the stream, but not that the target has restarted with a newer
+/// one under its name and at its address.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_is_out_of_step_does_not_continue_streams() {
+    let (mut fleet, old) = start_one_version().await;
+    begin_stream(&fleet, &fleet.relay, "a1").await;
+    fleet.kill_control().await;
+    tokio::time::sleep(Duration::from_millis(1_800)).await;
+
+    let (status, body) = continue_stream(&fleet, &fleet.relay, "a2", Some("a1")).await;
+
+    assert_eq!((status, old.arrivals()), (503, 1), "{body}");
+    assert!(body.contains("stream-origin"), "{body}");
+}
+
 /// Guards against a guess by an entry that can reach no control node.
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_that_cannot_ask_refuses_unknown_streams() {
