Spread the first requests of many entries to a cold target

Cause: an entry's pacer of a cold target begins open, so entries that learn of it together each send a request at once. Change: where an entry sends less than one request a second to it, the first one waits for the entry's place in the interval, as with stated limits. Fleets with fewer entries are paced as before.

--- a/components/place/src/pace.rs
+++ b/components/place/src/pace.rs
@@ -4,6 +4,8 @@
 
 use units::{ClockTime, MilliRate};
 
+use crate::limit::EntryPosition;
+
 /// Spaces requests to a cold target evenly over time.
 ///
 /// The rate limit is shared by all entries, so each entry uses an equal fraction of it. Any window
@@ -14,6 +16,21 @@
 }
 
 impl ColdPacer {
+    /// Pacer of a target that is cold from `now` on.
+    ///
+    /// Entries that send less than a request a second each spread the first one, like later ones:
+    /// they often learn of the target together.
+    pub fn starting(rate: MilliRate, position: EntryPosition, now: ClockTime) -> Self {
+        let interval = send_interval(rate, position.count);
+        let delay = match interval > Duration::from_secs(1) {
+            true => interval * position.rank.min(position.count) / position.count.max(1),
+            false => Duration::ZERO,
+        };
+        Self {
+            next_send: now + delay,
+        }
+    }
+
     /// Whether a request may be sent at `now`.
     pub fn is_open(&self, now: ClockTime) -> bool {
         now >= self.next_send
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -190,13 +190,13 @@
         let existing = key.and_then(|key| self.targets.get_mut(key));
         match existing {
             Some(record) if record.info.incarnation == target.incarnation => {
-                record.update(target, now);
+                record.update(target, self.position, now);
             }
             _ => {
                 // A restarted target has none of the requests of the earlier process.
                 let name = target.name.clone();
                 let process = (name.clone(), target.incarnation);
-                let mut record = TargetRecord::new(target, now);
+                let mut record = TargetRecord::new(target, self.position, now);
                 if let Some((stated, _)) = self.unlisted.remove(&process) {
                     record.stated = stated;
                 }
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::intake::StatedIntake;
+use crate::limit::EntryPosition;
 use crate::pace::ColdPacer;
 
 slotmap::new_key_type! {
@@ -68,7 +69,7 @@
 }
 
 impl TargetRecord {
-    pub(crate) fn new(info: ListedTarget, now: ClockTime) -> Self {
+    pub(crate) fn new(info: ListedTarget, position: EntryPosition, now: ClockTime) -> Self {
         let mut record = Self {
             info,
             running: 0,
@@ -79,21 +80,25 @@
             stated: StatedIntake::default(),
             avoid_until: now,
         };
-        record.restart_cold_period(now);
+        record.restart_cold_period(position, now);
         record
     }
 
     /// Updates the listing; a new announcement restarts the cold period.
-    pub(crate) fn update(&mut self, info: ListedTarget, now: ClockTime) {
+    pub(crate) fn update(&mut self, info: ListedTarget, position: EntryPosition, now: ClockTime) {
         let is_newer = info.sequence != self.info.sequence;
         self.info = info;
         if is_newer {
-            self.restart_cold_period(now);
+            self.restart_cold_period(position, now);
         }
     }
 
-    fn restart_cold_period(&mut self, now: ClockTime) {
+    fn restart_cold_period(&mut self, position: EntryPosition, now: ClockTime) {
+        let was_cold = self.cold_rate(now).is_some();
         self.cold_until = now + Duration::from_millis(self.info.cold_ms);
+        if let (false, Some(rate)) = (was_cold, self.cold_rate(now)) {
+            self.pacer = ColdPacer::starting(rate, position, now);
+        }
     }
 
     /// Rate limit over all entries, if the target is cold and has one.
