Hold a request back only if its targets fell silent one after the other

Failures count only if the request was sent after the one before; request_at_targets_that_are_lost_together_is_not_held_back fails without it. Also spares a lock for each response that states nothing.

--- a/components/quarantine/src/breaks.rs
+++ b/components/quarantine/src/breaks.rs
@@ -137,17 +137,18 @@
         last.is_some_and(|last| now.since(last) < retention)
     }
 
-    /// Time at which a request with exactly these traits failed last, unless the process has outlived
-    /// it.
+    /// Times at which a request with exactly these traits was last sent and failed, unless the
+    /// process has outlived it.
     pub(crate) fn last_failure(
         &self,
         traits: &[RequestTrait],
         now: ClockTime,
-    ) -> Option<ClockTime> {
+    ) -> Option<(ClockTime, ClockTime)> {
         let suspects = self.failed.iter();
         let suspects = suspects.filter(|failed| self.is_crash || !failed.is_outlived(now));
         let same = suspects.filter(|failed| failed.request.traits == traits);
-        same.map(|failed| failed.failed_at).max()
+        let last = same.max_by_key(|failed| failed.failed_at)?;
+        Some((last.request.sent_at, last.failed_at))
     }
 
     /// Observation of the crash, without the first `known` suspects.
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -1,8 +1,8 @@
 //! Finds the requests that crash targets, and keeps them away from targets.
 //!
 //! A target that crashes leaves all of its requests without a response, and one of them may be the
-//! cause. Each entry records its requests at a target that crashed in a [`CrashLog`] and reports them to the
-//! [`QuarantineHome`], a control node. The home holds a trait responsible (a part of the prompt, or
+//! cause. Each entry records its requests at a target that crashed in a [`CrashLog`] and reports
+//! them to the [`QuarantineHome`], a control node. The home holds a trait responsible (a part of the prompt, or
 //! the content of a repeated request) if requests with it were at several targets that crashed one
 //! after the other, and none with it got a complete response meanwhile. Entries refuse requests with
 //! a quarantined trait, except for single trials that end a quarantine once its cause has gone.
--- a/components/quarantine/src/log.rs
+++ b/components/quarantine/src/log.rs
@@ -231,6 +231,11 @@
         }
     }
 
+    /// Whether requests have failed at any process.
+    pub fn has_failures(&self) -> bool {
+        !self.breaks.is_empty()
+    }
+
     /// Number of failed requests at a process.
     pub fn failed_count(&self, target: &EndedTarget) -> usize {
         self.breaks.get(target).map_or(0, BreakRecord::len)
@@ -304,8 +309,9 @@
         applied.cloned().collect()
     }
 
-    /// Time for which a request is held back. The same request has failed at several targets, each of
-    /// which has not answered a later one: they may have ended, although nothing else shows it yet.
+    /// Time for which a request is held back. The same request has failed at several targets one after
+    /// the other, each of which has not answered a later one: they may have ended, although nothing
+    /// else shows it yet. Targets that are lost together do not count as several.
     fn hold_time(
         &self,
         service: &ServiceName,
@@ -314,14 +320,22 @@
     ) -> Option<Duration> {
         let records = self.breaks.values();
         let records = records.filter(|record| record.service == *service);
-        let failures: Vec<ClockTime> = records
+        let mut failures: Vec<(ClockTime, ClockTime)> = records
             .filter_map(|record| record.last_failure(traits, now))
             .collect();
-        if failures.len() < MAX_SILENT_TARGETS {
+        failures.sort_by_key(|(_, failed_at)| *failed_at);
+        let first = failures.first()?.1;
+        let (mut targets, mut last) = (0, ClockTime::default());
+        for (sent_at, failed_at) in failures {
+            if targets == 0 || sent_at >= last {
+                targets += 1;
+                last = failed_at;
+            }
+        }
+        if targets < MAX_SILENT_TARGETS {
             return None;
         }
-        let first = failures.iter().min()?;
-        let ends_at = *failures.iter().max()? + HOLD_TIME;
+        let ends_at = last + HOLD_TIME;
         let last_success = traits.iter().filter_map(|request_trait| {
             self.successes.latest(&ServiceTrait {
                 service: service.clone(),
@@ -330,7 +344,7 @@
         });
         // The request has a trait of its own, which succeeds only if the same request does.
         let has_succeeded = last_success.clone().count() == traits.len()
-            && last_success.min().is_some_and(|success| success > *first);
+            && last_success.min().is_some_and(|success| success > first);
         (now < ends_at && !has_succeeded).then(|| ends_at.since(now))
     }
 
--- a/components/relay/src/crash.rs
+++ b/components/relay/src/crash.rs
@@ -63,10 +63,12 @@
     /// Records that the target has begun to respond, or has refused the request.
     pub(crate) fn record_head(&self) {
         let now = self.shared.now();
-        let target = ended_target(&self.target);
-        self.shared
-            .board
-            .write_quietly(|state| state.crashes.record_response(&target, self.sent_at, now));
+        self.shared.board.write_quietly(|state| {
+            if state.crashes.has_failures() {
+                let target = ended_target(&self.target);
+                state.crashes.record_response(&target, self.sent_at, now);
+            }
+        });
     }
 
     /// Records a complete response, which shows that the target survived the request. Without a length
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -42,6 +42,15 @@
         statement: &TargetStatement,
         is_answer: bool,
     ) {
+        if statement.is_leaving || statement.pause.is_some() {
+            self.record_intake(target, statement);
+        }
+        if is_answer || statement.limit.is_some() {
+            self.record_stated_limit(&target.name, statement.limit);
+        }
+    }
+
+    fn record_intake(&self, target: &ListedTarget, statement: &TargetStatement) {
         let now = self.shared.now();
         let change = self
             .shared
@@ -58,9 +67,6 @@
                 pause_ms = pause_ms
             );
         }
-        if is_answer || statement.limit.is_some() {
-            self.record_stated_limit(&target.name, statement.limit);
-        }
     }
 
     fn record_stated_limit(&self, target: &NodeName, rate: Option<MilliRate>) {
