--- a/components/relay/tests/crashes.rs
+++ b/components/relay/tests/crashes.rs
@@ -196,3 +196,37 @@
     let request = CrashingRequest::Repeated;
     assert_crashing_requests_stop(plan, request, kind, 3, LONG_COUNT_TIME).await;
 }
+
+/// Guards against a request that crashes targets and is repeated through another entry each time, so
+/// that none of them sees it often, while hardly any other request shows that targets are sound.
+#[rstest]
+#[case::refusing(CrashKind::Refusing)]
+#[case::accepting_for_1500_ms(CrashKind::Accepting(Duration::from_millis(1_500)))]
+#[case::silent_for_1500_ms(CrashKind::Silent(Duration::from_millis(1_500)))]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_repeated_through_another_entry_stops_reaching_targets(#[case] kind: CrashKind) {
+    let fleet = TestFleet::start(Some(plan()), &[]).await;
+    let other = fleet.start_other_relay().await;
+    let request = CrashingRequest::Repeated;
+    let record = start_crashing_targets(&fleet, 8, request.rule(), kind).await;
+    let bases = [&fleet.relay, &other].map(|relay| format!("http://{}", relay.http()));
+    let client = fleet.client.clone();
+    let mut load = JoinSet::new();
+    load.spawn(async move {
+        for number in 0.. {
+            let (path, parts) = request.request(number);
+            let url = format!("{}{path}", bases[number % 2]);
+            send(&client, url, format!("crash-{number}"), parts).await;
+            tokio::time::sleep(Duration::from_millis(700)).await;
+        }
+    });
+
+    let tolerated_until = wait_for_crashes(&record, 3).await + CONTACT_WINDOW;
+    tokio::time::sleep_until((tolerated_until + LONG_COUNT_TIME).into()).await;
+
+    let late_arrivals = record.arrivals_after(tolerated_until);
+    assert!(
+        late_arrivals <= MAX_LATE_ARRIVALS,
+        "{late_arrivals} later requests"
+    );
+}
