--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -2,7 +2,9 @@
 
 mod cold;
 mod departure;
+mod history;
 mod keys;
+mod memory;
 mod tenant;
 mod versions;
 
@@ -19,6 +21,8 @@
     match case {
         "cold" => cold::run(record, has_trouble),
         "departure" => departure::run(record, has_trouble),
+        "memory" => memory::run(record, has_trouble),
+        "history" => history::run(record, has_trouble),
         "keys" => keys::run(record, has_trouble),
         "tenant" => tenant::run(record, has_trouble),
         "versions" => versions::run(record, has_trouble),
@@ -71,11 +75,11 @@
         .collect();
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[\
-         {{\"name\":\"{MODEL}\",\"healthCheckPath\":\"/health\",\"connectionLimit\":320,\
+         {{\"name\":\"{MODEL}\",\"healthCheckPath\":\"/health\",\"connectionLimit\":310,\
          \"protocol\":\"h1\",\"tls\":false,\"coldStartS\":3.0,\"coldPerS\":20.0,\
-         \"engine\":{{\"slots\":48,\"kvCacheTokens\":553911,\"stride\":4,\
+         \"engine\":{{\"slots\":48,\"kvCacheTokens\":310801,\"stride\":4,\
          \"models\":[{{\"name\":\"m\"}}]}}}},\
-         {{\"name\":\"{PLAIN}\",\"healthCheckPath\":\"/health\",\"connectionLimit\":120,\
+         {{\"name\":\"{PLAIN}\",\"healthCheckPath\":\"/health\",\"connectionLimit\":110,\
          \"protocol\":\"h1\",\"tls\":false,\"coldStartS\":3.0,\"coldPerS\":{cold_per_s:.1}}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
          \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000,\"tokensPerS\":530000}},\
--- a/review/harness/cases/cold.rs
+++ b/review/harness/cases/cold.rs
@@ -31,7 +31,9 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
     let fleet = Fleet::start(record, 0)?;
-    fleet.publish(record, &configuration(1, &TENANTS, COLD_PER_S), None)?;
+    fleet
+        .publisher()
+        .publish(record, &configuration(1, &TENANTS, COLD_PER_S))?;
     let arrivals = arrivals();
     let plain = |number: u8| {
         let mut lifetime = lifetime(&fleet, number, PLAIN, "v1", Work::Plain(40));
--- a/review/harness/cases/departure.rs
+++ b/review/harness/cases/departure.rs
@@ -24,7 +24,9 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
     let fleet = Fleet::start(record, 0)?;
-    fleet.publish(record, &configuration(1, &TENANTS, 0.0), None)?;
+    fleet
+        .publisher()
+        .publish(record, &configuration(1, &TENANTS, 0.0))?;
     let arrivals = arrivals();
     let controls = fleet.controls();
     let start = |number: u8| {
--- a/review/harness/cases/keys.rs
+++ b/review/harness/cases/keys.rs
@@ -23,7 +23,9 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
     let fleet = Fleet::start(record, 1)?;
-    fleet.publish(record, &configuration(1, &TENANTS, 0.0), None)?;
+    fleet
+        .publisher()
+        .publish(record, &configuration(1, &TENANTS, 0.0))?;
     let arrivals = arrivals();
     for number in 1..=3 {
         let mut lifetime = lifetime(&fleet, number, PLAIN, "v1", Work::Plain(10));
@@ -85,7 +87,9 @@
         machine.pids.iter().for_each(|pid| signal(*pid, SIGSTOP));
     }
     sleep_ms(100);
-    let confirmed = fleet.publish(record, &configuration(2, &TENANTS[..1], 0.0), None)?;
+    let confirmed = fleet
+        .publisher()
+        .publish(record, &configuration(2, &TENANTS[..1], 0.0))?;
     record.note(&format!("the key of {} is taken away", TENANTS[1].0));
     asleep.store(true, Ordering::SeqCst);
     sleep_ms(FREEZE_MS);
--- a/review/harness/cases/tenant.rs
+++ b/review/harness/cases/tenant.rs
@@ -13,7 +13,9 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
     let fleet = Fleet::start(record, 0)?;
-    fleet.publish(record, &configuration(1, &TENANTS, 0.0), None)?;
+    fleet
+        .publisher()
+        .publish(record, &configuration(1, &TENANTS, 0.0))?;
     let arrivals = arrivals();
     for number in 1..=3 {
         let lifetime = lifetime(&fleet, number, PLAIN, "v1", Work::Plain(10));
--- a/review/harness/cases/versions.rs
+++ b/review/harness/cases/versions.rs
@@ -34,7 +34,9 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
     let fleet = Fleet::start(record, 0)?;
-    fleet.publish(record, &configuration(1, &TENANTS, 0.0), None)?;
+    fleet
+        .publisher()
+        .publish(record, &configuration(1, &TENANTS, 0.0))?;
     let arrivals = arrivals();
     let work = Work::Stream(60, 100);
     // Two versions of the software serve side by side.
--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -13,6 +13,7 @@
 
 pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
+pub const SIGKILL: i32 = 9;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -41,13 +42,25 @@
     }
 }
 
+/// Memory of a process without the pages of files, in megabytes; 0 if it has ended.
+pub fn memory_mb(pid: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let mut lines = text.lines();
+    let line = lines.find_map(|line| line.strip_prefix("RssAnon:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) / 1_000
+}
+
 /// Zones of the deployment and their regions.
 pub const ZONES: [(&str, &str); 3] = [
-    ("kandy-a", "central-hills"),
-    ("colombo-a", "western-coast"),
-    ("galle-a", "southern-coast"),
+    ("bohemia-a", "bohemia"),
+    ("moravia-a", "moravia"),
+    ("silesia-a", "silesia"),
 ];
 
+/// `memoryMb` of the machines, above which the platform kills a process.
+pub const MEMORY_MB: u64 = 110;
+
 const FRONT_PORT: u16 = 8783;
 const READY_PORT: u16 = 8780;
 const CONTROL_PORT: u16 = 8785;
@@ -60,6 +73,8 @@
     pub has_control: bool,
     /// Ids of its processes.
     pub pids: Vec<u32>,
+    /// Id of its control process, if it has one.
+    pub control_pid: u32,
 }
 
 impl Machine {
@@ -96,6 +111,7 @@
             zone: index % 3,
             has_control: index < 3,
             pids: Vec::new(),
+            control_pid: u32::MAX,
         });
         let mut fleet = Self {
             machines: machines.collect(),
@@ -124,7 +140,8 @@
         nodes.map(Machine::control).collect()
     }
 
-    fn start_role(&mut self, index: usize, role: &str) -> Result<(), String> {
+    /// Starts a process of a machine.
+    pub fn start_role(&mut self, index: usize, role: &str) -> Result<(), String> {
         let machine = &self.machines[index];
         let base = self.folder.join(format!("{}-{role}", machine.name));
         let settings = base.with_extension("toml");
@@ -143,6 +160,9 @@
             .spawn()
             .map_err(|error| format!("{program}: {error}"))?;
         self.machines[index].pids.push(child.id());
+        if role == "control" {
+            self.machines[index].control_pid = child.id();
+        }
         STARTED.lock().unwrap().0.push(child);
         Ok(())
     }
@@ -184,46 +204,22 @@
             let _ = writeln!(text, "front = \"{}\"", machine.front());
             let _ = writeln!(text, "ready = \"{}\"", machine.ready());
         }
-        text + "[limits]\ncpuShare = 0.45\ncores = 1\nmemoryMb = 260\nfileDescriptors = 4100\n\
+        let _ = writeln!(text, "[limits]\nmemoryMb = {MEMORY_MB}");
+        text + "cpuShare = 0.45\ncores = 1\nfileDescriptors = 4100\n\
                 linkBandwidthMbps = 1000.0\ndiskMb = 64\n\
                 [faultTolerance]\nmachines = 1\nzones = 1\nregions = 1\n\
                 [bounds]\nseedLagS = 3\nreuseAfterS = 2\ncontactWindowMs = 3000\n\
                 ackTimeoutMs = 4000\ncatchUpS = 4\ndrainTimeoutMs = 2500\ngracePeriodS = 8\n\
                 lossSlackMs = 200\nconfigurationApplyMs = 2500\ndowngradeSlackMs = 250\n\
                 maxStretchMs = 5000\nstrictRevocation = true\nrevocationMs = 5000\n\
-                retryBudgetRatio = 0.2\nbudgetWindowS = 10\nretryBudgetSlack = 60\n\
+                retryBudgetRatio = 0.2\nbudgetWindowS = 10\nretryBudgetSlack = 58\n\
                 coldBurstFactor = 1.5\ncoldSlack = 5\nevacuationMs = 5000\nrecoveryS = 12\n\
-                passMs = 200\nreuseWindowS = 7.8\nquotaWindowS = 4\n"
+                passMs = 200\nreuseWindowS = 4.7\nquotaWindowS = 4\n"
     }
 
-    /// Sends the operator's configuration until a node acknowledges it. Returns the time of the
-    /// acknowledgement.
-    pub fn publish(
-        &self,
-        record: &Record,
-        text: &str,
-        skip: Option<IpAddr>,
-    ) -> Result<f64, String> {
-        let deadline = Instant::now() + Duration::from_secs(20);
-        while Instant::now() < deadline {
-            for address in self.controls() {
-                if skip == Some(address.ip()) {
-                    continue;
-                }
-                let path = "/-/configuration";
-                let reply = http::call(address, "PUT", path, text, Duration::from_secs(1));
-                let status = reply.map_or(0, |(status, _)| status);
-                if status == 200 {
-                    record.note(&format!("operator: PUT {path} to {address}: 200"));
-                    return Ok(record.now());
-                }
-                if status == 400 {
-                    return Err("the configuration was refused".into());
-                }
-            }
-            std::thread::sleep(Duration::from_millis(200));
-        }
-        Err("no control node acknowledged the configuration".into())
+    /// The operator's way to the control nodes.
+    pub fn publisher(&self) -> Publisher {
+        Publisher(self.controls())
     }
 
     /// Waits until all entries say that they are ready.
@@ -247,6 +243,41 @@
     }
 }
 
+/// Operator that publishes configurations.
+#[derive(Clone)]
+pub struct Publisher(Vec<SocketAddr>);
+
+impl Publisher {
+    /// Sends a configuration until a node acknowledges it. Returns the time of the acknowledgement.
+    pub fn publish(&self, record: &Record, text: &str) -> Result<f64, String> {
+        let address = self.publish_quietly(text)?;
+        let at = record.now();
+        record.note_at(
+            at,
+            &format!("operator: PUT /-/configuration to {address}: 200"),
+        );
+        Ok(at)
+    }
+
+    /// Sends a configuration until a node acknowledges it. Returns the address of that node.
+    pub fn publish_quietly(&self, text: &str) -> Result<SocketAddr, String> {
+        let deadline = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < deadline {
+            for address in &self.0 {
+                let timeout = Duration::from_secs(1);
+                let reply = http::call(*address, "PUT", "/-/configuration", text, timeout);
+                match reply.map_or(0, |(status, _)| status) {
+                    200 => return Ok(*address),
+                    400 => return Err("the configuration was refused".into()),
+                    _ => {}
+                }
+            }
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        Err("no control node acknowledged the configuration".into())
+    }
+}
+
 /// Command of a role in the deploy file.
 fn run_line(role: &str) -> Result<String, String> {
     let text = fs::read_to_string(Path::new("deploy/system.toml"))
