--- a/review/harness/cases/memory.rs
+++ b/review/harness/cases/memory.rs
@@ -22,7 +22,7 @@
 /// Number of bodies that are sent at the same time.
 const UPLOADS: usize = 20;
 
-/// Pause after each 64 KiB of a body, in milliseconds. All bodies together use 112 of the 125
+/// Pause after each 64 KiB of a body, in milliseconds. All bodies together use 94 of the 125
 /// megabytes a second of the machine's link.
 const PART_PAUSE_MS: u64 = 14;
 
