Open a new link if the one to a control node was closed while idle

What callers saw: the first request to a control node after 10 s without traffic failed. Control nodes forward orders, and now departures, to the leader on such links, so an operator or target got 503 although all nodes ran.

Cause: a link without traffic is closed after 10 s, and that is noticed only when the next stream is opened on it. The failed exchange removed the link and was reported to its caller. Nothing had been sent.

The test fails before with "Failed to use the connection to ...: timed out". Ruled out: a missing leader (the next call succeeded) and the time limit of the commit (the answer came at once).

Change: if a stream cannot be opened because the link was lost, it is opened once more on a new link.

--- a/components/client/src/transport.rs
+++ b/components/client/src/transport.rs
@@ -55,6 +55,23 @@
         address: SocketAddr,
         request: &ControlRequest,
     ) -> Result<ControlReply, LinkError> {
+        let opened = match self.open_stream(address).await {
+            // A link that had no traffic has been closed. Nothing of the request was sent on it.
+            Err(LinkError::Lost { .. }) => self.open_stream(address).await,
+            opened => opened,
+        };
+        let (guard, mut writer, mut reader) = opened?;
+        send_request(&mut writer, request).await?;
+        writer.finish();
+        let reply = receive_reply(&mut reader).await?;
+        guard.retain_link();
+        Ok(reply)
+    }
+
+    async fn open_stream(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(LinkGuard<'_>, FrameWriter, FrameReader), LinkError> {
         let shared = self.shared_link(address);
         let guard = LinkGuard {
             transport: self,
@@ -64,12 +81,8 @@
         };
         let connecting = || self.endpoint.connect(address, NodeRole::Control);
         let link = shared.get_or_try_init(connecting).await?;
-        let (mut writer, mut reader) = link.open(StreamKind::Control).await?;
-        send_request(&mut writer, request).await?;
-        writer.finish();
-        let reply = receive_reply(&mut reader).await?;
-        guard.retain_link();
-        Ok(reply)
+        let (writer, reader) = link.open(StreamKind::Control).await?;
+        Ok((guard, writer, reader))
     }
 }
 
--- a/components/control/tests/group.rs
+++ b/components/control/tests/group.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use registry::FleetConfig;
 use support::{SERVICES_TEXT, TestGroup, agent_kind, apply, node, order, renew, renew_request};
 use units::{ConfigVersion, FencingNumber, Incarnation, OrderId, RequestId};
@@ -10,6 +12,9 @@
     OperatorOrder, OrderReply,
 };
 
+/// Time without traffic after which a link is closed, 10 s, and a second more.
+const LINK_IDLE_TIME: Duration = Duration::from_secs(11);
+
 fn accepted(version: u64) -> OrderReply {
     OrderReply::Accepted(ConfigVersion(version))
 }
@@ -95,6 +100,22 @@
     assert_eq!(config.manifest.organisations.len(), 38_000);
 }
 
+/// Guards against a first request that fails because the link to the control node was closed while it
+/// was idle. Control nodes forward requests to the leader on such links, and the sender was told that
+/// there is no quorum.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_on_a_link_that_was_idle_is_answered() {
+    let group = TestGroup::start().await;
+    group.wait_ready().await;
+    let operator = group.client_at(0, NodeRole::Operator, "operator-1");
+    operator.request(&ControlRequest::Status).await.unwrap();
+
+    tokio::time::sleep(LINK_IDLE_TIME).await;
+    let reply = operator.request_once(&ControlRequest::Status).await;
+
+    assert!(matches!(reply, Ok(ControlReply::Status(_))), "{reply:?}");
+}
+
 /// Guards against a group that stops working when its leader stops, and against a restarted node
 /// that misses orders accepted while it was down.
 #[tokio::test(flavor = "multi_thread")]
