Commit the departure of a target before it is acknowledged

Cause: a departure was kept only in the entry of the listed process, at one control node, and told to the others by frames that may be lost. If the directory did not list the target, or listed an earlier process of it, nothing was kept at all. A later announcement, a restart of the node, or an entry that follows another node undid it.

Ruled out: the entries (each renewal brought them the directory of their control node within 500 ms, and that listed the target as serving) and the order of the announcements (their sequence numbers were in order; the departure has none).

Change: departures (name and incarnation) are in the replicated log. 200 means that a quorum has one, 503 that it has not. They hold for the process that they name and earlier ones, listed or not. Each control node applies the log to its directory before it answers from there, so an entry that renews at any of them learns of it with the same bound as of an evacuation. The listed process is still marked and broadcast at once. `draining` takes the same way. A process that restarted under its name is taken as ended when its later process leaves, and a target that was removed for silence and then leaves is no longer reported as missing. The newest 4,096 departures are kept.

--- a/components/control/src/announced.rs
+++ b/components/control/src/announced.rs
@@ -4,6 +4,7 @@
 //! bound would exceed the frames in which control nodes and entries exchange the directory, and with
 //! numbers at the end of their range no later announcement would be newer.
 
+use units::{Incarnation, NodeName};
 use wire::{DirectoryEntry, NodeKind};
 
 /// Maximum length of a name.
@@ -18,6 +19,30 @@
 /// Longest time for which a target may stay cold, a day in milliseconds.
 const MAX_COLD_MS: u64 = 24 * 60 * 60 * 1_000;
 
+/// Maximum difference between the clocks of hosts, a day in milliseconds. The departure of a process
+/// that starts later would bar the target for too long.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Returns why a departure cannot be that of a target, if it cannot.
+pub(crate) fn check_departure(
+    name: &NodeName,
+    incarnation: Option<Incarnation>,
+) -> Result<(), String> {
+    let length = name.as_str().len();
+    if length > MAX_NAME_BYTES {
+        return Err(format!(
+            "its name has {length} bytes, above {MAX_NAME_BYTES}"
+        ));
+    }
+    let highest = Incarnation::starting_now().0 + MAX_CLOCK_DIFFERENCE_MS;
+    match incarnation {
+        Some(Incarnation(start)) if start > highest => Err(format!(
+            "its start time {start} is above {highest}, a day from now"
+        )),
+        _ => Ok(()),
+    }
+}
+
 /// Returns why an entry cannot be that of a target, if it cannot.
 pub(crate) fn check_announcement(entry: &DirectoryEntry) -> Result<(), String> {
     let NodeKind::Target(target) = &entry.kind else {
--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -14,7 +14,8 @@
     ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeState, OperatorOrder, OrderReply,
 };
 
-use crate::announced::check_announcement;
+use crate::announced::{check_announcement, check_departure};
+use crate::departures::commit_departure;
 use crate::requests::{commit_or_forward, confirm_newest};
 use crate::state::ControlContext;
 use crate::versions::check_version;
@@ -94,22 +95,25 @@
     }
 
     /// Records the announcement of a target and forwards it to the other control nodes immediately.
-    /// Registers the target's version first if it is new.
+    /// Registers the target's version first if it is new, and commits its departure if it is leaving.
     ///
     /// Returns [`ApiError::Invalid`] if the entry cannot be that of a target.
     pub async fn announce(&self, mut entry: DirectoryEntry) -> Result<(), ApiError> {
         check_announcement(&entry).map_err(ApiError::Invalid)?;
         check_version(&self.context, &mut entry).await;
+        let (name, incarnation, state) = (entry.name.clone(), entry.incarnation, entry.state);
         self.update_directory(entry);
-        Ok(())
+        match state {
+            NodeState::Serving => Ok(()),
+            NodeState::Leaving => self.depart(&name, incarnation).await,
+        }
     }
 
     fn update_directory(&self, entry: DirectoryEntry) {
         let now = self.context.clock.now();
         let accepted = self
             .context
-            .nodes
-            .write(|nodes| nodes.announce(entry.clone(), now));
+            .with_nodes(|nodes| nodes.announce(entry.clone(), now));
         if accepted {
             self.context.peers.broadcast_directory(vec![entry]);
         }
@@ -117,27 +121,52 @@
 
     /// Whether a target is in the directory and accepts new work.
     pub fn is_serving(&self, name: &NodeName) -> bool {
-        self.context.nodes.read(|nodes| {
-            let entry = nodes.get(name);
-            entry.is_some_and(|entry| entry.state == NodeState::Serving)
-        })
+        self.context.is_serving(name)
+    }
+
+    /// Records the departure of a target, after its final call. Its process gets no new work, whatever
+    /// announcements of it still arrive.
+    ///
+    /// If the call names no incarnation, the one that this node has heard of last has left, or else any
+    /// that has started until now.
+    pub async fn mark_leaving(
+        &self,
+        name: &NodeName,
+        incarnation: Option<Incarnation>,
+    ) -> Result<(), ApiError> {
+        check_departure(name, incarnation).map_err(ApiError::Invalid)?;
+        let known = self
+            .context
+            .with_nodes(|nodes| nodes.last_incarnation(name));
+        let incarnation = incarnation
+            .or(known)
+            .unwrap_or_else(Incarnation::starting_now);
+        self.mark_listed(name, incarnation);
+        self.depart(name, incarnation).await
     }
 
-    /// Marks a target as leaving, after its final call. It gets no new work, and delayed
-    /// announcements of the same process do not undo this. A call is ignored as outdated if its
-    /// incarnation differs from that in the directory.
-    pub fn mark_leaving(&self, name: &NodeName, incarnation: Option<Incarnation>) {
-        let Some(mut entry) = self.context.nodes.read(|nodes| nodes.get(name).cloned()) else {
+    /// Marks a listed process as leaving at once, so that entries stop sending before the departure is
+    /// committed.
+    fn mark_listed(&self, name: &NodeName, incarnation: Incarnation) {
+        let Some(mut entry) = self.context.node(name) else {
             return;
         };
-        let is_late = incarnation.is_some_and(|incarnation| incarnation != entry.incarnation);
-        if let (false, NodeKind::Target(target)) = (is_late, &mut entry.kind) {
+        if let (true, NodeKind::Target(target)) =
+            (entry.incarnation == incarnation, &mut entry.kind)
+        {
             target.sequence = u64::MAX;
             entry.state = NodeState::Leaving;
             self.update_directory(entry);
         }
     }
 
+    async fn depart(&self, name: &NodeName, incarnation: Incarnation) -> Result<(), ApiError> {
+        match commit_departure(&self.context, name, incarnation).await {
+            true => Ok(()),
+            false => Err(ApiError::NoQuorum),
+        }
+    }
+
     async fn order(&self, order: OperatorOrder) -> Result<(), ApiError> {
         match commit_or_forward(&self.context, false, ControlRequest::Order(order)).await {
             ControlReply::Order(OrderReply::Accepted(_)) => Ok(()),
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod announced;
 mod api;
+mod departures;
 mod driver;
 mod driver_event;
 pub mod formation;
--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -62,7 +62,7 @@
     loop {
         interval.tick().await;
         let now = context.clock.now();
-        let batch = context.nodes.write(|nodes| {
+        let batch = context.with_nodes(|nodes| {
             nodes.tick(now);
             nodes.announced_since(last_sent_at)
         });
@@ -219,7 +219,5 @@
 /// Applies directory entries that another control node has received from nodes and forwarded.
 pub(crate) fn apply_directory(context: &ControlContext, entries: Vec<DirectoryEntry>) {
     let now = context.clock.now();
-    context
-        .nodes
-        .write(|nodes| nodes.apply_forwarded(entries, now));
+    context.with_nodes(|nodes| nodes.apply_forwarded(entries, now));
 }
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -89,9 +89,9 @@
         ControlRequest::Order(_) | ControlRequest::Text(_) | ControlRequest::Status => {
             matches!(role, NodeRole::Operator | NodeRole::Control)
         }
-        ControlRequest::Directory(_) | ControlRequest::RegisterVersion(_) => {
-            role == NodeRole::Control
-        }
+        ControlRequest::Directory(_)
+        | ControlRequest::RegisterVersion(_)
+        | ControlRequest::Depart { .. } => role == NodeRole::Control,
         ControlRequest::Report(_)
         | ControlRequest::RecordOrigins(_)
         | ControlRequest::FindOrigin(_)
@@ -125,7 +125,7 @@
     let Some((age, version, changes)) = confirmed_state else {
         return no_quorum_reply(context);
     };
-    let directory = context.nodes.write_quietly(|nodes| {
+    let directory = context.with_nodes(|nodes| {
         if !is_operator {
             nodes.announce(renewal.node, now);
         }
@@ -264,13 +264,16 @@
         ControlRequest::Begin(begin) => vec![RegistryAction::Begin(begin)],
         ControlRequest::End(end) => vec![RegistryAction::End(end)],
         ControlRequest::RegisterVersion(version) => vec![RegistryAction::RegisterVersion(version)],
+        ControlRequest::Depart { name, incarnation } => {
+            vec![RegistryAction::Depart { name, incarnation }]
+        }
         ControlRequest::Order(order) => match order_actions(context, order).await {
             Ok(actions) => actions,
             Err(reason) => return ControlReply::Order(OrderReply::Invalid(reason)),
         },
         _ => {
             return ControlReply::BadRequest(
-                "only calls, orders and versions are committed".into(),
+                "only calls, orders, versions and departures are committed".into(),
             );
         }
     };
--- a/components/control/src/status.rs
+++ b/components/control/src/status.rs
@@ -130,15 +130,14 @@
 /// Status of the fleet as JSON. `is_newest` states whether a quorum has confirmed that it includes
 /// every accepted order; otherwise `confirmed_ms` is left empty.
 pub(crate) fn fleet_status_json(context: &ControlContext, is_newest: bool) -> String {
-    let entries: Vec<DirectoryEntry> = context
-        .nodes
-        .read(|nodes| nodes.entries().cloned().collect());
+    let entries: Vec<DirectoryEntry> =
+        context.with_nodes(|nodes| nodes.entries().cloned().collect());
     let mut status = context
         .view
         .read(|view| build_status(context, view, &entries));
     status.confirmed_ms = status.confirmed_ms.filter(|_| is_newest);
     let now = context.clock.now();
-    status.missing = context.nodes.read(|nodes| {
+    status.missing = context.with_nodes(|nodes| {
         let missing = nodes.missing(now);
         missing
             .map(|(entry, silent)| MissingReport {
--- a/components/control/src/versions.rs
+++ b/components/control/src/versions.rs
@@ -11,7 +11,7 @@
 use registry::RegistryAction;
 use tokio::time::MissedTickBehavior;
 use units::ServiceName;
-use wire::{ControlReply, ControlRequest, DirectoryEntry, NodeKind, StreamOrigin};
+use wire::{ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeState, StreamOrigin};
 
 use crate::requests::{commit_or_forward, confirm_newest, no_quorum_reply, propose};
 use crate::state::ControlContext;
@@ -33,7 +33,9 @@
     let is_registered = context
         .view
         .read(|view| view.registry.versions().contains(&version));
-    if is_registered || register(context, version).await {
+    // No streams begin at a leaving target.
+    let is_needed = entry.state == NodeState::Serving;
+    if is_registered || (is_needed && register(context, version).await) {
         return;
     }
     if let NodeKind::Target(target) = &mut entry.kind {
@@ -92,7 +94,7 @@
 
 fn present_versions(context: &ControlContext) -> BTreeSet<StreamOrigin> {
     let now = context.clock.now();
-    context.nodes.read(|nodes| {
+    context.with_nodes(|nodes| {
         let live = nodes.entries().filter_map(announced_version);
         // A silent target may still serve the streams that it began.
         let missing = nodes.missing(now).map(|(entry, _)| entry);
--- a/components/directory/src/directory.rs
+++ b/components/directory/src/directory.rs
@@ -6,6 +6,7 @@
 use units::{ClockTime, Incarnation, NodeName};
 use wire::{DirectoryDelta, DirectoryEntry, NodeKind, NodeState};
 
+use crate::departures::{DepartureRecord, DepartureTable};
 use crate::record::{AnnouncementSource, NodeRecord, is_significant_change};
 
 /// Time without announcements after which a node is removed from the directory.
@@ -56,6 +57,8 @@
     /// Highest revision of a discarded removal. A delta from an older revision would lack that
     /// removal.
     last_discarded_revision: u64,
+    /// Copy of the departures in the replicated state.
+    departures: DepartureTable,
     /// Time without announcements after which a target without an agent is removed.
     target_silence_timeout: Duration,
 }
@@ -72,6 +75,7 @@
             by_expiry: BTreeSet::new(),
             by_removal_time: BTreeSet::new(),
             last_discarded_revision: 0,
+            departures: DepartureTable::default(),
             target_silence_timeout: SILENCE_TIMEOUT,
         }
     }
@@ -103,6 +107,39 @@
         }
     }
 
+    /// Applies the departures that were recorded since the last call. Their processes get no new
+    /// work, whatever announcements of them arrive.
+    pub fn apply_departures(&mut self, departures: &DepartureTable, now: ClockTime) {
+        let known = self.departures.last_number();
+        for (name, record) in departures.since(known) {
+            self.departures.insert(name, record);
+            self.end_departed(name, record, now);
+        }
+    }
+
+    fn end_departed(&mut self, name: &NodeName, departure: DepartureRecord, now: ClockTime) {
+        if let Some(record) = self.nodes.get(name) {
+            let entry = &record.entry;
+            if !matches!(entry.kind, NodeKind::Target(_)) {
+                return;
+            }
+            if entry.incarnation < departure.incarnation {
+                // A later process has started under this name, so this one has ended without leaving.
+                self.remove(name, now);
+            } else if entry.incarnation == departure.incarnation
+                && entry.state == NodeState::Serving
+            {
+                let mut entry = entry.clone();
+                entry.state = NodeState::Leaving;
+                self.replace_entry(entry);
+            }
+        } else if let Some(removed) = self.removed.get_mut(name)
+            && removed.incarnation == departure.incarnation
+        {
+            removed.entry.state = NodeState::Leaving;
+        }
+    }
+
     /// Nodes whose last direct announcement is later than `since`, to be forwarded.
     ///
     /// Forwarded announcements are left out: two control nodes would otherwise keep refreshing a
@@ -173,6 +210,12 @@
         self.nodes.get(name).map(|record| &record.entry)
     }
 
+    /// Newest incarnation of a node that is live or was removed recently.
+    pub fn last_incarnation(&self, name: &NodeName) -> Option<Incarnation> {
+        let live = self.get(name).map(|entry| entry.incarnation);
+        live.or_else(|| self.removed.get(name).map(|removed| removed.incarnation))
+    }
+
     /// Entries of all live nodes.
     pub fn entries(&self) -> impl Iterator<Item = &DirectoryEntry> {
         self.nodes.values().map(|record| &record.entry)
@@ -195,11 +238,16 @@
 
     fn accept(
         &mut self,
-        entry: DirectoryEntry,
+        mut entry: DirectoryEntry,
         source: AnnouncementSource,
         now: ClockTime,
     ) -> bool {
         self.tick(now);
+        if matches!(entry.kind, NodeKind::Target(_))
+            && self.departures.contains(&entry.name, entry.incarnation)
+        {
+            entry.state = NodeState::Leaving;
+        }
         let is_accepted = match self.nodes.get(&entry.name) {
             Some(record) => record.is_replaced_by(&entry, source, now),
             None => self
@@ -252,6 +300,17 @@
         self.nodes.insert(name, record);
     }
 
+    /// Changes the entry of a live node, without an announcement of it.
+    fn replace_entry(&mut self, entry: DirectoryEntry) {
+        let name = entry.name.clone();
+        let revision = self.next_revision(&name);
+        if let Some(record) = self.nodes.get_mut(&name) {
+            self.by_revision.remove(&record.revision);
+            record.revision = revision;
+            record.entry = entry;
+        }
+    }
+
     fn remove(&mut self, name: &NodeName, now: ClockTime) {
         let Some(record) = self.nodes.remove(name) else {
             return;
--- a/components/directory/tests/targets.rs
+++ b/components/directory/tests/targets.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use directory::NodeDirectory;
+use directory::{DepartureTable, NodeDirectory};
 use units::{ClockTime, ConfigVersion, Incarnation, SlotCount};
 use wire::{AnnouncedTarget, DirectoryEntry, NodeKind, NodeState};
 
@@ -88,3 +88,102 @@
     assert_eq!(kept, Some(NodeState::Serving));
     assert_eq!(state(&directory), None);
 }
+
+/// Table in which these incarnations of the target have left, in this order.
+fn departures(incarnations: &[u64]) -> DepartureTable {
+    let mut departures = DepartureTable::default();
+    for incarnation in incarnations {
+        departures.record(&"target".into(), Incarnation(*incarnation));
+    }
+    departures
+}
+
+/// Guards against a late announcement that lists a target as serving although its departure was
+/// acknowledged while it was not listed.
+#[test]
+fn departure_of_a_target_that_is_not_listed_outlasts_late_announcements() {
+    let mut directory = directory();
+    directory.announce(announcement(7, 5, NodeState::Serving), ClockTime(0));
+    directory.tick(ClockTime(5_000));
+
+    directory.apply_departures(&departures(&[7]), ClockTime(5_100));
+    let missing = directory.missing(ClockTime(5_100)).count();
+    directory.announce(announcement(7, 9, NodeState::Serving), ClockTime(5_600));
+    let after_late = state(&directory);
+    directory.apply_forwarded(
+        vec![announcement(7, 12, NodeState::Serving)],
+        ClockTime(90_000),
+    );
+
+    assert_eq!(missing, 0);
+    assert_eq!(after_late, Some(NodeState::Leaving));
+    assert_eq!(state(&directory), Some(NodeState::Leaving));
+}
+
+/// Guards against a departure that is ignored because the directory still lists an earlier process
+/// under the name.
+#[test]
+fn departure_of_a_later_process_ends_the_listed_one() {
+    let mut directory = directory();
+    directory.announce(announcement(1, 5, NodeState::Serving), ClockTime(0));
+    let before = directory.revision();
+
+    directory.apply_departures(&departures(&[2]), ClockTime(10));
+    let delta = directory.delta_since(Incarnation(1), before);
+    directory.announce(announcement(2, 1, NodeState::Serving), ClockTime(20));
+    let after_late = state(&directory);
+    directory.announce(announcement(1, 6, NodeState::Serving), ClockTime(30));
+
+    assert_eq!(delta.removed, ["target".into()]);
+    assert_eq!(after_late, Some(NodeState::Leaving));
+    assert_eq!(state(&directory), Some(NodeState::Leaving));
+}
+
+/// Guards against entries that are not told that a listed target leaves, and against a control node
+/// that lists it as serving again after a later announcement of the same process.
+#[test]
+fn departure_of_a_listed_target_changes_the_directory() {
+    let mut directory = directory();
+    directory.announce(announcement(1, 5, NodeState::Serving), ClockTime(0));
+    let before = directory.revision();
+
+    directory.apply_departures(&departures(&[1]), ClockTime(10));
+    let delta = directory.delta_since(Incarnation(1), before);
+    directory.announce(announcement(1, 6, NodeState::Serving), ClockTime(20));
+
+    let changed: Vec<_> = delta.changed.iter().map(|entry| entry.state).collect();
+    assert_eq!(changed, [NodeState::Leaving]);
+    assert_eq!(state(&directory), Some(NodeState::Leaving));
+}
+
+/// Guards against a target that gets no requests after a restart under its name, and against a late
+/// departure of its earlier process that ends the new one.
+#[test]
+fn departure_of_an_earlier_process_does_not_end_a_later_one() {
+    let mut directory = directory();
+    directory.apply_departures(&departures(&[1]), ClockTime(0));
+
+    let restarted = directory.announce(announcement(2, 1, NodeState::Serving), ClockTime(10));
+    directory.apply_departures(&departures(&[1]), ClockTime(20));
+
+    assert!(restarted);
+    assert_eq!(state(&directory), Some(NodeState::Serving));
+}
+
+/// Guards against departures without number that fill the memory of the control nodes, and against
+/// the loss of recent ones.
+#[test]
+fn oldest_departures_are_dropped() {
+    let mut departures = DepartureTable::default();
+    let name = |number: u64| format!("target-{number}").as_str().into();
+    for number in 0..10_000 {
+        departures.record(&name(number), Incarnation(1));
+    }
+
+    let kept = departures.since(Default::default()).count();
+
+    assert!(kept < 10_000, "{kept} departures are kept");
+    assert!(departures.contains(&name(9_999), Incarnation(1)));
+    assert!(departures.contains(&name(9_000), Incarnation(1)));
+    assert!(!departures.contains(&name(0), Incarnation(1)));
+}
--- a/components/registry/src/command.rs
+++ b/components/registry/src/command.rs
@@ -4,7 +4,7 @@
 
 use manifest::ManifestChange;
 use routes::PublishedPlan;
-use units::{ConfigVersion, DataCentreName, DiskId, NodeName, OrderId, TargetName};
+use units::{ConfigVersion, DataCentreName, DiskId, Incarnation, NodeName, OrderId, TargetName};
 use wire::{BeginCall, BeginOutcome, EndCall, OrderReply, StreamOrigin};
 
 units::number!(
@@ -115,6 +115,13 @@
             /// Number of consecutive rounds without a target after which a version is removed.
             max_rounds: u32,
         },
+        /// Records that a process of a target leaves.
+        Depart {
+            /// Name of the target.
+            name: NodeName,
+            /// Incarnation that leaves. Earlier ones have left, too.
+            incarnation: Incarnation,
+        },
     }
 
     /// Outcome of a command.
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -1,5 +1,5 @@
 //! Replicated state: configuration, data centres and targets that are out, fencing numbers, call
-//! records and software versions.
+//! records, software versions and departures of targets.
 //!
 //! The state is deterministic: it depends only on the sequence of commands. Each command carries
 //! the wall-clock time of the leader that proposed it.
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use directory::DepartureTable;
 use manifest::ManifestChange;
 use routes::PublishedPlan;
 use thiserror::Error;
@@ -60,6 +61,9 @@
         /// Follows the other state in a snapshot, so that older snapshots can be restored.
         #[serde(skip)]
         versions: VersionTable,
+        /// Follows the versions in a snapshot.
+        #[serde(skip)]
+        departures: DepartureTable,
     }
 }
 
@@ -135,6 +139,10 @@
                 self.versions.count_round(present, *max_rounds);
                 RegistryOutcome::Done
             }
+            RegistryAction::Depart { name, incarnation } => {
+                self.departures.record(name, *incarnation);
+                RegistryOutcome::Done
+            }
             RegistryAction::Apply { order, .. }
             | RegistryAction::DataCentre { order, .. }
             | RegistryAction::Target { order, .. }
@@ -355,6 +363,11 @@
         &self.versions
     }
 
+    /// Targets that have left.
+    pub fn departures(&self) -> &DepartureTable {
+        &self.departures
+    }
+
     /// Number of call records.
     pub fn call_count(&self) -> usize {
         self.calls.len()
@@ -382,6 +395,8 @@
         let mut bytes = postcard::to_stdvec(self).expect("the state encodes into memory");
         let versions = postcard::to_stdvec(&self.versions);
         bytes.extend(versions.expect("the versions encode into memory"));
+        let departures = postcard::to_stdvec(&self.departures);
+        bytes.extend(departures.expect("the departures encode into memory"));
         bytes
     }
 
@@ -390,8 +405,12 @@
         let size = snapshot.len();
         let to_error = |source| RegistryError::Malformed { size, source };
         let (mut state, rest): (Self, _) = postcard::take_from_bytes(snapshot).map_err(to_error)?;
+        let mut rest: &[u8] = rest;
+        if !rest.is_empty() {
+            (state.versions, rest) = postcard::take_from_bytes(rest).map_err(to_error)?;
+        }
         if !rest.is_empty() {
-            state.versions = postcard::from_bytes(rest).map_err(to_error)?;
+            state.departures = postcard::from_bytes(rest).map_err(to_error)?;
         }
         state.calls.rebuild();
         Ok(state)
--- a/components/relay/tests/versions.rs
+++ b/components/relay/tests/versions.rs
@@ -268,7 +268,8 @@
     let (fleet, old) = start_one_version().await;
     begin_stream(&fleet, &fleet.relay, "a1").await;
     let new = announce_new_version(&fleet, &[&fleet.relay]).await;
-    fleet.api.mark_leaving(&old.name.as_str().into(), None);
+    let old_name = old.name.as_str().into();
+    fleet.api.mark_leaving(&old_name, None).await.unwrap();
     wait_until(|| fleet.relay.serving_target_count() == 1).await;
 
     let request = fleet.request_at(&fleet.relay, "/resumable/x", "a2");
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -41,6 +41,9 @@
     ORIGINS_UNWRITTEN = 3043, Warn, "origins-unwritten",
         "The journal of the software versions at which streams began cannot be written. New \
          origins are only in memory until it can be written again; check the disk.";
+    DEPARTURE_RECORDED = 3044, Info, "departure-recorded",
+        "A target leaves. If committed is true, no control node lists its process as serving any \
+         more, whatever announcements of it arrive; otherwise the target was told to repeat its call.";
     CALL_INVALID = 3040, Warn, "call-invalid",
         "A call of an operator or target was invalid and had no effect; the field reason states \
          why.";
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -304,6 +304,13 @@
         Versions(ServiceName),
         /// Registers the version of a target, forwarded by another control node.
         RegisterVersion(StreamOrigin),
+        /// Records that a process of a target leaves, forwarded by another control node.
+        Depart {
+            /// Name of the target.
+            name: NodeName,
+            /// Incarnation that leaves.
+            incarnation: Incarnation,
+        },
     }
 
     /// Reply of a control node.
