Check the time left in a planned stop again before each send

Cause: whether a request can end before the stop was asked once, when its head had arrived. The body, the wait for a turn or a target and refusals by targets come after that, and nothing asked again. The answer rested on three times the longest of the recent runs, which does not bound the next one. At the end of the stop, connections were closed under requests that waited for their target.

Ruled out: the readiness check (the relay is out of rotation 2 s after the start of the stop; these requests are on connections from before).

Change: the time left is checked before each send, for requests that came before the stop, too. If a request may not be repeated, only its own time limit counts. What no target has answered 0.1 s before connections are closed is answered: 503 not-run if it was not sent, else 502 with an unknown outcome. A body is read until the deadline of its request, and then refused with 408 as not run; it was answered 504 although no target saw it.

Not changed: the last relay that serves accepts on purpose; what it cannot end it now answers. Connections that wait to be accepted when the listener closes are reset unread, so their requests have not run.

--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -17,6 +17,7 @@
 use salvo::server::ServerHandle;
 use salvo::{Router, Server};
 use telemetry::{event, events};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use units::{ClockSource, Incarnation, NodeName, PlanNumber, SoftwareVersion, SystemClock};
 use wire::{NodeRole, stable_hash};
@@ -29,6 +30,7 @@
 use crate::reporter::OriginReporter;
 use crate::settings::RelaySettings;
 use crate::state::{RelayShared, RelayState};
+use crate::stop::begin_stop;
 
 /// Time for which a target is avoided after a failed connection. A live target announces itself
 /// about once in this time.
@@ -96,7 +98,7 @@
             retry_budgets: Default::default(),
             run_durations: Default::default(),
             crashes: CrashLog::new(),
-            stop_at: None,
+            answers_until: None,
         }),
         incarnation,
         view: StateBoard::new(FleetView::with_lease_time(settings.lease_time)),
@@ -108,6 +110,7 @@
         pool: ConnectionPool::default(),
         origins: StateBoard::new(OriginLog::new()),
         client: client.clone(),
+        stop_deadline: watch::Sender::new(None),
     };
     let mut server_task = JoinSet::new();
     let (http_address, server) = serve_http(&shared, &mut server_task).await?;
@@ -209,10 +212,7 @@
             .settings
             .stop_timeout
             .saturating_sub(STOP_MARGIN);
-        let stop_at = self.shared.now() + drain_timeout;
-        self.shared
-            .board
-            .write(|state| state.stop_at = Some(stop_at));
+        begin_stop(&self.shared, drain_timeout);
         let drain_delay = DRAIN_DELAY.min(drain_timeout);
         tokio::time::sleep(drain_delay).await;
         // Idle connections are closed now, the others after their response.
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -26,7 +26,7 @@
 use crate::origins::{ContinuedOrigin, refuse_continuation, wait_for_current_view};
 use crate::places::{PlacementError, RunGuard, start_run};
 use crate::state::RelayShared;
-use crate::stop::RunTimer;
+use crate::stop::{ENTRY_STOPS, RunTimer, check_stop};
 
 /// `Retry-After` when it is not known when a target will have capacity.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -199,6 +199,11 @@
         }
     }
 
+    /// Time at which attempts end.
+    pub(crate) fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     /// Sends the request to targets until one responds or no further attempt is allowed.
     pub(crate) async fn run(
         mut self,
@@ -223,6 +228,9 @@
             if self.continued.is_some() && !wait_for_current_view(&self.shared).await {
                 break self.outdated_refusal();
             }
+            if let Err(refusal) = self.check_time() {
+                break refusal;
+            }
             let result = self.send(&request, run_guard).await;
             let (reason, may_have_run) = match result {
                 SendResult::Response(response) => {
@@ -321,11 +329,34 @@
             .write_quietly(|state| state.budget(&self.service, settings).record_request(now));
     }
 
+    /// Checks that a target still has the time to answer. The body and the waits since the arrival of
+    /// the request may have taken any part of it.
+    fn check_time(&self) -> Result<(), Refusal> {
+        let now = Instant::now();
+        if now >= self.deadline {
+            return Err(self.failure("the deadline has passed"));
+        }
+        let remaining = self.caller_deadline.saturating_duration_since(now);
+        let max_duration = match self.route.repeat.is_stream() {
+            true => remaining,
+            false => self.deadline - now,
+        };
+        check_stop(&self.shared, &self.route, max_duration).map_err(|refusal| {
+            match self.may_have_run {
+                true => self.failure(ENTRY_STOPS),
+                false => refusal,
+            }
+        })
+    }
+
     /// Starts a run at a target, waiting for capacity for at most part of the latency objective.
     async fn wait_for_target(&mut self) -> Result<RunGuard, Refusal> {
-        let deadline = self
+        let mut deadline = self
             .deadline
             .min(Instant::now() + self.route.objective() / MAX_WAIT_DIVISOR);
+        if let Some(stop_deadline) = *self.shared.stop_deadline.borrow() {
+            deadline = deadline.min(stop_deadline);
+        }
         let flow = self.flow();
         let span = info_span!("relay.wait", request = self.metadata.attempt_id.as_str());
         let starting = start_run(&self.shared, &flow, self.placement.clone(), deadline);
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -17,7 +17,7 @@
 use crate::places::RunGuard;
 use crate::pool::ExchangeError;
 use crate::state::RelayState;
-use crate::stop::RunTimer;
+use crate::stop::{ENTRY_STOPS, RunTimer, wait_for_stop};
 
 impl ForwardedRequest {
     /// Sends the request to one target.
@@ -40,9 +40,13 @@
         );
         let sending = self.exchange(request, &target, run_guard);
         let deadline = self.deadline;
-        match tokio::time::timeout_at(deadline, sending.instrument(span)).await {
-            Ok(result) => result,
-            Err(_) => SendResult::Unknown("no answer before the deadline".into()),
+        tokio::select! {
+            biased;
+            result = sending.instrument(span) => result,
+            () = tokio::time::sleep_until(deadline) => {
+                SendResult::Unknown("no answer before the deadline".into())
+            }
+            () = wait_for_stop(&self.shared) => SendResult::Unknown(ENTRY_STOPS.into()),
         }
     }
 
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -17,7 +17,7 @@
 use crate::origins::find_origin;
 use crate::respond;
 use crate::state::RelayShared;
-use crate::stop::check_stop;
+use crate::stop::{ENTRY_STOPS, check_stop, leaving_refusal, max_duration, wait_for_stop};
 
 /// Number of event loop turns between the head of a request and the first byte of its response:
 /// reading the body, sending the request, reading the response and writing it.
@@ -42,6 +42,21 @@
         req: &mut Request,
         attempt_id: &mut String,
     ) -> Result<ForwardedResponse, Refusal> {
+        let (forwarded, request) = tokio::select! {
+            biased;
+            prepared = self.prepare(req, attempt_id) => prepared?,
+            () = wait_for_stop(&self.shared) => return Err(leaving_refusal(ENTRY_STOPS)),
+        };
+        let span = info_span!("relay.request", request = attempt_id.as_str());
+        forwarded.run(request).instrument(span).await
+    }
+
+    /// Admits a request and reads its body.
+    async fn prepare(
+        &self,
+        req: &mut Request,
+        attempt_id: &mut String,
+    ) -> Result<(ForwardedRequest, CallerRequest), Refusal> {
         let arrived_at = Instant::now();
         let head = request_head(req);
         Refusal::check_version(head.version)?;
@@ -58,7 +73,9 @@
             return Err(refusal.retry_after(PLAN_RETRY_AFTER));
         };
         let admission = admit(&self.shared, &route_index, &metadata, head.uri.path())?;
-        check_stop(&self.shared, &admission.route, metadata.remaining)?;
+        let route = &admission.route;
+        let remaining = metadata.remaining.unwrap_or(route.timeout());
+        check_stop(&self.shared, route, max_duration(route, remaining))?;
         let turn_time = measure_scheduler_turn().await;
         if turn_time * TURNS_PER_REQUEST > admission.route.objective() {
             let message =
@@ -76,9 +93,10 @@
             ForwardedRequest::new(self.shared.clone(), metadata, admission, origin, arrived_at)?;
         forwarded.check_share()?;
         let max_body_bytes = route_index.plan.bounds.max_body.0;
-        let body = req
-            .payload_with_max_size(max_body_bytes as usize)
+        let payload = req.payload_with_max_size(max_body_bytes as usize);
+        let body = tokio::time::timeout_at(forwarded.deadline(), payload)
             .await
+            .map_err(|_| late_body_refusal())?
             .map_err(|error| body_refusal(&error, max_body_bytes))?;
         let request = CallerRequest {
             method: head.method,
@@ -86,8 +104,7 @@
             headers: head.headers,
             body: body.clone(),
         };
-        let span = info_span!("relay.request", request = attempt_id.as_str());
-        forwarded.run(request).instrument(span).await
+        Ok((forwarded, request))
     }
 }
 
@@ -107,6 +124,11 @@
     head
 }
 
+fn late_body_refusal() -> Refusal {
+    let message = "Failed to read the body before the deadline of the request";
+    Refusal::not_run(408, "body-timeout", message)
+}
+
 fn body_refusal(error: &salvo::http::ParseError, max_body_bytes: u64) -> Refusal {
     match error {
         salvo::http::ParseError::PayloadTooLarge => {
@@ -151,7 +173,10 @@
                     .shared
                     .metrics
                     .incr(&format!("refusals.{}.{}", refusal.status, refusal.code));
-                discard_body(req).await;
+                tokio::select! {
+                    () = discard_body(req) => {}
+                    () = wait_for_stop(&self.shared) => {}
+                }
                 event!(
                     events::RELAY_REFUSED,
                     request = attempt_id,
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -13,7 +13,8 @@
 use place::{ListedTarget, PlacementTable, RunKey, WaitKey, WaitQueue};
 use quarantine::CrashLog;
 use routes::RouteIndex;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
 use units::{ClockSource, ClockTime, Incarnation, NodeName, RouteName, ServiceName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
@@ -38,14 +39,14 @@
     pub(crate) run_durations: HashMap<RouteName, DurationHistory>,
     /// Requests that were at targets when these crashed.
     pub(crate) crashes: CrashLog,
-    /// Time at which a leaving relay ends its open requests; `None` while it serves.
-    pub(crate) stop_at: Option<ClockTime>,
+    /// Time until which a leaving relay waits for answers; `None` while it serves.
+    pub(crate) answers_until: Option<ClockTime>,
 }
 
 impl RelayState {
     /// Whether the relay is shutting down.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.stop_at.is_some()
+        self.answers_until.is_some()
     }
 
     /// Number of entries that send requests, including this one. A leaving entry counts, since it
@@ -111,6 +112,8 @@
     pub(crate) origins: StateBoard<OriginLog>,
     /// Client for the control nodes.
     pub(crate) client: ControlClient,
+    /// Deadline of all open requests once the relay is leaving.
+    pub(crate) stop_deadline: watch::Sender<Option<Instant>>,
 }
 
 impl RelayShared {
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -36,45 +36,88 @@
     }
 }
 
+/// Time from the last answers of a leaving relay to its stop. They must be written before their
+/// connections are closed.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
+/// Reason of failures at the end of a stop.
+pub(crate) const ENTRY_STOPS: &str = "the entry stops";
+
+/// Begins the stop of a relay that ends its open requests after `drain_timeout`.
+pub(crate) fn begin_stop(shared: &RelayShared, drain_timeout: Duration) {
+    let answer_timeout = drain_timeout.saturating_sub(ANSWER_MARGIN);
+    let answers_until = shared.now() + answer_timeout;
+    shared
+        .board
+        .write(|state| state.answers_until = Some(answers_until));
+    let deadline = Instant::now() + answer_timeout;
+    shared.stop_deadline.send_replace(Some(deadline));
+}
+
+/// Waits until a leaving relay answers what is still open. Never returns while the relay serves.
+pub(crate) async fn wait_for_stop(shared: &RelayShared) {
+    let mut stop_deadline = shared.stop_deadline.subscribe();
+    // Fails only if the sender is dropped, which `shared` holds.
+    let deadline = match stop_deadline.wait_for(Option::is_some).await {
+        Ok(deadline) => *deadline,
+        Err(_) => None,
+    };
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Longest time that a request takes if its caller waits for `remaining`. Streams are forwarded until
+/// the caller's deadline, other responses until the route's timeout.
+pub(crate) fn max_duration(route: &RouteSpec, remaining: Duration) -> Duration {
+    match route.repeat.is_stream() {
+        true => remaining,
+        false => remaining.min(route.timeout()),
+    }
+}
+
 /// Refuses a request that may outlast the stop of a leaving relay, if another relay can take it.
 pub(crate) fn check_stop(
     shared: &RelayShared,
     route: &RouteSpec,
-    remaining: Option<Duration>,
+    max_duration: Duration,
 ) -> Result<(), Refusal> {
     let now = shared.now();
-    let remaining = remaining.unwrap_or(route.timeout());
-    // Streams are forwarded until the caller's deadline, other responses until the route's timeout.
-    let max_duration = match route.repeat.is_stream() {
-        true => remaining,
-        false => remaining.min(route.timeout()),
-    };
     let time_left = shared
         .board
-        .read(|state| time_left_if_outlasted(state, &route.name, max_duration, now));
+        .read(|state| time_left_if_outlasted(state, route, max_duration, now));
     let Some(time_left) = time_left else {
         return Ok(());
     };
-    let message = format!(
-        "Failed to accept the request: the entry stops in {time_left:?}, and requests of route {} \
-         may take longer",
+    Err(leaving_refusal(&format!(
+        "the entry stops in {time_left:?}, and requests of route {} may take longer",
         route.name
-    );
-    let refusal = Refusal::not_run(503, "entry-leaving", message);
-    Err(refusal.retry_after(LEAVING_RETRY_AFTER))
+    )))
+}
+
+/// Refusal of a request that a leaving relay did not send to any target.
+pub(crate) fn leaving_refusal(reason: &str) -> Refusal {
+    let message = format!("Failed to accept the request: {reason}");
+    Refusal::not_run(503, "entry-leaving", message).retry_after(LEAVING_RETRY_AFTER)
 }
 
 /// Time until the relay stops, if a request of the route may outlast it and another relay serves.
+///
+/// Recent durations do not bound the next one. A request that may not be repeated is lost if it is
+/// cut, so only its own time limit counts.
 fn time_left_if_outlasted(
     state: &RelayState,
-    route: &RouteName,
+    route: &RouteSpec,
     max_duration: Duration,
     now: ClockTime,
 ) -> Option<Duration> {
-    let time_left = state.stop_at?.since(now);
+    let time_left = state.answers_until?.since(now);
     let no_history = DurationHistory::new();
-    let history = state.run_durations.get(route).unwrap_or(&no_history);
-    let is_refused =
-        state.other_entry_count() > 0 && history.may_outlast(time_left, max_duration, now);
-    is_refused.then_some(time_left)
+    let history = state.run_durations.get(&route.name).unwrap_or(&no_history);
+    let may_outlast = match route.repeat.is_repeatable() {
+        true => history.may_outlast(time_left, max_duration, now),
+        false => max_duration > time_left,
+    };
+    (state.other_entry_count() > 0 && may_outlast).then_some(time_left)
 }
