Write no error event into an event that broke off

Here it happened in the project's own entry: "data: {"choevent: error" where the engine broke off inside an event.

Cause: a stream that fails ends with an error event and a truncated body, and the event was written whatever the last bytes of the stream were.

Change: the error event is written only before the first byte and after a complete event; otherwise the body is only truncated.

Looked at and not found: relays write nothing of a later answer into a stream. The first event is held back with the head, so a stream without one is replaced as a whole, and a stream that has begun goes to no other target. HTTP/1.0 is refused, and callers that keep no connection get chunks (tests/answers.rs). A run that the own entry resumes is the same run of the same process, whose head was set once; another incarnation fails the run (agent/src/streams.rs, find_run). The held head is discarded only if no part was sent (entry/src/serve.rs, may_repeat).

Test: error_is_not_written_into_a_broken_event, failing before.

--- a/components/entry/src/reply.rs
+++ b/components/entry/src/reply.rs
@@ -7,7 +7,7 @@
 use salvo::http::header::{HeaderName, HeaderValue};
 use salvo::prelude::*;
 use tokio::sync::mpsc;
-use wire::ResponseHead;
+use wire::{EventTail, ResponseHead};
 
 use crate::refusal::Refusal;
 use crate::sink::ResponsePart;
@@ -55,6 +55,7 @@
     let state = BodyState {
         parts,
         is_event_stream,
+        tail: EventTail::default(),
         has_failed: false,
     };
     res.stream(stream::unfold(state, next_bytes));
@@ -63,13 +64,21 @@
 struct BodyState {
     parts: mpsc::Receiver<ResponsePart>,
     is_event_stream: bool,
+    tail: EventTail,
     has_failed: bool,
 }
 
+impl BodyState {
+    /// Whether an event can follow. After a part of an event, it would be joined to it.
+    fn may_add_event(&self) -> bool {
+        self.is_event_stream && (!self.tail.has_bytes() || self.tail.is_after_event())
+    }
+}
+
 /// Returns the next bytes of a body.
 ///
 /// A response that ends incomplete fails with an error, so that the caller sees a truncated body.
-/// An event stream contains an error event before that.
+/// An event stream contains an error event before that, unless it broke off inside an event.
 async fn next_bytes(mut state: BodyState) -> Option<(Result<Vec<u8>, io::Error>, BodyState)> {
     if state.has_failed {
         // When a body fails, the server discards the bytes that it has not written yet. It writes
@@ -79,9 +88,12 @@
         return Some((Err(truncation_error()), state));
     }
     match state.parts.recv().await {
-        Some(ResponsePart::Body(bytes)) => Some((Ok(bytes), state)),
+        Some(ResponsePart::Body(bytes)) => {
+            state.tail.record(&bytes);
+            Some((Ok(bytes), state))
+        }
         Some(ResponsePart::End) => None,
-        Some(ResponsePart::Refusal(refusal)) if state.is_event_stream => {
+        Some(ResponsePart::Refusal(refusal)) if state.may_add_event() => {
             state.has_failed = true;
             Some((Ok(error_event(&refusal)), state))
         }
--- a/components/entry/tests/common/target.rs
+++ b/components/entry/tests/common/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,6 +26,8 @@
     pub failed_connections: AtomicUsize,
     /// Permits to send tokens and order confirmations, one for each.
     pub permits: Semaphore,
+    /// Whether streams break off inside the event after their last token.
+    pub breaks_inside_event: AtomicBool,
 }
 
 pub struct FakeTarget {
@@ -45,6 +47,7 @@
             written_bytes: AtomicUsize::new(0),
             failed_connections: AtomicUsize::new(0),
             permits: Semaphore::new(permits),
+            breaks_inside_event: AtomicBool::new(false),
         });
         let mut tasks = JoinSet::new();
         let shared = state.clone();
@@ -128,6 +131,10 @@
         let event = serde_json::json!({"choices": [{"delta": {"content": token}}]});
         write_chunk(stream, &format!("data: {event}\n\n")).await?;
     }
+    if state.breaks_inside_event.load(Ordering::SeqCst) {
+        write_chunk(stream, "data: {\"cho").await?;
+        return Err(std::io::ErrorKind::ConnectionAborted.into());
+    }
     write_chunk(stream, "data: [DONE]\n\n").await?;
     stream.write_all(b"0\r\n\r\n").await
 }
--- a/components/entry/tests/lost_target.rs
+++ b/components/entry/tests/lost_target.rs
@@ -59,6 +59,37 @@
     assert_eq!(other_target.count(|state| &state.requests), 0);
 }
 
+/// Guards against the text of an error that is joined to an event which its engine broke off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn error_is_not_written_into_a_broken_event() {
+    let fleet = Fleet::new();
+    let target = FakeTarget::start(100).await;
+    let breaks = &target.state.breaks_inside_event;
+    breaks.store(true, std::sync::atomic::Ordering::SeqCst);
+    let _agent = fleet
+        .start_agent("agent-1", "stone-advice", TargetKind::Model, target.address)
+        .await;
+    let entry = fleet.start_entry("entry-1").await;
+    let mut response = Caller::new(&entry).chat(5, true).await;
+
+    let mut text = String::new();
+    let read_to_end = async {
+        loop {
+            match response.chunk().await {
+                Ok(Some(chunk)) => text.push_str(std::str::from_utf8(&chunk).unwrap()),
+                Ok(None) => return false,
+                Err(_) => return true,
+            }
+        }
+    };
+    let has_failed = tokio::time::timeout(EVENT_TIMEOUT, read_to_end)
+        .await
+        .unwrap();
+
+    assert!(has_failed, "the stream ended without an error");
+    assert!(text.ends_with("data: {\"cho"), "{text}");
+}
+
 /// Guards against an unstreamed response that ends as if it were complete after its target crashed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn unstreamed_response_of_crashed_target_is_truncated() {
