Let the last bytes of every broken body reach its caller

What callers saw: a body that broke off inside an event, or a body that is no event stream, ended without the bytes that the entry had received last.

Cause: when a body fails, the server discards what it has not written.

Evidence: error_is_not_written_into_a_broken_event failed once in its first run beside the other tests, without the part of the event that it expects, and passed alone.

Change: every truncation waits for the delay.

--- a/components/entry/src/reply.rs
+++ b/components/entry/src/reply.rs
@@ -16,7 +16,7 @@
 /// of the request.
 pub(crate) const DEADLINE_GRACE_PERIOD: Duration = Duration::from_millis(500);
 
-/// Delay between the error event of a stream and the error that truncates it.
+/// Delay between the last bytes of a body and the error that truncates it.
 const FLUSH_DELAY: Duration = Duration::from_millis(20);
 
 /// Sends a refusal as the response.
@@ -81,11 +81,7 @@
 /// An event stream contains an error event before that, unless it broke off inside an event.
 async fn next_bytes(mut state: BodyState) -> Option<(Result<Vec<u8>, io::Error>, BodyState)> {
     if state.has_failed {
-        // When a body fails, the server discards the bytes that it has not written yet. It writes
-        // them while the body has no data ready, so the delay lets the error event reach the
-        // caller.
-        tokio::time::sleep(FLUSH_DELAY).await;
-        return Some((Err(truncation_error()), state));
+        return Some(truncate(state).await);
     }
     match state.parts.recv().await {
         Some(ResponsePart::Body(bytes)) => {
@@ -97,13 +93,19 @@
             state.has_failed = true;
             Some((Ok(error_event(&refusal)), state))
         }
-        _ => {
-            state.has_failed = true;
-            Some((Err(truncation_error()), state))
-        }
+        _ => Some(truncate(state).await),
     }
 }
 
+/// Ends a body with an error.
+///
+/// When a body fails, the server discards the bytes that it has not written yet. It writes them while
+/// the body has no data ready, so the delay lets the last ones reach the caller.
+async fn truncate(state: BodyState) -> (Result<Vec<u8>, io::Error>, BodyState) {
+    tokio::time::sleep(FLUSH_DELAY).await;
+    (Err(truncation_error()), state)
+}
+
 fn truncation_error() -> io::Error {
     io::Error::new(
         io::ErrorKind::ConnectionAborted,
