Keep headers of the system that a sender names in Connection

Cause: the headers of the system were set first, and then every header that the caller's Connection names was removed. In the other direction a target could have its id of the attempt and its signature removed.

Change: the caller's hop-by-hop headers are removed before the system sets its own, and headers that are meant for the recipient are not removed in either direction (RFC 9110, 7.6.1, forbids senders to list them). The dialect names them.

--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, StatusCode, Uri, Version, response};
+use http::header::{
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_RANGE, CONTENT_TYPE, HOST, RETRY_AFTER,
+    TRANSFER_ENCODING,
+};
+use http::{HeaderMap, HeaderName, Method, Request, StatusCode, Uri, Version, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 
@@ -28,6 +31,15 @@
     "upgrade",
 ];
 
+/// Headers of HTTP without which a message has another meaning.
+const END_TO_END_HEADERS: [HeaderName; 5] = [
+    HOST,
+    CONTENT_TYPE,
+    CONTENT_ENCODING,
+    CONTENT_RANGE,
+    RETRY_AFTER,
+];
+
 /// Size from which a response is forwarded before it is complete. A target in trouble may send bytes
 /// without end, and a small host has memory for a few of such responses only.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
@@ -118,8 +130,10 @@
     request: &CallerRequest,
     metadata: &ForwardMetadata<'_>,
 ) -> Result<Request<Full<Bytes>>, ExchangeError> {
-    let mut headers = dialect.target_headers(&request.headers, metadata);
-    remove_hop_by_hop_headers(&mut headers);
+    // The headers of the system come last, so that no caller can remove them.
+    let mut headers = request.headers.clone();
+    remove_hop_by_hop_headers(&mut headers, dialect);
+    let headers = dialect.target_headers(&headers, metadata);
     let path = request
         .uri
         .path_and_query()
@@ -134,20 +148,21 @@
     Ok(outgoing)
 }
 
-/// Removes the hop-by-hop headers, including those that `Connection` lists.
-pub(crate) fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
-    let connection_headers: Vec<String> = headers
-        .get_all("connection")
+/// Removes the hop-by-hop headers, including those that `Connection` lists. A sender must not list
+/// headers that are meant for the recipient of the message, so these stay.
+pub(crate) fn remove_hop_by_hop_headers(headers: &mut HeaderMap, dialect: &dyn CallerDialect) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|text| text.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !END_TO_END_HEADERS.contains(name) && !dialect.is_end_to_end(name))
         .collect();
-    for name in connection_headers
-        .iter()
-        .map(String::as_str)
-        .chain(HOP_BY_HOP_HEADERS)
-    {
+    for name in listed {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP_HEADERS {
         headers.remove(name);
     }
 }
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderValue, request, response};
+use http::{HeaderMap, HeaderName, HeaderValue, request, response};
 use manifest::KeyHash;
 use place::TargetStatement;
 use thiserror::Error;
@@ -104,6 +104,10 @@
     /// attempt, or one from another target, states nothing.
     fn target_statement(&self, attempt_id: &str, head: &response::Parts) -> TargetStatement;
 
+    /// Whether a header is meant for the recipient of a message, so that its sender cannot have it
+    /// removed on the way.
+    fn is_end_to_end(&self, name: &HeaderName) -> bool;
+
     /// Value of the `Retry-After` header for a wait.
     fn retry_after(&self, wait: Duration) -> HeaderValue;
 }
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -27,11 +27,11 @@
 ) {
     match response {
         ForwardedResponse::Complete(head, body) => {
-            write_head(res, &head);
+            write_head(shared, res, &head);
             res.body(ResBody::Once(body));
         }
         ForwardedResponse::Stream(streamed) => {
-            write_head(res, &streamed.response.head);
+            write_head(shared, res, &streamed.response.head);
             res.body(ResBody::stream(body_stream(*streamed)));
         }
     }
@@ -65,9 +65,9 @@
     }
 }
 
-fn write_head(res: &mut Response, head: &response::Parts) {
+fn write_head(shared: &RelayShared, res: &mut Response, head: &response::Parts) {
     let mut headers = head.headers.clone();
-    remove_hop_by_hop_headers(&mut headers);
+    remove_hop_by_hop_headers(&mut headers, shared.dialect.as_ref());
     res.status_code(head.status);
     res.set_headers(headers);
 }
--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -27,6 +27,40 @@
     assert_eq!(header(&head, "key"), None);
 }
 
+/// Guards against callers and targets that remove headers of the system by naming them in `Connection`,
+/// in any case and in several headers, and against those of their own that are forwarded although they
+/// name them.
+#[rstest]
+#[case::one_list(&["close, Instance, REQUEST-ID, host, deadline-ms, x-hop"])]
+#[case::several_headers(&["instance", "x-hop", "request-id,,", ", content-length, host"])]
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_header_does_not_remove_headers_of_the_system(#[case] lists: &[&str]) {
+    let list = lists.join(", ");
+    let script = Arc::new(move |head: &str| {
+        let answer = String::from_utf8(ok_response(head, "booked")).unwrap();
+        let names = format!("\r\nx-hop: 1\r\nconnection: {list}\r\n");
+        TargetStep::Write(answer.replacen("\r\n", &names, 1).into_bytes())
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+    let mut request = fleet.request("/once/x", "r1").header("x-hop", "1");
+    for list in lists {
+        request = request.header("connection", *list);
+    }
+
+    let response = request.send().await.unwrap();
+
+    let head = target.heads.lock().unwrap()[0].clone();
+    assert_eq!(header(&head, "instance"), Some("target-1"));
+    assert_eq!(header(&head, "request-id"), Some("r1"));
+    assert_eq!(header(&head, "deadline-ms"), Some("2000"));
+    assert!(header(&head, "host").is_some(), "{head}");
+    assert_eq!(header(&head, "x-hop"), None);
+    assert_eq!(response.headers()["request-id"], "r1");
+    assert!(!response.headers().contains_key("x-hop"));
+    assert_eq!(response.text().await.unwrap(), "booked");
+}
+
 /// Guards against requests that are forwarded for a route or key that the plan does not have, and
 /// against refusals that do not state that the request has not run.
 #[rstest]
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use control::{ControlApi, ControlHandle, ControlSettings};
-use http::{HeaderMap, HeaderValue, request, response};
+use http::{HeaderMap, HeaderName, HeaderValue, request, response};
 use link::KeyAuthority;
 use manifest::KeyHash;
 use raft::RaftSettings;
@@ -92,6 +92,10 @@
         }
     }
 
+    fn is_end_to_end(&self, name: &HeaderName) -> bool {
+        ["request-id", "instance", "deadline-ms"].contains(&name.as_str())
+    }
+
     fn retry_after(&self, wait: Duration) -> HeaderValue {
         HeaderValue::from(wait.as_millis() as u64)
     }
