Tell entries when a target becomes cold again while it is cold

Cause: a change of the remaining cold time was passed on only if it became 0 or ceased to be 0.

Change: more time than in the announcement before is passed on, too. Less is not, since entries count down by themselves.

Test, failing before: target_that_becomes_cold_again_changes_the_directory.

--- a/components/directory/src/record.rs
+++ b/components/directory/src/record.rs
@@ -79,6 +79,8 @@
                 || old.version != new.version
                 || old.slots != new.slots
                 || (old.cold_ms > 0) != (new.cold_ms > 0)
+                // Entries count down by themselves; more than before means that it is cold again.
+                || new.cold_ms > old.cold_ms
         }
         (NodeKind::Agent(old), NodeKind::Agent(new)) => {
             old.target != new.target
--- a/components/directory/tests/targets.rs
+++ b/components/directory/tests/targets.rs
@@ -170,6 +170,30 @@
     assert_eq!(state(&directory), Some(NodeState::Serving));
 }
 
+/// Guards against entries that give a target full load since they are not told that it has become cold
+/// again while it was cold, and against a change of the directory with each announcement of a cold one.
+#[test]
+fn target_that_becomes_cold_again_changes_the_directory() {
+    let cold = |sequence, cold_ms| {
+        let mut entry = announcement(1, sequence, NodeState::Serving);
+        if let NodeKind::Target(target) = &mut entry.kind {
+            target.cold_ms = cold_ms;
+        }
+        entry
+    };
+    let mut directory = directory();
+    directory.announce(cold(1, 3_000), ClockTime(0));
+    let before = directory.revision();
+
+    directory.announce(cold(2, 1_800), ClockTime(1_200));
+    let while_cold = directory.revision();
+    directory.announce(cold(3, 3_000), ClockTime(2_400));
+    let delta = directory.delta_since(Incarnation(1), while_cold);
+
+    assert_eq!(while_cold, before);
+    assert_eq!(delta.changed, [cold(3, 3_000)]);
+}
+
 /// Guards against departures without number that fill the memory of the control nodes, and against
 /// the loss of recent ones.
 #[test]
