Bind the lease of a relay to the plan that it vouches for

Cause: the lease is renewed by one task, and the index of the plan that came with it is installed by another. A request in between, or one that had fetched the index before, was admitted by the new lease with the old keys. Building the index of a large plan makes that time longer.

Change: keys are accepted only if no newer plan is in the view than the one whose index was used; both are read together. A request that comes in between waits for the index.

--- a/components/client/src/view.rs
+++ b/components/client/src/view.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use registry::FleetConfig;
-use units::{ClockTime, Incarnation, NodeName};
+use units::{ClockTime, Incarnation, NodeName, PlanNumber};
 use wire::{DirectoryDelta, DirectoryEntry};
 
 use crate::lease::LEASE_TIME;
@@ -50,6 +50,12 @@
         now < self.lease_end
     }
 
+    /// Number of the published plan; `None` if there is none.
+    pub fn published_number(&self) -> Option<PlanNumber> {
+        let published = self.config.published.as_ref();
+        published.map(|published| published.number)
+    }
+
     /// Time since a quorum confirmed what the node knows.
     pub fn age(&self, now: ClockTime) -> Duration {
         now.since(self.lease_end - self.lease_time)
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -42,7 +42,7 @@
             plan_number,
         });
     }
-    if !shared.has_lease() {
+    if !shared.has_lease_for(plan_number) {
         let message = "Failed to check the key: the newest keys are not confirmed";
         let refusal = Refusal::not_run(503, "no-lease", message);
         return Err(refusal.retry_after(PLAN_RETRY_AFTER));
@@ -52,8 +52,7 @@
         .as_ref()
         .and_then(|key| route_index.holder(key));
     if holder.is_none() && !route.anonymous {
-        let message = "Failed to identify the caller: unknown or missing key";
-        return Err(Refusal::not_run(401, "unauthorised", message));
+        return Err(unknown_key_refusal());
     }
     Ok(RequestAdmission {
         route,
@@ -62,6 +61,11 @@
     })
 }
 
+fn unknown_key_refusal() -> Refusal {
+    let message = "Failed to identify the caller: unknown or missing key";
+    Refusal::not_run(401, "unauthorised", message)
+}
+
 /// Records an organisation's demand for the model engines, and returns whether the request is
 /// within its share.
 pub(super) fn admit_by_share(
@@ -84,6 +88,24 @@
 }
 
 impl ForwardedRequest {
+    /// Checks the caller's key again if another plan was installed since the request was admitted.
+    pub(super) fn check_key(&self) -> Result<(), Refusal> {
+        let index = self.shared.board.read(|state| state.route_index.clone());
+        let index = index.filter(|index| index.number != self.plan_number);
+        let (Some(index), Some(organisation)) = (index, &self.organisation) else {
+            return Ok(());
+        };
+        let key = self.metadata.key.as_ref();
+        let holder = key.and_then(|key| index.holder(key));
+        if holder.is_some_and(|holder| holder.organisation == *organisation) {
+            return Ok(());
+        }
+        match self.may_have_run {
+            true => Err(self.failure("the key was taken away")),
+            false => Err(unknown_key_refusal()),
+        }
+    }
+
     /// Traits of the request. The parts of a prompt stand for its content, which may be long.
     pub(super) fn request_traits(&self, request: &CallerRequest) -> Vec<RequestTrait> {
         let model_usage = self.metadata.model_usage.as_ref();
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -66,8 +66,7 @@
             .parse_request(&head)
             .map_err(|error| Refusal::not_run(400, "bad-request", error))?;
         attempt_id.clone_from(&metadata.attempt_id);
-        let route_index = self.shared.board.read(|state| state.route_index.clone());
-        let Some(route_index) = route_index else {
+        let Some(route_index) = self.shared.current_index().await else {
             let message = "Failed to find a route: no plan is known yet";
             let refusal = Refusal::not_run(503, "no-plan", message);
             return Err(refusal.retry_after(PLAN_RETRY_AFTER));
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use board::StateBoard;
 use cadence::StatsdClient;
@@ -15,13 +16,16 @@
 use routes::RouteIndex;
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
-use units::{ClockSource, ClockTime, Incarnation, NodeName, RouteName, ServiceName};
+use units::{ClockSource, ClockTime, Incarnation, NodeName, PlanNumber, RouteName, ServiceName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
 use crate::dialect::CallerDialect;
 use crate::pool::ConnectionPool;
 use crate::settings::RelaySettings;
 
+/// Time within which a plan in the view must be installed. It is installed by the next task that runs.
+const INSTALL_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// State of a relay, kept on its [`StateBoard`].
 pub(crate) struct RelayState {
     /// Index of the installed plan; `None` before the first plan arrives.
@@ -128,6 +132,31 @@
         self.view.read(|view| view.has_lease(now))
     }
 
+    /// Whether the lease vouches for the keys of a plan. The lease and the index of a plan are installed
+    /// one after the other, and a new lease does not vouch for older keys.
+    pub(crate) fn has_lease_for(&self, number: PlanNumber) -> bool {
+        let now = self.now();
+        self.view
+            .read(|view| view.has_lease(now) && view.published_number() <= Some(number))
+    }
+
+    /// Index of the plan in the view, once it is installed; `None` before the first plan.
+    pub(crate) async fn current_index(&self) -> Option<Arc<RouteIndex>> {
+        let newest = self.view.read(FleetView::published_number);
+        let current = |state: &mut RelayState| {
+            let index = state.route_index.clone();
+            let is_current = index.as_ref().map(|index| index.number) >= newest;
+            is_current.then_some(index)
+        };
+        if let Some(index) = self.board.write_quietly(current) {
+            return index;
+        }
+        let installed = self.board.wait_for(current);
+        tokio::time::timeout(INSTALL_TIMEOUT, installed)
+            .await
+            .unwrap_or_default()
+    }
+
     /// Whether the load balancer should send new callers to this relay.
     pub(crate) fn is_ready(&self) -> bool {
         let is_serving = self
