--- a/components/relay/tests/stops.rs
+++ b/components/relay/tests/stops.rs
@@ -112,8 +112,7 @@
 
 /// A fleet of two relays, one of which has just begun to leave.
 struct LeavingFleet {
-    fleet: TestFleet,
-    leaving: SocketAddr,
+    _fleet: TestFleet,
     task: JoinHandle<()>,
     left_at: Instant,
 }
@@ -122,13 +121,11 @@
     /// Lets the first relay of the fleet leave. `fleet.relay` is the other one afterwards.
     async fn start(mut fleet: TestFleet, other: RelayHandle) -> Self {
         let leaving = std::mem::replace(&mut fleet.relay, other);
-        let address = leaving.http();
         let left_at = Instant::now();
         let task = tokio::spawn(leaving.leave());
         tokio::time::sleep(LEAVE_DELAY).await;
         Self {
-            fleet,
-            leaving: address,
+            _fleet: fleet,
             task,
             left_at,
         }
