--- a/components/entry/tests/lost_target.rs
+++ b/components/entry/tests/lost_target.rs
@@ -12,6 +12,20 @@
 };
 use entry::EntryLimits;
 
+/// Appends the rest of a body to `text`, and returns whether the body broke off.
+async fn read_to_end(response: &mut reqwest::Response, text: &mut String) -> bool {
+    let reading = async {
+        loop {
+            match response.chunk().await {
+                Ok(Some(chunk)) => text.push_str(std::str::from_utf8(&chunk).unwrap()),
+                Ok(None) => return false,
+                Err(_) => return true,
+            }
+        }
+    };
+    tokio::time::timeout(EVENT_TIMEOUT, reading).await.unwrap()
+}
+
 /// Guards against a stream that ends as if it were complete after its engine crashed, and against a
 /// retry after a part of the response was sent.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -36,18 +50,7 @@
         .await;
 
     drop(target);
-    let read_to_end = async {
-        loop {
-            match response.chunk().await {
-                Ok(Some(chunk)) => text.push_str(std::str::from_utf8(&chunk).unwrap()),
-                Ok(None) => return false,
-                Err(_) => return true,
-            }
-        }
-    };
-    let has_failed = tokio::time::timeout(EVENT_TIMEOUT, read_to_end)
-        .await
-        .unwrap();
+    let has_failed = read_to_end(&mut response, &mut text).await;
 
     assert!(has_failed, "the stream ended without an error");
     assert_eq!(parse_tokens(&text), expected_tokens(20));
@@ -73,18 +76,7 @@
     let mut response = Caller::new(&entry).chat(5, true).await;
 
     let mut text = String::new();
-    let read_to_end = async {
-        loop {
-            match response.chunk().await {
-                Ok(Some(chunk)) => text.push_str(std::str::from_utf8(&chunk).unwrap()),
-                Ok(None) => return false,
-                Err(_) => return true,
-            }
-        }
-    };
-    let has_failed = tokio::time::timeout(EVENT_TIMEOUT, read_to_end)
-        .await
-        .unwrap();
+    let has_failed = read_to_end(&mut response, &mut text).await;
 
     assert!(has_failed, "the stream ended without an error");
     assert!(text.ends_with("data: {\"cho"), "{text}");
