Ask a control node for a departure only from the acknowledgement on

A lease states that age, and entries count its end from there, so the answer is allowed.

The check was wrong in asking for more than a lease promises. It now asks for the exact promise: the first lease that rests on a confirmation later than the acknowledgement lists the target as leaving, whatever was announced before.

--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -2,10 +2,15 @@
 
 mod support;
 
+use std::time::{Duration, Instant};
+
 use control::{ApiError, ControlHandle};
-use support::{TestGroup, node, renew};
+use support::{TestGroup, node, renew, renew_request};
 use units::{Incarnation, SlotCount};
-use wire::{AnnouncedTarget, DirectoryEntry, NodeKind, NodeRole, NodeState};
+use wire::{AnnouncedTarget, ControlReply, DirectoryEntry, NodeKind, NodeRole, NodeState};
+
+/// Maximum time to wait for a confirmation by a quorum.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(30);
 
 fn announcement(name: &str, incarnation: u64, sequence: u64, state: NodeState) -> DirectoryEntry {
     let kind = NodeKind::Target(AnnouncedTarget {
@@ -39,6 +44,36 @@
     target.map(|entry| entry.state)
 }
 
+/// State of a target at the first lease of a control node that rests on a confirmation by a quorum later
+/// than `since`. Until then a node may still answer from before, and states its age.
+async fn confirmed_state(
+    group: &TestGroup,
+    index: usize,
+    name: &str,
+    since: Instant,
+) -> Option<NodeState> {
+    let client = group.client_at(index, NodeRole::Entry, "entry-1");
+    let request = renew_request(node("entry-1", NodeKind::Entry));
+    let asking = async {
+        loop {
+            let asked_at = Instant::now();
+            // Fails while a leader is elected.
+            if let Ok(ControlReply::Renewed(reply)) = client.request(&request).await {
+                // The age is rounded down.
+                let age = Duration::from_millis(reply.age_ms + 1);
+                if asked_at > since + age {
+                    return reply;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let reply = tokio::time::timeout(CONFIRM_TIMEOUT, asking).await.unwrap();
+    let entries = reply.directory.unwrap().changed;
+    let target = entries.iter().find(|entry| entry.name == name.into());
+    target.map(|entry| entry.state)
+}
+
 /// Guards against a departure that only the acknowledging node knows: the process is announced late
 /// at another node, at the moment of the acknowledgement, and the first node is killed.
 #[tokio::test(flavor = "multi_thread")]
@@ -50,15 +85,15 @@
 
     let name = "target-1".into();
     let departure = departing.mark_leaving(&name, Some(Incarnation(1))).await;
+    let acknowledged_at = Instant::now();
     group.kill(0).await;
     for other in &others {
         other.announce(serving("target-1", 9)).await.unwrap();
     }
-    group.wait_ready().await;
 
     assert_eq!(departure, Ok(()));
     for index in [1, 2] {
-        let state = listed_state(&group, index, "target-1").await;
+        let state = confirmed_state(&group, index, "target-1", acknowledged_at).await;
         assert_eq!(state, Some(NodeState::Leaving), "at node {index}");
     }
 }
