Keep the stop time of a relay once, and share small twins of this change

- The stop of a relay stood twice, on the board and in a watch channel, set one after the other.
The channel has it alone.
- The bound on the length of names was checked by two copies; check_length serves both.
- DepartureTable::incarnation was used nowhere, and ControlContext::is_serving only by ControlApi::is_serving.
- Two tests built what LeavingFleet and listed_state build; their assertions are unchanged.

--- a/components/control/src/announced.rs
+++ b/components/control/src/announced.rs
@@ -28,12 +28,7 @@
     name: &NodeName,
     incarnation: Option<Incarnation>,
 ) -> Result<(), String> {
-    let length = name.as_str().len();
-    if length > MAX_NAME_BYTES {
-        return Err(format!(
-            "its name has {length} bytes, above {MAX_NAME_BYTES}"
-        ));
-    }
+    check_length("name", name.as_str())?;
     let highest = Incarnation::starting_now().0 + MAX_CLOCK_DIFFERENCE_MS;
     match incarnation {
         Some(Incarnation(start)) if start > highest => Err(format!(
@@ -43,6 +38,16 @@
     }
 }
 
+fn check_length(field: &str, name: &str) -> Result<(), String> {
+    let length = name.len();
+    if length > MAX_NAME_BYTES {
+        return Err(format!(
+            "its {field} has {length} bytes, above {MAX_NAME_BYTES}"
+        ));
+    }
+    Ok(())
+}
+
 /// Returns why an entry cannot be that of a target, if it cannot.
 pub(crate) fn check_announcement(entry: &DirectoryEntry) -> Result<(), String> {
     let NodeKind::Target(target) = &entry.kind else {
@@ -60,12 +65,7 @@
             .map(|version| ("version", version.as_str())),
     );
     for (field, name) in names {
-        if name.len() > MAX_NAME_BYTES {
-            let length = name.len();
-            return Err(format!(
-                "its {field} has {length} bytes, above {MAX_NAME_BYTES}"
-            ));
-        }
+        check_length(field, name)?;
     }
     if entry.name.as_str().is_empty() || target.service.as_str().is_empty() {
         return Err("it has no name or no service".into());
--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -121,7 +121,8 @@
 
     /// Whether a target is in the directory and accepts new work.
     pub fn is_serving(&self, name: &NodeName) -> bool {
-        self.context.is_serving(name)
+        let entry = self.context.node(name);
+        entry.is_some_and(|entry| entry.state == NodeState::Serving)
     }
 
     /// Records the departure of a target, after its final call. Its process gets no new work, whatever
--- a/components/control/src/departures.rs
+++ b/components/control/src/departures.rs
@@ -9,7 +9,7 @@
 use directory::NodeDirectory;
 use telemetry::{event, events};
 use units::{Incarnation, NodeName};
-use wire::{ControlReply, ControlRequest, DirectoryEntry, NodeState};
+use wire::{ControlReply, ControlRequest, DirectoryEntry};
 
 use crate::requests::commit_or_forward;
 use crate::state::ControlContext;
@@ -61,10 +61,4 @@
     pub(crate) fn node(&self, name: &NodeName) -> Option<DirectoryEntry> {
         self.with_nodes(|nodes| nodes.get(name).cloned())
     }
-
-    /// Whether a node is live and accepts new work.
-    pub(crate) fn is_serving(&self, name: &NodeName) -> bool {
-        let entry = self.node(name);
-        entry.is_some_and(|entry| entry.state == NodeState::Serving)
-    }
 }
--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -7,7 +7,9 @@
 use control::{ApiError, ControlHandle};
 use support::{TestGroup, node, renew, renew_request};
 use units::{Incarnation, SlotCount};
-use wire::{AnnouncedTarget, ControlReply, DirectoryEntry, NodeKind, NodeRole, NodeState};
+use wire::{
+    AnnouncedTarget, ControlReply, DirectoryEntry, NodeKind, NodeRole, NodeState, RenewReply,
+};
 
 /// Maximum time to wait for a confirmation by a quorum.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(30);
@@ -39,6 +41,11 @@
 async fn listed_state(group: &TestGroup, index: usize, name: &str) -> Option<NodeState> {
     let client = group.client_at(index, NodeRole::Entry, "entry-1");
     let reply = renew(&client, node("entry-1", NodeKind::Entry)).await;
+    state_in(reply, name)
+}
+
+/// State of a target in the directory of a reply.
+fn state_in(reply: RenewReply, name: &str) -> Option<NodeState> {
     let entries = reply.directory.unwrap().changed;
     let target = entries.iter().find(|entry| entry.name == name.into());
     target.map(|entry| entry.state)
@@ -69,9 +76,7 @@
         }
     };
     let reply = tokio::time::timeout(CONFIRM_TIMEOUT, asking).await.unwrap();
-    let entries = reply.directory.unwrap().changed;
-    let target = entries.iter().find(|entry| entry.name == name.into());
-    target.map(|entry| entry.state)
+    state_in(reply, name)
 }
 
 /// Guards against a departure that only the acknowledging node knows: the process is announced late
--- a/components/directory/src/departures.rs
+++ b/components/directory/src/departures.rs
@@ -45,11 +45,6 @@
         record.is_some_and(|record| incarnation <= record.incarnation)
     }
 
-    /// Latest incarnation of a target that has left.
-    pub fn incarnation(&self, name: &NodeName) -> Option<Incarnation> {
-        self.records.get(name).map(|record| record.incarnation)
-    }
-
     /// Records a departure, unless it is known already.
     pub fn record(&mut self, name: &NodeName, incarnation: Incarnation) {
         if self.contains(name, incarnation) {
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -98,7 +98,6 @@
             retry_budgets: Default::default(),
             run_durations: Default::default(),
             crashes: CrashLog::new(),
-            answers_until: None,
         }),
         incarnation,
         view: StateBoard::new(FleetView::with_lease_time(settings.lease_time)),
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -14,7 +14,7 @@
 
 use crate::backend::remove_hop_by_hop_headers;
 use crate::forward::{ForwardedResponse, StreamedResponse, TRUNCATED_STREAM};
-use crate::state::{RelayShared, RelayState};
+use crate::state::RelayShared;
 
 /// Delay between the last chunk of an interrupted stream and the error that ends the body.
 const FLUSH_DELAY: Duration = Duration::from_millis(20);
@@ -60,7 +60,7 @@
 
 /// Closes the connection if the relay is leaving, so that the caller moves to another entry.
 fn close_connection_if_leaving(shared: &RelayShared, headers: &mut HeaderMap) {
-    if shared.board.read(RelayState::is_leaving) {
+    if shared.is_leaving() {
         headers.insert("connection", HeaderValue::from_static("close"));
     }
 }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -43,16 +43,9 @@
     pub(crate) run_durations: HashMap<RouteName, DurationHistory>,
     /// Requests that were at targets when these crashed.
     pub(crate) crashes: CrashLog,
-    /// Time until which a leaving relay waits for answers; `None` while it serves.
-    pub(crate) answers_until: Option<ClockTime>,
 }
 
 impl RelayState {
-    /// Whether the relay is shutting down.
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.answers_until.is_some()
-    }
-
     /// Number of entries that send requests, including this one. A leaving entry counts, since it
     /// still sends the requests that it accepts.
     pub(crate) fn entry_count(&self) -> u32 {
@@ -116,7 +109,7 @@
     pub(crate) origins: StateBoard<OriginLog>,
     /// Client for the control nodes.
     pub(crate) client: ControlClient,
-    /// Deadline of all open requests once the relay is leaving.
+    /// Time until which a leaving relay waits for answers; `None` while it serves.
     pub(crate) stop_deadline: watch::Sender<Option<Instant>>,
 }
 
@@ -125,6 +118,11 @@
         self.clock.now()
     }
 
+    /// Whether the relay is shutting down.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.stop_deadline.borrow().is_some()
+    }
+
     /// Whether keys may be accepted. The lease shows that a quorum confirmed the configuration of
     /// this relay recently enough.
     pub(crate) fn has_lease(&self) -> bool {
@@ -159,10 +157,8 @@
 
     /// Whether the load balancer should send new callers to this relay.
     pub(crate) fn is_ready(&self) -> bool {
-        let is_serving = self
-            .board
-            .read(|state| !state.is_leaving() && state.route_index.is_some());
-        is_serving && self.has_lease()
+        let has_plan = self.board.read(|state| state.route_index.is_some());
+        has_plan && !self.is_leaving() && self.has_lease()
     }
 
     pub(crate) fn target(&self, run: RunKey) -> Option<ListedTarget> {
@@ -177,13 +173,12 @@
 
     /// Current directory entry of the relay.
     pub(crate) fn directory_entry(&self) -> DirectoryEntry {
-        let is_leaving = self.board.read(RelayState::is_leaving);
         DirectoryEntry {
             name: self.settings.name.clone(),
             incarnation: self.incarnation,
             address: self.address,
             data_centre: self.settings.data_centre.clone(),
-            state: match is_leaving {
+            state: match self.is_leaving() {
                 true => NodeState::Leaving,
                 false => NodeState::Serving,
             },
--- a/components/relay/src/stop.rs
+++ b/components/relay/src/stop.rs
@@ -45,12 +45,7 @@
 
 /// Begins the stop of a relay that ends its open requests after `drain_timeout`.
 pub(crate) fn begin_stop(shared: &RelayShared, drain_timeout: Duration) {
-    let answer_timeout = drain_timeout.saturating_sub(ANSWER_MARGIN);
-    let answers_until = shared.now() + answer_timeout;
-    shared
-        .board
-        .write(|state| state.answers_until = Some(answers_until));
-    let deadline = Instant::now() + answer_timeout;
+    let deadline = Instant::now() + drain_timeout.saturating_sub(ANSWER_MARGIN);
     shared.stop_deadline.send_replace(Some(deadline));
 }
 
@@ -83,13 +78,15 @@
     route: &RouteSpec,
     max_duration: Duration,
 ) -> Result<(), Refusal> {
-    let now = shared.now();
-    let time_left = shared
-        .board
-        .read(|state| time_left_if_outlasted(state, route, max_duration, now));
-    let Some(time_left) = time_left else {
+    let Some(stop_deadline) = *shared.stop_deadline.borrow() else {
         return Ok(());
     };
+    let time_left = stop_deadline.saturating_duration_since(Instant::now());
+    let now = shared.now();
+    let may_outlast = |state: &RelayState| may_outlast(state, route, time_left, max_duration, now);
+    if !shared.board.read(may_outlast) {
+        return Ok(());
+    }
     Err(leaving_refusal(&format!(
         "the entry stops in {time_left:?}, and requests of route {} may take longer",
         route.name
@@ -102,22 +99,22 @@
     Refusal::not_run(503, "entry-leaving", message).retry_after(LEAVING_RETRY_AFTER)
 }
 
-/// Time until the relay stops, if a request of the route may outlast it and another relay serves.
+/// Whether a request of the route may still run after `time_left`, and another relay serves.
 ///
 /// Recent durations do not bound the next one. A request that may not be repeated is lost if it is
 /// cut, so only its own time limit counts.
-fn time_left_if_outlasted(
+fn may_outlast(
     state: &RelayState,
     route: &RouteSpec,
+    time_left: Duration,
     max_duration: Duration,
     now: ClockTime,
-) -> Option<Duration> {
-    let time_left = state.answers_until?.since(now);
+) -> bool {
     let no_history = DurationHistory::new();
     let history = state.run_durations.get(&route.name).unwrap_or(&no_history);
     let may_outlast = match route.repeat.is_repeatable() {
         true => history.may_outlast(time_left, max_duration, now),
         false => max_duration > time_left,
     };
-    (state.other_entry_count() > 0 && may_outlast).then_some(time_left)
+    state.other_entry_count() > 0 && may_outlast
 }
--- a/components/relay/tests/stops.rs
+++ b/components/relay/tests/stops.rs
@@ -42,14 +42,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_relay_refuses_what_may_outlast_its_stop() {
     let target = TestTarget::start("target-1", endless_streams()).await;
-    let mut fleet = TestFleet::start(Some(plan()), &[&target]).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
     let other = fleet.start_other_relay().await;
     let stream = fleet.request_with_deadline("/stream/x", "r1", LONG_DEADLINE);
     let call = fleet.request("/once/x", "r2");
 
-    let leaving = std::mem::replace(&mut fleet.relay, other);
-    let leaving = tokio::spawn(leaving.leave());
-    tokio::time::sleep(LEAVE_DELAY).await;
+    let leaving = LeavingFleet::start(fleet, other).await;
     let refused = stream.send().await.unwrap();
     let served = call.send().await.unwrap();
 
@@ -59,7 +57,7 @@
     assert!(refused.text().await.unwrap().contains("entry-leaving"));
     assert_eq!(served.status().as_u16(), 200);
     assert_eq!(target.arrivals(), 1);
-    leaving.await.unwrap();
+    leaving.task.await.unwrap();
 }
 
 /// Guards against refusals by the only relay of a fleet, which no other relay can take over.
@@ -118,7 +116,7 @@
 }
 
 impl LeavingFleet {
-    /// Lets the first relay of the fleet leave. `fleet.relay` is the other one afterwards.
+    /// Lets the first relay of the fleet leave, while the other one serves.
     async fn start(mut fleet: TestFleet, other: RelayHandle) -> Self {
         let leaving = std::mem::replace(&mut fleet.relay, other);
         let left_at = Instant::now();
