Tell which voters a control node waits for while there is no quorum

The record of the incident could not distinguish its hypotheses: no log or metric told that the group had no quorum, which members it had or whom it waited for. Each control node now logs quorum-lost and quorum-regained with the leader, the voters and the last sign of the absent ones, and members-applied for each committed change. member-changed names hosts instead of ids of data folders only, the reason of a refused call names the voters that are waited for, and three gauges show the group. The status tells the silence of an absent member. No decision changes.

The test of departures without a quorum now asserts that the reason names both lost voters; before, it could compare the variant only.

--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -16,6 +16,7 @@
 
 use crate::announced::{check_announcement, check_departure};
 use crate::departures::commit_departure;
+use crate::quorum;
 use crate::requests::{commit_or_forward, confirm_newest};
 use crate::state::ControlContext;
 use crate::versions::check_version;
@@ -26,9 +27,10 @@
     /// The order is invalid; repeating it cannot succeed.
     #[error("{0}")]
     Invalid(String),
-    /// No quorum has confirmed the request. An order may nevertheless have come into force.
-    #[error("Failed to reach a quorum of the control nodes")]
-    NoQuorum,
+    /// No quorum has confirmed the request. An order may nevertheless have come into force. The text
+    /// names the leader and the voters that the node waits for.
+    #[error("Failed to reach a quorum of the control nodes: {0}")]
+    NoQuorum(String),
 }
 
 /// Text of the published plan in force, as submitted by its operator.
@@ -79,7 +81,7 @@
     /// published.
     pub async fn published(&self) -> Result<Option<PublishedText>, ApiError> {
         if !confirm_newest(&self.context).await {
-            return Err(ApiError::NoQuorum);
+            return Err(self.no_quorum());
         }
         Ok(self.context.view.read(|view| {
             let number = view.registry.config().published.as_ref()?.number;
@@ -164,7 +166,7 @@
     async fn depart(&self, name: &NodeName, incarnation: Incarnation) -> Result<(), ApiError> {
         match commit_departure(&self.context, name, incarnation).await {
             true => Ok(()),
-            false => Err(ApiError::NoQuorum),
+            false => Err(self.no_quorum()),
         }
     }
 
@@ -172,7 +174,11 @@
         match commit_or_forward(&self.context, false, ControlRequest::Order(order)).await {
             ControlReply::Order(OrderReply::Accepted(_)) => Ok(()),
             ControlReply::Order(OrderReply::Invalid(reason)) => Err(ApiError::Invalid(reason)),
-            _ => Err(ApiError::NoQuorum),
+            _ => Err(self.no_quorum()),
         }
     }
+
+    fn no_quorum(&self) -> ApiError {
+        ApiError::NoQuorum(quorum::report(&self.context).to_string())
+    }
 }
--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -386,6 +386,9 @@
             // An entry of another leader replaced the proposal at this index.
             let _ = waiting.reply.send(Err(ProposeFailure::NotLeader));
         }
+        if let EntryPayload::Members(members) = &entry.payload {
+            self.log_members(members);
+        }
         self.applied_index = index;
         self.compact();
         Ok(())
--- a/components/control/src/driver/group.rs
+++ b/components/control/src/driver/group.rs
@@ -1,14 +1,17 @@
 //! Forms the group, changes its members, and lets a removed node rejoin.
 
+use std::collections::BTreeSet;
+
 use eyre::{Result, WrapErr};
-use raft::{LogIndex, NodeRole, PersistedState, RaftNode, Term};
+use raft::{LogIndex, Membership, NodeRole, PersistedState, RaftNode, Term};
 use registry::RegistryAction;
 use telemetry::{event, events};
-use units::ClockTime;
+use units::{ClockTime, DiskId};
 
 use super::RaftDriver;
 use crate::formation::bootstrap_members;
 use crate::members::{MemberStep, MemberView, next_step};
+use crate::quorum::QuorumReport;
 use crate::state::DriverView;
 
 impl RaftDriver {
@@ -103,10 +106,10 @@
             Some(MemberStep::Change(change)) => {
                 // A change is refused while another one is uncommitted or the learner lags behind.
                 // The same step is tried again at the next read barrier.
-                let text = format!("{change:?}");
+                let (text, id) = (format!("{change:?}"), change.id());
                 match self.node.change_member(change, now) {
                     Ok(actions) => {
-                        event!(events::MEMBER_CHANGED, change = %text);
+                        self.log_member_change(&text, id, now);
                         self.run_actions(actions)
                     }
                     Err(_) => Ok(()),
@@ -114,4 +117,41 @@
             }
         }
     }
+
+    fn log_member_change(&self, change: &str, id: DiskId, now: ClockTime) {
+        let members = self.node.status().membership;
+        let report = self
+            .view
+            .read(|view| QuorumReport::new(view, &self.settings.name, now));
+        event!(
+            events::MEMBER_CHANGED,
+            change = change,
+            name = self.member_text(id),
+            voters = self.members_text(&members.voters),
+            learners = self.members_text(&members.learners),
+            absent = report.absent_text()
+        );
+    }
+
+    /// Logs a committed change of the members.
+    pub(super) fn log_members(&self, members: &Membership) {
+        event!(
+            events::MEMBERS_APPLIED,
+            voters = self.members_text(&members.voters),
+            learners = self.members_text(&members.learners)
+        );
+    }
+
+    fn members_text(&self, ids: &BTreeSet<DiskId>) -> String {
+        let texts: Vec<String> = ids.iter().map(|id| self.member_text(*id)).collect();
+        texts.join(", ")
+    }
+
+    /// Recorded name of a member, or the id of its data folder.
+    fn member_text(&self, id: DiskId) -> String {
+        let name = self
+            .view
+            .read(|view| view.registry.controls().get(&id).cloned());
+        name.map_or_else(|| id.to_string(), |name| name.to_string())
+    }
 }
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use board::StateBoard;
+use cadence::StatsdClient;
 use directory::NodeDirectory;
 use eyre::{Result, WrapErr, eyre};
 use fair::{DemandHome, UsageHome};
@@ -26,6 +27,7 @@
 use crate::origins::{JournalThread, OriginStore};
 use crate::peer_link::replicate_directory;
 use crate::peers::PeerTable;
+use crate::quorum::{record_gauges, watch_quorum};
 use crate::server::serve;
 use crate::settings::ControlSettings;
 use crate::state::ControlContext;
@@ -116,6 +118,7 @@
     tasks.spawn(replicate_directory(context.clone()));
     tasks.spawn(remove_old_versions(context.clone()));
     tasks.spawn(send_ticks(context.driver.clone()));
+    tasks.spawn(watch_quorum(context.clone()));
     tasks.spawn(serve(context.clone(), endpoint.clone()));
     if let Some(address) = settings.http {
         let acceptor = bind_health(address).await?;
@@ -165,6 +168,12 @@
         ControlApi::new(self.context.clone(), self.endpoint.clone())
     }
 
+    /// Starts to record the gauges of the group, for example the number of voters that are present.
+    pub fn record_metrics(&mut self, metrics: StatsdClient) {
+        self.tasks
+            .spawn(record_gauges(self.context.clone(), metrics));
+    }
+
     /// Status of the fleet as seen by this node, without a read barrier.
     pub fn status(&self) -> FleetStatus {
         let text = fleet_status_json(&self.context, true);
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod origins;
 mod peer_link;
 mod peers;
+mod quorum;
 mod requests;
 mod server;
 mod settings;
--- a/components/control/src/status.rs
+++ b/components/control/src/status.rs
@@ -7,6 +7,7 @@
 use units::{ConfigVersion, DataCentreName, DiskId, NodeName, RegionName, ServiceName, TargetName};
 use wire::{DirectoryEntry, NodeKind, NodeState, TargetState};
 
+use crate::quorum::MemberSign;
 use crate::state::{ControlContext, DriverView};
 
 /// Status of a control node.
@@ -22,6 +23,10 @@
     pub leader: bool,
     /// Whether the replying node has received a recent announcement from it.
     pub present: bool,
+    /// Time since its last announcement, in milliseconds, if it is not present. `None` if it has not
+    /// announced itself since the replying node started, or announces another data folder.
+    #[serde(default)]
+    pub silent_ms: Option<u64>,
 }
 
 /// Service in the configuration.
@@ -226,24 +231,24 @@
         NodeRole::Leader => id == view.status.id,
         _ => view.status.leader == Some(id),
     };
-    let is_present = |id: DiskId| {
-        id == view.status.id
-            || view
-                .peers
-                .values()
-                .any(|peer| peer.announcement.id == id && peer.is_present(now))
-    };
-    let status_of = |id: DiskId| ControlStatus {
-        name: view
-            .registry
-            .controls()
-            .get(&id)
-            .cloned()
-            .or_else(|| (id == view.status.id).then(|| context.settings.name.clone())),
-        id: id.to_string(),
-        voter: members.voters.contains(&id),
-        leader: is_leader(id),
-        present: is_present(id),
+    let status_of = |id: DiskId| {
+        let sign = MemberSign::of(id, view, now);
+        ControlStatus {
+            name: view
+                .registry
+                .controls()
+                .get(&id)
+                .cloned()
+                .or_else(|| (id == view.status.id).then(|| context.settings.name.clone())),
+            id: id.to_string(),
+            voter: members.voters.contains(&id),
+            leader: is_leader(id),
+            present: sign == MemberSign::Present,
+            silent_ms: match sign {
+                MemberSign::Silent(silence) => Some(silence.as_millis() as u64),
+                _ => None,
+            },
+        }
     };
     members.members().map(status_of).collect()
 }
--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -140,10 +140,20 @@
     group.kill(1).await;
     let api = handle(&group, 2).api();
 
+    group
+        .wait(2, "the other nodes are no longer present", |status| {
+            let present = status.controls.iter().filter(|control| control.present);
+            present.count() == 1
+        })
+        .await;
     let name = "target-1".into();
     let departure = api.mark_leaving(&name, Some(Incarnation(1))).await;
 
-    assert_eq!(departure, Err(ApiError::NoQuorum));
+    let Err(ApiError::NoQuorum(reason)) = departure else {
+        panic!("{departure:?}");
+    };
+    let is_named = |name: &str| reason.contains(&format!("{name} (silent for "));
+    assert!(is_named("control-1") && is_named("control-2"), "{reason}");
 }
 
 /// Guards against entries and agents that a departure under their name takes out.
--- a/components/raft/src/membership.rs
+++ b/components/raft/src/membership.rs
@@ -29,6 +29,15 @@
     }
 }
 
+impl MemberChange {
+    /// Id of the member that is changed.
+    pub fn id(&self) -> DiskId {
+        match self {
+            Self::AddLearner(id) | Self::Promote(id) | Self::Remove(id) => *id,
+        }
+    }
+}
+
 impl Membership {
     /// Whether the id is that of a voter or learner.
     pub fn contains(&self, id: DiskId) -> bool {
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -10,12 +10,22 @@
     ROLE_CHANGED = 3011, Info, "role-changed",
         "The control node became leader, follower or candidate.";
     MEMBER_CHANGED = 3012, Info, "member-changed",
-        "The leader has proposed a change of the group's members.";
+        "The leader has proposed a change of the group's members. The field name is the node of the \
+         changed member, voters and learners are the members after the change, and absent the \
+         voters that the leader does not hear from.";
     SNAPSHOT_WRITTEN = 3013, Info, "snapshot-written",
         "The log up to this index was replaced by a snapshot.";
     FOLDER_REPLACED = 3014, Warn, "folder-replaced",
         "Another node has replaced this one in the group; this node joins again with an empty \
          data folder and a new id.";
+    QUORUM_LOST = 3015, Warn, "quorum-lost",
+        "No quorum has confirmed the state of this node for age_ms: it accepts no order and grants \
+         no lease. The fields name the leader, if known, the voters, and those that the node waits \
+         for, with the time since their last sign. Logged again when these change.";
+    QUORUM_REGAINED = 3016, Info, "quorum-regained",
+        "A quorum has confirmed the state of this node again, after age_ms.";
+    MEMBERS_APPLIED = 3017, Info, "members-applied",
+        "A change of the group's members is committed, as far as this node knows.";
     PEER_REFUSED = 3020, Warn, "peer-refused",
         "A connection or stream was rejected. Check the keys, role and protocol version of the \
          peer.";
--- a/components/telemetry/src/table.rs
+++ b/components/telemetry/src/table.rs
@@ -1,7 +1,7 @@
-//! Counters and latency histograms of a process, for scraping over HTTP.
+//! Counters, gauges and latency histograms of a process, for scraping over HTTP.
 //!
-//! A [`MetricTable`] is a sink of the statsd client. It sums counters, counts timers in histogram
-//! buckets, and renders both in the Prometheus text format.
+//! A [`MetricTable`] is a sink of the statsd client. It sums counters, keeps the last value of gauges,
+//! counts timers in histogram buckets, and renders all in the Prometheus text format.
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -28,10 +28,11 @@
 #[derive(Debug, Default)]
 struct TableState {
     counters: BTreeMap<String, u64>,
+    gauges: BTreeMap<String, u64>,
     latencies: BTreeMap<String, LatencyHistogram>,
 }
 
-/// Counters and histograms of a process since its start. Clones share their state.
+/// Counters, gauges and histograms of a process since its start. Clones share their state.
 #[derive(Debug, Clone, Default)]
 pub struct MetricTable {
     state: Arc<Mutex<TableState>>,
@@ -55,6 +56,9 @@
         for (name, count) in &state.counters {
             let _ = writeln!(text, "# TYPE {name} counter\n{name} {count}");
         }
+        for (name, value) in &state.gauges {
+            let _ = writeln!(text, "# TYPE {name} gauge\n{name} {value}");
+        }
         for (name, histogram) in &state.latencies {
             histogram.render(name, &mut text);
         }
@@ -105,6 +109,9 @@
         let mut state = self.lock();
         match kind {
             "c" => *state.counters.entry(name).or_default() += value,
+            "g" => {
+                state.gauges.insert(name, value);
+            }
             "ms" => state.latencies.entry(name).or_default().record(value),
             _ => return Err(invalid_line()),
         }
--- a/components/telemetry/tests/table.rs
+++ b/components/telemetry/tests/table.rs
@@ -33,3 +33,18 @@
         );
     }
 }
+
+/// Guards against gauges that are summed like counters, so that a lost voter never shows.
+#[test]
+fn gauges_keep_their_last_value() {
+    let table = MetricTable::new();
+    let client = table.client("bilberry.control");
+
+    for present in [3_u64, 2] {
+        client.gauge("voters-present", present).unwrap();
+    }
+    let rendered = table.render();
+
+    let line = "bilberry_control_voters_present 2";
+    assert!(rendered.lines().any(|found| found == line), "{rendered}");
+}
