--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -13,7 +13,10 @@
 use link::{KeyAuthority, KeyFiles, LinkEndpoint, LinkIdentity};
 use raft::RaftSettings;
 use tempfile::TempDir;
-use units::{ConfigVersion, Incarnation, NodeName, OrderId, ServiceName, SlotCount, TargetName};
+use units::{
+    ConfigVersion, DataCentreName, Incarnation, NodeName, OrderId, ServiceName, SlotCount,
+    TargetName,
+};
 use wire::{
     ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeRole, NodeState, OperatorOrder,
     OrderReply, RenewReply, RenewRequest, TargetState,
@@ -24,6 +27,9 @@
 
 pub(crate) const NODE_NAMES: [&str; 3] = ["control-1", "control-2", "control-3"];
 
+/// Data centres of the nodes of a group that discovers others.
+pub(crate) const DATA_CENTRES: [&str; 3] = ["praha-1", "brno-1", "ostrava-1"];
+
 pub(crate) const SERVICES_TEXT: &str = r#"
 [[region]]
 name = "bohemia"
@@ -71,6 +77,16 @@
 impl TestGroup {
     /// Starts three nodes with empty data folders.
     pub(crate) async fn start() -> Self {
+        Self::start_in([None; 3]).await
+    }
+
+    /// Starts three nodes with empty data folders in three data centres. Control nodes that are added
+    /// later are discovered.
+    pub(crate) async fn start_discovering() -> Self {
+        Self::start_in(DATA_CENTRES.map(Some)).await
+    }
+
+    async fn start_in(data_centres: [Option<&str>; 3]) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let keys = folder.path().join("keys");
         let address = group_address();
@@ -88,7 +104,8 @@
             nodes: Vec::new(),
             folder,
         };
-        for (name, endpoint) in NODE_NAMES.iter().zip(endpoints) {
+        let nodes = NODE_NAMES.iter().zip(endpoints).zip(data_centres);
+        for ((name, endpoint), data_centre) in nodes {
             let mut peers = addresses.clone();
             peers.remove(&NodeName::from(*name));
             let settings = ControlSettings {
@@ -99,11 +116,11 @@
                 peers,
                 http: None,
                 region: None,
-                data_centre: None,
+                data_centre: data_centre.map(DataCentreName::from),
                 raft: RaftSettings::default(),
                 target_silence_timeout: directory::SILENCE_TIMEOUT,
                 is_join_only: false,
-                has_peer_discovery: false,
+                has_peer_discovery: data_centre.is_some(),
             };
             let handle = start_on(settings.clone(), endpoint).await.unwrap();
             group.settings.push(settings);
@@ -112,6 +129,30 @@
         group
     }
 
+    /// Starts a further node with an empty data folder, which joins the group. Returns its index.
+    pub(crate) async fn add(&mut self, data_centre: &str) -> usize {
+        let index = self.nodes.len();
+        let name = format!("control-{}", index + 1);
+        let first = &self.settings[0];
+        let endpoint = bind_endpoint(&first.keys, NodeRole::Control, &name, first.listen.ip());
+        let known = self.settings[..NODE_NAMES.len()].iter();
+        let settings = ControlSettings {
+            name: name.as_str().into(),
+            listen: endpoint.address(),
+            data: self.folder.path().join(format!("{name}-1")),
+            peers: known
+                .map(|known| (known.name.clone(), known.listen))
+                .collect(),
+            data_centre: Some(data_centre.into()),
+            is_join_only: true,
+            ..first.clone()
+        };
+        let handle = start_on(settings.clone(), endpoint).await.unwrap();
+        self.settings.push(settings);
+        self.nodes.push(Some(handle));
+        index
+    }
+
     /// Stops a node without a transfer of leadership.
     pub(crate) async fn kill(&mut self, index: usize) {
         self.nodes[index].take().unwrap().kill().await;
@@ -125,7 +166,7 @@
     /// Restarts a node with its data folder or an empty one.
     pub(crate) async fn restart(&mut self, index: usize, has_empty_folder: bool) {
         if has_empty_folder {
-            let name = format!("{}-{}", NODE_NAMES[index], "replaced");
+            let name = format!("{}-{}", self.settings[index].name, "replaced");
             self.settings[index].data = PathBuf::from(self.folder.path()).join(name);
         }
         let handle = start(self.settings[index].clone()).await.unwrap();
@@ -173,8 +214,10 @@
         self.wait(any, "the leader is known", |status| status.leader.is_some())
             .await;
         let leader = self.nodes[any].as_ref().unwrap().status().leader.unwrap();
-        let name = leader.as_str();
-        NODE_NAMES.iter().position(|known| *known == name).unwrap()
+        let mut settings = self.settings.iter();
+        settings
+            .position(|settings| settings.name == leader)
+            .unwrap()
     }
 
     /// Id of the data folder of a running node.
