Give each seat of the control group to one host at a time

Callers saw changes that were confirmed and not in force, entries that answered by old plans, and a configuration that could not be read any more. The group had no quorum for ever. A learner was promoted beside a voter that was gone, because that voter still counted as present for 2 s after its last announcement, or because its replacement started first (planned). Of four voters with one gone, the group needs each of the others, for the 10 s until it removed the lost one, or for as long as it was not noticed. The next lost disk left two of four voters.

The class of fault: a decision that rests on a sign of life, taken while the sign may be old. Now the number of voters stays odd. A single learner stands by with the whole log until a voter is lost, leaves or is redundant, whatever its data centre, and two learners enlarge the group. A voter that stops and has a successor in its data centre says so, and waits until it was removed. A lost voter of an even number is removed after the replacement timeout, two lost voters of a larger group too. The steps of one replacement follow each other at once. The timeout follows from the catch-up time that the platform states. A leader that did not run for a second counts silence anew, and a removal needs replies of a majority without the removed one, so that a change that cannot be committed does not block the return of the voter. A leader without configured names no longer removes a voter that it has not heard of.

--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -34,6 +34,10 @@
 /// a renewal reply stays small compared with the lease time.
 const BARRIER_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time without a tick after which the silence of other nodes counts anew: this process did not run or
+/// waited for its disk, and has not handled what they sent.
+const MAX_TICK_GAP: Duration = Duration::from_secs(1);
+
 /// Number of applied log entries between snapshots.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 1_000;
 
@@ -64,7 +68,11 @@
     applied_index: LogIndex,
     compacted_index: LogIndex,
     is_transferring: bool,
-    started_at: ClockTime,
+    /// Whether a change of the members may be due at the next tick.
+    are_members_due: bool,
+    /// Time since which announcements have been received without a gap.
+    listening_since: ClockTime,
+    last_tick_at: ClockTime,
 }
 
 /// Initial members of the group if the log still starts with its first entry.
@@ -96,6 +104,7 @@
             initial_members: initial_members_of(&state),
             applied_index: LogIndex(0),
             address,
+            is_leaving: false,
             data_centre: settings.data_centre.clone(),
             known_peers: BTreeMap::new(),
         };
@@ -124,7 +133,9 @@
             applied_index: LogIndex(0),
             compacted_index: LogIndex(0),
             is_transferring: false,
-            started_at: now,
+            are_members_due: false,
+            listening_since: now,
+            last_tick_at: now,
         })
     }
 
@@ -170,13 +181,21 @@
             DriverEvent::Confirm { reply } => self.start_barrier(Some(reply), now),
             // A delayed notice may refer to a data folder that has been cleared since.
             DriverEvent::FolderRemoved(id) if id != self.store.id() => Ok(()),
-            DriverEvent::FolderRemoved(_) => self.rejoin_with_empty_folder(),
+            DriverEvent::FolderRemoved(_) => self.handle_removed_folder(),
+            DriverEvent::Leave => {
+                self.view.write(|view| view.announcement.is_leaving = true);
+                Ok(())
+            }
             DriverEvent::TransferLeadership => self.transfer_leadership(now),
             DriverEvent::Stop => Ok(()),
         }
     }
 
     fn handle_tick(&mut self, now: ClockTime) -> Result<()> {
+        if now.since(self.last_tick_at) >= MAX_TICK_GAP {
+            self.listening_since = now;
+        }
+        self.last_tick_at = now;
         let actions = self.node.tick(now);
         self.run_actions(actions)?;
         if self.view.read(|view| view.announcement.is_empty) {
@@ -185,6 +204,9 @@
         if now.since(self.last_barrier_at) >= BARRIER_INTERVAL {
             self.last_barrier_at = now;
             self.start_barrier(None, now)?;
+            self.are_members_due = true;
+        }
+        if std::mem::take(&mut self.are_members_due) {
             self.change_members(now)?;
         }
         Ok(())
@@ -388,6 +410,9 @@
         }
         if let EntryPayload::Members(members) = &entry.payload {
             self.log_members(members);
+            // The next step of a replacement follows at once: until the last one, the group may not
+            // bear a further loss.
+            self.are_members_due = true;
         }
         self.applied_index = index;
         self.compact();
--- a/components/control/src/driver/group.rs
+++ b/components/control/src/driver/group.rs
@@ -10,7 +10,7 @@
 
 use super::RaftDriver;
 use crate::formation::bootstrap_members;
-use crate::members::{MemberStep, MemberView, next_step};
+use crate::members::{MemberStep, MemberView, next_step, replace_timeout};
 use crate::quorum::QuorumReport;
 use crate::state::DriverView;
 
@@ -47,8 +47,18 @@
         Ok(())
     }
 
+    /// Handles the notice that the group has removed this data folder. A leaving node has given its
+    /// seat to a learner. Any other node joins again.
+    pub(super) fn handle_removed_folder(&mut self) -> Result<()> {
+        if self.view.read(|view| view.announcement.is_leaving) {
+            self.view.write(|view| view.has_left = true);
+            return Ok(());
+        }
+        self.rejoin_with_empty_folder()
+    }
+
     /// Clears the data folder and rejoins the group under a new id, after the old id was removed.
-    pub(super) fn rejoin_with_empty_folder(&mut self) -> Result<()> {
+    fn rejoin_with_empty_folder(&mut self) -> Result<()> {
         event!(events::FOLDER_REPLACED, id = self.store.id());
         let folder = self.settings.data.clone();
         self.store
@@ -81,19 +91,22 @@
         }
         let own = (status.id, &self.settings.name);
         let configured_names = self.settings.configured_names();
-        let listening_since = self.started_at;
+        let listening_since = self.listening_since;
+        let replace_timeout = replace_timeout(self.settings.catch_up_time);
         let thresholds = &mut self.promotion_thresholds;
         let step = self.view.read(|view| {
             let recorded_names = view.registry.controls();
             let members = &status.membership;
             let view = MemberView {
                 own,
+                own_data_centre: view.announcement.data_centre.as_ref(),
                 configured_names: &configured_names,
                 peers: &view.peers,
                 membership: members,
                 recorded_names,
                 commit_index: status.commit_index,
                 listening_since,
+                replace_timeout,
                 now,
             };
             next_step(&view, thresholds)
--- a/components/control/src/driver_event.rs
+++ b/components/control/src/driver_event.rs
@@ -33,6 +33,8 @@
     },
     /// Another control node reports that this data folder was removed from the group.
     FolderRemoved(DiskId),
+    /// Announces that this node is about to stop, so that a learner takes its seat.
+    Leave,
     TransferLeadership,
     /// Writes pending batches and ends the driver thread.
     Stop,
--- a/components/control/src/formation.rs
+++ b/components/control/src/formation.rs
@@ -26,6 +26,8 @@
         pub applied_index: LogIndex,
         /// Address at which peers can open links to the sender, if known.
         pub address: Option<SocketAddr>,
+        /// Whether the sender is about to stop and waits for a successor to take its seat.
+        pub is_leaving: bool,
         /// Data centre of the sender, if configured.
         pub data_centre: Option<DataCentreName>,
         /// Addresses of the control nodes that the sender considers present. They let every node
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -25,7 +25,7 @@
 use crate::driver_event::DriverEvent;
 use crate::health::{bind_health, serve_health};
 use crate::origins::{JournalThread, OriginStore};
-use crate::peer_link::replicate_directory;
+use crate::peer_link::{PeerFrame, build_announcement, replicate_directory};
 use crate::peers::PeerTable;
 use crate::quorum::{record_gauges, watch_quorum};
 use crate::server::serve;
@@ -49,6 +49,13 @@
 /// Timeout for the transfer of leadership at a planned stop.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Timeout for a learner to take the seat of a leaving voter. A new host needs about a second to
+/// catch up; a planned stop must leave time for the other processes of the host.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Interval between announcements while a voter waits for its successor.
+const LEAVE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Handle to a running control node.
 pub struct ControlHandle {
     context: ControlContext,
@@ -203,7 +210,7 @@
 
     /// Transfers leadership to another node if this one is the leader, then stops.
     pub async fn stop(mut self) {
-        let view = &self.context.view;
+        let view = self.context.view.clone();
         let is_leader = |status: &raft::NodeStatus| status.role == RaftRole::Leader;
         if view.read(|view| is_leader(&view.status))
             && self
@@ -217,10 +224,35 @@
             // The transfer times out if there is no other live voter.
             let _ = tokio::time::timeout(TRANSFER_TIMEOUT, transferred).await;
         }
+        self.hand_over_seat().await;
         self.kill().await;
         event!(events::CONTROL_STOPPED);
     }
 
+    /// Waits until a learner has taken the seat of this voter, if one stands by. Without that, the
+    /// group would notice the loss only after a time of silence, and could not bear another one.
+    async fn hand_over_seat(&self) {
+        let view = &self.context.view;
+        let now = self.context.clock.now();
+        if !view.read(|view| view.has_successor(now))
+            || self.context.driver.send(DriverEvent::Leave).await.is_err()
+        {
+            return;
+        }
+        let leaving = async {
+            view.wait_for(|view| view.announcement.is_leaving.then_some(()))
+                .await;
+            let mut interval = tokio::time::interval(LEAVE_INTERVAL);
+            while !view.read(|view| view.has_left) {
+                interval.tick().await;
+                let announcement = PeerFrame::Announce(build_announcement(&self.context));
+                self.context.peers.broadcast(&announcement);
+            }
+        };
+        // Without a learner that catches up in time, the node stops as before a restart.
+        let _ = tokio::time::timeout(LEAVE_TIMEOUT, leaving).await;
+    }
+
     /// Stops immediately without a transfer of leadership, as in a crash, except that pending
     /// writes are synced.
     pub async fn kill(&mut self) {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use api::{ApiError, ControlApi, PublishedText};
 pub use handle::{ControlHandle, start, start_on};
-pub use settings::{ControlArguments, ControlSettings};
+pub use settings::{ControlArguments, ControlSettings, DEFAULT_CATCH_UP_TIME};
 pub use status::{
     ControlStatus, DataCentreReport, FleetStatus, NodeReport, QuarantineStatus, ServiceReport,
 };
--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -124,7 +124,7 @@
 }
 
 /// This node's announcement, with the addresses of the peers that are present.
-fn build_announcement(context: &ControlContext) -> PeerAnnouncement {
+pub(crate) fn build_announcement(context: &ControlContext) -> PeerAnnouncement {
     let now = context.clock.now();
     let (announcement, present_names) = context.view.read(|view| {
         let present_peers = view.peers.iter().filter(|(_, peer)| peer.is_present(now));
--- a/components/control/src/settings.rs
+++ b/components/control/src/settings.rs
@@ -8,6 +8,10 @@
 use raft::RaftSettings;
 use units::{DataCentreName, NodeName, RegionName};
 
+/// Default of [`ControlSettings::catch_up_time`]. A replacement needs about a second beside the
+/// silence of the host that it replaces.
+pub const DEFAULT_CATCH_UP_TIME: Duration = Duration::from_secs(4);
+
 /// Settings of a control node.
 #[derive(Debug, Clone)]
 pub struct ControlSettings {
@@ -35,6 +39,9 @@
     pub data_centre: Option<DataCentreName>,
     /// Settings of the Raft node, such as its timeouts.
     pub raft: RaftSettings,
+    /// Time after the start of a host that replaces another, after which the group bears the loss of
+    /// a further host.
+    pub catch_up_time: Duration,
     /// Time without announcements after which a target without an agent is removed.
     pub target_silence_timeout: Duration,
 }
@@ -101,6 +108,7 @@
             region: self.region.map(|name| name.as_str().into()),
             data_centre: self.data_centre.map(|name| name.as_str().into()),
             raft: RaftSettings::default(),
+            catch_up_time: DEFAULT_CATCH_UP_TIME,
             target_silence_timeout: directory::SILENCE_TIMEOUT,
             is_join_only: false,
             has_peer_discovery: false,
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -9,13 +9,13 @@
 use directory::NodeDirectory;
 use fair::{DemandHome, UsageHome};
 use quarantine::QuarantineHome;
-use raft::NodeStatus;
+use raft::{NodeRole, NodeStatus};
 use registry::RegistryState;
 use tokio::sync::mpsc;
 use units::{ClockSource, ClockTime, ConfigVersion, NodeName};
 
 use crate::driver_event::DriverEvent;
-use crate::formation::{PeerAnnouncement, SeenPeers};
+use crate::formation::{PeerAnnouncement, SeenPeer, SeenPeers};
 use crate::origins::OriginStore;
 use crate::peers::PeerTable;
 use crate::settings::ControlSettings;
@@ -35,6 +35,8 @@
     pub(crate) confirmed_at: Option<ClockTime>,
     /// Announcement that this node sends to its peers.
     pub(crate) announcement: PeerAnnouncement,
+    /// Whether the group has removed this node's data folder while the node was leaving.
+    pub(crate) has_left: bool,
     /// Newest announcement of each other control node.
     pub(crate) peers: SeenPeers,
     /// Newest configuration versions, oldest first, with the time at which this node applied them.
@@ -49,6 +51,7 @@
             status,
             confirmed_at: None,
             announcement,
+            has_left: false,
             peers: SeenPeers::new(),
             version_times: VecDeque::new(),
         }
@@ -72,6 +75,21 @@
             .map(|(name, _)| name.clone())
     }
 
+    /// Whether this node is a voter other than the leader, and another node of its data centre is
+    /// present that could take its seat.
+    pub(crate) fn has_successor(&self, now: ClockTime) -> bool {
+        let members = &self.status.membership;
+        let is_leader = self.status.role == NodeRole::Leader;
+        let mut peers = self.peers.values().filter(|peer| peer.is_present(now));
+        let may_succeed = |peer: &SeenPeer| {
+            let announcement = &peer.announcement;
+            let is_known = members.voters.contains(&announcement.id)
+                || members.removed.contains(&announcement.id);
+            !is_known && announcement.data_centre == self.announcement.data_centre
+        };
+        !is_leader && members.voters.contains(&self.status.id) && peers.any(may_succeed)
+    }
+
     /// Records the time at which the current configuration version was applied.
     pub(crate) fn record_version_time(&mut self, now: ClockTime) {
         let version = self.registry.config().version;
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -118,6 +118,7 @@
                 region: None,
                 data_centre: data_centre.map(DataCentreName::from),
                 raft: RaftSettings::default(),
+                catch_up_time: control::DEFAULT_CATCH_UP_TIME,
                 target_silence_timeout: directory::SILENCE_TIMEOUT,
                 is_join_only: false,
                 has_peer_discovery: data_centre.is_some(),
--- a/components/ctl/tests/common/mod.rs
+++ b/components/ctl/tests/common/mod.rs
@@ -46,6 +46,7 @@
         region: None,
         data_centre: None,
         raft: RaftSettings::default(),
+        catch_up_time: control::DEFAULT_CATCH_UP_TIME,
         target_silence_timeout: Duration::from_secs(2),
         is_join_only: false,
         has_peer_discovery: false,
--- a/components/raft/src/error.rs
+++ b/components/raft/src/error.rs
@@ -46,6 +46,10 @@
         /// Log index of the uncommitted change.
         index: LogIndex,
     },
+    /// No majority of the members after the change has replied recently. If it never replied, the
+    /// group could not use the seat of a removed voter that comes back.
+    #[error("Failed to change members: no majority of the remaining voters has replied recently")]
+    NoMajority,
     /// The node to add is already a member.
     #[error("Failed to change members: {id} is already a member")]
     AlreadyMember {
--- a/components/raft/src/node/change.rs
+++ b/components/raft/src/node/change.rs
@@ -84,7 +84,25 @@
         match *change {
             MemberChange::Promote(id) => self.check_promotion(state, id),
             MemberChange::Remove(id) if id == self.id => Err(ProposeError::IsLeader { id }),
-            MemberChange::Remove(_) | MemberChange::AddLearner(_) => Ok(()),
+            MemberChange::Remove(_) => self.check_majority_without(state, change),
+            MemberChange::AddLearner(_) => Ok(()),
+        }
+    }
+
+    /// Refuses a removal after which the voters that reply form no majority.
+    fn check_majority_without(
+        &self,
+        state: &LeaderState,
+        change: &MemberChange,
+    ) -> Result<(), ProposeError> {
+        let members = self.log.membership().with_change(change)?;
+        let peers = state.peers.iter();
+        let replying = peers
+            .filter(|(_, peer)| self.now.since(peer.reply_at) < self.settings.min_election_timeout)
+            .map(|(id, _)| *id);
+        match members.is_majority(replying.chain([self.id])) {
+            true => Ok(()),
+            false => Err(ProposeError::NoMajority),
         }
     }
 
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -490,6 +490,7 @@
         region: None,
         data_centre: None,
         raft: RaftSettings::default(),
+        catch_up_time: control::DEFAULT_CATCH_UP_TIME,
         target_silence_timeout: Duration::from_secs(600),
     })
     .await
