Test that a woken control node keeps the nodes that renewed elsewhere

A control node that did not run for longer than the silence timeout could take that time for silence of entries and targets.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -15,10 +15,13 @@
 
 use board::StateBoard;
 use client::{FleetView, LEASE_TIME, keep_lease};
+use control::FleetStatus;
 use control_group::{
     CONTROL_NAMES, ControlGroup, ENTRY_NAME, OperatorCli, send_order, services_text,
     target_out_order,
 };
+use directory::SILENCE_TIMEOUT;
+use link::PeerLink;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
@@ -348,6 +351,68 @@
     }
 }
 
+/// Guards against a control node that takes the time for which it did not run for silence of the other
+/// nodes, and drops entries and targets from the directory that it passes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn woken_control_node_keeps_the_nodes_that_renewed_elsewhere() {
+    const WATCH_TIME: Duration = Duration::from_secs(2);
+    let _lock = lock_control_group().await;
+    let group = ControlGroup::start();
+    group.wait_until_confirmed(&[0, 1, 2]);
+    let woken = (group.wait_for_leader(&[0, 1, 2]) + 1) % CONTROL_NAMES.len();
+    let others: Vec<usize> = (0..CONTROL_NAMES.len())
+        .filter(|node| *node != woken)
+        .collect();
+    let operator = group.endpoint(NodeRole::Operator, "anna");
+    let operator = operator
+        .connect(group.addresses[woken], NodeRole::Control)
+        .await
+        .unwrap();
+    let renewals = tokio::spawn(keep_lease(
+        group.client(NodeRole::Entry, ENTRY_NAME, &others),
+        StateBoard::new(FleetView::default()),
+        Arc::new(SystemClock::start()),
+        directory_entry,
+        false,
+    ));
+    let has_entry = |status: &FleetStatus| {
+        let mut nodes = status.nodes.iter();
+        nodes.any(|node| node.name.as_str() == ENTRY_NAME)
+    };
+    let listed = tokio::time::timeout(EVENT_TIMEOUT, async {
+        while !has_entry(&fetch_status(&operator).await) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    listed.await.expect("the entry is listed at first");
+
+    group.nodes[woken].set_suspended(true);
+    tokio::time::sleep(SILENCE_TIMEOUT + Duration::from_secs(1)).await;
+    group.nodes[woken].set_suspended(false);
+    let woken_at = Instant::now();
+    let mut confirmed = 0;
+    while woken_at.elapsed() < WATCH_TIME {
+        let status = fetch_status(&operator).await;
+        confirmed += u32::from(status.confirmed_ms.is_some());
+
+        assert!(
+            status.confirmed_ms.is_none() || has_entry(&status),
+            "not listed {:?} after the node was woken",
+            woken_at.elapsed()
+        );
+    }
+    renewals.abort();
+
+    assert!(confirmed > 0, "the woken node has confirmed its state");
+}
+
+async fn fetch_status(operator: &PeerLink) -> FleetStatus {
+    match send_over_link(operator, &ControlRequest::Status).await {
+        ControlReply::Status(text) => serde_json::from_str(&text).unwrap(),
+        reply => panic!("{reply:?}"),
+    }
+}
+
 /// Writes a services text with one organisation of the given weight, and returns its path.
 fn write_services_text(group: &ControlGroup, name: &str, weight: u64) -> String {
     let path = group.folder().join(name);
