Test answers of targets that stop at every byte of their heads

An operator of a similar system reported that a target stopped in the middle of its answer's head and closed, and that callers got a 200 with an empty or short body that looked whole.

This does not happen here, in either data path: hyper, which reads the answers in both, yields a response only after the blank line that ends its head, and an error when the connection ends before. The entry writes the head to its caller only after that, and after the attempt id was checked. No test showed it, though. The new ones cut sound answers at each byte of the head, of chunk sizes and of trailers, with a length, chunks or neither, after interim responses, and with other line ends, on new and kept connections that are closed, half closed or reset. Callers get 502 with an unknown outcome, calls that may not be repeated reach one target once, others get the whole answer of a second attempt within the budget of retries, and slots and connections are given back. The failure is logged, and a crash within a head is counted.

--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod crashing;
+pub(crate) mod cutting;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -326,6 +327,8 @@
     pub(crate) api: ControlApi,
     pub(crate) relay: RelayHandle,
     pub(crate) client: reqwest::Client,
+    /// Metrics of the relay.
+    pub(crate) metrics: MetricTable,
     control: ControlHandle,
     keys: PathBuf,
     folder: TempDir,
@@ -342,11 +345,13 @@
         authority.issue_role(NodeRole::Control).unwrap();
         authority.issue_role(NodeRole::Entry).unwrap();
         let control = start_control(folder.path()).await;
-        let relay = start_relay("entry-1", control.address(), keys.clone()).await;
+        let metrics = MetricTable::new();
+        let relay = start_relay("entry-1", control.address(), keys.clone(), &metrics).await;
         let fleet = Self {
             api: control.api(),
             relay,
             client: reqwest::Client::new(),
+            metrics,
             control,
             keys,
             folder,
@@ -371,6 +376,7 @@
             mut control,
             relay,
             client,
+            metrics,
             keys,
             folder,
             ..
@@ -379,11 +385,12 @@
         control.kill().await;
         drop(control);
         let control = start_control(folder.path()).await;
-        let relay = start_relay("entry-1", control.address(), keys.clone()).await;
+        let relay = start_relay("entry-1", control.address(), keys.clone(), &metrics).await;
         let fleet = Self {
             api: control.api(),
             relay,
             client,
+            metrics,
             control,
             keys,
             folder,
@@ -414,7 +421,8 @@
     /// Starts another relay, and returns when the first one lists it.
     pub(crate) async fn start_other_relay(&self) -> RelayHandle {
         let others = self.relay.other_entry_count();
-        let other = start_relay("entry-2", self.control.address(), self.keys.clone()).await;
+        let (control, keys) = (self.control.address(), self.keys.clone());
+        let other = start_relay("entry-2", control, keys, &MetricTable::new()).await;
         wait_until(|| self.relay.other_entry_count() > others).await;
         other
     }
@@ -432,6 +440,14 @@
         wait_until(|| self.relay.target_count() == count).await;
     }
 
+    /// Value of a counter; 0 if it has never been incremented.
+    pub(crate) fn counter(&self, name: &str) -> u64 {
+        let text = self.metrics.render();
+        let prefix = format!("test_{name} ");
+        let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+        value.map_or(0, |value| value.parse().unwrap())
+    }
+
     pub(crate) fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.relay.http())
     }
@@ -502,7 +518,12 @@
     control
 }
 
-async fn start_relay(name: &str, control: SocketAddr, keys: PathBuf) -> RelayHandle {
+async fn start_relay(
+    name: &str,
+    control: SocketAddr,
+    keys: PathBuf,
+    metrics: &MetricTable,
+) -> RelayHandle {
     let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
     let settings = RelaySettings {
         name: name.into(),
@@ -522,7 +543,7 @@
     };
     let parts = RelayParts {
         dialect: Arc::new(TestDialect),
-        metrics: MetricTable::new().client("test"),
+        metrics: metrics.client("test"),
     };
     relay::start(settings, parts).await.unwrap()
 }
