Refuse responses in a transfer coding other than chunks

A stream that ended inside an event with such a header looked complete. The bytes of "Transfer-Encoding: gzip" were forwarded as if they were the body, without the header that names the coding.

Cause: next to any transfer coding, the HTTP library drops the length and reads the body up to the end of the connection, unless the last coding is chunks. The header itself is hop-by-hop and is not forwarded. The relay and the agent took its presence for a known end of the body.

Change: both accept only "chunked", once, in any case. Anything else is a response that does not belong to the protocol: the outcome is unknown, and the connection is closed. Neither asks targets for another coding.

Tests: body_in_another_transfer_coding_is_not_forwarded failed in 8 of 8 cases before (status 200, Ok("short"), Ok("coded"), Ok("id: 1\n\nid: 2\nda")), body_in_another_transfer_coding_is_lost in 6 of 6. Both pass now.

--- a/components/agent/src/target.rs
+++ b/components/agent/src/target.rs
@@ -160,6 +160,7 @@
                     TargetError::Lost(reason)
                 }
             })?;
+            check_head(&response).map_err(|reason| TargetError::Lost(reason.into()))?;
             let head = response_head(&response);
             let is_unframed_stream = is_unframed_stream(response.headers());
             let body = response.bytes_stream().map(|part| match part {
@@ -196,6 +197,22 @@
         .no_proxy()
 }
 
+/// Fails for a response whose body cannot be forwarded.
+fn check_head(response: &reqwest::Response) -> Result<(), &'static str> {
+    match has_unknown_coding(response.headers()) {
+        true => Err("the response has an unknown transfer coding"),
+        false => Ok(()),
+    }
+}
+
+/// Whether a body has a transfer coding other than chunks, which is neither decoded nor forwarded.
+/// Such a coding also makes the length void, so that the end of the body would be unknown.
+fn has_unknown_coding(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(TRANSFER_ENCODING);
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    codings.iter().count() > 1 || !codings.iter().all(is_chunked)
+}
+
 /// Whether a response is an event stream of which only the end of the connection tells the end.
 fn is_unframed_stream(headers: &HeaderMap) -> bool {
     let content_type = headers.get(CONTENT_TYPE);
--- a/components/agent/tests/cut_heads.rs
+++ b/components/agent/tests/cut_heads.rs
@@ -242,3 +242,27 @@
     }
     assert_eq!(record.lock().unwrap().reuse_count, 0);
 }
+
+/// Guards against a short body that looks complete, and against coded bytes that are forwarded as if they
+/// were the body, when the target names a transfer coding other than chunks. Such a coding makes any
+/// length void.
+#[rstest]
+#[case::short("transfer-encoding: identity\r\ncontent-length: 800", "short")]
+#[case::short_after_the_length("content-length: 800\r\ntransfer-encoding: identity", "short")]
+#[case::coded("transfer-encoding: gzip", "coded")]
+#[case::coded_in_chunks("transfer-encoding: gzip, chunked", "5\r\ncoded\r\n0\r\n\r\n")]
+#[case::stream(
+    "content-type: text/event-stream\r\ntransfer-encoding: identity",
+    "id: 1\n\nid: 2\nda"
+)]
+#[case::misspelt("transfer-encoding: chunke", "short")]
+#[tokio::test]
+async fn body_in_another_transfer_coding_is_lost(#[case] headers: &str, #[case] body: &str) {
+    let answer = format!("HTTP/1.1 200 OK\r\n{headers}\r\n\r\n{body}");
+    let (target, record) = start_target(answer.clone()).await;
+
+    let cut = (answer.len(), CutEnd::Close);
+    let result = send_on(&target, &record, (false, false), cut).await;
+
+    assert!(matches!(result, Err(TargetError::Lost(_))), "{result:?}");
+}
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -6,7 +6,9 @@
     CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_RANGE, CONTENT_TYPE, HOST, RETRY_AFTER,
     TRANSFER_ENCODING,
 };
-use http::{HeaderMap, HeaderName, Method, Request, StatusCode, Uri, Version, response};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, Version, response,
+};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 
@@ -86,6 +88,14 @@
     head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Whether the body has a transfer coding other than chunks, which is neither decoded nor forwarded.
+/// Such a coding also makes the length void, so that the end of the body would be unknown.
+fn has_unknown_coding(head: &response::Parts) -> bool {
+    let codings = head.headers.get_all(TRANSFER_ENCODING);
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    codings.iter().count() > 1 || !codings.iter().all(is_chunked)
+}
+
 /// Sends a request to a target and reads the head of the response. Also returns what the target
 /// states in it, whether or not the response is valid.
 pub(crate) async fn exchange(
@@ -114,6 +124,9 @@
         ResponseVerdict::Invalid => {
             ExchangeResponse::Invalid(format!("unsound answer with status {}", head.status))
         }
+        ResponseVerdict::Valid if has_unknown_coding(&head) => {
+            ExchangeResponse::Invalid("the answer has an unknown transfer coding".into())
+        }
         ResponseVerdict::Valid => ExchangeResponse::Valid(OpenResponse {
             head,
             body,
--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -234,6 +234,75 @@
     }
 }
 
+/// Guards against a short body that looks complete, and against coded bytes that are forwarded as if they
+/// were the body, when the target names a transfer coding other than chunks. Such a coding makes any
+/// length void.
+#[rstest]
+#[case::short(
+    "/once/x",
+    "transfer-encoding: identity\r\ncontent-length: 800",
+    "short"
+)]
+#[case::short_after_the_length(
+    "/once/x",
+    "content-length: 800\r\ntransfer-encoding: identity",
+    "short"
+)]
+#[case::coded("/again/x", "transfer-encoding: gzip", "coded")]
+#[case::coded_in_chunks(
+    "/once/x",
+    "transfer-encoding: gzip, chunked",
+    "5\r\ncoded\r\n0\r\n\r\n"
+)]
+#[case::coded_in_two_headers(
+    "/once/x",
+    "transfer-encoding: gzip\r\ntransfer-encoding: chunked",
+    "5\r\ncoded\r\n0\r\n\r\n"
+)]
+#[case::stream("/stream/x", "transfer-encoding: identity", "id: 1\n\nid: 2\nda")]
+#[case::continued("/resumable/x", "transfer-encoding: identity", "id: 1\n\nid: 2\nda")]
+#[case::misspelt("/once/x", "transfer-encoding: chunke", "short")]
+#[tokio::test(flavor = "multi_thread")]
+async fn body_in_another_transfer_coding_is_not_forwarded(
+    #[case] path: &str,
+    #[case] headers: &'static str,
+    #[case] body: &'static str,
+) {
+    let script = Arc::new(move |head: &str| {
+        let id = header(head, "request-id").unwrap();
+        let head = format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\n{headers}\r\n\r\n");
+        TargetStep::Close((head + body).into_bytes())
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+
+    let response = fleet.request(path, "r1").send().await.unwrap();
+    let status = response.status().as_u16();
+    let outcome = response.headers().get("bilberry-outcome").cloned();
+    let body = response.text().await;
+
+    assert_eq!(status, 502, "{body:?}");
+    assert_eq!(outcome.unwrap(), "unknown");
+    assert_eq!(target.arrivals(), 1);
+}
+
+/// Guards against a body in chunks that is refused because of the spelling of their name.
+#[tokio::test(flavor = "multi_thread")]
+async fn name_of_chunks_may_be_in_capitals() {
+    let script = Arc::new(|head: &str| {
+        let id = header(head, "request-id").unwrap();
+        let head =
+            format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nTransfer-Encoding: Chunked \r\n");
+        TargetStep::Write((head + "\r\n4\r\ndone\r\n0\r\n\r\n").into_bytes())
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+
+    let response = fleet.request("/once/x", "r1").send().await.unwrap();
+
+    assert_eq!(response.text().await.unwrap(), "done");
+}
+
 /// Guards against a broken body that looks complete to a caller of HTTP/1.0, for which the end of
 /// the connection ends the body, and to one that asks for the connection to be closed.
 #[rstest]
