Refuse switches of protocol by targets

What callers saw (test): a target that answered with 101 got its caller "HTTP/1.1 101 Switching Protocols" without an Upgrade header, as the only answer to the request. Callers then wait for a final answer, or for a protocol that nobody speaks.

Cause: the HTTP library skips interim responses except 101, which ends the HTTP exchange. The relay and the agent took it for a final response without a body. Neither forwards Upgrade in a request, so no correct target sends it.

Change: a 101 is treated as a broken response with an unknown outcome.

Tests: switch_of_protocols_is_not_forwarded (relay) failed before with "HTTP/1.1 101 Switching Protocols, request-id: r1" at the caller, switch_of_protocols_is_lost (agent) with a response of status 101. Both pass now.

--- a/components/agent/src/target.rs
+++ b/components/agent/src/target.rs
@@ -7,8 +7,8 @@
 use futures_util::future::BoxFuture;
 use futures_util::stream::BoxStream;
 use futures_util::{FutureExt, StreamExt};
-use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::{HeaderMap, StatusCode};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::error::Elapsed;
@@ -199,6 +199,10 @@
 
 /// Fails for a response whose body cannot be forwarded.
 fn check_head(response: &reqwest::Response) -> Result<(), &'static str> {
+    // `Upgrade` is not forwarded, so that the target may not switch.
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        return Err("the target switched to another protocol");
+    }
     match has_unknown_coding(response.headers()) {
         true => Err("the response has an unknown transfer coding"),
         false => Ok(()),
--- a/components/agent/tests/cut_heads.rs
+++ b/components/agent/tests/cut_heads.rs
@@ -266,3 +266,16 @@
 
     assert!(matches!(result, Err(TargetError::Lost(_))), "{result:?}");
 }
+
+/// Guards against callers that are told of a switch of protocols, of which neither side knows the next
+/// one.
+#[tokio::test]
+async fn switch_of_protocols_is_lost() {
+    let answer = "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n";
+    let (target, record) = start_target(answer.into()).await;
+
+    let cut = (answer.len(), CutEnd::Close);
+    let result = send_on(&target, &record, (false, false), cut).await;
+
+    assert!(matches!(result, Err(TargetError::Lost(_))), "{result:?}");
+}
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -124,6 +124,10 @@
         ResponseVerdict::Invalid => {
             ExchangeResponse::Invalid(format!("unsound answer with status {}", head.status))
         }
+        // `Upgrade` is not forwarded, so that no target may switch.
+        ResponseVerdict::Valid if head.status == StatusCode::SWITCHING_PROTOCOLS => {
+            ExchangeResponse::Invalid("the target switched to another protocol".into())
+        }
         ResponseVerdict::Valid if has_unknown_coding(&head) => {
             ExchangeResponse::Invalid("the answer has an unknown transfer coding".into())
         }
--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -432,6 +432,25 @@
     assert_eq!((one.arrivals(), two.arrivals()), (1, 1));
 }
 
+/// Guards against callers that are left with a connection of which neither side knows the protocol,
+/// because a target claims to have switched to another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn switch_of_protocols_is_not_forwarded() {
+    let script = Arc::new(|head: &str| {
+        let id = header(head, "request-id").unwrap();
+        let head = format!("HTTP/1.1 101 Switching Protocols\r\nrequest-id: {id}\r\n");
+        TargetStep::Write((head + "connection: upgrade\r\nupgrade: x\r\n\r\n").into_bytes())
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+    let request = "POST /once/x HTTP/1.1\r\nhost: mill.example\r\nrequest-id: r1\r\nkey: secret\r\n\
+                   connection: close\r\ncontent-length: 0\r\n\r\n";
+
+    let (answer, _) = common::exchange_bytes(fleet.relay.http(), request.as_bytes()).await;
+
+    assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+}
+
 /// Guards against a target's server error that the relay replaces with its own because no other
 /// target is left for a retry.
 #[tokio::test(flavor = "multi_thread")]
