Take responses to streams that have no body for complete

Cause: a stream without a length or chunks counts as broken off unless it ends after an event. The status or the method may rule out a body, so that the response ends with its head. The check did not know of these, nor did the record of requests that may have crashed their target.

Change: whether the end of a body is known is found out once, when the head arrives, and includes what the HTTP library derives from the status and the method. A response without a length whose connection ends before the first event is still broken off.

Test: answer_that_has_no_body_is_complete failed before in 2 of 8 cases ("502" in place of "204" and "200", on /stream/), and passes now; stream_without_a_length_is_complete_after_an_event is unchanged and passes.

--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -10,7 +10,7 @@
     HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, Version, response,
 };
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 
 use place::TargetStatement;
 use wire::EventTail;
@@ -62,12 +62,20 @@
     connection: TargetConnection,
     pool: ConnectionPool,
     tail: EventTail,
+    /// Whether the end of the body is known from its head, and not only from the end of the
+    /// connection.
+    has_known_end: bool,
 }
 
 /// Response of which the first part is buffered.
 pub(crate) enum BufferedResponse {
     /// The body is complete.
-    Complete(response::Parts, Bytes),
+    Complete {
+        head: response::Parts,
+        body: Bytes,
+        /// Whether its end was known from the head.
+        has_known_end: bool,
+    },
     /// The body is longer than its first part.
     Long(OpenResponse, Bytes),
 }
@@ -82,9 +90,8 @@
     Invalid(String),
 }
 
-/// Whether the end of a response's body is known from its length or chunks, and not only from the
-/// end of the connection.
-pub(crate) fn is_framed(head: &response::Parts) -> bool {
+/// Whether the end of a response's body is known from its length or chunks.
+fn is_framed(head: &response::Parts) -> bool {
     head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
 }
 
@@ -132,6 +139,8 @@
             ExchangeResponse::Invalid("the answer has an unknown transfer coding".into())
         }
         ResponseVerdict::Valid => ExchangeResponse::Valid(OpenResponse {
+            // The status or the method of the request may rule out a body.
+            has_known_end: is_framed(&head) || body.is_end_stream(),
             head,
             body,
             connection,
@@ -208,7 +217,11 @@
             }
         }
         self.pool.release(self.connection, &self.head.headers);
-        Ok(BufferedResponse::Complete(self.head, buf.into()))
+        Ok(BufferedResponse::Complete {
+            head: self.head,
+            body: buf.into(),
+            has_known_end: self.has_known_end,
+        })
     }
 
     /// Returns the next chunk of the body; `None` at its end, after which the caller should call
@@ -227,14 +240,15 @@
         }
     }
 
-    /// Whether a part of the body has arrived.
-    pub(crate) fn has_body(&self) -> bool {
-        self.tail.has_bytes()
+    /// Whether a body that has ended shows that the target did not crash: an empty one may also come
+    /// from a connection that broke.
+    pub(crate) fn is_sure_end(&self) -> bool {
+        self.has_known_end || self.tail.has_bytes()
     }
 
     /// Whether an event stream that has ended was broken off.
     pub(crate) fn is_truncated_stream(&self) -> bool {
-        !is_framed(&self.head) && !self.tail.is_after_event()
+        !self.has_known_end && !self.tail.is_after_event()
     }
 
     /// Returns the connection to the pool; the body must have ended.
--- a/components/relay/src/crash.rs
+++ b/components/relay/src/crash.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cadence::prelude::*;
-use http::response;
+use http::StatusCode;
 use place::ListedTarget;
 use quarantine::{BrokenRequest, EndedTarget, ObservedCrash};
 use telemetry::{event, events};
@@ -18,7 +18,6 @@
 use units::{ClockTime, NodeName};
 use wire::{FlowId, RequestTrait};
 
-use crate::backend::is_framed;
 use crate::state::{RelayShared, RelayState};
 
 /// Time within which an ended process refuses a connection. It is longer than the round trip to
@@ -71,16 +70,15 @@
         });
     }
 
-    /// Records a complete response, which shows that the target survived the request. Without a length
-    /// or chunks, an empty body may also come from a target that crashed, and a server error may be
-    /// the last response of one that is about to.
-    pub(crate) fn record_response(&mut self, head: &response::Parts, has_body: bool) {
-        let is_complete = is_framed(head) || has_body;
-        if !is_complete || head.status.is_server_error() {
+    /// Records a complete response, which shows that the target survived the request. Without a known
+    /// end, an empty body may also come from a target that crashed, and a server error may be the last
+    /// response of one that is about to.
+    pub(crate) fn record_response(&mut self, status: StatusCode, is_sure_end: bool) {
+        if !is_sure_end || status.is_server_error() {
             return;
         }
         self.is_settled = true;
-        if !head.status.is_success() {
+        if !status.is_success() {
             return;
         }
         let now = self.shared.now();
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -155,13 +155,17 @@
         }
         run_guard.record_first_byte();
         match response.read_buffered().await {
-            Ok(BufferedResponse::Complete(head, body))
+            Ok(BufferedResponse::Complete { head, body, .. })
                 if head.status.is_server_error() && self.route.repeat.is_repeatable() =>
             {
                 SendResult::ServerError(head, body)
             }
-            Ok(BufferedResponse::Complete(head, body)) => {
-                sent.record_response(&head, !body.is_empty());
+            Ok(BufferedResponse::Complete {
+                head,
+                body,
+                has_known_end,
+            }) => {
+                sent.record_response(head.status, has_known_end || !body.is_empty());
                 self.run_timer().record_end();
                 SendResult::Response(ForwardedResponse::Complete(head, body))
             }
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -104,7 +104,7 @@
                 let response = &streamed.response;
                 streamed
                     .sent
-                    .record_response(&response.head, response.has_body());
+                    .record_response(response.head.status, response.is_sure_end());
                 streamed.run_timer.record_end();
                 streamed.response.release_connection();
                 return None;
--- a/components/relay/tests/answers.rs
+++ b/components/relay/tests/answers.rs
@@ -451,6 +451,37 @@
     assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
 }
 
+/// Guards against answers without a body that count as broken because nothing follows their heads.
+#[rstest]
+#[case::no_content(reqwest::Method::POST, "204 No Content", "")]
+#[case::not_modified(reqwest::Method::POST, "304 Not Modified", "")]
+#[case::head(reqwest::Method::HEAD, "200 OK", "")]
+#[case::head_with_a_length(reqwest::Method::HEAD, "200 OK", "content-length: 800\r\n")]
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_has_no_body_is_complete(
+    #[case] method: reqwest::Method,
+    #[case] status: &'static str,
+    #[case] headers: &'static str,
+    #[values("/once/x", "/stream/x")] path: &str,
+) {
+    let script = Arc::new(move |head: &str| {
+        let id = header(head, "request-id").unwrap();
+        TargetStep::Write(
+            format!("HTTP/1.1 {status}\r\nrequest-id: {id}\r\n{headers}\r\n").into_bytes(),
+        )
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+    let request = fleet.client.request(method, fleet.url(path));
+    let request = request.header("request-id", "r1").header("key", "secret");
+
+    let response = request.send().await.unwrap();
+
+    let expected = status.split(' ').next().unwrap();
+    assert_eq!(response.status().as_str(), expected);
+    assert_eq!(response.headers()["request-id"], "r1");
+}
+
 /// Guards against a target's server error that the relay replaces with its own because no other
 /// target is left for a retry.
 #[tokio::test(flavor = "multi_thread")]
