Take responses to HEAD requests for streams as complete in the agent

What callers saw (test): the response to a HEAD request with the content type of an event stream and no Content-Length was lost in the agent, so that callers got 502.

Cause: as in the relay, the agent requires an event at the end of a stream without a length, and did not know that the method rules out a body.

Change: the check is left out if the HTTP library knows from the head that the body is empty.

Test: response_to_head_request_for_a_stream_is_complete failed before with Lost("the stream ended inside an event"), and passes now.

--- a/components/agent/src/target.rs
+++ b/components/agent/src/target.rs
@@ -162,7 +162,9 @@
             })?;
             check_head(&response).map_err(|reason| TargetError::Lost(reason.into()))?;
             let head = response_head(&response);
-            let is_unframed_stream = is_unframed_stream(response.headers());
+            // The status or the method of the request may rule out a body.
+            let is_empty = response.content_length() == Some(0);
+            let is_unframed_stream = !is_empty && is_unframed_stream(response.headers());
             let body = response.bytes_stream().map(|part| match part {
                 Ok(bytes) => Ok(bytes.to_vec()),
                 Err(error) => Err(TargetError::Lost(error_chain(&error))),
--- a/components/agent/tests/target.rs
+++ b/components/agent/tests/target.rs
@@ -36,6 +36,21 @@
     }
 }
 
+/// Guards against the response to a HEAD request that counts as broken because no event follows it.
+#[tokio::test]
+async fn response_to_head_request_for_a_stream_is_complete() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+    let url = start_target(head.into()).await;
+    let target = HttpTarget::new(&url).unwrap();
+    let mut request = get_request();
+    request.head.method = "HEAD".into();
+
+    let response = target.send(request).await.unwrap();
+    let parts: Vec<_> = response.body.collect().await;
+
+    assert!(parts.is_empty(), "{parts:?}");
+}
+
 /// Guards against a stream without a length that looks complete although its target ended it inside
 /// an event, or before the first one.
 #[rstest]
