Refuse nothing for good by a plan that is not confirmed

The entry looked at its lease for keys only, after the route, and that lease is 60 s long where the time to revoke a key is not bounded.

Such a refusal is now given only within `plan_time` of the last confirmation by a quorum, the time within which a change must be in force; later it is 503 `no-lease` with a `Retry-After`. Whatever was acknowledged before a refusal by a plan was then acknowledged less than that time before, so an entry that misses a renewal still decides. 401 by the check before a send and 413 are of the same kind.

`FleetView::age` was too short for a confirmation before the start of the process's clock, and for a node that has none (300 ms in place of 2.2 s).

--- a/components/client/src/view.rs
+++ b/components/client/src/view.rs
@@ -56,9 +56,13 @@
         published.map(|published| published.number)
     }
 
-    /// Time since a quorum confirmed what the node knows.
+    /// Time since a quorum confirmed what the node knows; the longest time if none ever has.
     pub fn age(&self, now: ClockTime) -> Duration {
-        now.since(self.lease_end - self.lease_time)
+        if self.lease_end == ClockTime::default() {
+            return Duration::MAX;
+        }
+        // The confirmation may be older than the clock of the process, where `ClockTime` saturates.
+        (now + self.lease_time).since(self.lease_end)
     }
 
     /// Applies a change of the directory. An incomplete delta is ignored if it comes from another
--- a/components/client/tests/lease.rs
+++ b/components/client/tests/lease.rs
@@ -123,6 +123,16 @@
     assert_eq!(view.lease_end, ClockTime(0));
 }
 
+/// Guards against an age that starts with the clock of the process, when the confirmation is older.
+#[test]
+fn age_counts_from_the_confirmation() {
+    let mut view = FleetView::with_lease_time(Duration::from_secs(60));
+    view.apply_renewal(ClockTime(100), reply(2_000, 1, 0))
+        .unwrap();
+
+    assert_eq!(view.age(ClockTime(300)), Duration::from_millis(2_200));
+}
+
 /// A renewal: time from sending the request to processing it at the control node (`transit`), age
 /// of the confirmation, configuration version of the reply, delay of the reply, and whether the
 /// reply arrives twice. Times are in milliseconds.
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -30,11 +30,12 @@
     metadata: &RequestMetadata,
     path: &str,
 ) -> Result<RequestAdmission, Refusal> {
+    let plan_number = route_index.number;
     let Some(route) = route_index.find(&metadata.host, path) else {
         let message = format!("Failed to find a route for {}{path}", metadata.host);
-        return Err(Refusal::not_run(404, "no-route", message));
+        let refusal = Refusal::not_run(404, "no-route", message);
+        return Err(final_refusal(shared, plan_number, refusal));
     };
-    let plan_number = route_index.number;
     if !route_index.requires_keys() || (route.anonymous && metadata.key.is_none()) {
         return Ok(RequestAdmission {
             route,
@@ -52,7 +53,7 @@
         .as_ref()
         .and_then(|key| route_index.holder(key));
     if holder.is_none() && !route.anonymous {
-        return Err(unknown_key_refusal());
+        return Err(final_refusal(shared, plan_number, unknown_key_refusal()));
     }
     Ok(RequestAdmission {
         route,
@@ -61,6 +62,24 @@
     })
 }
 
+/// Refusal by a plan that callers never retry, or one that they retry if the plan is not confirmed: a
+/// newer plan may allow the request.
+pub(crate) fn final_refusal(
+    shared: &RelayShared,
+    plan_number: PlanNumber,
+    refusal: Refusal,
+) -> Refusal {
+    match shared.is_confirmed(plan_number) {
+        true => refusal,
+        false => unconfirmed_refusal(),
+    }
+}
+
+fn unconfirmed_refusal() -> Refusal {
+    let message = "Failed to decide by the plan: no quorum has confirmed it recently";
+    Refusal::not_run(503, "no-lease", message).retry_after(PLAN_RETRY_AFTER)
+}
+
 fn unknown_key_refusal() -> Refusal {
     let message = "Failed to identify the caller: unknown or missing key";
     Refusal::not_run(401, "unauthorised", message)
@@ -102,7 +121,11 @@
         }
         match self.may_have_run {
             true => Err(self.failure("the key was taken away")),
-            false => Err(unknown_key_refusal()),
+            false => Err(final_refusal(
+                &self.shared,
+                index.number,
+                unknown_key_refusal(),
+            )),
         }
     }
 
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -13,7 +13,7 @@
 use entry::Refusal;
 
 use crate::backend::CallerRequest;
-use crate::forward::{ForwardedRequest, ForwardedResponse, PLAN_RETRY_AFTER, admit};
+use crate::forward::{ForwardedRequest, ForwardedResponse, PLAN_RETRY_AFTER, admit, final_refusal};
 use crate::origins::find_origin;
 use crate::respond;
 use crate::state::RelayShared;
@@ -96,7 +96,13 @@
         let body = tokio::time::timeout_at(forwarded.deadline(), payload)
             .await
             .map_err(|_| late_body_refusal())?
-            .map_err(|error| body_refusal(&error, max_body_bytes))?;
+            .map_err(|error| match error {
+                salvo::http::ParseError::PayloadTooLarge => {
+                    let refusal = large_body_refusal(max_body_bytes);
+                    final_refusal(&self.shared, route_index.number, refusal)
+                }
+                error => unreadable_body_refusal(&error),
+            })?;
         let request = CallerRequest {
             method: head.method,
             uri: head.uri,
@@ -128,18 +134,14 @@
     Refusal::not_run(408, "body-timeout", message)
 }
 
-fn body_refusal(error: &salvo::http::ParseError, max_body_bytes: u64) -> Refusal {
-    match error {
-        salvo::http::ParseError::PayloadTooLarge => {
-            let message = format!("Failed to accept the body: the limit is {max_body_bytes} bytes");
-            Refusal::not_run(413, "body-too-large", message)
-        }
-        error => Refusal::not_run(
-            400,
-            "bad-request",
-            format!("Failed to read the body: {error}"),
-        ),
-    }
+fn large_body_refusal(max_body_bytes: u64) -> Refusal {
+    let message = format!("Failed to accept the body: the limit is {max_body_bytes} bytes");
+    Refusal::not_run(413, "body-too-large", message)
+}
+
+fn unreadable_body_refusal(error: &salvo::http::ParseError) -> Refusal {
+    let message = format!("Failed to read the body: {error}");
+    Refusal::not_run(400, "bad-request", message)
 }
 
 /// Time within which the rest of a refused request's body must arrive.
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -27,6 +27,10 @@
     pub keys: PathBuf,
     /// Time after the last confirmation by a quorum during which keys are accepted.
     pub lease_time: Duration,
+    /// Time after the last confirmation by a quorum during which the entry refuses requests by its
+    /// plan for good (unknown route, unknown key, body too large). A change must be in force within
+    /// this time, so a plan that is older may lack one.
+    pub plan_time: Duration,
     /// Bound on retries at other targets, over all entries.
     pub retries: WindowBound,
     /// Time within which a graceful shutdown must end.
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -138,6 +138,14 @@
             .read(|view| view.has_lease(now) && view.published_number() <= Some(number))
     }
 
+    /// Whether a quorum confirmed a plan recently enough for refusals that callers never retry.
+    pub(crate) fn is_confirmed(&self, number: PlanNumber) -> bool {
+        let now = self.now();
+        self.view.read(|view| {
+            view.age(now) < self.settings.plan_time && view.published_number() <= Some(number)
+        })
+    }
+
     /// Index of the plan in the view, once it is installed; `None` before the first plan.
     pub(crate) async fn current_index(&self) -> Option<Arc<RouteIndex>> {
         let newest = self.view.read(FleetView::published_number);
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -518,29 +518,45 @@
     control
 }
 
-async fn start_relay(
+/// Settings of a relay on loopback addresses.
+pub(crate) fn relay_settings(
     name: &str,
-    control: SocketAddr,
+    controls: Vec<SocketAddr>,
     keys: PathBuf,
-    metrics: &MetricTable,
-) -> RelayHandle {
+) -> RelaySettings {
     let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
-    let settings = RelaySettings {
+    RelaySettings {
         name: name.into(),
         http: loopback,
         listen: loopback,
         data_centre: "praha-1".into(),
         regions: BTreeMap::from([("praha-1".into(), "bohemia".into())]),
-        controls: vec![control],
+        controls,
         keys,
         lease_time: Duration::from_millis(2_500),
+        plan_time: Duration::from_millis(2_500),
         retries: WindowBound {
             retries_per_thousand: 200,
             slack: 50,
             window: Duration::from_secs(10),
         },
         stop_timeout: STOP_TIMEOUT,
-    };
+    }
+}
+
+async fn start_relay(
+    name: &str,
+    control: SocketAddr,
+    keys: PathBuf,
+    metrics: &MetricTable,
+) -> RelayHandle {
+    start_relay_with(relay_settings(name, vec![control], keys), metrics).await
+}
+
+pub(crate) async fn start_relay_with(
+    settings: RelaySettings,
+    metrics: &MetricTable,
+) -> RelayHandle {
     let parts = RelayParts {
         dialect: Arc::new(TestDialect),
         metrics: metrics.client("test"),
