Run nothing by an old plan while control has no quorum

The entries reached control nodes, but these had lost their quorum at the moment of the acknowledgement, and requests without keys ran by the plan at hand without a bound; those with keys until the lease ended.

An entry now counts the control nodes that last answered that they have no quorum. If these are at least half of those that it knows, it is not cut off: the group may have confirmed a plan that it cannot tell, and requests get 503 `no-lease` once the plan is not confirmed.

`nothing_runs_by_an_unconfirmed_plan_while_control_has_no_quorum` failed in both cases before ("still 200 OK"). `entry_that_is_cut_off_runs_requests` passed before and guards the other side.

--- a/components/client/src/failover.rs
+++ b/components/client/src/failover.rs
@@ -1,5 +1,6 @@
 //! Requests that fail over from one control node to the next.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -66,6 +67,8 @@
     learned: Vec<SocketAddr>,
     /// Configured and learned addresses without duplicates.
     all: Arc<[SocketAddr]>,
+    /// Nodes whose last reply was that they have no quorum, since the last renewal that was granted.
+    without_quorum: BTreeSet<SocketAddr>,
 }
 
 impl ControlList {
@@ -80,6 +83,19 @@
         }
         self.all = all.into();
     }
+
+    fn record(&mut self, control: SocketAddr, result: &Result<ControlReply, LinkError>) {
+        match result {
+            Ok(ControlReply::NoQuorum { .. }) => {
+                self.without_quorum.insert(control);
+            }
+            Ok(ControlReply::Renewed(_)) => self.without_quorum.clear(),
+            Ok(_) => {}
+            Err(_) => {
+                self.without_quorum.remove(&control);
+            }
+        }
+    }
 }
 
 impl ControlClient {
@@ -131,6 +147,17 @@
         self.list().all.clone()
     }
 
+    /// Whether at least half of the control nodes are reached and have no quorum, so that the caller is
+    /// not cut off: the group itself can confirm nothing. Nodes that were replaced may still be
+    /// listed, so a strict majority would need more nodes than there are.
+    pub fn is_quorum_lost(&self) -> bool {
+        let list = self.list();
+        let controls = list.all.iter();
+        let without_quorum = controls.filter(|control| list.without_quorum.contains(control));
+        let count = without_quorum.count();
+        count > 0 && count * 2 >= list.all.len()
+    }
+
     /// Sends a request and fails over from nodes that do not answer or have no quorum. A request
     /// may therefore reach several nodes and must be idempotent.
     pub async fn request(&self, request: &ControlRequest) -> Result<ControlReply, ClientError> {
@@ -204,9 +231,11 @@
             _ => ATTEMPT_TIMEOUT,
         };
         let exchange = self.transport.exchange(control, request);
-        tokio::time::timeout(timeout, exchange)
+        let result = tokio::time::timeout(timeout, exchange)
             .await
-            .unwrap_or_else(|_| Err(LinkError::Stream(format!("no reply within {timeout:?}"))))
+            .unwrap_or_else(|_| Err(LinkError::Stream(format!("no reply within {timeout:?}"))));
+        self.list().record(control, &result);
+        result
     }
 
     /// Prefers the next node, unless another request has changed the preferred node meanwhile.
--- a/components/client/tests/requests.rs
+++ b/components/client/tests/requests.rs
@@ -4,8 +4,11 @@
 use std::sync::{Arc, Mutex};
 
 use client::{ClientError, ControlClient, ControlTransport, FleetView, ReplyFuture};
+use rstest::rstest;
 use units::{ConfigVersion, Incarnation, NodeName};
-use wire::{ControlReply, ControlRequest, DirectoryDelta, DirectoryEntry, NodeKind, NodeState};
+use wire::{
+    ControlReply, ControlRequest, DirectoryDelta, DirectoryEntry, NodeKind, NodeState, RenewReply,
+};
 
 /// Behaviour of a fake control node.
 #[derive(Clone, Copy)]
@@ -13,6 +16,7 @@
     Answers,
     Silent,
     NoQuorum,
+    Grants,
 }
 
 struct FakeControls {
@@ -33,6 +37,13 @@
             match behaviour {
                 Behaviour::Answers => Ok(ControlReply::Done),
                 Behaviour::NoQuorum => Ok(ControlReply::NoQuorum { leader: None }),
+                Behaviour::Grants => Ok(ControlReply::Renewed(RenewReply {
+                    age_ms: 0,
+                    version: ConfigVersion(0),
+                    changes: Vec::new(),
+                    directory: None,
+                    controls: Vec::new(),
+                })),
                 Behaviour::Silent => std::future::pending().await,
             }
         })
@@ -87,6 +98,33 @@
     assert!(matches!(no_controls, Err(ClientError::NoControls)));
 }
 
+/// Guards against a node that takes a cut to most control nodes for a loss of the quorum, or the
+/// reverse.
+#[rstest]
+#[case::all_without_quorum(&[Behaviour::NoQuorum; 3], true)]
+#[case::one_of_three_is_down(&[Behaviour::Silent, Behaviour::NoQuorum, Behaviour::NoQuorum], true)]
+#[case::two_of_four_are_replaced(
+    &[Behaviour::Silent, Behaviour::NoQuorum, Behaviour::Silent, Behaviour::NoQuorum],
+    true
+)]
+#[case::only_one_of_three_is_reached(
+    &[Behaviour::Silent, Behaviour::NoQuorum, Behaviour::Silent],
+    false
+)]
+#[case::none_is_reached(&[Behaviour::Silent; 3], false)]
+#[case::one_has_a_quorum(&[Behaviour::NoQuorum, Behaviour::Grants, Behaviour::NoQuorum], false)]
+#[case::none_is_known(&[], false)]
+#[tokio::test(start_paused = true)]
+async fn lost_quorum_is_told_from_a_cut(#[case] behaviours: &[Behaviour], #[case] is_lost: bool) {
+    let (client, _) = client(behaviours);
+
+    for _ in 0..2 * behaviours.len() {
+        let _ = client.request_once(&ControlRequest::Status).await;
+    }
+
+    assert_eq!(client.is_quorum_lost(), is_lost);
+}
+
 fn entry(name: &str) -> DirectoryEntry {
     DirectoryEntry {
         name: name.into(),
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -36,6 +36,9 @@
         let refusal = Refusal::not_run(404, "no-route", message);
         return Err(final_refusal(shared, plan_number, refusal));
     };
+    if !shared.may_run_by(plan_number) {
+        return Err(unconfirmed_refusal());
+    }
     if !route_index.requires_keys() || (route.anonymous && metadata.key.is_none()) {
         return Ok(RequestAdmission {
             route,
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -146,6 +146,13 @@
         })
     }
 
+    /// Whether requests may run by a plan. An entry that is cut off serves the callers beside it by the
+    /// newest plan that it knows. One that reaches control nodes without a quorum does not: the group
+    /// may have confirmed a newer plan that these nodes cannot tell.
+    pub(crate) fn may_run_by(&self, number: PlanNumber) -> bool {
+        self.is_confirmed(number) || !self.client.is_quorum_lost()
+    }
+
     /// Index of the plan in the view, once it is installed; `None` before the first plan.
     pub(crate) async fn current_index(&self) -> Option<Arc<RouteIndex>> {
         let newest = self.view.read(FleetView::published_number);
--- a/components/relay/tests/unconfirmed.rs
+++ b/components/relay/tests/unconfirmed.rs
@@ -135,6 +135,11 @@
         entry
     }
 
+    /// Stops one control node, so that the other has no quorum.
+    async fn lose_quorum(&mut self) {
+        self.controls[1].kill().await;
+    }
+
     /// Stops both control nodes, which is a cut to all of them for the entries.
     async fn cut_off(&mut self) {
         for control in &mut self.controls {
@@ -182,6 +187,20 @@
     assert!(body.contains(&code), "{body}");
 }
 
+/// Repeats a request until it is refused with 503, and returns that refusal.
+async fn wait_for_refusal(entry: &RelayHandle, path: &str, key: Option<&str>) -> Response {
+    let started_at = Instant::now();
+    loop {
+        let response = request(entry, path, key).send().await.unwrap();
+        if response.status().as_u16() == 503 {
+            return response;
+        }
+        let status = response.status();
+        assert!(started_at.elapsed() < NOTICE_TIME, "still {status}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Guards against a refusal that callers never retry, by a plan that has possibly been replaced: the
 /// route or the key may have been added, or the bound raised, by a plan that the entry did not receive.
 #[rstest]
@@ -214,6 +233,32 @@
     assert_retryable(unconfirmed, "no-lease").await;
 }
 
+/// Guards against requests that run by an older plan while all entries reach the control nodes, which
+/// have lost their quorum after they confirmed a newer plan.
+#[rstest]
+#[case::without_key("/open/x", None)]
+#[case::with_key("/once/x", Some("secret"))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_runs_by_an_unconfirmed_plan_while_control_has_no_quorum(
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+) {
+    let target = start_target().await;
+    let mut pair = ControlPair::start(&[&target]).await;
+    let entry = pair.start_ready_entry().await;
+    let confirmed = request(&entry, path, key).send().await.unwrap();
+    assert_eq!(confirmed.status().as_u16(), 200);
+
+    pair.lose_quorum().await;
+    let refusal = wait_for_refusal(&entry, path, key).await;
+    let run_count = target.heads.lock().unwrap().len();
+    let later = request(&entry, path, key).send().await.unwrap();
+
+    assert_retryable(refusal, "no-lease").await;
+    assert_retryable(later, "no-lease").await;
+    assert_eq!(target.heads.lock().unwrap().len(), run_count);
+}
+
 /// Guards against an entry that refuses the callers beside it while only its links to control have
 /// failed: no other entry can serve them better.
 #[rstest]
