Pass on committed changes without a quorum

An entry kept an older plan, or had none after a start (503 `no-plan`), although each control node that it reached had applied a newer one: a renewal without a quorum brought no configuration.

`NoQuorum` now carries the changes that the control node has applied. They are committed and never revert, so a node installs them, but its lease and the age of its view stay as they are: there may be newer ones. A control node that restarted knows only what it has applied since, so this does not replace the confirmation.

--- a/components/client/src/failover.rs
+++ b/components/client/src/failover.rs
@@ -46,6 +46,8 @@
     NoQuorum {
         /// Number of failed attempts.
         attempts: usize,
+        /// Configuration changes of the last reply.
+        changes: Vec<u8>,
     },
 }
 
@@ -166,7 +168,10 @@
         for attempt in 1..=controls.len() * MAX_ROUNDS {
             let index = self.preferred.load(Ordering::Relaxed) % controls.len();
             failure = match self.attempt(controls[index], request).await {
-                Ok(ControlReply::NoQuorum { .. }) => ClientError::NoQuorum { attempts: attempt },
+                Ok(ControlReply::NoQuorum { changes, .. }) => ClientError::NoQuorum {
+                    attempts: attempt,
+                    changes,
+                },
                 Ok(reply) => return Ok(reply),
                 Err(error) => ClientError::Unanswered {
                     attempts: attempt,
@@ -190,9 +195,12 @@
         }
         let index = self.preferred.load(Ordering::Relaxed) % controls.len();
         match self.attempt(controls[index], request).await {
-            Ok(ControlReply::NoQuorum { .. }) => {
+            Ok(ControlReply::NoQuorum { changes, .. }) => {
                 self.advance_from(index, controls.len());
-                Err(ClientError::NoQuorum { attempts: 1 })
+                Err(ClientError::NoQuorum {
+                    attempts: 1,
+                    changes,
+                })
             }
             Ok(reply) => Ok(reply),
             Err(error) => {
--- a/components/client/src/lease.rs
+++ b/components/client/src/lease.rs
@@ -159,7 +159,8 @@
     Refused(String),
 }
 
-/// Sends one renewal and installs its reply.
+/// Sends one renewal and installs its reply. A reply without a quorum extends no lease, but its
+/// changes are committed and are installed too.
 async fn renew(
     client: &ControlClient,
     board: &StateBoard<FleetView>,
@@ -177,7 +178,13 @@
         directory,
     });
     let sent = clock.now();
-    match client.request_once(&request).await? {
+    let reply = client.request_once(&request).await;
+    if let Err(ClientError::NoQuorum { changes, .. }) = &reply
+        && !changes.is_empty()
+    {
+        board.write(|view| view.config.install(changes))?;
+    }
+    match reply? {
         ControlReply::Renewed(mut reply) => {
             client.set_learned_controls(std::mem::take(&mut reply.controls));
             board.write(|view| view.apply_renewal(sent, reply))?;
--- a/components/client/tests/lease.rs
+++ b/components/client/tests/lease.rs
@@ -13,7 +13,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use registry::{RegistryAction, RegistryCommand, RegistryState, WallTime};
-use units::{ClockTime, ConfigVersion, Incarnation, ManualClock};
+use units::{ClockSource, ClockTime, ConfigVersion, Incarnation, ManualClock};
 use wire::{ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeState, RenewReply};
 
 fn node() -> DirectoryEntry {
@@ -123,6 +123,30 @@
     assert_eq!(view.lease_end, ClockTime(0));
 }
 
+/// Guards against a node that keeps an older configuration although the control nodes that it reaches
+/// have applied a newer one, and against a lease from nodes without a quorum.
+#[tokio::test(start_paused = true)]
+async fn configuration_without_a_quorum_is_installed_without_a_lease() {
+    let clock = ManualClock::default();
+    clock.advance(Duration::from_secs(10));
+    let controls = vec![SocketAddr::from(([127, 0, 0, 1], 1))];
+    let client = ControlClient::with_transport(Arc::new(NoQuorumTransport), controls);
+    let board = StateBoard::new(FleetView::default());
+
+    let renewals = keep_lease(client, board.clone(), Arc::new(clock.clone()), node, false);
+    let task = tokio::spawn(renewals);
+    let installed = board.wait_for(|view| (view.config.version > ConfigVersion(0)).then_some(()));
+    let installed = tokio::time::timeout(Duration::from_secs(5), installed).await;
+    task.abort();
+
+    assert!(installed.is_ok());
+    let now = clock.now();
+    let view = board.read(FleetView::clone);
+    assert_eq!(view.config.version, ConfigVersion(3));
+    assert!(!view.has_lease(now));
+    assert_eq!(view.age(now), Duration::MAX);
+}
+
 /// Guards against an age that starts with the clock of the process, when the confirmation is older.
 #[test]
 fn age_counts_from_the_confirmation() {
@@ -244,6 +268,27 @@
     }
 }
 
+/// Control nodes that have applied version 3 and have no quorum.
+struct NoQuorumTransport;
+
+impl ControlTransport for NoQuorumTransport {
+    fn exchange<'a>(
+        &'a self,
+        _address: SocketAddr,
+        request: &'a ControlRequest,
+    ) -> ReplyFuture<'a> {
+        Box::pin(async move {
+            let ControlRequest::Renew(renewal) = request else {
+                return Err(LinkError::Stream("unexpected request".into()));
+            };
+            Ok(ControlReply::NoQuorum {
+                leader: None,
+                changes: registry(3).changes_since(renewal.config),
+            })
+        })
+    }
+}
+
 /// Guards against a renewal loop that keeps using a control node that does not answer, counts the
 /// lease from the arrival of the reply, or ends after a failure.
 #[tokio::test(start_paused = true)]
--- a/components/client/tests/requests.rs
+++ b/components/client/tests/requests.rs
@@ -36,7 +36,10 @@
         Box::pin(async move {
             match behaviour {
                 Behaviour::Answers => Ok(ControlReply::Done),
-                Behaviour::NoQuorum => Ok(ControlReply::NoQuorum { leader: None }),
+                Behaviour::NoQuorum => Ok(ControlReply::NoQuorum {
+                    leader: None,
+                    changes: Vec::new(),
+                }),
                 Behaviour::Grants => Ok(ControlReply::Renewed(RenewReply {
                     age_ms: 0,
                     version: ConfigVersion(0),
@@ -93,7 +96,7 @@
     assert_eq!(silent_controls.attempted_ports.lock().unwrap().len(), 6);
     assert!(matches!(
         no_quorum,
-        Err(ClientError::NoQuorum { attempts: 4 })
+        Err(ClientError::NoQuorum { attempts: 4, .. })
     ));
     assert!(matches!(no_controls, Err(ClientError::NoControls)));
 }
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -7,7 +7,7 @@
 use registry::{RegistryAction, RegistryOutcome};
 use telemetry::{event, events};
 use tokio::sync::oneshot;
-use units::NodeName;
+use units::{ConfigVersion, NodeName};
 use wire::{
     ControlReply, ControlRequest, CrashReport, DemandReport, EntryReply, EntryReport, Hello,
     NodeKind, NodeRole, OrderReply, QuarantineReply, RenewReply, RenewRequest, ShareReply,
@@ -102,7 +102,7 @@
 }
 
 /// Grants a lease and returns the changes of configuration and directory since the last renewal.
-/// Refuses if no quorum has confirmed this node's state recently.
+/// Grants none if no quorum has confirmed this node's state recently.
 fn handle_renewal(context: &ControlContext, peer: &Hello, renewal: RenewRequest) -> ControlReply {
     let is_operator = peer.role == NodeRole::Operator;
     let own_kind = match renewal.node.kind {
@@ -123,7 +123,7 @@
         Some((age, version, view.registry.changes_since(renewal.config)))
     });
     let Some((age, version, changes)) = confirmed_state else {
-        return no_quorum_reply(context);
+        return unconfirmed_reply(context, renewal.config);
     };
     let directory = context.with_nodes(|nodes| {
         if !is_operator {
@@ -333,5 +333,18 @@
 pub(crate) fn no_quorum_reply(context: &ControlContext) -> ControlReply {
     let own = &context.settings.name;
     let leader = context.view.read(|view| view.leader_name(own));
-    ControlReply::NoQuorum { leader }
+    ControlReply::NoQuorum {
+        leader,
+        changes: Vec::new(),
+    }
+}
+
+/// Reply to a renewal without a quorum. The changes that this node has applied are committed and
+/// never revert, so the node may install them, but there may be newer ones.
+fn unconfirmed_reply(context: &ControlContext, installed: ConfigVersion) -> ControlReply {
+    let own = &context.settings.name;
+    context.view.read(|view| ControlReply::NoQuorum {
+        leader: view.leader_name(own),
+        changes: view.registry.changes_since(installed),
+    })
 }
--- a/components/control/tests/group.rs
+++ b/components/control/tests/group.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use client::ClientError;
 use registry::FleetConfig;
 use support::{SERVICES_TEXT, TestGroup, agent_kind, apply, node, order, renew, renew_request};
 use units::{ConfigVersion, FencingNumber, Incarnation, OrderId, RequestId};
@@ -210,6 +211,36 @@
     assert!(begun.is_err(), "{begun:?}");
 }
 
+/// Guards against nodes that keep an older configuration than the control nodes have, because these
+/// have no quorum.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_without_majority_passes_on_committed_changes() {
+    let mut group = TestGroup::start().await;
+    group.wait_ready().await;
+    let operator = group.client(NodeRole::Operator, "operator-1");
+    order(&operator, apply("order-1", 0, &text_with_data_centres(1))).await;
+    group.wait_version(1).await;
+    group.kill(0).await;
+    group.kill(1).await;
+    group
+        .wait(2, "the confirmation by a quorum has expired", |status| {
+            status.confirmed_ms.is_none()
+        })
+        .await;
+
+    let entry = group.client_at(2, NodeRole::Entry, "entry-1");
+    let renewed = entry
+        .request(&renew_request(node("entry-1", NodeKind::Entry)))
+        .await;
+
+    let Err(ClientError::NoQuorum { changes, .. }) = renewed else {
+        panic!("{renewed:?}");
+    };
+    let mut config = FleetConfig::default();
+    config.install(&changes).unwrap();
+    assert_eq!(config.version, ConfigVersion(1));
+}
+
 /// Guards against a node that has lost its data folder and then does not rejoin, keeps the vote of
 /// its old id, or forms a second group.
 #[tokio::test(flavor = "multi_thread")]
--- a/components/relay/tests/unconfirmed.rs
+++ b/components/relay/tests/unconfirmed.rs
@@ -279,6 +279,27 @@
     }
 }
 
+/// Guards against an entry that starts while control has no quorum and learns no plan, or that takes
+/// the plan for confirmed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_that_starts_without_a_quorum_learns_the_plan() {
+    let target = start_target().await;
+    let mut pair = ControlPair::start(&[&target]).await;
+    pair.lose_quorum().await;
+    let without_quorum = pair.controls[0].wait_until(|status| status.confirmed_ms.is_none());
+    tokio::time::timeout(EVENT_TIMEOUT, without_quorum)
+        .await
+        .unwrap();
+
+    let entry = pair.start_entry().await;
+    common::wait_until(|| entry.plan_number() == Some(PlanNumber(1))).await;
+    let unknown = request(&entry, "/added/x", None).send().await.unwrap();
+    let known = request(&entry, "/open/x", None).send().await.unwrap();
+
+    assert_retryable(unknown, "no-lease").await;
+    assert_retryable(known, "no-lease").await;
+}
+
 /// Guards against a refusal that callers never retry by an entry that has no plan yet.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_without_a_plan_asks_for_a_retry() {
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -341,6 +341,10 @@
         NoQuorum {
             /// Current leader, if known.
             leader: Option<NodeName>,
+            /// Changes from the node's configuration to the newest one that the replying node has
+            /// applied, as in [`RenewReply`]; empty in replies to other requests than
+            /// [`ControlRequest::Renew`].
+            changes: Vec<u8>,
         },
         /// The role of the sender is not permitted to make this request.
         Forbidden(NodeRole),
