Refuse unknown keys and services only with a lease

A caller with a key that had just been added got 401 from an entry in front of agents that was cut off, and one of a service that had just been added 404 if the entry's lease ended while the body arrived. Callers retry neither. The entry looked up the key before it looked at its lease, and at the lease before it read the body only.

It now looks at the lease before the key, and again once the body is there.

`unknown_key_is_not_refused_for_good_without_a_lease` (401) and `unknown_service_is_not_refused_for_good_after_the_lease_ended` (404) failed before.

--- a/components/entry/src/http.rs
+++ b/components/entry/src/http.rs
@@ -85,9 +85,11 @@
         let deadline = Instant::now() + self.shared.settings.limits.request_timeout;
         Refusal::check_version(req.version())?;
         self.check_headers(req)?;
-        let caller = self.identify(req)?;
+        // Without a lease the configuration may be old, and callers never retry what it does not allow.
         self.check_serving()?;
+        let caller = self.identify(req)?;
         let body = self.read_body(req).await?;
+        self.check_serving()?;
         let checked = self.check_request(req, caller.organisation, body)?;
         self.check_targets(&checked.flow.service)?;
         let service = &checked.flow.service;
--- a/components/entry/tests/refusals.rs
+++ b/components/entry/tests/refusals.rs
@@ -10,6 +10,8 @@
 use entry::EntryLimits;
 use reqwest::Response;
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use units::{ByteSize, ClockTime, NodeName};
 
 /// Status, code and outcome of a refusal.
@@ -169,6 +171,49 @@
     assert_eq!(read_refusal(response).await, expected);
 }
 
+/// Guards against a refusal that callers never retry, for a key that a configuration has possibly added
+/// that the entry did not receive.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unknown_key_is_not_refused_for_good_without_a_lease() {
+    let fleet = Fleet::new();
+    let entry = fleet.start_entry("entry-1").await;
+    let url = format!("http://{}/services/visits/stones", entry.http());
+    let read = || reqwest::Client::new().get(&url).bearer_auth("added").send();
+
+    let confirmed = read().await.unwrap();
+    fleet.view.write(|view| view.lease_end = ClockTime(0));
+    let unconfirmed = read().await.unwrap();
+
+    assert_eq!(read_refusal(confirmed).await.0, 401);
+    assert_eq!(header_value(&unconfirmed, "retry-after"), "1");
+    let expected = (503, "not-serving".to_owned(), "not-run".to_owned());
+    assert_eq!(read_refusal(unconfirmed).await, expected);
+}
+
+/// Guards against a refusal that callers never retry, for a service that a configuration has possibly
+/// added after the lease ended, while the body was being read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unknown_service_is_not_refused_for_good_after_the_lease_ended() {
+    let fleet = Fleet::new();
+    let entry = fleet.start_entry("entry-1").await;
+    let mut stream = TcpStream::connect(entry.http()).await.unwrap();
+    let key = common::BEARER_KEY;
+    let head = format!(
+        "POST /services/added/x HTTP/1.1\r\nhost: mill.example\r\nconnection: close\r\n\
+         authorization: Bearer {key}\r\ncontent-length: 1\r\n\r\n"
+    );
+
+    stream.write_all(head.as_bytes()).await.unwrap();
+    // No state outside the entry shows that it waits for the body, so wait a fixed time.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.view.write(|view| view.lease_end = ClockTime(0));
+    stream.write_all(b"x").await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+}
+
 /// Guards against requests that wait until their timeout for a service whose last target is gone,
 /// although new requests are refused immediately. Also guards against a refusal before a target can
 /// have restarted.
