Promote the successor of a lost voter before the voter is removed

Replies count only from the election of the leader on: before, each peer of a new leader counted as having replied just now. Lost voters of an odd number stay until they have a successor: of six hosts with two cut off, the group shrank to three voters, and two lost disks, as many as six hosts bear, ended it. Two learners enlarge the group only if no data centre gets a majority. A voter that has said that it is leaving counts as leaving only while it is present. A replacement timeout of under 2 s has an effect. The steps are repeated at once while a learner only has to acknowledge the newest entries.

--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -24,7 +24,7 @@
 
 use crate::driver_event::{DriverEvent, ProposeFailure};
 use crate::formation::{PeerAnnouncement, SeenPeer};
-use crate::members::PromotionThresholds;
+use crate::members::{ListeningTime, PromotionThresholds};
 use crate::peer_link::PeerFrame;
 use crate::peers::PeerTable;
 use crate::settings::ControlSettings;
@@ -34,10 +34,6 @@
 /// a renewal reply stays small compared with the lease time.
 const BARRIER_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time without a tick after which the silence of other nodes counts anew: this process did not run or
-/// waited for its disk, and has not handled what they sent.
-const MAX_TICK_GAP: Duration = Duration::from_secs(1);
-
 /// Number of applied log entries between snapshots.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 1_000;
 
@@ -70,9 +66,7 @@
     is_transferring: bool,
     /// Whether a change of the members may be due at the next tick.
     are_members_due: bool,
-    /// Time since which announcements have been received without a gap.
-    listening_since: ClockTime,
-    last_tick_at: ClockTime,
+    listening_time: ListeningTime,
 }
 
 /// Initial members of the group if the log still starts with its first entry.
@@ -134,8 +128,7 @@
             compacted_index: LogIndex(0),
             is_transferring: false,
             are_members_due: false,
-            listening_since: now,
-            last_tick_at: now,
+            listening_time: ListeningTime::starting_at(now),
         })
     }
 
@@ -192,10 +185,7 @@
     }
 
     fn handle_tick(&mut self, now: ClockTime) -> Result<()> {
-        if now.since(self.last_tick_at) >= MAX_TICK_GAP {
-            self.listening_since = now;
-        }
-        self.last_tick_at = now;
+        self.listening_time.tick(now);
         let actions = self.node.tick(now);
         self.run_actions(actions)?;
         if self.view.read(|view| view.announcement.is_empty) {
--- a/components/control/src/driver/group.rs
+++ b/components/control/src/driver/group.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use eyre::{Result, WrapErr};
-use raft::{LogIndex, Membership, NodeRole, PersistedState, RaftNode, Term};
+use raft::{LogIndex, Membership, NodeRole, PersistedState, ProposeError, RaftNode, Term};
 use registry::RegistryAction;
 use telemetry::{event, events};
 use units::{ClockTime, DiskId};
@@ -91,7 +91,7 @@
         }
         let own = (status.id, &self.settings.name);
         let configured_names = self.settings.configured_names();
-        let listening_since = self.listening_since;
+        let listening_since = self.listening_time.since();
         let replace_timeout = replace_timeout(self.settings.catch_up_time);
         let thresholds = &mut self.promotion_thresholds;
         let step = self.view.read(|view| {
@@ -125,7 +125,11 @@
                         self.log_member_change(&text, id, now);
                         self.run_actions(actions)
                     }
-                    Err(_) => Ok(()),
+                    Err(error) => {
+                        // A learner that has just received the log acknowledges it within a round trip.
+                        self.are_members_due |= matches!(error, ProposeError::LearnerBehind { .. });
+                        Ok(())
+                    }
                 }
             }
         }
--- a/components/control/src/members.rs
+++ b/components/control/src/members.rs
@@ -2,8 +2,15 @@
 //!
 //! A group of three tolerates the loss of one voter, and a fourth voter adds no tolerance: if one of
 //! the four is lost, the group depends on each of the others. The leader therefore keeps the number of
-//! voters odd. A learner without a seat stands by with the whole log. It becomes a voter when it takes
-//! the seat of a lost, leaving or redundant voter, or when two of them stand by.
+//! voters odd. A further control host is a learner that stands by with the whole log. It becomes a voter
+//! to replace a lost, leaving or redundant voter, or together with a second learner.
+//!
+//! A successor is promoted before the voter that it replaces is removed. If it is lost between the two
+//! changes, each voter that comes back still counts. Only a voter whose host has a new data folder is
+//! removed first, because that voter cannot come back.
+//!
+//! A host is present for 2 s after its last announcement, and absent after that. An absent voter is lost
+//! after the replacement timeout, or at once if it had announced that it is leaving.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,14 +25,13 @@
 /// Longer than an election and a process restart, so that a short fault does not cost a voter.
 pub const REPLACE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time without announcements after which a voter is removed without a replacement if the group has
-/// more than [`MIN_VOTERS`] voters and none but this one is silent.
-pub const REMOVE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Number of voters up to which a silent voter is not removed without a replacement. A group of
 /// three tolerates the loss of one.
 pub const MIN_VOTERS: usize = 3;
 
+/// Time without a tick after which silence counts anew. Ticks follow each other within 20 ms.
+const MAX_TICK_GAP: Duration = Duration::from_secs(1);
+
 /// Silence after which a voter is replaced, if a replaced host must bear the loss of another one
 /// `catch_up_time` after its start. The last quarter is left for the changes themselves.
 pub fn replace_timeout(catch_up_time: Duration) -> Duration {
@@ -89,9 +95,8 @@
 /// For a lost host the steps are: record the name of the new data folder, add its id as a learner, wait
 /// until the learner has caught up with the log, remove the old id, promote the new one. A host
 /// therefore never has two voters: it counts once towards a majority, and a lost host never makes the
-/// majority larger. A host that was replaced under another name is identified by its silence. A voter
-/// that still runs, because it is leaving or redundant, is removed after its successor was promoted, so
-/// that the group can lose any one voter at each moment.
+/// majority larger. A host that was replaced under another name is identified by its silence, and is
+/// removed after its successor was promoted, like a voter that is leaving or redundant.
 pub fn next_step(
     view: &MemberView<'_>,
     thresholds: &mut PromotionThresholds,
@@ -110,9 +115,7 @@
         0 => view.change_of_even(&learners),
         _ => view.change_of_odd(&learners),
     };
-    change
-        .or_else(|| view.removal_of_lost())
-        .map(MemberStep::Change)
+    change.map(MemberStep::Change)
 }
 
 /// Learner that has caught up with the log.
@@ -205,97 +208,128 @@
     }
 
     /// Change that makes an even number of voters odd: it removes the voter that a promoted learner
-    /// replaces, or promotes a learner.
+    /// replaces, or promotes a learner. Neither lowers the number of losses that the group tolerates.
     fn change_of_even(&self, learners: &[ReadyLearner<'_>]) -> Option<MemberChange> {
         let is_above_minimum = self.membership.voters.len() > MIN_VOTERS;
-        let removed = is_above_minimum
-            .then(|| {
-                self.lost_voter(None)
-                    .or_else(|| self.leaving_voters().next())
-            })
-            .flatten();
-        let promoted = || {
-            let has_voter = |learner: &&ReadyLearner| self.has_voter_in(learner.data_centre);
-            learners
-                .iter()
-                .min_by_key(has_voter)
-                .map(|learner| learner.id)
-        };
-        let redundant = || is_above_minimum.then(|| self.redundant_voter()).flatten();
-        removed
+        let replaced = || self.lost_voters().max_by_key(|id| self.silence_of(*id));
+        let removed = || replaced().or_else(|| self.leaving_voters().next());
+        let redundant = || self.redundant_voter();
+        let promoted = self.best_learner(learners);
+        is_above_minimum
+            .then(removed)
+            .flatten()
             .map(MemberChange::Remove)
-            .or_else(|| promoted().map(MemberChange::Promote))
-            .or_else(|| redundant().map(MemberChange::Remove))
+            .or_else(|| promoted.map(|learner| MemberChange::Promote(learner.id)))
+            .or_else(|| {
+                is_above_minimum
+                    .then(redundant)
+                    .flatten()
+                    .map(MemberChange::Remove)
+            })
     }
 
-    /// Change of an odd number of voters: it gives the seat of a voter to a learner, or enlarges the
-    /// group if two learners stand by.
+    /// Change of an odd number of voters: it promotes the successor of a voter, or enlarges the group if
+    /// two learners stand by. A lost voter without a successor stays: the group would tolerate fewer
+    /// lost disks without it.
     fn change_of_odd(&self, learners: &[ReadyLearner<'_>]) -> Option<MemberChange> {
-        let first = learners.first()?;
-        if let Some(lost) = self.lost_voter(first.data_centre) {
-            return Some(MemberChange::Remove(lost));
-        }
-        // An absent voter may be lost. Its seat is decided before any other.
-        if self.membership.voters.iter().any(|id| self.is_absent(*id)) {
-            return None;
+        let successor = match self.lost_voters().next() {
+            Some(_) => self.successor_of_lost(learners),
+            // An absent voter may be lost. It is replaced before the group changes otherwise.
+            None if self.has_absent_voter() => None,
+            None => self
+                .successor_of_running(learners)
+                .or_else(|| self.first_of_two(learners)),
+        };
+        if let Some(learner) = successor {
+            return Some(MemberChange::Promote(learner.id));
         }
-        let successor = learners.iter().find(|learner| {
+        // With two voters in its data centre, a leaving voter has a successor already.
+        let is_above_minimum = self.membership.voters.len() > MIN_VOTERS;
+        let mut leaving = self.leaving_voters();
+        let replaced = leaving.find(|id| self.has_other_in_data_centre(*id));
+        replaced
+            .filter(|_| is_above_minimum)
+            .map(MemberChange::Remove)
+    }
+
+    /// Learner that replaces a lost voter, if possible one of the same data centre.
+    fn successor_of_lost<'l>(
+        &self,
+        learners: &'l [ReadyLearner<'a>],
+    ) -> Option<&'l ReadyLearner<'a>> {
+        let is_near = |learner: &&ReadyLearner<'_>| {
+            let mut lost = self.lost_voters();
+            lost.any(|id| self.may_succeed(id, learner.data_centre))
+        };
+        learners
+            .iter()
+            .find(is_near)
+            .or_else(|| self.best_learner(learners))
+    }
+
+    /// Learner that replaces a leaving voter of its data centre, or a redundant one of another.
+    fn successor_of_running<'l>(
+        &self,
+        learners: &'l [ReadyLearner<'a>],
+    ) -> Option<&'l ReadyLearner<'a>> {
+        learners.iter().find(|learner| {
             let mut leaving = self.leaving_voters();
-            let is_relocated = !self.has_voter_in(learner.data_centre)
-                && learner.data_centre.is_some()
+            let is_relocated = learner.data_centre.is_some()
+                && self.voters_in(learner.data_centre) == 0
                 && self.redundant_voter().is_some();
             is_relocated || leaving.any(|id| self.may_succeed(id, learner.data_centre))
-        });
-        let promoted = match (successor, learners) {
-            (Some(successor), _) => Some(successor),
-            (None, [first, _, ..]) => Some(first),
-            _ => None,
-        };
-        promoted.map(|learner| MemberChange::Promote(learner.id))
+        })
     }
 
-    /// Voter that is no longer needed because the group has enough others: one of two lost voters, one
-    /// whose successor in its data centre has a seat, or one that was lost long ago.
-    fn removal_of_lost(&self) -> Option<MemberChange> {
-        let voters = &self.membership.voters;
-        if voters.len() <= MIN_VOTERS {
-            return None;
-        }
-        let lost = voters.iter().filter(|id| self.is_lost(**id));
-        let long_lost = |id: &DiskId| self.silence_of(*id) >= REMOVE_TIMEOUT;
-        let removed = match lost.count() {
-            0 => self
-                .leaving_voters()
-                .find(|id| self.has_other_in_data_centre(*id)),
-            1 => self.lost_voter(None).filter(long_lost),
-            _ => self.lost_voter(None),
+    /// First of two learners that enlarge the group. No data centre may get a majority by them.
+    fn first_of_two<'l>(&self, learners: &'l [ReadyLearner<'a>]) -> Option<&'l ReadyLearner<'a>> {
+        let has_partner = |first: &&ReadyLearner<'_>| {
+            let mut others = learners.iter().filter(|second| second.id != first.id);
+            others.any(|second| {
+                let is_same = second.data_centre == first.data_centre;
+                self.may_enlarge(first.data_centre, 1 + usize::from(is_same))
+                    && self.may_enlarge(second.data_centre, 1 + usize::from(is_same))
+            })
         };
-        removed.map(MemberChange::Remove)
+        let candidates = learners.iter().filter(has_partner);
+        candidates.min_by_key(|learner| self.voters_in(learner.data_centre))
     }
 
-    /// Voter that has been silent for the replacement timeout, or since it said that it leaves. One in the given data centre, or in an
-    /// unknown one, comes first, then the one that has been silent longest.
-    fn lost_voter(&self, data_centre: Option<&DataCentreName>) -> Option<DiskId> {
+    /// Whether the group bears the loss of a data centre that has this many of two additional voters.
+    fn may_enlarge(&self, data_centre: Option<&DataCentreName>, joining: usize) -> bool {
+        let max_losses = self.membership.voters.len().div_ceil(2);
+        data_centre.is_none() || self.voters_in(data_centre) + joining <= max_losses
+    }
+
+    /// Learner of the data centre with the fewest voters.
+    fn best_learner<'l>(&self, learners: &'l [ReadyLearner<'a>]) -> Option<&'l ReadyLearner<'a>> {
+        let candidates = learners.iter();
+        candidates.min_by_key(|learner| self.voters_in(learner.data_centre))
+    }
+
+    fn lost_voters(&self) -> impl Iterator<Item = DiskId> + '_ {
         let voters = self.membership.voters.iter().copied();
-        let lost = voters.filter(|id| self.is_lost(*id));
-        lost.max_by_key(|id| (self.may_succeed(*id, data_centre), self.silence_of(*id)))
+        voters.filter(|id| self.is_lost(*id))
     }
 
     fn is_lost(&self, member: DiskId) -> bool {
-        let has_left = || {
-            self.find_peer(member)
-                .is_some_and(|peer| peer.announcement.is_leaving)
-        };
-        self.is_absent(member) && (has_left() || self.silence_of(member) >= self.replace_timeout)
+        let mut peer = self.find_peer(member).into_iter();
+        let was_leaving = peer.any(|peer| peer.announcement.is_leaving);
+        self.silence_of(member) >= self.replace_timeout || (was_leaving && self.is_absent(member))
     }
 
-    /// Voters other than the leader that have announced that they are leaving. The leader transfers
-    /// its leadership before it leaves.
+    fn has_absent_voter(&self) -> bool {
+        let mut voters = self.membership.voters.iter();
+        voters.any(|id| self.is_absent(*id))
+    }
+
+    /// Present voters other than the leader that have announced that they are leaving. The leader
+    /// transfers its leadership before it leaves.
     fn leaving_voters(&self) -> impl Iterator<Item = DiskId> + '_ {
-        let peers = self.peers.values().map(|peer| &peer.announcement);
-        let leaving = peers.filter(|announcement| announcement.is_leaving);
+        let present = self.peers.values().filter(|peer| peer.is_present(self.now));
+        let leaving = present.filter(|peer| peer.announcement.is_leaving);
         leaving
-            .map(|announcement| announcement.id)
+            .map(|peer| peer.announcement.id)
             .filter(|id| self.membership.voters.contains(id))
     }
 
@@ -314,13 +348,14 @@
 
     fn has_other_in_data_centre(&self, member: DiskId) -> bool {
         let data_centre = self.data_centre_of(member);
-        let mut others = self.membership.voters.iter().filter(|id| **id != member);
-        data_centre.is_some() && others.any(|id| self.data_centre_of(*id) == data_centre)
+        data_centre.is_some() && self.voters_in(data_centre) > 1
     }
 
-    fn has_voter_in(&self, data_centre: Option<&DataCentreName>) -> bool {
-        let mut voters = self.membership.voters.iter();
-        voters.any(|id| self.data_centre_of(*id) == data_centre)
+    fn voters_in(&self, data_centre: Option<&DataCentreName>) -> usize {
+        let voters = self.membership.voters.iter();
+        voters
+            .filter(|id| self.data_centre_of(**id) == data_centre)
+            .count()
     }
 
     /// Whether a learner of this data centre may take the seat of a voter without moving it to another
@@ -361,3 +396,36 @@
         )
     }
 }
+
+/// Time since which a leader has handled what other nodes send, without a gap.
+///
+/// A process that did not run, or that waited for its disk, must not take that time for silence of the
+/// others: their announcements have not been handled yet.
+#[derive(Debug, Clone, Copy)]
+pub struct ListeningTime {
+    since: ClockTime,
+    last_tick_at: ClockTime,
+}
+
+impl ListeningTime {
+    /// Starts to listen.
+    pub fn starting_at(now: ClockTime) -> Self {
+        Self {
+            since: now,
+            last_tick_at: now,
+        }
+    }
+
+    /// Records that the node runs; called at each tick.
+    pub fn tick(&mut self, now: ClockTime) {
+        if now.since(self.last_tick_at) >= MAX_TICK_GAP {
+            self.since = now;
+        }
+        self.last_tick_at = now;
+    }
+
+    /// Time from which silence counts.
+    pub fn since(&self) -> ClockTime {
+        self.since
+    }
+}
--- a/components/control/tests/replacement_histories.rs
+++ b/components/control/tests/replacement_histories.rs
@@ -2,7 +2,8 @@
 //! links and disks.
 //!
 //! One host is lost at a time, and the next one as soon as the group must bear it. The group must then
-//! accept writes again and lose none. `seats.rs` checks the same decisions without a log.
+//! accept writes again and lose none. Losses that overlap may halt the group, but not for good, as long as
+//! no more disks are lost than it bears. `seats.rs` checks the same decisions without a log.
 
 #[path = "../../raft/tests/support/mod.rs"]
 mod support;
@@ -34,6 +35,9 @@
 /// Maximum time without a leader after a loss: two elections and the time to notice the loss.
 const ELECTION_MS: u64 = 5_000;
 
+/// Time after the return of all hosts after which the group must accept writes again.
+const RECOVERY_MS: u64 = 12_000;
+
 /// Number of histories of each kind in CI.
 const SEEDS: u64 = 5;
 
@@ -407,3 +411,61 @@
         }
     }
 }
+
+/// Guards against a vote that is taken from a host that is only cut off, for a learner that is lost
+/// before it has one: a single lost disk then ends the group.
+#[rstest]
+fn group_recovers_from_a_disk_lost_beside_a_cut_voter_and_a_lost_learner(
+    #[values(0, 1_000, 1_500, 2_000, 2_500)] lost_after_ms: u64,
+    #[values(0, 1)] wiped: usize,
+) {
+    let mut group = SimulatedGroup::new(3, 1, FaultRates::default());
+    let learner = group.add_host("dc-1");
+    group.run_for(6_000);
+    group.write();
+    let names = [1, 2, 3].map(|id| NodeName::from(format!("control-{id}").as_str()));
+
+    let cut_id = group.host(&names[2]).id;
+    group.net.isolate(&[cut_id]);
+    group.run_for(lost_after_ms);
+    group.stop(&learner);
+    group.run_for(CATCH_UP_MS - lost_after_ms);
+    group.stop(&names[wiped]);
+    group.run_for(500);
+    group.replace_folder(&names[wiped]);
+    group.net.blocked_links.clear();
+    group.restart(&learner);
+    group.run_for(RECOVERY_MS);
+
+    group.write();
+}
+
+/// Guards against a group that gives up the seats of hosts that are cut off, so that what it has
+/// acknowledged is on fewer disks than may be lost.
+#[rstest]
+fn group_of_six_recovers_from_two_disks_lost_beside_two_cut_hosts(
+    #[values(5, 6)] formed: u128,
+    #[values(2_000, 4_000, 11_000)] cut_ms: u64,
+) {
+    let mut group = SimulatedGroup::new(formed, 1, FaultRates::default());
+    for number in formed..6 {
+        group.add_host(&format!("dc-{}", number + 1));
+    }
+    group.run_for(6_000);
+    group.write();
+    let names = [1, 2, 4, 5].map(|id| NodeName::from(format!("control-{id}").as_str()));
+    let cut = [2, 3].map(|index: usize| group.hosts[&names[index]].id);
+
+    group.net.isolate(&cut);
+    group.run_for(cut_ms);
+    group.write();
+    group.stop(&names[0]);
+    group.stop(&names[1]);
+    group.run_for(500);
+    group.replace_folder(&names[0]);
+    group.replace_folder(&names[1]);
+    group.net.blocked_links.clear();
+    group.run_for(RECOVERY_MS);
+
+    group.write();
+}
--- a/components/control/tests/replacements.rs
+++ b/components/control/tests/replacements.rs
@@ -16,7 +16,7 @@
 /// Time after the start of a replacement after which the group must bear another loss.
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 
-/// Time after which a second order must be accepted: an election and a few attempts of the operator.
+/// Time after the return of all hosts after which an order must be accepted.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 
 /// End of a replaced host.
@@ -94,3 +94,40 @@
     assert_eq!(first, OrderReply::Accepted(ConfigVersion(1)));
     assert_eq!(second, Ok(OrderReply::Accepted(ConfigVersion(2))));
 }
+
+/// Guards against a vote that is taken from a host that is only down, for a learner that is lost before
+/// it has one. More hosts are down than the group bears, but only one disk is lost, so that the group
+/// must recover when all are back.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn disk_lost_beside_a_stopped_voter_and_a_lost_learner_costs_no_quorum(
+    #[values(ms(1_500), ms(2_000))] lost_after: Duration,
+    #[values(true, false)] is_leader_wiped: bool,
+) {
+    let mut group = TestGroup::start_discovering().await;
+    group.wait_ready().await;
+    let operator = group.client(NodeRole::Operator, "operator-1");
+    let first = order(&operator, apply("order-1", 0, SERVICES_TEXT)).await;
+    let leader = group.leader().await;
+    let learner = group.add(DATA_CENTRES[leader]).await;
+    sleep(CATCH_UP_TIME).await;
+    let leader = group.leader().await;
+    let (stopped, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    let wiped = if is_leader_wiped { leader } else { other };
+
+    group.kill(stopped).await;
+    sleep(lost_after).await;
+    group.kill(learner).await;
+    sleep(CATCH_UP_TIME - lost_after).await;
+    group.kill(wiped).await;
+    group.restart(wiped, true).await;
+    group.restart(stopped, false).await;
+    group.restart(learner, false).await;
+    // The group may be suspended for this time after all are back.
+    sleep(RECOVERY_TIME).await;
+    let operator = group.client(NodeRole::Operator, "operator-2");
+    let second = tokio::time::timeout(RECOVERY_TIME, order(&operator, second_order())).await;
+
+    assert_eq!(first, OrderReply::Accepted(ConfigVersion(1)));
+    assert_eq!(second, Ok(OrderReply::Accepted(ConfigVersion(2))));
+}
--- a/components/raft/src/error.rs
+++ b/components/raft/src/error.rs
@@ -46,8 +46,8 @@
         /// Log index of the uncommitted change.
         index: LogIndex,
     },
-    /// No majority of the members after the change has replied recently. If it never replied, the
-    /// group could not use the seat of a removed voter that comes back.
+    /// No majority of the members after the change has replied recently. The removal could stay
+    /// uncommitted, and the removed voter would not help to form a majority when it comes back.
     #[error("Failed to change members: no majority of the remaining voters has replied recently")]
     NoMajority,
     /// The node to add is already a member.
--- a/components/raft/src/node/change.rs
+++ b/components/raft/src/node/change.rs
@@ -4,6 +4,7 @@
 
 use super::leader::{LeaderState, LeaderTransfer};
 use super::{RaftNode, RoleState};
+use crate::progress::PeerProgress;
 use crate::{
     EntryPayload, LogIndex, MAX_COMMAND_BYTES, MemberChange, ProposeError, RaftAction, RaftMessage,
 };
@@ -89,6 +90,12 @@
         }
     }
 
+    fn is_replying(&self, peer: &PeerProgress) -> bool {
+        let timeout = self.settings.min_election_timeout;
+        peer.replied_at
+            .is_some_and(|replied_at| self.now.since(replied_at) < timeout)
+    }
+
     /// Refuses a removal after which the voters that reply form no majority.
     fn check_majority_without(
         &self,
@@ -98,7 +105,7 @@
         let members = self.log.membership().with_change(change)?;
         let peers = state.peers.iter();
         let replying = peers
-            .filter(|(_, peer)| self.now.since(peer.reply_at) < self.settings.min_election_timeout)
+            .filter(|(_, peer)| self.is_replying(peer))
             .map(|(id, _)| *id);
         match members.is_majority(replying.chain([self.id])) {
             true => Ok(()),
@@ -106,13 +113,13 @@
         }
     }
 
-    /// Refuses to promote a learner that lacks committed entries: it could be needed for a majority
-    /// before it can acknowledge new entries.
+    /// Refuses to promote a learner that lacks committed entries or does not reply: it could be needed
+    /// for a majority before it can acknowledge new entries.
     fn check_promotion(&self, state: &LeaderState, id: DiskId) -> Result<(), ProposeError> {
         let Some(peer) = state.peers.get(&id) else {
             return Err(ProposeError::NotMember { id });
         };
-        if peer.match_index < self.commit_index {
+        if peer.match_index < self.commit_index || !self.is_replying(peer) {
             return Err(ProposeError::LearnerBehind {
                 id,
                 match_index: peer.match_index,
--- a/components/raft/src/progress.rs
+++ b/components/raft/src/progress.rs
@@ -31,8 +31,10 @@
     /// Next index to send.
     pub(crate) next_index: LogIndex,
     pub(crate) mode: SendMode,
-    /// Time of the last reply.
+    /// Time of the last reply, or of the start of the leadership if there is none.
     pub(crate) reply_at: ClockTime,
+    /// Time of the last reply to this leader.
+    pub(crate) replied_at: Option<ClockTime>,
     /// Time of the last reply that accepted a message.
     pub(crate) accept_at: ClockTime,
     /// Newest heartbeat round that the peer has replied to.
@@ -48,6 +50,7 @@
             next_index: LogIndex(last.0 + 1),
             mode: SendMode::Probe,
             reply_at: now,
+            replied_at: None,
             accept_at: now,
             last_round: 0,
             sent_commit_index: LogIndex(0),
@@ -61,6 +64,7 @@
 
     pub(crate) fn record_reply(&mut self, round: u64, now: ClockTime) {
         self.reply_at = now;
+        self.replied_at = Some(now);
         self.last_round = self.last_round.max(round);
     }
 
--- a/components/raft/tests/scenarios.rs
+++ b/components/raft/tests/scenarios.rs
@@ -145,6 +145,46 @@
     apply_change(&mut net, MemberChange::Promote(NEW)).expect("the learner has caught up");
 }
 
+/// Guards against a removal that cannot be committed. The removed voter would not help to form a
+/// majority when it comes back.
+#[test]
+fn voter_is_not_removed_if_the_others_are_no_majority() {
+    let mut net = net(3);
+    let leader = elect_leader_other_than_old(&mut net);
+    let other = ids(2)
+        .into_iter()
+        .find(|id| *id != leader)
+        .expect("the group has another voter");
+    net.crash_node(other);
+    net.run_for(600);
+
+    let without_majority = apply_change(&mut net, MemberChange::Remove(OLD));
+    net.start_node(other);
+    net.run_for(500);
+    let with_majority = apply_change(&mut net, MemberChange::Remove(OLD));
+
+    assert_eq!(without_majority, Err(ProposeError::NoMajority));
+    assert_eq!(with_majority, Ok(()));
+}
+
+/// Guards against the promotion of a learner that was lost after it had caught up.
+#[test]
+fn learner_that_does_not_reply_is_not_promoted() {
+    let mut net = net(3);
+    net.await_leader();
+    net.add_host(NEW, PersistedState::default());
+    apply_change(&mut net, MemberChange::AddLearner(NEW)).expect("the learner is added");
+    net.crash_node(NEW);
+    net.run_for(600);
+
+    let refused = apply_change(&mut net, MemberChange::Promote(NEW));
+
+    assert!(
+        matches!(refused, Err(ProposeError::LearnerBehind { .. })),
+        "{refused:?}"
+    );
+}
+
 /// Guards against a removed host that votes, starts elections or rejoins with its old id.
 #[test]
 fn removed_id_neither_disturbs_the_group_nor_rejoins() {
