--- a/components/store/src/folder.rs
+++ b/components/store/src/folder.rs
@@ -1,14 +1,15 @@
 //! Durable file operations in one folder: each has been synced when it returns.
 
 use std::fs::{self, File, OpenOptions, TryLockError};
-use std::io::{self, Write};
+use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::StoreError;
 use crate::record::{self, RecordRead};
+use crate::{DiskFiles, StoreError};
 
 /// File that is locked while a process has the folder open.
 pub(crate) const LOCK_FILE: &str = "lock";
@@ -20,23 +21,25 @@
 #[derive(Debug)]
 pub(crate) struct StoreFolder {
     path: PathBuf,
+    files: Arc<dyn DiskFiles>,
     /// Open lock file; closing it releases the lock.
     lock: File,
 }
 
 impl StoreFolder {
     /// Locks the folder, after creating it if it does not exist.
-    pub(crate) fn open(path: &Path) -> Result<Self, StoreError> {
+    pub(crate) fn open(files: Arc<dyn DiskFiles>, path: &Path) -> Result<Self, StoreError> {
         fs::create_dir_all(path).map_err(io_error("create", path))?;
         if let Some(parent) = path
             .parent()
             .filter(|parent| !parent.as_os_str().is_empty())
         {
-            sync_folder(parent)?;
+            sync_folder(files.as_ref(), parent)?;
         }
         let lock = lock(&path.join(LOCK_FILE))?;
         let folder = Self {
             path: path.to_path_buf(),
+            files,
             lock,
         };
         folder.remove_unfinished_replacements()?;
@@ -119,23 +122,27 @@
         let path = self.file(name);
         let new = self.file(&format!("{name}{NEW_SUFFIX}"));
         let bytes = encode(&path, value)?;
-        let mut file = File::create(&new).map_err(io_error("create", &new))?;
-        file.write_all(&bytes).map_err(io_error("write", &new))?;
-        file.sync_all().map_err(io_error("sync", &new))?;
-        fs::rename(&new, &path).map_err(io_error("rename", &new))?;
-        sync_folder(&self.path)
-    }
-
-    /// Creates an empty file for appending; it is an error if the file exists.
+        let files = self.files.as_ref();
+        let mut file = files.create(&new).map_err(io_error("create", &new))?;
+        files
+            .write(&mut file, &bytes)
+            .map_err(io_error("write", &new))?;
+        files.sync(&file).map_err(io_error("sync", &new))?;
+        files
+            .rename(&new, &path)
+            .map_err(io_error("rename", &new))?;
+        sync_folder(files, &self.path)
+    }
+
+    /// Creates an empty file for appending. Empties one that an earlier attempt has left.
     pub(crate) fn create(&self, name: &str) -> Result<File, StoreError> {
         let path = self.file(name);
-        let file = OpenOptions::new()
-            .append(true)
-            .create_new(true)
-            .open(&path)
+        let file = self
+            .files
+            .create(&path)
             .map_err(io_error("create", &path))?;
-        file.sync_all().map_err(io_error("sync", &path))?;
-        sync_folder(&self.path)?;
+        self.files.sync(&file).map_err(io_error("sync", &path))?;
+        sync_folder(self.files.as_ref(), &self.path)?;
         Ok(file)
     }
 
@@ -146,8 +153,14 @@
             .append(true)
             .open(&path)
             .map_err(io_error("open", &path))?;
-        file.set_len(length).map_err(io_error("truncate", &path))?;
-        file.sync_all().map_err(io_error("sync", &path))?;
+        let metadata = file.metadata().map_err(io_error("read", &path))?;
+        // A full disk may refuse even this, so a whole file is left as it is.
+        if metadata.len() != length {
+            self.files
+                .set_length(&file, length)
+                .map_err(io_error("truncate", &path))?;
+        }
+        self.files.sync(&file).map_err(io_error("sync", &path))?;
         Ok(file)
     }
 
@@ -159,15 +172,21 @@
         bytes: &[u8],
     ) -> Result<(), StoreError> {
         let path = self.file(name);
-        file.write_all(bytes).map_err(io_error("write", &path))?;
-        file.sync_all().map_err(io_error("sync", &path))
+        self.files
+            .write(file, bytes)
+            .map_err(io_error("write", &path))?;
+        self.files.sync(file).map_err(io_error("sync", &path))
     }
 
-    /// Deletes a file and syncs the folder.
+    /// Deletes a file, unless an earlier attempt has, and syncs the folder.
     pub(crate) fn remove(&self, name: &str) -> Result<(), StoreError> {
         let path = self.file(name);
-        fs::remove_file(&path).map_err(io_error("delete", &path))?;
-        sync_folder(&self.path)
+        match self.files.remove(&path) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+            Err(error) => return Err(io_error("delete", &path)(error)),
+        }
+        sync_folder(self.files.as_ref(), &self.path)
     }
 
     pub(crate) fn corrupt(&self, name: &str, offset: u64, reason: &'static str) -> StoreError {
@@ -201,9 +220,9 @@
     }
 }
 
-fn sync_folder(path: &Path) -> Result<(), StoreError> {
+fn sync_folder(files: &dyn DiskFiles, path: &Path) -> Result<(), StoreError> {
     let folder = File::open(path).map_err(io_error("open", path))?;
-    folder.sync_all().map_err(io_error("sync", path))
+    files.sync(&folder).map_err(io_error("sync", path))
 }
 
 fn io_error<'a>(operation: &'static str, path: &'a Path) -> impl Fn(io::Error) -> StoreError + 'a {
--- a/components/store/src/journal.rs
+++ b/components/store/src/journal.rs
@@ -2,13 +2,14 @@
 
 use std::fs::File;
 use std::path::Path;
+use std::sync::Arc;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::StoreError;
 use crate::folder::{self, StoreFolder};
 use crate::record::{self, RecordRead};
+use crate::{DiskFiles, StoreError, SystemFiles};
 
 /// Prefix of the names of the journal's files; a number follows.
 const FILE_PREFIX: &str = "journal-";
@@ -23,6 +24,8 @@
     number: u64,
     length: u64,
     max_file_bytes: u64,
+    /// Whether a failed write may have left a part of a record after `length`.
+    has_partial_record: bool,
 }
 
 impl RecordJournal {
@@ -32,7 +35,16 @@
         path: &Path,
         max_file_bytes: u64,
     ) -> Result<(Self, Vec<T>), StoreError> {
-        let folder = StoreFolder::open(path)?;
+        Self::open_on(Arc::new(SystemFiles), path, max_file_bytes)
+    }
+
+    /// Opens a folder like [`open`](Self::open), with other file operations.
+    pub fn open_on<T: DeserializeOwned>(
+        files: Arc<dyn DiskFiles>,
+        path: &Path,
+        max_file_bytes: u64,
+    ) -> Result<(Self, Vec<T>), StoreError> {
+        let folder = StoreFolder::open(files, path)?;
         let mut numbers = file_numbers(&folder)?;
         numbers.sort_unstable();
         let (mut records, mut length) = (Vec::new(), 0);
@@ -51,34 +63,40 @@
             number,
             length,
             max_file_bytes,
+            has_partial_record: false,
         };
         journal.remove_before(number.saturating_sub(1))?;
         Ok((journal, records))
     }
 
-    /// Writes and syncs a record. After an error, the records that were written before are kept.
+    /// Writes and syncs a record. After an error, the records that were written before are kept, and
+    /// later ones can be written once the disk takes them.
     pub fn append<T: Serialize>(&mut self, record: &T) -> Result<(), StoreError> {
+        // Records after a part of another one would not be read.
+        if self.has_partial_record {
+            let name = file_name(self.number);
+            self.file = self.folder.open_truncated(&name, self.length)?;
+            self.has_partial_record = false;
+        }
         if self.length >= self.max_file_bytes {
             self.start_file()?;
         }
         let name = file_name(self.number);
         let bytes = folder::encode(&self.folder.file(&name), record)?;
-        let result = self.folder.append(&mut self.file, &name, &bytes);
-        match result {
-            Ok(()) => self.length += bytes.len() as u64,
-            // A part of the record may have been written. Records after it would not be read.
-            Err(_) => self.file = self.folder.open_truncated(&name, self.length)?,
-        }
-        result
+        self.has_partial_record = true;
+        self.folder.append(&mut self.file, &name, &bytes)?;
+        self.has_partial_record = false;
+        self.length += bytes.len() as u64;
+        Ok(())
     }
 
     fn start_file(&mut self) -> Result<(), StoreError> {
         let number = self.number + 1;
         self.file = self.folder.create(&file_name(number))?;
-        self.remove_before(self.number)?;
+        let previous = self.number;
         self.number = number;
         self.length = 0;
-        Ok(())
+        self.remove_before(previous)
     }
 
     fn remove_before(&self, first: u64) -> Result<(), StoreError> {
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -15,6 +15,7 @@
 //! A [`RecordJournal`] owns a folder of its own for records that expire.
 
 mod error;
+mod files;
 mod folder;
 mod journal;
 mod log_store;
@@ -22,5 +23,6 @@
 mod segments;
 
 pub use error::StoreError;
+pub use files::{DiskFiles, SystemFiles};
 pub use journal::RecordJournal;
 pub use log_store::{LogStore, SEGMENT_BYTES};
--- a/components/store/src/log_store.rs
+++ b/components/store/src/log_store.rs
@@ -1,14 +1,15 @@
 //! Durable state of one node: its id, term, vote, snapshot and log.
 
 use std::path::Path;
+use std::sync::Arc;
 
 use raft::{EntryId, HardState, LogEntry, PersistBatch, PersistedState, Snapshot};
 use serde::{Deserialize, Serialize};
 use units::DiskId;
 
-use crate::StoreError;
 use crate::folder::{LOCK_FILE, StoreFolder};
 use crate::segments::{self, SegmentedLog};
+use crate::{DiskFiles, StoreError, SystemFiles};
 
 /// Size of a log segment, in bytes, at which the next batch starts a new segment.
 pub const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
@@ -39,12 +40,30 @@
         Self::open_with_segment_size(folder, SEGMENT_BYTES)
     }
 
+    /// Opens a folder like [`open`](Self::open), with other file operations.
+    pub fn open_on(
+        files: Arc<dyn DiskFiles>,
+        folder: &Path,
+    ) -> Result<(Self, PersistedState), StoreError> {
+        Self::open_with(files, folder, SEGMENT_BYTES)
+    }
+
     /// Opens a folder like [`open`](Self::open), with another segment size than [`SEGMENT_BYTES`].
     pub fn open_with_segment_size(
         folder: &Path,
         segment_bytes: u64,
     ) -> Result<(Self, PersistedState), StoreError> {
-        let folder = StoreFolder::open(folder)?;
+        Self::open_with(Arc::new(SystemFiles), folder, segment_bytes)
+    }
+
+    /// Opens a folder like [`open`](Self::open), with other file operations and another segment size
+    /// than [`SEGMENT_BYTES`].
+    pub fn open_with(
+        files: Arc<dyn DiskFiles>,
+        folder: &Path,
+        segment_bytes: u64,
+    ) -> Result<(Self, PersistedState), StoreError> {
+        let folder = StoreFolder::open(files, folder)?;
         let state = read_state(&folder)?;
         let snapshot: Option<Snapshot> = folder.read_value(SNAPSHOT_FILE)?;
         let (log, entries) = SegmentedLog::open(&folder, segment_bytes)?;
--- a/components/store/tests/journal.rs
+++ b/components/store/tests/journal.rs
@@ -1,12 +1,22 @@
 //! Journal of records that expire.
 
+mod support;
+
 use std::fs;
 
+use rstest::rstest;
 use store::RecordJournal;
+use support::faults::FaultyFiles;
 use tempfile::TempDir;
 
 const MAX_FILE_BYTES: u64 = 1_000;
 
+/// Size at which a file holds only a few records.
+const SMALL_FILE_BYTES: u64 = 60;
+
+/// Number of attempts after which room must be back.
+const MAX_ATTEMPTS: usize = 20;
+
 fn open(folder: &TempDir) -> (RecordJournal, Vec<u32>) {
     RecordJournal::open(&folder.path().join("records"), MAX_FILE_BYTES).unwrap()
 }
@@ -99,3 +109,35 @@
 
     assert_eq!(records, [1]);
 }
+
+fn append_until_written(journal: &mut RecordJournal, record: u32) -> bool {
+    (0..MAX_ATTEMPTS).any(|_| journal.append(&record).is_ok())
+}
+
+/// Guards against a journal that is not written any more, or whose later records are not read, after
+/// its disk was full for a moment.
+#[rstest]
+fn journal_is_written_again_once_the_disk_has_room(#[values(1, 2, 3, 7)] failures: usize) {
+    let path = |folder: &TempDir| folder.path().join("records");
+    for first in 8..80 {
+        let (files, folder) = (
+            FaultyFiles::new(first..first + failures),
+            tempfile::tempdir().unwrap(),
+        );
+        let (mut journal, _) =
+            RecordJournal::open_on::<u32>(files, &path(&folder), SMALL_FILE_BYTES).unwrap();
+
+        for record in 0..20 {
+            let is_written = append_until_written(&mut journal, record);
+            assert!(is_written, "record {record}, failures from {first} on");
+        }
+        drop(journal);
+
+        let (_, mut records) =
+            RecordJournal::open::<u32>(&path(&folder), SMALL_FILE_BYTES).unwrap();
+        records.dedup();
+        let kept: Vec<u32> = (20 - records.len() as u32..20).collect();
+        assert_eq!(records, kept, "failures from {first} on");
+        assert!(records.len() >= 4, "failures from {first} on: {records:?}");
+    }
+}
--- a/components/store/tests/support/mod.rs
+++ b/components/store/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers for folders, batches and generated writes.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub(crate) mod faults;
+
 use std::fs;
 use std::path::{Path, PathBuf};
 
