Let a batch be written again after a failed file operation

A control node had to end and open its folder again after each write that failed, for example with a full disk, since a part of the batch may be in its files. A node that nothing starts again was lost for good.

Other errors still require that the folder is opened again.

--- a/components/store/src/error.rs
+++ b/components/store/src/error.rs
@@ -1,11 +1,14 @@
 //! Errors of the store.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::path::PathBuf;
 
 use thiserror::Error;
 
-/// Error of the store. After an error of `persist`, the store must be opened again.
+/// Input or output error of the device, which has no [`ErrorKind`].
+const EIO: i32 = 5;
+
+/// Error of the store.
 #[derive(Debug, Error)]
 pub enum StoreError {
     /// A file operation failed.
@@ -42,7 +45,30 @@
         /// Last index of the log.
         last: u64,
     },
-    /// An earlier write failed and may have left any part of its data in the files.
-    #[error("Failed to persist: an earlier write failed, so the folder must be opened again")]
+    /// The store was cleared, or an earlier batch did not fit to the log.
+    #[error("Failed to persist: an earlier error requires that the folder is opened again")]
     EarlierWriteFailed,
 }
+
+impl StoreError {
+    /// Whether a file operation failed.
+    pub fn is_io(&self) -> bool {
+        matches!(self, Self::Io { .. })
+    }
+
+    /// Whether the disk refused a write, and may take it later: it is full, over a quota, read-only or
+    /// reports an input or output error.
+    pub fn is_refused_write(&self) -> bool {
+        let Self::Io { source, .. } = self else {
+            return false;
+        };
+        let is_passing_kind = matches!(
+            source.kind(),
+            ErrorKind::StorageFull
+                | ErrorKind::QuotaExceeded
+                | ErrorKind::FileTooLarge
+                | ErrorKind::ReadOnlyFilesystem
+        );
+        is_passing_kind || source.raw_os_error() == Some(EIO)
+    }
+}
--- a/components/store/src/log_store.rs
+++ b/components/store/src/log_store.rs
@@ -139,14 +139,15 @@
         self.folder.path()
     }
 
-    /// Writes a batch durably. After an error, all further writes fail until the folder is opened
-    /// again.
+    /// Writes a batch durably. After a failed file operation, any part of the batch may be in the
+    /// files, and the batch must be written again before any other. After another error, all further
+    /// writes fail until the folder is opened again.
     pub fn persist(&mut self, batch: &PersistBatch) -> Result<(), StoreError> {
         if self.has_failed {
             return Err(StoreError::EarlierWriteFailed);
         }
         let result = self.write(batch);
-        self.has_failed = result.is_err();
+        self.has_failed = matches!(&result, Err(error) if !error.is_io());
         result
     }
 
@@ -163,8 +164,13 @@
 
     fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
         self.folder.replace(SNAPSHOT_FILE, snapshot)?;
+        // An earlier attempt may have replaced the snapshot and removed the entries that it contains.
+        let continues = match self.snapshot == snapshot.last {
+            true => self.continues(snapshot.last),
+            false => self.log.contains(snapshot.last),
+        };
         self.snapshot = snapshot.last;
-        if self.log.contains(snapshot.last) {
+        if continues {
             self.log.remove_through(&self.folder, snapshot.last)
         } else {
             self.log.clear(&self.folder)
--- a/components/store/src/segments.rs
+++ b/components/store/src/segments.rs
@@ -49,6 +49,8 @@
     max_segment_bytes: u64,
     /// Ids of the log's entries.
     ids: VecDeque<EntryId>,
+    /// Whether a failed write may have left a part of a record at the end of the newest segment.
+    has_partial_record: bool,
 }
 
 impl SegmentedLog {
@@ -142,7 +144,8 @@
         self.ids.back().map(|id| id.index.0)
     }
 
-    /// Appends a batch, whose entries continue the log or replace its tail.
+    /// Appends a batch, whose entries continue the log or replace its tail. After an error, the log is
+    /// as before, and the same batch can be appended again.
     pub(crate) fn append(
         &mut self,
         folder: &StoreFolder,
@@ -151,6 +154,7 @@
         let (Some(first), Some(last)) = (entries.first(), entries.last()) else {
             return Ok(());
         };
+        self.cut_partial_record(folder)?;
         if self.is_full() {
             self.start_segment(folder)?;
         }
@@ -159,7 +163,9 @@
         };
         let name = segment.name();
         let record = folder::encode(&folder.file(&name), &entries)?;
+        self.has_partial_record = true;
         folder.append(file, &name, &record)?;
+        self.has_partial_record = false;
         segment.bytes += record.len() as u64;
         segment.max_index = segment.max_index.max(last.id.index.0);
         while self.ids.back().is_some_and(|id| id.index >= first.id.index) {
@@ -169,6 +175,16 @@
         Ok(())
     }
 
+    /// Removes what a failed write has left, which may be a whole record. It was not synced, so
+    /// records after it could be durable without it.
+    fn cut_partial_record(&mut self, folder: &StoreFolder) -> Result<(), StoreError> {
+        if let Some(newest) = self.segments.back().filter(|_| self.has_partial_record) {
+            self.file = Some(folder.open_truncated(&newest.name(), newest.bytes)?);
+        }
+        self.has_partial_record = false;
+        Ok(())
+    }
+
     fn is_full(&self) -> bool {
         self.segments
             .back()
