Answer no conflict before a new leader has applied the expected version

What callers saw: a change that expects the version that is in force was answered as a conflict with that very version, shortly after a change of leaders. bilberryctl then ends with exit code 3, and the change is lost.

Cause: the leader computes the changes from the version that it has applied. A new leader may not have applied the newest one yet, and the registry refuses changes that were computed from an older version than the expected one.

The leader now waits for a read barrier if it has not applied the version that a services text expects.

--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -10,8 +10,8 @@
 use units::{ConfigVersion, NodeName};
 use wire::{
     ControlReply, ControlRequest, CrashReport, DemandReport, EntryReply, EntryReport, Hello,
-    NodeKind, NodeRole, OrderReply, QuarantineReply, RenewReply, RenewRequest, ShareReply,
-    UsageReport,
+    NodeKind, NodeRole, OperatorOrder, OrderReply, QuarantineReply, RenewReply, RenewRequest,
+    ShareReply, UsageReport,
 };
 
 use crate::driver_event::{DriverEvent, ProposeFailure};
@@ -267,10 +267,15 @@
         ControlRequest::Depart { name, incarnation } => {
             vec![RegistryAction::Depart { name, incarnation }]
         }
-        ControlRequest::Order(order) => match order_actions(context, order).await {
-            Ok(actions) => actions,
-            Err(reason) => return ControlReply::Order(OrderReply::Invalid(reason)),
-        },
+        ControlRequest::Order(order) => {
+            if !has_applied_expected(context, &order).await {
+                return no_quorum_reply(context);
+            }
+            match order_actions(context, order).await {
+                Ok(actions) => actions,
+                Err(reason) => return ControlReply::Order(OrderReply::Invalid(reason)),
+            }
+        }
         _ => {
             return ControlReply::BadRequest(
                 "only calls, orders, versions and departures are committed".into(),
@@ -293,6 +298,16 @@
     }
 }
 
+/// Whether this node has applied the version that a services text expects, from which the changes are
+/// computed. A new leader may not have, until it has committed an entry of its own.
+async fn has_applied_expected(context: &ControlContext, order: &OperatorOrder) -> bool {
+    let OperatorOrder::Apply { expected, .. } = order else {
+        return true;
+    };
+    let applied = context.view.read(|view| view.registry.config().version);
+    applied >= *expected || confirm_newest(context).await
+}
+
 /// Waits for a read barrier and returns whether it succeeded. The state read afterwards includes
 /// every order that was acknowledged before the call.
 ///
