Answer a change as unavailable while the leadership is transferred

What callers saw: at a planned stop of the leader, valid changes, calls and departures were answered as bad requests, which a caller does not repeat.

Cause: each refusal of the Raft node but "not the leader" counted as a refusal for good, also that during a transfer, which ends within a second, and that of a leader with too many uncommitted entries.

Only a command that is too large is refused for good now.

--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -274,8 +274,10 @@
             }
             Err(error) => {
                 let failure = match error {
-                    ProposeError::NotLeader { .. } => ProposeFailure::NotLeader,
-                    error => ProposeFailure::Refused(error.to_string()),
+                    ProposeError::TooLarge { .. } => ProposeFailure::Refused(error.to_string()),
+                    // The command is valid, and can be proposed again after a transfer or to another
+                    // node.
+                    _ => ProposeFailure::NotLeader,
                 };
                 if let Some(reply) = reply {
                     let _ = reply.send(Err(failure));
--- a/components/control/src/driver_event.rs
+++ b/components/control/src/driver_event.rs
@@ -43,9 +43,9 @@
 /// Reason why a proposal has no outcome.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum ProposeFailure {
-    /// This node is not the leader, or an entry of another leader replaced the proposal.
+    /// This node does not accept proposals now, or an entry of another leader replaced the proposal.
     NotLeader,
-    /// The Raft node refused the command; nothing was proposed.
+    /// The command can never be proposed.
     Refused(String),
     /// The proposal may or may not have been committed.
     Unknown,
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod changes;
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
