Keep a control node running while its disk refuses writes

What operators saw: the disks of the control hosts were full for a few seconds each, one after another. Each process ended at the first write that failed, or at its start.

Cause: the thread that owns the log ended with each failed write, and the start failed if the data folder could not be written.

A full disk has lost nothing, so the node now writes the same batch again every 100 ms until the disk takes it. Nothing that depends on the batch is sent before. A leader hands over at once, and can still commit what the others have written. Any other node takes no part in the group meanwhile, as if it was cut off, so that no messages pile up. The start waits for room, and so do the forming of a group and a replaced data folder. Errors that are no refused write still end the process.

Events 3018 and 3019 tell that the disk refuses writes, why, for how long, and that it takes them again.

--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -3,6 +3,7 @@
 //! The driver handles all queued events and runs the resulting Raft actions. It then writes
 //! everything that must be durable with one sync, so concurrent proposals share the cost of a sync.
 
+mod disk;
 mod group;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -17,11 +18,13 @@
     RaftMessage, RaftNode, Snapshot, Term,
 };
 use registry::{RegistryAction, RegistryCommand, RegistryOutcome, RegistryState, WallTime};
-use store::LogStore;
+use store::{DiskFiles, LogStore};
 use telemetry::{event, events};
 use tokio::sync::{mpsc, oneshot};
 use units::{ClockSource, ClockTime, DiskId, NodeName};
 
+use self::disk::WriteFault;
+pub(crate) use self::disk::{WRITE_RETRY_DELAY, is_refused_write};
 use crate::driver_event::{DriverEvent, ProposeFailure};
 use crate::formation::{PeerAnnouncement, SeenPeer};
 use crate::members::{ListeningTime, PromotionThresholds};
@@ -49,6 +52,7 @@
 /// The Raft node, its files, and the state machine that applies its entries.
 pub(crate) struct RaftDriver {
     settings: Arc<ControlSettings>,
+    files: Arc<dyn DiskFiles>,
     clock: Arc<dyn ClockSource>,
     wall_time_origin: WallTime,
     view: StateBoard<DriverView>,
@@ -56,6 +60,10 @@
     node: RaftNode,
     store: LogStore,
     pending_batches: VecDeque<(u64, PersistBatch)>,
+    /// Set while the disk refuses writes.
+    write_fault: Option<WriteFault>,
+    /// Whether the data folder is being replaced by an empty one.
+    is_rejoining: bool,
     waiting_proposals: BTreeMap<LogIndex, WaitingProposal>,
     waiting_barriers: BTreeMap<u64, oneshot::Sender<bool>>,
     promotion_thresholds: PromotionThresholds,
@@ -84,11 +92,12 @@
     /// Opens the data folder.
     pub(crate) fn open(
         settings: Arc<ControlSettings>,
+        files: Arc<dyn DiskFiles>,
         clock: Arc<dyn ClockSource>,
         peers: PeerTable,
         address: Option<SocketAddr>,
     ) -> Result<Self> {
-        let (store, state) = LogStore::open(&settings.data)
+        let (store, state) = LogStore::open_on(files.clone(), &settings.data)
             .wrap_err_with(|| format!("Failed to open data folder {}", settings.data.display()))?;
         let now = clock.now();
         let announcement = PeerAnnouncement {
@@ -112,6 +121,7 @@
         let view = StateBoard::new(DriverView::empty(announcement, node.status()));
         Ok(Self {
             settings,
+            files,
             clock,
             wall_time_origin: wall_time_origin(now),
             view,
@@ -119,6 +129,8 @@
             node,
             store,
             pending_batches: VecDeque::new(),
+            write_fault: None,
+            is_rejoining: false,
             waiting_proposals: BTreeMap::new(),
             waiting_barriers: BTreeMap::new(),
             promotion_thresholds: PromotionThresholds::default(),
@@ -162,6 +174,9 @@
 
     fn handle_event(&mut self, event: DriverEvent) -> Result<()> {
         let now = self.clock.now();
+        if self.is_paused() {
+            return self.handle_paused(event, now);
+        }
         match event {
             DriverEvent::Tick => self.handle_tick(now),
             DriverEvent::Message { from, to, message } => {
@@ -176,7 +191,7 @@
             DriverEvent::FolderRemoved(id) if id != self.store.id() => Ok(()),
             DriverEvent::FolderRemoved(_) => self.handle_removed_folder(),
             DriverEvent::Leave => {
-                self.view.write(|view| view.announcement.is_leaving = true);
+                self.announce_leaving();
                 Ok(())
             }
             DriverEvent::TransferLeadership => self.transfer_leadership(now),
@@ -250,6 +265,10 @@
         Ok(())
     }
 
+    fn announce_leaving(&self) {
+        self.view.write(|view| view.announcement.is_leaving = true);
+    }
+
     /// Proposes a command. The outcome is dropped if `reply` is `None`.
     fn propose(
         &mut self,
@@ -364,19 +383,6 @@
         }
     }
 
-    /// Writes the pending batches and runs the actions that depend on them.
-    fn flush(&mut self) -> Result<()> {
-        while let Some((id, batch)) = self.pending_batches.pop_front() {
-            self.store
-                .persist(&batch)
-                .wrap_err("Failed to write a batch to the log")?;
-            let now = self.clock.now();
-            let actions = self.node.handle_persisted(id, now);
-            self.run_actions(actions)?;
-        }
-        Ok(())
-    }
-
     fn apply_entry(&mut self, entry: LogEntry) -> Result<()> {
         let index = entry.id.index;
         let waiting = self.waiting_proposals.remove(&index);
--- a/components/control/src/driver/group.rs
+++ b/components/control/src/driver/group.rs
@@ -2,13 +2,15 @@
 
 use std::collections::BTreeSet;
 
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use raft::{LogIndex, Membership, NodeRole, PersistedState, ProposeError, RaftNode, Term};
 use registry::RegistryAction;
+use store::StoreError;
 use telemetry::{event, events};
 use units::{ClockTime, DiskId};
 
 use super::RaftDriver;
+use super::disk::is_refused_write;
 use crate::formation::bootstrap_members;
 use crate::members::{MemberStep, MemberView, next_step, replace_timeout};
 use crate::quorum::QuorumReport;
@@ -27,6 +29,9 @@
                 .write_quietly(|view| view.announcement.is_empty = false);
             return Ok(());
         }
+        if !self.is_write_due(now) {
+            return Ok(());
+        }
         let members = self
             .view
             .read(|view| bootstrap_members(&view.announcement, &view.peers, now));
@@ -34,9 +39,10 @@
             return Ok(());
         };
         let state = PersistedState::bootstrap(members.clone());
-        self.store
-            .persist(&state.to_batch())
-            .wrap_err("Failed to write the first log entry of the group")?;
+        let written = self.store.persist(&state.to_batch());
+        if !self.check_written(written, "Failed to write the first log entry of the group")? {
+            return Ok(());
+        }
         let id = self.store.id();
         self.node = RaftNode::new(id, state, self.settings.raft.clone(), rand::random(), now);
         event!(events::GROUP_FORMED, members = members.len());
@@ -58,18 +64,32 @@
     }
 
     /// Clears the data folder and rejoins the group under a new id, after the old id was removed.
-    fn rejoin_with_empty_folder(&mut self) -> Result<()> {
-        event!(events::FOLDER_REPLACED, id = self.store.id());
-        let folder = self.settings.data.clone();
-        self.store
-            .clear()
-            .wrap_err_with(|| format!("Failed to clear data folder {}", folder.display()))?;
+    pub(super) fn rejoin_with_empty_folder(&mut self) -> Result<()> {
+        if !std::mem::replace(&mut self.is_rejoining, true) {
+            event!(events::FOLDER_REPLACED, id = self.store.id());
+            // They belong to the old folder.
+            self.pending_batches.clear();
+        }
+        if let Err(error) = self.store.clear() {
+            self.check_written(Err(error), "Failed to clear the data folder")?;
+            return Ok(());
+        }
         let address = self.view.read(|view| view.announcement.address);
-        let (settings, clock) = (self.settings.clone(), self.clock.clone());
-        let mut fresh = Self::open(settings, clock, self.peers.clone(), address)?;
+        let (settings, files) = (self.settings.clone(), self.files.clone());
+        let (clock, peers) = (self.clock.clone(), self.peers.clone());
+        let mut fresh = match Self::open(settings, files, clock, peers, address) {
+            Ok(fresh) => fresh,
+            Err(error) if is_refused_write(&error) => {
+                let refused = error.downcast::<StoreError>()?;
+                self.check_written(Err(refused), "Failed to create the data folder")?;
+                return Ok(());
+            }
+            Err(error) => return Err(error),
+        };
         let (announcement, status) = fresh
             .view
             .read(|view| (view.announcement.clone(), view.status.clone()));
+        self.check_written(Ok(()), "Failed to create the data folder")?;
         // Keep the existing board, so that its holders see the state of the new folder.
         self.view.write(|view| {
             let peers = std::mem::take(&mut view.peers);
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -14,6 +14,7 @@
 use link::{KeyFiles, LinkEndpoint, LinkError, LinkIdentity};
 use quarantine::QuarantineHome;
 use raft::NodeRole as RaftRole;
+use store::{DiskFiles, SystemFiles};
 use telemetry::{event, events};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -21,7 +22,7 @@
 use wire::{HomeId, NodeRole, stable_hash};
 
 use crate::api::ControlApi;
-use crate::driver::RaftDriver;
+use crate::driver::{RaftDriver, WRITE_RETRY_DELAY, is_refused_write};
 use crate::driver_event::DriverEvent;
 use crate::health::{bind_health, serve_health};
 use crate::origins::{JournalThread, OriginStore};
@@ -69,11 +70,19 @@
 /// Starts a control node with the keys and the address in its settings. It runs until the handle is
 /// stopped or dropped.
 pub async fn start(settings: ControlSettings) -> Result<ControlHandle> {
+    start_with_files(settings, Arc::new(SystemFiles)).await
+}
+
+/// Starts a control node like [`start`], with other operations on the files of its data folder.
+pub async fn start_with_files(
+    settings: ControlSettings,
+    disk_files: Arc<dyn DiskFiles>,
+) -> Result<ControlHandle> {
     let files = KeyFiles::find(&settings.keys, NodeRole::Control, &settings.name);
     let identity = LinkIdentity::load(NodeRole::Control, &settings.name, &files)
         .wrap_err_with(|| format!("Failed to load the keys of {}", settings.name))?;
     let endpoint = bind(settings.listen, &identity).await?;
-    start_on(settings, endpoint).await
+    start_on_files(settings, endpoint, disk_files).await
 }
 
 /// Binds the address. Retries while it is in use, because a process or node that has just stopped
@@ -96,13 +105,26 @@
 
 /// Starts a control node on an endpoint that is already bound.
 pub async fn start_on(settings: ControlSettings, endpoint: LinkEndpoint) -> Result<ControlHandle> {
+    start_on_files(settings, endpoint, Arc::new(SystemFiles)).await
+}
+
+/// Starts a control node like [`start_on`], with other operations on the files of its data folder.
+pub async fn start_on_files(
+    settings: ControlSettings,
+    endpoint: LinkEndpoint,
+    files: Arc<dyn DiskFiles>,
+) -> Result<ControlHandle> {
     let settings = Arc::new(settings);
     let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::start());
     let peers = PeerTable::default();
     let (driver, events) = mpsc::channel(MAX_QUEUED_EVENTS);
     let address = Some(endpoint.address()).filter(|address| !address.ip().is_unspecified());
-    let raft = RaftDriver::open(settings.clone(), clock.clone(), peers.clone(), address)?;
-    let (origins, journal_thread) = OriginStore::open(&settings.data, clock.as_ref());
+    let open = || {
+        let (settings, files) = (settings.clone(), files.clone());
+        RaftDriver::open(settings, files, clock.clone(), peers.clone(), address)
+    };
+    let raft = open_with_room(open, clock.as_ref()).await?;
+    let (origins, journal_thread) = OriginStore::open(files, &settings.data, clock.clone());
     let context = ControlContext {
         view: raft.view(),
         nodes: StateBoard::new(
@@ -158,6 +180,32 @@
     })
 }
 
+/// Opens the data folder. Waits while its disk refuses writes: nobody may start the process again.
+async fn open_with_room(
+    open: impl Fn() -> Result<RaftDriver>,
+    clock: &dyn ClockSource,
+) -> Result<RaftDriver> {
+    let started_at = clock.now();
+    let mut is_refused = false;
+    loop {
+        let refused_ms = clock.now().since(started_at).as_millis();
+        match open() {
+            Err(error) if is_refused_write(&error) => {
+                if !std::mem::replace(&mut is_refused, true) {
+                    event!(events::DISK_REFUSED, error = ?error, refused_ms = refused_ms);
+                }
+                tokio::time::sleep(WRITE_RETRY_DELAY).await;
+            }
+            opened => {
+                if is_refused && opened.is_ok() {
+                    event!(events::DISK_WRITABLE, refused_ms = refused_ms);
+                }
+                return opened;
+            }
+        }
+    }
+}
+
 /// Id that differs between control nodes that start in the same millisecond.
 fn home_id(name: &NodeName) -> HomeId {
     let started_at = Incarnation::starting_now().0.to_le_bytes();
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -26,7 +26,7 @@
 mod versions;
 
 pub use api::{ApiError, ControlApi, PublishedText};
-pub use handle::{ControlHandle, start, start_on};
+pub use handle::{ControlHandle, start, start_on, start_on_files, start_with_files};
 pub use settings::{ControlArguments, ControlSettings, DEFAULT_CATCH_UP_TIME};
 pub use status::{
     ControlStatus, DataCentreReport, FleetStatus, NodeReport, QuarantineStatus, ServiceReport,
--- a/components/control/src/origins.rs
+++ b/components/control/src/origins.rs
@@ -5,6 +5,7 @@
 //! at once. It is written in groups by a thread of its own, so a slow disk delays nobody.
 
 use std::path::Path;
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -12,7 +13,7 @@
 use board::StateBoard;
 use origins::OriginTable;
 use registry::WallTime;
-use store::{RecordJournal, StoreError};
+use store::{DiskFiles, RecordJournal, StoreError};
 use telemetry::{event, events};
 use units::{ClockSource, ClockTime};
 use wire::{OriginAnswer, OriginBatch, StreamId};
@@ -67,13 +68,17 @@
 
 impl OriginStore {
     /// Opens the journal in a data folder. Without a usable journal, origins are kept in memory only.
-    pub(crate) fn open(data: &Path, clock: &dyn ClockSource) -> (Self, Option<JournalThread>) {
+    pub(crate) fn open(
+        files: Arc<dyn DiskFiles>,
+        data: &Path,
+        clock: Arc<dyn ClockSource>,
+    ) -> (Self, Option<JournalThread>) {
         let (sender, receiver) = sync_channel(MAX_QUEUED_REPORTS);
         let store = Self {
             table: StateBoard::new(OriginTable::default()),
             journal: sender,
         };
-        let thread = match open_journal(data, &store.table, clock.now()) {
+        let thread = match open_journal(files, data, &store.table, clock.now()) {
             Ok(journal) => Some(JournalThread {
                 journal: store.journal.clone(),
                 thread: std::thread::spawn(move || write_journal(journal, &receiver)),
@@ -116,12 +121,14 @@
 
 /// Opens the journal and records its origins in the table.
 fn open_journal(
+    files: Arc<dyn DiskFiles>,
     data: &Path,
     table: &StateBoard<OriginTable>,
     now: ClockTime,
 ) -> Result<RecordJournal, StoreError> {
     let folder = data.join(JOURNAL_FOLDER);
-    let (journal, records) = RecordJournal::open::<JournalRecord>(&folder, MAX_FILE_BYTES)?;
+    let (journal, records) =
+        RecordJournal::open_on::<JournalRecord>(files, &folder, MAX_FILE_BYTES)?;
     let wall_now = wall_time();
     table.write_quietly(|table| {
         for (written_at, report) in records {
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -5,15 +5,19 @@
 pub(crate) mod changes;
 
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, Write};
 use std::net::{IpAddr, SocketAddr};
-use std::path::PathBuf;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::time::Duration;
 
 use client::ControlClient;
-use control::{ControlHandle, ControlSettings, FleetStatus, start, start_on};
+use control::{ControlHandle, ControlSettings, FleetStatus, start_on_files, start_with_files};
 use link::{KeyAuthority, KeyFiles, LinkEndpoint, LinkIdentity};
 use raft::RaftSettings;
+use store::{DiskFiles, SystemFiles};
 use tempfile::TempDir;
 use units::{
     ConfigVersion, DataCentreName, Incarnation, NodeName, OrderId, ServiceName, SlotCount,
@@ -43,9 +47,55 @@
 kind = "model"
 "#;
 
+/// Disk of a node, which refuses every write while it is full. A refused write has written half of
+/// its bytes.
+#[derive(Debug, Default)]
+pub(crate) struct TestDisk {
+    is_full: AtomicBool,
+}
+
+impl TestDisk {
+    pub(crate) fn set_full(&self, is_full: bool) {
+        self.is_full.store(is_full, Ordering::SeqCst);
+    }
+
+    fn check(&self) -> io::Result<()> {
+        match self.is_full.load(Ordering::SeqCst) {
+            true => Err(io::ErrorKind::StorageFull.into()),
+            false => Ok(()),
+        }
+    }
+}
+
+impl DiskFiles for TestDisk {
+    fn create(&self, path: &Path) -> io::Result<File> {
+        self.check()?;
+        SystemFiles.create(path)
+    }
+
+    fn write(&self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        if let Err(error) = self.check() {
+            file.write_all(&bytes[..bytes.len() / 2])?;
+            return Err(error);
+        }
+        file.write_all(bytes)
+    }
+
+    fn set_length(&self, file: &File, length: u64) -> io::Result<()> {
+        self.check()?;
+        SystemFiles.set_length(file, length)
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        self.check()?;
+        SystemFiles.rename(from, to)
+    }
+}
+
 pub(crate) struct TestGroup {
     folder: TempDir,
     settings: Vec<ControlSettings>,
+    pub(crate) disks: Vec<Arc<TestDisk>>,
     pub(crate) nodes: Vec<Option<ControlHandle>>,
 }
 
@@ -103,6 +153,7 @@
             .collect();
         let mut group = Self {
             settings: Vec::new(),
+            disks: Vec::new(),
             nodes: Vec::new(),
             folder,
         };
@@ -125,8 +176,12 @@
                 is_join_only: false,
                 has_peer_discovery: data_centre.is_some(),
             };
-            let handle = start_on(settings.clone(), endpoint).await.unwrap();
+            let disk = Arc::new(TestDisk::default());
+            let handle = start_on_files(settings.clone(), endpoint, disk.clone())
+                .await
+                .unwrap();
             group.settings.push(settings);
+            group.disks.push(disk);
             group.nodes.push(Some(handle));
         }
         group
@@ -150,8 +205,12 @@
             is_join_only: true,
             ..first.clone()
         };
-        let handle = start_on(settings.clone(), endpoint).await.unwrap();
+        let disk = Arc::new(TestDisk::default());
+        let handle = start_on_files(settings.clone(), endpoint, disk.clone())
+            .await
+            .unwrap();
         self.settings.push(settings);
+        self.disks.push(disk);
         self.nodes.push(Some(handle));
         index
     }
@@ -172,7 +231,8 @@
             let name = format!("{}-{}", self.settings[index].name, "replaced");
             self.settings[index].data = PathBuf::from(self.folder.path()).join(name);
         }
-        let handle = start(self.settings[index].clone()).await.unwrap();
+        let (settings, disk) = (self.settings[index].clone(), self.disks[index].clone());
+        let handle = start_with_files(settings, disk).await.unwrap();
         self.nodes[index] = Some(handle);
     }
 
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -12,6 +12,10 @@
 //! full length with a wrong checksum, is [`StoreError::Corrupt`]: the host must then rejoin with an
 //! empty folder, which gives it a new id.
 //!
+//! After a write that failed because of a full disk, the same batch can be written again: the store cuts
+//! off what the attempt has left. [`DiskFiles`] holds the operations that change files, so that tests can
+//! refuse them.
+//!
 //! A [`RecordJournal`] owns a folder of its own for records that expire.
 
 mod error;
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -26,6 +26,12 @@
         "A quorum has confirmed the state of this node again, after age_ms.";
     MEMBERS_APPLIED = 3017, Info, "members-applied",
         "A change of the group's members is committed, as far as this node knows.";
+    DISK_REFUSED = 3018, Warn, "disk-refused",
+        "The disk refuses to write the data folder, for refused_ms so far; error names the file and \
+         the reason. The node goes on trying, and takes no part in the group until then; a leader \
+         hands over. Logged again every 10 s. Make room on the disk; nothing needs to be restarted.";
+    DISK_WRITABLE = 3019, Info, "disk-writable",
+        "The disk takes writes of the data folder again, after refused_ms.";
     PEER_REFUSED = 3020, Warn, "peer-refused",
         "A connection or stream was rejected. Check the keys, role and protocol version of the \
          peer.";
