--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -176,7 +176,7 @@
         tasks,
         driver_thread: Some(driver_thread),
         driver_result: Some(driver_result),
-        journal_thread,
+        journal_thread: Some(journal_thread),
     })
 }
 
--- a/components/control/src/origins.rs
+++ b/components/control/src/origins.rs
@@ -4,7 +4,7 @@
 //! the origins need no quorum. The journal brings them back after all control nodes have lost power
 //! at once. It is written in groups by a thread of its own, so a slow disk delays nobody.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread::JoinHandle;
@@ -67,26 +67,30 @@
 }
 
 impl OriginStore {
-    /// Opens the journal in a data folder. Without a usable journal, origins are kept in memory only.
+    /// Opens the journal in a data folder. Until it can be opened, origins are kept in memory only.
     pub(crate) fn open(
         files: Arc<dyn DiskFiles>,
         data: &Path,
         clock: Arc<dyn ClockSource>,
-    ) -> (Self, Option<JournalThread>) {
+    ) -> (Self, JournalThread) {
         let (sender, receiver) = sync_channel(MAX_QUEUED_REPORTS);
         let store = Self {
             table: StateBoard::new(OriginTable::default()),
             journal: sender,
         };
-        let thread = match open_journal(files, data, &store.table, clock.now()) {
-            Ok(journal) => Some(JournalThread {
-                journal: store.journal.clone(),
-                thread: std::thread::spawn(move || write_journal(journal, &receiver)),
-            }),
-            Err(error) => {
-                event!(events::ORIGINS_UNWRITTEN, error = error);
-                None
-            }
+        let mut writer = JournalWriter {
+            files,
+            folder: data.join(JOURNAL_FOLDER),
+            table: store.table.clone(),
+            clock,
+            journal: None,
+            has_failed: false,
+        };
+        let opened = writer.open().map(|_| ());
+        writer.log_failure(opened);
+        let thread = JournalThread {
+            journal: store.journal.clone(),
+            thread: std::thread::spawn(move || writer.run(&receiver)),
         };
         (store, thread)
     }
@@ -95,7 +99,7 @@
     pub(crate) fn record(&self, report: Vec<OriginBatch>, now: ClockTime) {
         self.table
             .write_quietly(|table| record_report(table, &report, Duration::ZERO, now));
-        // If the queue is full or the journal failed to open, the origins are kept in memory only.
+        // If the queue is full, the origins are kept in memory only.
         let message = JournalMessage::Write((wall_time(), report));
         match self.journal.try_send(message) {
             Ok(()) | Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {}
@@ -119,49 +123,74 @@
     }
 }
 
-/// Opens the journal and records its origins in the table.
-fn open_journal(
+/// Writes reports to the journal, which it opens again while that fails, for example with a full disk.
+struct JournalWriter {
     files: Arc<dyn DiskFiles>,
-    data: &Path,
-    table: &StateBoard<OriginTable>,
-    now: ClockTime,
-) -> Result<RecordJournal, StoreError> {
-    let folder = data.join(JOURNAL_FOLDER);
-    let (journal, records) =
-        RecordJournal::open_on::<JournalRecord>(files, &folder, MAX_FILE_BYTES)?;
-    let wall_now = wall_time();
-    table.write_quietly(|table| {
-        for (written_at, report) in records {
-            let age = Duration::from_millis(wall_now.0.saturating_sub(written_at.0));
-            record_report(table, &report, age, now);
-        }
-    });
-    event!(
-        events::ORIGINS_RESTORED,
-        streams = table.read(OriginTable::len)
-    );
-    Ok(journal)
+    folder: PathBuf,
+    table: StateBoard<OriginTable>,
+    clock: Arc<dyn ClockSource>,
+    journal: Option<RecordJournal>,
+    /// Whether the last attempt to open or write the journal failed.
+    has_failed: bool,
 }
 
-/// Writes queued reports until it is told to stop, or the store is dropped.
-fn write_journal(mut journal: RecordJournal, messages: &Receiver<JournalMessage>) {
-    let (mut has_failed, mut is_stopping) = (false, false);
-    while !is_stopping && let Ok(JournalMessage::Write((written_at, mut report))) = messages.recv()
-    {
-        std::thread::sleep(GROUP_TIME);
-        for message in messages.try_iter() {
-            match message {
-                JournalMessage::Write((_, later)) => report.extend(later),
-                JournalMessage::Stop => is_stopping = true,
+impl JournalWriter {
+    /// Opens the journal if it is not open, and records its origins in the table.
+    fn open(&mut self) -> Result<&mut RecordJournal, StoreError> {
+        let journal = match self.journal.take() {
+            Some(journal) => journal,
+            None => self.open_folder()?,
+        };
+        Ok(self.journal.insert(journal))
+    }
+
+    fn open_folder(&self) -> Result<RecordJournal, StoreError> {
+        let files = self.files.clone();
+        let (journal, records) =
+            RecordJournal::open_on::<JournalRecord>(files, &self.folder, MAX_FILE_BYTES)?;
+        let (now, wall_now) = (self.clock.now(), wall_time());
+        self.table.write_quietly(|table| {
+            for (written_at, report) in records {
+                let age = Duration::from_millis(wall_now.0.saturating_sub(written_at.0));
+                record_report(table, &report, age, now);
             }
+        });
+        event!(
+            events::ORIGINS_RESTORED,
+            streams = self.table.read(OriginTable::len)
+        );
+        Ok(journal)
+    }
+
+    fn write(&mut self, record: &JournalRecord) -> Result<(), StoreError> {
+        self.open()?.append(record)
+    }
+
+    /// Logs the first of several failures in a row.
+    fn log_failure(&mut self, result: Result<(), StoreError>) {
+        let had_failed = std::mem::replace(&mut self.has_failed, result.is_err());
+        if let Err(error) = result
+            && !had_failed
+        {
+            event!(events::ORIGINS_UNWRITTEN, error = error);
         }
-        match journal.append(&(written_at, report)) {
-            Ok(()) => has_failed = false,
-            Err(error) => {
-                if !std::mem::replace(&mut has_failed, true) {
-                    event!(events::ORIGINS_UNWRITTEN, error = error);
+    }
+
+    /// Writes queued reports until it is told to stop, or the store is dropped.
+    fn run(mut self, messages: &Receiver<JournalMessage>) {
+        let mut is_stopping = false;
+        while !is_stopping
+            && let Ok(JournalMessage::Write((written_at, mut report))) = messages.recv()
+        {
+            std::thread::sleep(GROUP_TIME);
+            for message in messages.try_iter() {
+                match message {
+                    JournalMessage::Write((_, later)) => report.extend(later),
+                    JournalMessage::Stop => is_stopping = true,
                 }
             }
+            let written = self.write(&(written_at, report));
+            self.log_failure(written);
         }
     }
 }
--- a/components/control/tests/full_disk.rs
+++ b/components/control/tests/full_disk.rs
@@ -2,13 +2,18 @@
 
 mod support;
 
+use std::fs;
+use std::path::Path;
 use std::time::Duration;
 
+use client::ControlClient;
 use rstest::rstest;
 use support::changes::{ACK_TIMEOUT, ChangeSender, accept, text_of};
 use support::{TestGroup, apply, order};
 use tokio::time::{sleep, timeout};
-use wire::NodeRole;
+use wire::{
+    ControlReply, ControlRequest, NodeRole, OriginAnswer, OriginBatch, StreamId, StreamOrigin,
+};
 
 /// Time for which a disk is full.
 const FULL_TIME: Duration = Duration::from_millis(2_500);
@@ -125,3 +130,57 @@
 
     group.wait_version(1).await;
 }
+
+fn origins(stream: u64) -> ControlRequest {
+    let origin = StreamOrigin {
+        service: "stone-advice".into(),
+        version: "v1".into(),
+    };
+    ControlRequest::RecordOrigins(vec![OriginBatch {
+        origin,
+        streams: vec![(StreamId(stream), 60_000)],
+    }])
+}
+
+async fn record_origins(client: &ControlClient, stream: u64) {
+    client.request(&origins(stream)).await.unwrap();
+    // Reports are written in groups.
+    sleep(Duration::from_millis(300)).await;
+}
+
+/// Cuts off the end of the last record of the journal.
+fn tear_journal(data: &Path) {
+    let path = data.join("origins/journal-0");
+    let bytes = fs::read(&path).unwrap();
+    fs::write(&path, &bytes[..bytes.len() - 3]).unwrap();
+}
+
+/// Guards against streams that cannot be continued after a restart, because the journal of their
+/// origins could not be opened at the start before, while the disk was full.
+#[tokio::test(flavor = "multi_thread")]
+async fn origins_are_written_after_a_start_with_a_full_disk() {
+    let mut group = TestGroup::start().await;
+    group.wait_ready().await;
+    let index = (group.leader().await + 1) % 3;
+    let client = group.client_at(index, NodeRole::Entry, "entry-1");
+    record_origins(&client, 1).await;
+    record_origins(&client, 2).await;
+    group.kill(index).await;
+    tear_journal(&group.data_folder(index));
+    group.disks[index].set_full(true);
+    group.restart(index, false).await;
+    group.disks[index].set_full(false);
+
+    record_origins(&client, 3).await;
+    group.kill(index).await;
+    group.restart(index, false).await;
+
+    for stream in [1, 3] {
+        let request = ControlRequest::FindOrigin(StreamId(stream));
+        let answer = client.request(&request).await.unwrap();
+        assert!(
+            matches!(answer, ControlReply::Origin(OriginAnswer::Known { .. })),
+            "stream {stream}: {answer:?}"
+        );
+    }
+}
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -289,6 +289,11 @@
         node.disk_id().to_string()
     }
 
+    /// Path of the data folder of a node.
+    pub(crate) fn data_folder(&self, index: usize) -> PathBuf {
+        self.settings[index].data.clone()
+    }
+
     /// Commit index of a running node.
     pub(crate) fn commit_of(&self, index: usize) -> u64 {
         self.nodes[index].as_ref().unwrap().status().commit
