Test full disks at the forming of a group and at a rejoin

Both pass with the retry of refused writes. With the retry of a refused replacement of the data folder turned off, the test of the rejoin fails: the driver ends, and the node never gets the version.

--- a/components/control/tests/full_disk.rs
+++ b/components/control/tests/full_disk.rs
@@ -184,3 +184,43 @@
         );
     }
 }
+
+/// Guards against a node that ends, or has lost its seat for good, because its disk was full when it
+/// had to replace its data folder.
+#[tokio::test(flavor = "multi_thread")]
+async fn removed_node_joins_again_once_its_disk_has_room() {
+    let mut group = TestGroup::start_discovering().await;
+    group.add(support::DATA_CENTRES[1]).await;
+    group.wait_ready().await;
+    let index = (group.leader().await + 1) % 3;
+    let id = group.id_of(index);
+    let client = group.client(NodeRole::Operator, "operator");
+    group.kill(index).await;
+    // The node that stands by takes the seat.
+    sleep(control::DEFAULT_CATCH_UP_TIME + FULL_TIME).await;
+
+    group.disks[index].set_full(true);
+    group.restart(index, false).await;
+    sleep(FULL_TIME).await;
+    accept(&client, 1).await;
+    group.disks[index].set_full(false);
+
+    group.wait_version(1).await;
+    assert_ne!(group.id_of(index), id);
+}
+
+/// Guards against a group that is not formed, or a node that stays outside of it, because the disk of
+/// one node was full when the group was formed.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn group_is_formed_while_one_disk_is_full(#[values(0, 1)] index: usize) {
+    let group = TestGroup::start_with_full_disk(index).await;
+    let client = group.client(NodeRole::Operator, "operator");
+
+    let is_accepted = timeout(2 * ACK_TIMEOUT, accept(&client, 1)).await.is_ok();
+    assert!(is_accepted, "no group is formed with a full disk");
+    sleep(FULL_TIME).await;
+    group.disks[index].set_full(false);
+
+    group.wait_version(1).await;
+}
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -129,16 +129,21 @@
 impl TestGroup {
     /// Starts three nodes with empty data folders.
     pub(crate) async fn start() -> Self {
-        Self::start_in([None; 3]).await
+        Self::start_in([None; 3], None).await
+    }
+
+    /// Starts three nodes. The disk of one of them is full once its data folder has been created.
+    pub(crate) async fn start_with_full_disk(index: usize) -> Self {
+        Self::start_in([None; 3], Some(index)).await
     }
 
     /// Starts three nodes with empty data folders in three data centres. Control nodes that are added
     /// later are discovered.
     pub(crate) async fn start_discovering() -> Self {
-        Self::start_in(DATA_CENTRES.map(Some)).await
+        Self::start_in(DATA_CENTRES.map(Some), None).await
     }
 
-    async fn start_in(data_centres: [Option<&str>; 3]) -> Self {
+    async fn start_in(data_centres: [Option<&str>; 3], full_disk: Option<usize>) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let keys = folder.path().join("keys");
         let address = group_address();
@@ -180,6 +185,7 @@
             let handle = start_on_files(settings.clone(), endpoint, disk.clone())
                 .await
                 .unwrap();
+            disk.set_full(full_disk == Some(group.disks.len()));
             group.settings.push(settings);
             group.disks.push(disk);
             group.nodes.push(Some(handle));
