Sum no demand at a control node before a quorum has confirmed it

Cause: entries took the new node for the home of the demand as soon as it answered. It had not applied the plan that states the capacity yet. The first sample, two answers of the first entry that reported, put the estimate at 8,122 tokens a second, and without an interval of late answers the estimate only grows by 6% in 400 ms, whatever the plan says.

A node that no quorum has confirmed since its start now answers reports with no quorum, and the entry asks the next node; the confirmation implies that the plan is applied. node_sums_no_demand_before_a_quorum_has_confirmed_it failed before: the node replied with shares.

--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -174,13 +174,17 @@
 }
 
 /// Adds the report of an entry to those of the other entries, and returns what applies to it. Like
-/// [`handle_usage`], this needs no quorum.
+/// [`handle_usage`], this needs no quorum, once one has confirmed this node: before that, it may lack
+/// the plan, without which a small sample can reduce the estimated capacity to almost nothing.
 fn handle_report(context: &ControlContext, peer: &Hello, report: &EntryReport) -> ControlReply {
     let demand = &report.demand;
     if demand.reporter != peer.name || demand.incarnation != peer.incarnation {
         let reporter = &demand.reporter;
         return ControlReply::BadRequest(format!("reporter {reporter} is not the sender"));
     }
+    if context.view.read(|view| view.confirmed_at.is_none()) {
+        return no_quorum_reply(context);
+    }
     ControlReply::Report(EntryReply {
         shares: apply_demand(context, demand),
         quarantine: apply_crashes(context, &report.crashes),
--- a/components/control/tests/group.rs
+++ b/components/control/tests/group.rs
@@ -7,10 +7,10 @@
 use client::ClientError;
 use registry::FleetConfig;
 use support::{SERVICES_TEXT, TestGroup, agent_kind, apply, node, order, renew, renew_request};
-use units::{ConfigVersion, FencingNumber, Incarnation, OrderId, RequestId};
+use units::{ConfigVersion, CostUnits, FencingNumber, Incarnation, OrderId, RequestId};
 use wire::{
-    BeginCall, BeginOutcome, CallKey, ControlReply, ControlRequest, NodeKind, NodeRole,
-    OperatorOrder, OrderReply,
+    BeginCall, BeginOutcome, CallKey, ControlReply, ControlRequest, CrashReport, DemandReport,
+    EntryReport, NodeKind, NodeRole, OperatorOrder, OrderReply,
 };
 
 /// Time without traffic after which a link is closed, 10 s, and a second more.
@@ -241,6 +241,55 @@
     assert_eq!(config.version, ConfigVersion(1));
 }
 
+/// Guards against shares of a capacity that a new control node estimates before it has the plan that
+/// states the capacity, and from the reports of a few entries: organisations then starve for as long as
+/// the estimate takes to grow.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_sums_no_demand_before_a_quorum_has_confirmed_it() {
+    let mut group = TestGroup::start().await;
+    group.wait_ready().await;
+    for index in 0..3 {
+        group.kill(index).await;
+    }
+    group.restart(2, false).await;
+    let entry = group.client_at(2, NodeRole::Entry, "entry-1");
+    let report = ControlRequest::Report(EntryReport {
+        demand: DemandReport {
+            reporter: "entry-1".into(),
+            incarnation: Incarnation(1),
+            service: "models".into(),
+            interval_ms: 250,
+            flows: Vec::new(),
+            granted: CostUnits(0),
+            served: CostUnits(0),
+            answers: 0,
+            lateness_permille: 0,
+        },
+        crashes: CrashReport {
+            source: None,
+            observations: Vec::new(),
+            served: Vec::new(),
+            successes: Vec::new(),
+            quarantine: Vec::new(),
+            refused: Vec::new(),
+        },
+    });
+
+    let unconfirmed = entry.request_once(&report).await;
+    group.restart(1, false).await;
+    group.wait_ready().await;
+    let confirmed = entry.request_once(&report).await;
+
+    assert!(
+        matches!(unconfirmed, Err(ClientError::NoQuorum { .. })),
+        "{unconfirmed:?}"
+    );
+    assert!(
+        matches!(confirmed, Ok(ControlReply::Report(_))),
+        "{confirmed:?}"
+    );
+}
+
 /// Guards against a node that has lost its data folder and then does not rejoin, keeps the vote of
 /// its old id, or forms a second group.
 #[tokio::test(flavor = "multi_thread")]
