Add the replicated record of a roll-out

No part of the system moves a service from one software version to another: an order for it is answered 404. The crate holds the record that control nodes replicate, its transitions, and what entries report of each version.

--- /dev/null
+++ b/components/rollout/src/lib.rs
@@ -0,0 +1,12 @@
+//! Roll-outs of a software version of a service.
+//!
+//! The record of each service's newest roll-out is replicated state. Everything else is soft state:
+//! entries count what each version answers, and the control node that gets their reports proposes the
+//! next phase of the record.
+
+mod record;
+
+pub use record::{
+    RolloutNumber, RolloutOrder, RolloutPhase, RolloutRecord, RolloutStep, RolloutTable,
+    StartOutcome,
+};
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -12,6 +12,7 @@
 mod hash;
 mod hello;
 mod origin;
+mod rollout;
 mod run;
 mod session;
 mod usage;
@@ -31,6 +32,7 @@
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
 pub use origin::{OriginAnswer, OriginBatch, StreamId, StreamOrigin};
+pub use rollout::{RolloutCounts, VersionCount};
 pub use run::{
     FailureCode, HeaderField, RequestHead, ResponseHead, RunMessage, RunReply, RunStart, RunStatus,
 };
