Keep the estimated capacity while targets work off their queues

On the new deployments with latency objectives of 500 to 1,200 ms, the estimate fell by eight steps in a row after one overload (from 4.4 to 1.5 million tokens a second, served 3.1 million), and the ceiling with it, so that targets were half idle for the five seconds after.

Cause: requests that were sent before a decrease are answered late for about the objective after it, and a step is taken every 400 ms, so the same queue was counted several times. Ruled out: a real loss of capacity; lateness was at 0.2 of the objective while the estimate grew again.

Change: with an objective of 500 ms or more, no further decrease while less than 0.9 of the served rate is sent. Shorter objectives are treated as before. The plan is only searched for objectives when a step is due.

--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use fair::PoolBounds;
 use quarantine::QuarantineChange;
 use registry::{RegistryAction, RegistryOutcome};
 use telemetry::{event, events};
@@ -215,13 +216,18 @@
 
 fn apply_demand(context: &ControlContext, report: &DemandReport) -> ShareReply {
     let now = context.clock.now();
-    let configured_rate = context.view.read(|view| {
-        let published = view.registry.config().published.as_ref();
-        published.and_then(|published| published.plan.bounds.tokens_per_second)
-    });
+    let bounds = || {
+        context.view.read(|view| {
+            let published = view.registry.config().published.as_ref();
+            published.map_or_else(PoolBounds::default, |published| PoolBounds {
+                capacity: published.plan.bounds.tokens_per_second,
+                objective: published.plan.model_objective().unwrap_or_default(),
+            })
+        })
+    };
     let (reply, change) = context
         .demand
-        .write_quietly(|home| home.apply_report(report, configured_rate, now));
+        .write_quietly(|home| home.apply_report(report, bounds, now));
     if let Some(change) = change {
         let sample = change.sample;
         event!(
--- a/components/fair/src/capacity.rs
+++ b/components/fair/src/capacity.rs
@@ -44,6 +44,14 @@
 const MIN_CONFIGURED_PERMILLE: u64 = 800;
 const MIN_CEILING_PERMILLE: u64 = 200;
 
+/// Latency objective from which the effect of a decrease shows in the latencies only after several
+/// steps: requests that were sent before it are still answered late for about the objective.
+const SLOW_FEEDBACK_OBJECTIVE: Duration = Duration::from_millis(500);
+
+/// Rate of the requests sent to targets, in thousandths of the served rate, below which the targets
+/// work off their queues.
+const DRAINING_PERMILLE: u64 = 900;
+
 /// Lateness of the answers in one interval, and the rates at which requests were received, sent
 /// and answered. Rates are in cost units per second.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -61,6 +69,17 @@
     pub asked: u64,
     /// Capacity that the published plan states, in cost units per second, if any.
     pub configured: Option<u64>,
+    /// Shortest latency objective of the service's routes; zero if not stated.
+    pub objective: Duration,
+}
+
+impl LatenessSample {
+    /// Whether the service gets less work than it serves, after an earlier decrease. It is late as
+    /// long as its queues last, whatever the estimate is now.
+    fn is_draining(&self) -> bool {
+        self.objective >= SLOW_FEEDBACK_OBJECTIVE
+            && self.granted * 1000 < self.served * DRAINING_PERMILLE
+    }
 }
 
 /// Rate that a service can serve within its latency objective, in cost units per second.
@@ -80,21 +99,29 @@
     }
 
     /// Updates the estimate from the summed samples of all entries if `STEP_INTERVAL` has
-    /// passed. Returns whether the estimate has changed.
-    pub fn observe(&mut self, sample: LatenessSample, now: ClockTime) -> bool {
+    /// passed. Returns the sample if the estimate has changed.
+    pub fn observe(
+        &mut self,
+        sample: impl FnOnce() -> LatenessSample,
+        now: ClockTime,
+    ) -> Option<LatenessSample> {
         if now.since(self.last_step) < STEP_INTERVAL {
-            return false;
+            return None;
         }
         let previous = self.capacity;
+        let sample = sample();
         self.step(sample, now);
-        previous != self.capacity
+        (previous != self.capacity).then_some(sample)
     }
 
     fn step(&mut self, sample: LatenessSample, now: ClockTime) {
         self.last_step = now;
         let lateness = sample.total_permille / sample.count.max(1);
         if sample.count > 0 && lateness > HIGH_LATENESS_PERMILLE {
-            self.decrease(lateness, sample);
+            // Another decrease would act on the same queues again.
+            if self.capacity.is_none() || !sample.is_draining() {
+                self.decrease(lateness, sample);
+            }
         } else if let Some(capacity) = self.capacity.filter(|_| lateness < LOW_LATENESS_PERMILLE) {
             let growth =
                 MAX_GROWTH_PERMILLE * (LOW_LATENESS_PERMILLE - lateness) / LOW_LATENESS_PERMILLE;
--- a/components/fair/src/lib.rs
+++ b/components/fair/src/lib.rs
@@ -29,7 +29,7 @@
 pub use ledger::{IDLE_TIMEOUT, LEDGER_RETENTION, RUNNING_REPORT_INTERVAL, UsageLedger};
 pub use pacer::{MAX_REPORT_BYTES_PER_S, REPORT_INTERVAL, ReportPacer};
 pub use rendezvous::{AVOID_DURATION, HomeList, home_of};
-pub use share::{CapacityChange, DEMAND_TTL, DemandHome, share_level};
+pub use share::{CapacityChange, DEMAND_TTL, DemandHome, PoolBounds, share_level};
 
 use units::{CostUnits, FlowWeight};
 
--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -89,6 +89,15 @@
     pub sample: LatenessSample,
 }
 
+/// What the published plan states about the service of a report.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PoolBounds {
+    /// Capacity in cost units per second; `None` if not stated.
+    pub capacity: Option<u64>,
+    /// Shortest latency objective of the routes; zero if not stated.
+    pub objective: Duration,
+}
+
 /// Demand of the services whose home is this control node.
 #[derive(Debug, Clone, Default)]
 pub struct DemandHome {
@@ -102,21 +111,27 @@
     }
 
     /// Applies a report, and returns the allowed rates of its flows at the reporting entry. Also
-    /// returns a change of the estimated capacity, for the log.
+    /// returns a change of the estimated capacity, for the log. `bounds` is only read if the estimate
+    /// is due.
     pub fn apply_report(
         &mut self,
         report: &DemandReport,
-        configured: Option<u64>,
+        bounds: impl FnOnce() -> PoolBounds,
         now: ClockTime,
     ) -> (ShareReply, Option<CapacityChange>) {
         let service = self.services.entry(report.service.clone()).or_default();
         service.apply_report(report, now);
         let totals = service.totals();
-        let sample = LatenessSample {
-            configured,
-            ..service.sample(&totals)
+        let lateness = service.sample(&totals);
+        let sample = || {
+            let bounds = bounds();
+            LatenessSample {
+                configured: bounds.capacity,
+                objective: bounds.objective,
+                ..lateness
+            }
         };
-        let has_changed = service.capacity.observe(sample, now);
+        let changed = service.capacity.observe(sample, now);
         let demands = totals.values().copied();
         let level = service
             .capacity
@@ -130,7 +145,7 @@
         let reply = ShareReply {
             flows: flows.collect(),
         };
-        let change = has_changed.then(|| CapacityChange {
+        let change = changed.map(|sample| CapacityChange {
             capacity: service.capacity.get(),
             level,
             sample,
@@ -170,7 +185,7 @@
             granted: entries().map(|demand| demand.granted).sum(),
             served: entries().map(|demand| demand.served).sum(),
             asked: totals.values().map(|(rate, _)| rate).sum(),
-            configured: None,
+            ..LatenessSample::default()
         }
     }
 }
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fair::{DEMAND_INTERVAL, DemandHome, ShareGate, share_level};
+use fair::{DEMAND_INTERVAL, DemandHome, PoolBounds, ShareGate, share_level};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rstest::rstest;
@@ -189,7 +189,7 @@
             }
             let name = format!("entry-{entry}").as_str().into();
             let report = gate.take_report(name, Incarnation(1), ClockTime(now));
-            let (reply, _) = home.apply_report(&report, None, ClockTime(now));
+            let (reply, _) = home.apply_report(&report, PoolBounds::default, ClockTime(now));
             gate.apply_reply(&reply, ClockTime(now));
         }
     }
@@ -367,7 +367,7 @@
         gate.record_first_byte(CostUnits(50), LATENCY_OBJECTIVE * 2, LATENCY_OBJECTIVE);
         if now < 1_500 && now % 500 == 0 {
             let report = gate.take_report("entry".into(), Incarnation(1), ClockTime(now));
-            let (reply, _) = home.apply_report(&report, None, ClockTime(now));
+            let (reply, _) = home.apply_report(&report, PoolBounds::default, ClockTime(now));
             gate.apply_reply(&reply, ClockTime(now));
         }
     }
@@ -400,7 +400,11 @@
         gate.record_first_byte(CostUnits(10), LATENCY_OBJECTIVE * 3 / 4, LATENCY_OBJECTIVE);
         if now % 240 == 0 {
             let report = gate.take_report("entry".into(), Incarnation(1), clock);
-            let (reply, _) = home.apply_report(&report, Some(500), clock);
+            let stated_bounds = || PoolBounds {
+                capacity: Some(500),
+                ..PoolBounds::default()
+            };
+            let (reply, _) = home.apply_report(&report, stated_bounds, clock);
             gate.apply_reply(&reply, clock);
         }
     }
--- a/components/routes/src/plan.rs
+++ b/components/routes/src/plan.rs
@@ -148,6 +148,17 @@
 }
 
 impl RoutePlan {
+    /// Shortest latency objective of the routes to model engines; `None` without such routes.
+    pub fn model_objective(&self) -> Option<Duration> {
+        let has_engine = |part: &WeightedService| {
+            let pool = self.pools.get(&part.service);
+            pool.is_some_and(|pool| pool.engine.is_some())
+        };
+        let routes = self.routes.iter();
+        let model_routes = routes.filter(|route| route.split.iter().any(has_engine));
+        model_routes.map(RouteSpec::objective).min()
+    }
+
     /// Maximum time from the first event of any stream for which its callers may continue it.
     pub fn max_stream_lifetime(&self) -> Duration {
         let resumable = self.routes.iter();
