Start a new home from the estimate of the lost one

Cause: the estimate is soft state of one control node. Change: replies state it with its ceiling, and an entry that reports to another home than the one that replied last states it there, for at most 5 s. A home without an estimate starts from it, for objectives of 500 ms or more.

Measured: the new test fails without it.

--- a/components/control/tests/group.rs
+++ b/components/control/tests/group.rs
@@ -264,6 +264,7 @@
             served: CostUnits(0),
             answers: 0,
             lateness_permille: 0,
+            known_capacity: None,
         },
         crashes: CrashReport {
             source: None,
--- a/components/ctl/tests/quarantine.rs
+++ b/components/ctl/tests/quarantine.rs
@@ -27,6 +27,7 @@
             served: Default::default(),
             answers: 0,
             lateness_permille: 0,
+            known_capacity: None,
         },
         crashes: CrashReport {
             source: None,
--- a/components/entry/src/crashes.rs
+++ b/components/entry/src/crashes.rs
@@ -163,5 +163,6 @@
         served: CostUnits(0),
         answers: 0,
         lateness_permille: 0,
+        known_capacity: None,
     }
 }
--- a/components/entry/tests/common/home.rs
+++ b/components/entry/tests/common/home.rs
@@ -33,7 +33,10 @@
             ControlRequest::Report(report) => {
                 let (quarantine, _) = self.quarantine.apply_report(&report.crashes, now);
                 Some(ControlReply::Report(EntryReply {
-                    shares: ShareReply { flows: Vec::new() },
+                    shares: ShareReply {
+                        flows: Vec::new(),
+                        capacity: None,
+                    },
                     quarantine,
                 }))
             }
--- a/components/fair/src/capacity.rs
+++ b/components/fair/src/capacity.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use units::ClockTime;
+use units::{ClockTime, CostUnits};
+use wire::KnownCapacity;
 
 /// Minimum time between two changes of the estimate. A change shows in the latencies after about
 /// this time.
@@ -71,14 +72,19 @@
     pub configured: Option<u64>,
     /// Shortest latency objective of the service's routes; zero if not stated.
     pub objective: Duration,
+    /// Estimate of another home, stated by an entry that has reported there until now.
+    pub known: Option<KnownCapacity>,
 }
 
 impl LatenessSample {
+    fn is_slow(&self) -> bool {
+        self.objective >= SLOW_FEEDBACK_OBJECTIVE
+    }
+
     /// Whether the service gets less work than it serves, after an earlier decrease. It is late as
     /// long as its queues last, whatever the estimate is now.
     fn is_draining(&self) -> bool {
-        self.objective >= SLOW_FEEDBACK_OBJECTIVE
-            && self.granted * 1000 < self.served * DRAINING_PERMILLE
+        self.is_slow() && self.granted * 1000 < self.served * DRAINING_PERMILLE
     }
 }
 
@@ -98,6 +104,14 @@
         self.capacity
     }
 
+    /// Current estimate with its ceiling, for a home that takes over.
+    pub fn known(&self) -> Option<KnownCapacity> {
+        self.capacity.map(|capacity| KnownCapacity {
+            rate: CostUnits(capacity),
+            ceiling: CostUnits(self.ceiling),
+        })
+    }
+
     /// Updates the estimate from the summed samples of all entries if `STEP_INTERVAL` has
     /// passed. Returns the sample if the estimate has changed.
     pub fn observe(
@@ -116,6 +130,12 @@
 
     fn step(&mut self, sample: LatenessSample, now: ClockTime) {
         self.last_step = now;
+        let known = sample.known.filter(|_| sample.is_slow());
+        if let (None, Some(known)) = (self.capacity, known) {
+            self.capacity = Some(known.rate.0);
+            self.ceiling = self.ceiling.max(known.ceiling.0);
+            return;
+        }
         let lateness = sample.total_permille / sample.count.max(1);
         if sample.count > 0 && lateness > HIGH_LATENESS_PERMILLE {
             // Another decrease would act on the same queues again.
@@ -131,8 +151,9 @@
                 .min(self.ceiling * FAST_GROWTH_END_PERMILLE / 1000)
                 .max(slow);
             // The estimate is dropped, so that no request is held back, once it exceeds twice the
-            // demand.
-            self.capacity = (increased <= sample.asked * 2).then_some(increased);
+            // demand. While entries still move here from another home, most demand is not known.
+            let is_needed = increased <= sample.asked * 2 || known.is_some();
+            self.capacity = is_needed.then_some(increased);
         }
     }
 
--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use units::{ClockTime, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
-use wire::{DemandReport, FlowDemand, FlowId, ShareReply, stable_hash};
+use wire::{DemandReport, FlowDemand, FlowId, KnownCapacity, ShareReply, stable_hash};
 
 /// Interval at which an entry reports demand.
 pub const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
@@ -18,6 +18,10 @@
 /// Time after which shares expire. Until the next reply, every request is admitted.
 pub const SHARE_TTL: Duration = Duration::from_millis(2_000);
 
+/// Time for which the estimate of a lost home is of use to the next one. An entry finds another home
+/// within about two seconds.
+const CAPACITY_TTL: Duration = Duration::from_secs(5);
+
 /// Time over which a flow accumulates unused credit. Requests arrive in bursts, and shares are
 /// averaged over a few seconds.
 const CREDIT_WINDOW: Duration = Duration::from_millis(2_000);
@@ -74,6 +78,8 @@
     flows: BTreeMap<FlowId, FlowShare>,
     last_report: ClockTime,
     last_reply: Option<ClockTime>,
+    /// Estimate in the last reply.
+    capacity: Option<KnownCapacity>,
     granted: u64,
     served: u64,
     answers: u64,
@@ -90,6 +96,7 @@
             flows: BTreeMap::new(),
             last_report: now,
             last_reply: None,
+            capacity: None,
             granted: 0,
             served: 0,
             answers: 0,
@@ -132,6 +139,14 @@
         share.try_take(cost, is_overdue, now) || !is_current
     }
 
+    /// Estimate of the capacity in the last reply, if that is recent enough for a new home to start
+    /// from it.
+    pub fn known_capacity(&self, now: ClockTime) -> Option<KnownCapacity> {
+        let last_reply = self.last_reply?;
+        let is_recent = now.since(last_reply) < CAPACITY_TTL;
+        self.capacity.filter(|_| is_recent)
+    }
+
     /// Whether there is nothing to report: no request in the last seconds, and no response since the
     /// last report.
     pub fn is_idle(&self, now: ClockTime) -> bool {
@@ -190,12 +205,14 @@
             served: CostUnits(std::mem::take(&mut self.served)),
             answers: std::mem::take(&mut self.answers),
             lateness_permille: std::mem::take(&mut self.lateness_permille),
+            known_capacity: None,
         }
     }
 
     /// Applies the allowed rates from the reply to a report.
     pub fn apply_reply(&mut self, reply: &ShareReply, now: ClockTime) {
         self.last_reply = Some(now);
+        self.capacity = reply.capacity;
         for allowance in &reply.flows {
             if let Some(share) = self.flows.get_mut(&allowance.flow) {
                 share.set_rate(allowance.rate.map(|rate| rate.0), self.seed, now);
--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use units::{ClockTime, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
-use wire::{DemandReport, FlowAllowance, FlowDemand, FlowId, ShareReply};
+use wire::{DemandReport, FlowAllowance, FlowDemand, FlowId, KnownCapacity, ShareReply};
 
 use crate::capacity::{CapacityEstimate, LatenessSample};
 
@@ -70,11 +70,20 @@
     lateness_permille: u64,
 }
 
+/// Estimate that a reporter has from another home. Homes change when a control node is silent; a new
+/// one would admit all demand until answers are late.
+#[derive(Debug, Clone, Copy)]
+struct ReportedCapacity {
+    capacity: KnownCapacity,
+    reported_at: ClockTime,
+}
+
 /// Demand of one service at all entries, and its estimated capacity.
 #[derive(Debug, Clone, Default)]
 struct ServiceDemand {
     entries: BTreeMap<NodeName, EntryDemand>,
     capacity: CapacityEstimate,
+    known: Option<ReportedCapacity>,
 }
 
 /// New estimate of the capacity of a service, and the sample that caused it.
@@ -123,11 +132,13 @@
         service.apply_report(report, now);
         let totals = service.totals();
         let lateness = service.sample(&totals);
+        let known = service.known_capacity(now);
         let sample = || {
             let bounds = bounds();
             LatenessSample {
                 configured: bounds.capacity,
                 objective: bounds.objective,
+                known,
                 ..lateness
             }
         };
@@ -144,6 +155,7 @@
         });
         let reply = ShareReply {
             flows: flows.collect(),
+            capacity: service.capacity.known(),
         };
         let change = changed.map(|sample| CapacityChange {
             capacity: service.capacity.get(),
@@ -156,6 +168,12 @@
 
 impl ServiceDemand {
     fn apply_report(&mut self, report: &DemandReport, now: ClockTime) {
+        if let Some(capacity) = report.known_capacity {
+            self.known = Some(ReportedCapacity {
+                capacity,
+                reported_at: now,
+            });
+        }
         let entries = &mut self.entries;
         entries.retain(|_, demand| now.since(demand.last_report) < DEMAND_TTL);
         let previous = entries.remove(&report.reporter);
@@ -166,6 +184,14 @@
         );
     }
 
+    /// Estimate of another home that was reported while its entries may still be moving here.
+    fn known_capacity(&self, now: ClockTime) -> Option<KnownCapacity> {
+        let recent = self
+            .known
+            .filter(|known| now.since(known.reported_at) < DEMAND_TTL);
+        recent.map(|known| known.capacity)
+    }
+
     /// Fleet-wide rates of all flows.
     fn totals(&self) -> BTreeMap<FlowId, (u64, FlowWeight)> {
         let mut totals: BTreeMap<FlowId, (u64, FlowWeight)> = BTreeMap::new();
--- a/components/fair/tests/capacity.rs
+++ b/components/fair/tests/capacity.rs
@@ -84,6 +84,7 @@
             asked: ASKED_RATE,
             configured: Some(POOL_RATE / 2),
             objective: self.objective,
+            known: None,
         }
     }
 }
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -432,6 +432,7 @@
         };
         let reply = ShareReply {
             flows: vec![allowance],
+            capacity: None,
         };
         for now in (0..400)
             .step_by(10)
@@ -469,3 +470,35 @@
         "{repeated} and {new} cost units"
     );
 }
+
+/// Guards against a home that takes over without an estimate and admits the whole flood until answers
+/// are late: after the home of the model engines froze, five times the capacity was sent.
+#[test]
+fn new_home_starts_from_the_estimate_of_the_lost_one() {
+    let bounds = || PoolBounds {
+        capacity: Some(500),
+        objective: Duration::from_millis(600),
+    };
+    let mut gate = ShareGate::new("models".into(), 1, ClockTime(0));
+    gate.admit(flow(1), UNIT_WEIGHT, CostUnits(10_000), false, ClockTime(0));
+    let mut report = gate.take_report("entry-1".into(), Incarnation(1), ClockTime(1_000));
+    (report.answers, report.lateness_permille, report.served) = (10, 10_000, CostUnits(900));
+    let mut lost = DemandHome::new();
+    let (reply, _) = lost.apply_report(&report, bounds, ClockTime(1_000));
+    gate.apply_reply(&reply, ClockTime(1_000));
+
+    gate.admit(
+        flow(1),
+        UNIT_WEIGHT,
+        CostUnits(10_000),
+        false,
+        ClockTime(2_000),
+    );
+    let mut report = gate.take_report("entry-1".into(), Incarnation(1), ClockTime(2_000));
+    report.known_capacity = gate.known_capacity(ClockTime(2_000));
+    let (reply, _) = DemandHome::new().apply_report(&report, bounds, ClockTime(2_000));
+
+    let capacity = reply.capacity.expect("the estimate is taken over");
+    assert_eq!(Some(capacity), report.known_capacity);
+    assert_eq!(reply.flows[0].rate, Some(capacity.rate));
+}
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -15,6 +15,7 @@
     tokio::time::sleep(ReportSender::start_delay(&shared.settings.name)).await;
     let mut sender = ReportSender::new(client);
     let mut last_report = None;
+    let mut replied_home = None;
     let mut interval = tokio::time::interval(DEMAND_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -34,12 +35,17 @@
             for run in state.table.overdue_runs(now) {
                 state.gate.record_wait(run.latency, run.objective);
             }
+            let mut demand = state.gate.take_report(name, incarnation, now);
+            if replied_home.is_some_and(|replied| replied != home) {
+                demand.known_capacity = state.gate.known_capacity(now);
+            }
             EntryReport {
-                demand: state.gate.take_report(name, incarnation, now),
+                demand,
                 crashes: state.crashes.take_report(now),
             }
         });
         if let Some(reply) = sender.send(home, &report, now).await {
+            replied_home = Some(home);
             shared.board.write_quietly(|state| {
                 let now = shared.now();
                 state.gate.apply_reply(&reply.shares, now);
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -37,6 +37,17 @@
         /// Sum of the times to the first byte of these requests, each in thousandths of the
         /// request's latency objective.
         pub lateness_permille: u64,
+        /// Newest estimate that another home has stated to the entry, for a home that has none.
+        pub known_capacity: Option<KnownCapacity>,
+    }
+
+    /// Estimate of the capacity of a service, in cost units per second.
+    #[derive(Copy)]
+    pub struct KnownCapacity {
+        /// Rate that is served in time.
+        pub rate: CostUnits,
+        /// Rate up to which the estimate grows fast.
+        pub ceiling: CostUnits,
     }
 
     /// Rate at which an entry may admit requests of a flow.
@@ -51,6 +62,8 @@
     pub struct ShareReply {
         /// Allowances of the reported flows.
         pub flows: Vec<FlowAllowance>,
+        /// Estimate from which they follow; `None` while all demand is served.
+        pub capacity: Option<KnownCapacity>,
     }
 
     /// Report of an entry to the control node that answers for the whole fleet.
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -27,7 +27,9 @@
     CrashObservation, CrashReport, CrashSuspect, HomeId, QuarantineReply, QuarantinedTrait,
     RequestTrait, ServedCount, ServiceTrait, TraitError, TraitSuccess,
 };
-pub use demand::{DemandReport, EntryReply, EntryReport, FlowAllowance, FlowDemand, ShareReply};
+pub use demand::{
+    DemandReport, EntryReply, EntryReport, FlowAllowance, FlowDemand, KnownCapacity, ShareReply,
+};
 pub use event_tail::EventTail;
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
