--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -78,6 +78,8 @@
     plan_number: PlanNumber,
     /// Time from the arrival of the request to its last assignment to a target.
     wait_time: Duration,
+    /// Age of the directory by which the request was last assigned to a target.
+    view_age: Duration,
     /// What the request may share with others that crash targets.
     traits: Vec<RequestTrait>,
     /// Whether the request is admitted to find out whether a quarantine should end.
@@ -185,6 +187,7 @@
             continued,
             plan_number: admission.plan_number,
             wait_time: Duration::ZERO,
+            view_age: Duration::ZERO,
             traits: Vec::new(),
             is_trial: false,
         })
@@ -298,6 +301,7 @@
             continues = self.first_attempt().unwrap_or_default(),
             sends = self.send_count + 1,
             waited_ms = self.wait_time.as_millis(),
+            view_age_ms = self.view_age.as_millis(),
             first_byte_ms = self.arrived_at.elapsed().as_millis()
         );
     }
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -31,6 +31,8 @@
         };
         let name = target.name.clone();
         self.wait_time = self.arrived_at.elapsed();
+        let now = self.shared.now();
+        self.view_age = self.shared.view.read(|view| view.age(now));
         self.placement.tried.push(name.clone());
         self.last_version = target.version.clone();
         let span = info_span!(
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -15,7 +15,8 @@
     RELAY_ANSWERED = 1509, Info, "relay-answered",
         "A target answered a request; the fields state the plan by which it was admitted, the \
          target and the version of its software, the attempt whose stream the request continues, if \
-         any, how long it waited for admission, and the time to the first byte.";
+         any, how long it waited for admission, how long ago a quorum confirmed the list of targets, \
+         and the time to the first byte.";
     RELAY_REFUSED = 1510, Info, "relay-refused",
         "A request was refused or failed; the field outcome states whether it may have run.";
     RELAY_SEND_FAILED = 1511, Info, "relay-send-failed",
