Wait for the names of control nodes before they are killed in a test

The leader records the names of the nodes after it has confirmed the state, and the test killed two nodes before that had reached the third.

--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -136,6 +136,13 @@
 async fn departure_without_a_quorum_is_not_acknowledged() {
     let mut group = TestGroup::start().await;
     group.wait_ready().await;
+    // The leader records the names after it has confirmed the state.
+    group
+        .wait(2, "the names of the other nodes are recorded", |status| {
+            let mut controls = status.controls.iter();
+            controls.all(|control| control.name.is_some())
+        })
+        .await;
     group.kill(0).await;
     group.kill(1).await;
     let api = handle(&group, 2).api();
