Decide the next phase of a roll-out from the entries' reports

A control node needs to judge a new version and to propose the next phase of its record. Adds the plan of steps, the comparison of both versions by route and kind of failure, and RolloutHome, which control calls with each report.

--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -4,8 +4,13 @@
 //! entries count what each version answers, and the control node that gets their reports proposes the
 //! next phase of the record.
 
+mod evidence;
+mod home;
+mod plan;
 mod record;
 
+pub use home::{RolloutBounds, RolloutFleet, RolloutHome};
+pub use plan::{PlannedStep, RolloutPlan};
 pub use record::{
     RolloutNumber, RolloutOrder, RolloutPhase, RolloutRecord, RolloutStep, RolloutTable,
     StartOutcome,
