Choose versions at entries, and judge them by intervals

Entries need to know which version may run a request, and the first verdict missed bad versions among faults that hit both versions: a cap on the bad responses of an interval also cut those of a bad version. Adds VersionGates for entries. The verdict now cuts only the highest intervals, and compares with the highest recent share, since bad responses follow a doubled share before a longer mean does.

--- a/components/rollout/src/evidence.rs
+++ b/components/rollout/src/evidence.rs
@@ -13,33 +13,61 @@
 /// Length of an interval.
 const INTERVAL: Duration = Duration::from_millis(400);
 
-/// Number of intervals over which the share of the new version is taken. Responses arrive some time
-/// after their requests.
-const SHARE_INTERVALS: usize = 5;
+/// Numbers of latest intervals over which the share of the new version is taken. Responses arrive
+/// some time after their requests, and the share doubles at a step.
+const SHARE_INTERVALS: [usize; 3] = [1, 2, MAX_SHARE_INTERVALS];
 
-/// Numbers of latest intervals over which evidence is summed. Short spans find a version that turns
-/// bad, long ones a version that is bad rarely.
-const SPANS: [usize; 3] = [10, 40, 150];
+/// Number of intervals for which the numbers of requests are kept.
+const MAX_SHARE_INTERVALS: usize = 5;
 
-/// Minimum number of intervals with bad responses of the new version. The requests that a target
-/// held when it crashed all fail within two intervals.
+/// Span of latest intervals over which evidence is summed.
+struct Span {
+    intervals: usize,
+    /// Number of intervals with most bad responses that are cut to the next lower number. A crash
+    /// of a target ends all its requests within two intervals, and is not the version's fault.
+    cut: usize,
+}
+
+/// Short spans find a version that turns bad, long ones a version that is rarely bad.
+const SPANS: [Span; 3] = [
+    Span {
+        intervals: 10,
+        cut: 2,
+    },
+    Span {
+        intervals: 40,
+        cut: 4,
+    },
+    Span {
+        intervals: MAX_INTERVALS,
+        cut: 8,
+    },
+];
+
+/// Number of intervals that are kept.
+const MAX_INTERVALS: usize = 150;
+
+/// Pause after which intervals without counts are left out.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+
+/// Minimum number of intervals with bad responses of the new version, one more than a crash covers.
 const MIN_BAD_INTERVALS: u32 = 3;
 
 /// Ratio of the failure rates of both versions that is tolerated. Targets of the new version are
 /// few, and faults of the site don't hit all targets evenly.
-const FAILURE_RATIO: f64 = 1.5;
+const FAILURE_RATIO: f64 = 1.25;
 
 /// Ratio of the rates of slow responses that is tolerated. Targets that have just started have no
 /// prompts cached.
-const SLOW_RATIO: f64 = 3.0;
+const SLOW_RATIO: f64 = 2.0;
 
 /// Rate of bad responses that is tolerated while no requests run at the old versions and there is
 /// nothing to compare with at the same time.
 const TOLERATED_RATE: f64 = 0.08;
 
-/// Bad responses of one interval that count: at least this number, and a quarter of the interval's
-/// requests. It bounds what one crash of a target contributes.
-const MIN_COUNTED: f64 = 2.0;
+/// Multiple of the old versions' earlier rate that is tolerated in the same case. Faults of the site
+/// may have increased since.
+const TOLERATED_INCREASE: f64 = 3.0;
 
 /// Requests and responses of both versions on one route since the last report.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -63,16 +91,17 @@
     }
 }
 
-/// Counts of one kind of bad response.
-struct KindCounts {
+/// Bad responses of one kind in one interval.
+#[derive(Debug, Clone, Copy)]
+struct IntervalCounts {
     new_bad: f64,
     old_bad: f64,
     new_sent: f64,
-    /// Requests of the new version for each of an old one, whichever is higher: of late or in total.
-    sent_ratio: f64,
-    /// Rate of bad responses of the old versions in total.
-    old_rate: f64,
-    tolerated_ratio: f64,
+    /// Maximum probability that a bad response belongs to the new version, if both are equal; `None`
+    /// while all new requests go to the new version.
+    new_probability: Option<f64>,
+    /// Tolerated rate of bad responses without a comparison at the same time.
+    tolerated_rate: f64,
 }
 
 /// Sums over intervals for one kind of bad response.
@@ -89,30 +118,28 @@
 }
 
 impl KindSums {
-    /// Sums of one interval. `is_alone` tells that all new requests go to the new version.
-    fn of(counts: &KindCounts, is_alone: bool) -> Self {
-        let max_counted = (counts.new_sent / 4.0).max(MIN_COUNTED);
-        let new_bad = counts.new_bad.min(max_counted);
-        let bad_intervals = u32::from(new_bad > 0.0);
-        if is_alone {
-            let rate = (counts.old_rate * 2.0).clamp(TOLERATED_RATE, 1.0);
-            return Self {
-                bad_intervals,
-                alone_sent: counts.new_sent,
-                alone_bad: new_bad,
-                alone_expected: counts.new_sent * rate,
-                ..Self::default()
-            };
-        }
-        let weight = counts.sent_ratio * counts.tolerated_ratio;
-        let bad = new_bad + counts.old_bad;
-        Self {
-            bad,
-            new_bad,
-            expected_new: bad * weight / (1.0 + weight),
-            bad_intervals,
-            ..Self::default()
+    /// Sums up intervals, and cuts the highest counts of the new version.
+    fn of(intervals: &[IntervalCounts], cut: usize) -> Self {
+        let max_new = cut_level(intervals, cut);
+        let mut sums = Self::default();
+        for interval in intervals {
+            let new_bad = interval.new_bad.min(max_new);
+            let bad = new_bad + interval.old_bad;
+            sums.bad_intervals += u32::from(new_bad > 0.0);
+            match interval.new_probability {
+                Some(probability) => {
+                    sums.bad += bad;
+                    sums.new_bad += new_bad;
+                    sums.expected_new += bad * probability;
+                }
+                None => {
+                    sums.alone_sent += interval.new_sent;
+                    sums.alone_bad += new_bad;
+                    sums.alone_expected += interval.new_sent * interval.tolerated_rate;
+                }
+            }
         }
+        sums
     }
 
     fn add(&mut self, other: &Self) {
@@ -135,6 +162,14 @@
     }
 }
 
+/// Highest count of the new version in an interval after the `cut` highest ones, and at least 1.
+fn cut_level(intervals: &[IntervalCounts], cut: usize) -> f64 {
+    let counts = intervals.iter().map(|interval| interval.new_bad);
+    let mut counts: Vec<f64> = counts.collect();
+    counts.sort_by(|one, other| other.total_cmp(one));
+    counts.get(cut).copied().unwrap_or_default().max(1.0)
+}
+
 /// Bound on the negative logarithm of the probability of `observed` or more successes in `count`
 /// trials when `expected` are expected.
 fn binomial_evidence(count: f64, observed: f64, expected: f64) -> f64 {
@@ -157,8 +192,8 @@
     total: RouteDelta,
     /// Requests of the latest intervals to the new and the old versions.
     recent_sent: VecDeque<(u64, u64)>,
-    /// Sums of the latest intervals, for failures and for slow responses.
-    closed: VecDeque<[KindSums; 2]>,
+    /// Counts of the latest intervals, for failures and for slow responses.
+    closed: VecDeque<[IntervalCounts; 2]>,
 }
 
 impl RouteHistory {
@@ -166,36 +201,58 @@
         let delta = std::mem::take(&mut self.current);
         self.total.add(&delta);
         self.recent_sent.push_back((delta.new_sent, delta.old_sent));
-        if self.recent_sent.len() > SHARE_INTERVALS {
+        if self.recent_sent.len() > MAX_SHARE_INTERVALS {
             self.recent_sent.pop_front();
         }
-        self.closed.push_back(self.sums(&delta, is_alone));
-        if self.closed.len() > SPANS[SPANS.len() - 1] {
+        self.closed
+            .push_back(self.interval_counts(&delta, is_alone));
+        if self.closed.len() > MAX_INTERVALS {
             self.closed.pop_front();
         }
     }
 
-    fn sums(&self, delta: &RouteDelta, is_alone: bool) -> [KindSums; 2] {
+    fn interval_counts(&self, delta: &RouteDelta, is_alone: bool) -> [IntervalCounts; 2] {
         let ratio = |new: u64, old: u64| new as f64 / (old as f64).max(1.0);
-        let recent = self.recent_sent.iter();
-        let (new, old) = recent.fold((0, 0), |sum, sent| (sum.0 + sent.0, sum.1 + sent.1));
-        let sent_ratio = ratio(new, old).max(ratio(self.total.new_sent, self.total.old_sent));
-        let failures = KindCounts {
-            new_bad: delta.new_failed as f64,
-            old_bad: delta.old_failed as f64,
-            new_sent: delta.new_sent as f64,
-            sent_ratio,
-            old_rate: ratio(self.total.old_failed, self.total.old_sent),
-            tolerated_ratio: FAILURE_RATIO,
+        let ratio_of_latest = |count: usize| {
+            let latest = self.recent_sent.iter().rev().take(count);
+            let (new, old) = latest.fold((0, 0), |sum, sent| (sum.0 + sent.0, sum.1 + sent.1));
+            ratio(new, old)
         };
-        let slow = KindCounts {
-            new_bad: delta.new_slow as f64,
-            old_bad: delta.old_slow as f64,
-            old_rate: ratio(self.total.old_slow, self.total.old_sent),
-            tolerated_ratio: SLOW_RATIO,
-            ..failures
+        // Bad responses may belong to requests of any time, so the highest ratio counts.
+        let total = &self.total;
+        let sent_ratio = SHARE_INTERVALS
+            .map(ratio_of_latest)
+            .into_iter()
+            .fold(ratio(total.new_sent, total.old_sent), f64::max);
+        let counts = |new_bad: u64, old_bad: u64, total_old_bad: u64, tolerated: f64| {
+            let weight = sent_ratio * tolerated;
+            let old_rate = ratio(total_old_bad, total.old_sent);
+            IntervalCounts {
+                new_bad: new_bad as f64,
+                old_bad: old_bad as f64,
+                new_sent: delta.new_sent as f64,
+                new_probability: (!is_alone).then_some(weight / (1.0 + weight)),
+                tolerated_rate: (old_rate * TOLERATED_INCREASE).clamp(TOLERATED_RATE, 1.0),
+            }
         };
-        [&failures, &slow].map(|counts| KindSums::of(counts, is_alone))
+        [
+            counts(
+                delta.new_failed,
+                delta.old_failed,
+                total.old_failed,
+                FAILURE_RATIO,
+            ),
+            counts(delta.new_slow, delta.old_slow, total.old_slow, SLOW_RATIO),
+        ]
+    }
+
+    /// Sums of the latest intervals, for failures and for slow responses.
+    fn sums(&self, span: &Span) -> [KindSums; 2] {
+        [0, 1].map(|kind| {
+            let latest = self.closed.iter().rev().take(span.intervals);
+            let latest: Vec<IntervalCounts> = latest.map(|counts| counts[kind]).collect();
+            KindSums::of(&latest, span.cut)
+        })
     }
 }
 
@@ -218,7 +275,7 @@
     pub(crate) fn advance(&mut self, is_alone: bool, now: ClockTime) {
         let mut start = *self.interval_start.get_or_insert(now);
         // After a long pause the intervals without counts are not needed.
-        if now.since(start) > INTERVAL * SPANS[0] as u32 {
+        if now.since(start) > MAX_PAUSE {
             start = now - INTERVAL;
         }
         while now.since(start) >= INTERVAL {
@@ -236,18 +293,12 @@
     /// `exp(-evidence)` is the probability of such counts over one span if both versions are equal.
     pub(crate) fn highest(&self) -> f64 {
         let mut highest: f64 = 0.0;
-        for span in SPANS {
+        for span in &SPANS {
             let mut all = [KindSums::default(); 2];
             for history in self.routes.values() {
-                let mut sums = [KindSums::default(); 2];
-                for interval in history.closed.iter().rev().take(span) {
-                    for kind in 0..2 {
-                        sums[kind].add(&interval[kind]);
-                    }
-                }
-                for kind in 0..2 {
-                    highest = highest.max(sums[kind].evidence());
-                    all[kind].add(&sums[kind]);
+                for (sums, all) in history.sums(span).iter().zip(&mut all) {
+                    highest = highest.max(sums.evidence());
+                    all.add(sums);
                 }
             }
             for sums in &all {
--- a/components/rollout/src/home.rs
+++ b/components/rollout/src/home.rs
@@ -14,8 +14,12 @@
 /// the rest allows for about 3,000 tests of routes, kinds, spans and times in a roll-out (8.0).
 const MIN_EVIDENCE: f64 = 15.0;
 
+/// Evidence at which the new version is bad when it is about to get all requests. This is decided
+/// once in a roll-out, so it allows for fewer tests.
+const MIN_FINAL_EVIDENCE: f64 = 9.5;
+
 /// Evidence from which the new version is suspected, and gets no larger share for a limited time.
-const SUSPICION_EVIDENCE: f64 = 5.0;
+const SUSPICION_EVIDENCE: f64 = 4.0;
 
 /// Number of answers of the new version that are awaited before it gets all requests.
 const MIN_ANSWERS: u64 = 20;
@@ -253,15 +257,19 @@
             return None;
         }
         let is_held = elapsed_ms < duration_ms * MAX_HOLD_PERCENT / 100;
-        if is_held && self.evidence.highest() >= SUSPICION_EVIDENCE {
-            return None;
-        }
         if (step as usize) + 1 < plan.steps().len() {
             return Some(RolloutPhase::Running { step: step + 1 });
         }
         if fleet.new_serving < fleet.old_serving.div_ceil(MIN_TARGETS_DIVISOR) {
             return (elapsed_ms >= duration_ms).then(|| rolled_back("too few targets"));
         }
+        let evidence = self.evidence.highest();
+        if evidence >= MIN_FINAL_EVIDENCE {
+            return Some(rolled_back("bad responses"));
+        }
+        if is_held && evidence >= SUSPICION_EVIDENCE {
+            return None;
+        }
         let has_answers = self.new_answers >= MIN_ANSWERS;
         (has_answers || !is_held).then_some(RolloutPhase::Draining)
     }
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -5,10 +5,15 @@
 //! next phase of the record.
 
 mod evidence;
+mod gate;
 mod home;
+mod latency;
 mod plan;
 mod record;
 
+pub use gate::{
+    RunStart, SelectedVersion, VersionAnswer, VersionChoice, VersionGate, VersionGates, VersionRun,
+};
 pub use home::{RolloutBounds, RolloutFleet, RolloutHome};
 pub use plan::{PlannedStep, RolloutPlan};
 pub use record::{
