Replicate roll-outs with the configuration of the fleet

An order to move a service to another software version had no place in the replicated log. Actions start, cancel and advance a roll-out; its record travels to entries in FleetConfig, in incremental and complete updates.

--- a/components/control/src/orders.rs
+++ b/components/control/src/orders.rs
@@ -3,6 +3,7 @@
 use manifest::{FleetManifest, ManifestChange};
 use raft::MAX_COMMAND_BYTES;
 use registry::{RegistryAction, StageId};
+use rollout::RolloutOrder;
 use units::{ConfigVersion, OrderId};
 use wire::OperatorOrder;
 
@@ -70,6 +71,18 @@
         OperatorOrder::Evacuate { data_centre, out } => {
             Ok(vec![RegistryAction::Evacuate { data_centre, out }])
         }
+        OperatorOrder::StartRollout {
+            service,
+            to,
+            duration_ms,
+        } => Ok(vec![RegistryAction::StartRollout(RolloutOrder {
+            service,
+            to,
+            duration_ms,
+        })]),
+        OperatorOrder::CancelRollout { service } => {
+            Ok(vec![RegistryAction::CancelRollout { service }])
+        }
         OperatorOrder::Fence { order, target } => Ok(vec![RegistryAction::Fence { order, target }]),
     }
 }
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -91,7 +91,8 @@
         }
         ControlRequest::Directory(_)
         | ControlRequest::RegisterVersion(_)
-        | ControlRequest::Depart { .. } => role == NodeRole::Control,
+        | ControlRequest::Depart { .. }
+        | ControlRequest::AdvanceRollout(_) => role == NodeRole::Control,
         ControlRequest::Report(_)
         | ControlRequest::RecordOrigins(_)
         | ControlRequest::FindOrigin(_)
@@ -271,6 +272,10 @@
         ControlRequest::Depart { name, incarnation } => {
             vec![RegistryAction::Depart { name, incarnation }]
         }
+        ControlRequest::AdvanceRollout(step) => match postcard::from_bytes(&step) {
+            Ok(step) => vec![RegistryAction::AdvanceRollout(step)],
+            Err(error) => return ControlReply::BadRequest(error.to_string()),
+        },
         ControlRequest::Order(order) => {
             if !has_applied_expected(context, &order).await {
                 return no_quorum_reply(context);
@@ -282,7 +287,7 @@
         }
         _ => {
             return ControlReply::BadRequest(
-                "only calls, orders, versions and departures are committed".into(),
+                "only calls, orders, versions, departures and roll-outs are committed".into(),
             );
         }
     };
@@ -299,6 +304,7 @@
         RegistryOutcome::Order(reply) => ControlReply::Order(reply),
         RegistryOutcome::Begin(outcome) => ControlReply::Begun(outcome),
         RegistryOutcome::Registered(is_registered) => ControlReply::Registered(is_registered),
+        RegistryOutcome::Advanced(has_advanced) => ControlReply::Advanced(has_advanced),
     }
 }
 
--- a/components/ctl/src/apply.rs
+++ b/components/ctl/src/apply.rs
@@ -83,6 +83,14 @@
                 "Failed to apply the order: the configuration has changed to version {current}."
             ),
         ),
+        OrderReply::RolloutInProgress { to } => (
+            ExitStatus::Conflict,
+            format!("Failed to apply the order: a roll-out to version {to} is in progress."),
+        ),
+        OrderReply::NoPlan => (
+            ExitStatus::Failed,
+            "Failed to apply the order: no plan is published yet.".into(),
+        ),
         OrderReply::Invalid(reason) => (invalid, format!("Failed to apply the order: {reason}")),
     };
     if json {
--- a/components/registry/src/command.rs
+++ b/components/registry/src/command.rs
@@ -3,8 +3,11 @@
 use std::collections::BTreeSet;
 
 use manifest::ManifestChange;
+use rollout::{RolloutOrder, RolloutStep};
 use routes::PublishedPlan;
-use units::{ConfigVersion, DataCentreName, DiskId, Incarnation, NodeName, OrderId, TargetName};
+use units::{
+    ConfigVersion, DataCentreName, DiskId, Incarnation, NodeName, OrderId, ServiceName, TargetName,
+};
 use wire::{BeginCall, BeginOutcome, EndCall, OrderReply, StreamOrigin};
 
 units::number!(
@@ -122,6 +125,16 @@
             /// Incarnation that leaves. Earlier ones have left, too.
             incarnation: Incarnation,
         },
+        /// Starts a roll-out. Has no effect if the same order is in progress or has just ended.
+        StartRollout(RolloutOrder),
+        /// Rolls the roll-out of a service back. Has no effect if that has been done.
+        CancelRollout {
+            /// Affected service.
+            service: ServiceName,
+        },
+        /// Puts the next phase of a roll-out in force. Has no effect on another roll-out, or if the
+        /// phase may not follow the current one.
+        AdvanceRollout(RolloutStep),
     }
 
     /// Outcome of a command.
@@ -134,5 +147,7 @@
         Begin(BeginOutcome),
         /// Outcome of [`RegistryAction::RegisterVersion`]: whether the version is registered.
         Registered(bool),
+        /// Outcome of [`RegistryAction::AdvanceRollout`]: whether the phase has changed.
+        Advanced(bool),
     }
 }
--- a/components/registry/src/config.rs
+++ b/components/registry/src/config.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeSet;
 
 use manifest::{FleetManifest, ManifestChange};
+use rollout::{RolloutRecord, RolloutTable};
 use routes::PublishedPlan;
 use thiserror::Error;
-use units::{ConfigVersion, DataCentreName, TargetName};
+use units::{ConfigVersion, DataCentreName, ServiceName, TargetName};
 
 units::data! {
     /// Configuration of the fleet at one version.
@@ -21,6 +22,10 @@
         pub out_targets: BTreeSet<TargetName>,
         /// Published plan with the highest number.
         pub published: Option<PublishedPlan>,
+        /// Newest roll-out of each service. Encoded apart from the other fields, so that older
+        /// snapshots can be restored.
+        #[serde(skip)]
+        pub rollouts: RolloutTable,
     }
 
     /// One change of the configuration.
@@ -43,12 +48,21 @@
         },
         /// Puts a published plan in force.
         Publish(Box<PublishedPlan>),
+        /// Replaces the record of a service's newest roll-out.
+        Rollout(Box<RolloutRecord>),
+        /// Removes the record of a service that no plan contains any more.
+        RemoveRollout(ServiceName),
     }
 
     /// Update of a node's configuration to a newer version.
     pub enum ConfigUpdate {
         /// Complete configuration.
-        Full(Box<FleetConfig>),
+        Full {
+            /// Configuration without its roll-outs.
+            config: Box<FleetConfig>,
+            /// Roll-outs of the configuration.
+            rollouts: RolloutTable,
+        },
         /// Changes between two versions.
         Incremental {
             /// Version to which the changes apply.
@@ -108,9 +122,10 @@
 
     fn update(&mut self, update: ConfigUpdate) -> Result<(), ConfigError> {
         match update {
-            ConfigUpdate::Full(config) => {
+            ConfigUpdate::Full { config, rollouts } => {
                 if config.version > self.version {
                     *self = *config;
+                    self.rollouts = rollouts;
                 }
             }
             ConfigUpdate::Incremental { to, .. } if to <= self.version => {}
@@ -137,6 +152,8 @@
                 set_membership(&mut self.out_targets, target, *out);
             }
             ConfigChange::Publish(published) => self.published = Some(published.as_ref().clone()),
+            ConfigChange::Rollout(record) => self.rollouts.install(record.as_ref().clone()),
+            ConfigChange::RemoveRollout(service) => self.rollouts.remove(service),
         }
     }
 
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -1,5 +1,5 @@
 //! Replicated state: configuration, data centres and targets that are out, fencing numbers, call
-//! records, software versions and departures of targets.
+//! records, software versions and departures of targets, and roll-outs.
 //!
 //! The state is deterministic: it depends only on the sequence of commands. Each command carries
 //! the wall-clock time of the leader that proposed it.
@@ -20,5 +20,5 @@
 pub use calls::{CallRecord, MAX_STORED_BODY_BYTES, MAX_STORED_TOTAL_BYTES};
 pub use command::{RegistryAction, RegistryCommand, RegistryOutcome, StageId, WallTime};
 pub use config::{ConfigChange, ConfigError, ConfigUpdate, FleetConfig};
-pub use state::{MAX_OUT_TARGETS, RegistryError, RegistryLimits, RegistryState};
+pub use state::{MAX_OUT_TARGETS, MAX_ROLLOUTS, RegistryError, RegistryLimits, RegistryState};
 pub use versions::VersionTable;
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -1,5 +1,7 @@
 //! State machine of the replicated log.
 
+mod rollouts;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use directory::DepartureTable;
@@ -16,6 +18,8 @@
 use crate::orders::OrderOutcomes;
 use crate::versions::VersionTable;
 
+pub use self::rollouts::MAX_ROLLOUTS;
+
 /// Maximum number of targets that are out at the same time.
 pub const MAX_OUT_TARGETS: usize = 10_000;
 
@@ -143,6 +147,15 @@
                 self.departures.record(name, *incarnation);
                 RegistryOutcome::Done
             }
+            RegistryAction::StartRollout(order) => {
+                RegistryOutcome::Order(self.start_rollout(order))
+            }
+            RegistryAction::CancelRollout { service } => {
+                RegistryOutcome::Order(self.cancel_rollout(service))
+            }
+            RegistryAction::AdvanceRollout(step) => {
+                RegistryOutcome::Advanced(self.advance_rollout(step))
+            }
             RegistryAction::Apply { order, .. }
             | RegistryAction::DataCentre { order, .. }
             | RegistryAction::Target { order, .. }
@@ -287,7 +300,9 @@
             return OrderReply::Accepted(self.config.version);
         }
         self.published_text = Some(text.into());
-        let reply = self.install_next_version(vec![ConfigChange::Publish(Box::new(plan.clone()))]);
+        let mut changes = vec![ConfigChange::Publish(Box::new(plan.clone()))];
+        changes.extend(self.end_rollouts_without_service(plan));
+        let reply = self.install_next_version(changes);
         self.history.clear();
         reply
     }
@@ -385,7 +400,10 @@
                 to: self.config.version,
                 changes,
             },
-            None => ConfigUpdate::Full(Box::new(self.config.clone())),
+            None => ConfigUpdate::Full {
+                config: Box::new(self.config.clone()),
+                rollouts: self.config.rollouts.clone(),
+            },
         };
         postcard::to_stdvec(&update).expect("an update encodes into memory")
     }
@@ -397,6 +415,8 @@
         bytes.extend(versions.expect("the versions encode into memory"));
         let departures = postcard::to_stdvec(&self.departures);
         bytes.extend(departures.expect("the departures encode into memory"));
+        let rollouts = postcard::to_stdvec(&self.config.rollouts);
+        bytes.extend(rollouts.expect("the roll-outs encode into memory"));
         bytes
     }
 
@@ -410,7 +430,10 @@
             (state.versions, rest) = postcard::take_from_bytes(rest).map_err(to_error)?;
         }
         if !rest.is_empty() {
-            state.departures = postcard::from_bytes(rest).map_err(to_error)?;
+            (state.departures, rest) = postcard::take_from_bytes(rest).map_err(to_error)?;
+        }
+        if !rest.is_empty() {
+            state.config.rollouts = postcard::from_bytes(rest).map_err(to_error)?;
         }
         state.calls.rebuild();
         Ok(state)
--- a/components/registry/tests/departures.rs
+++ b/components/registry/tests/departures.rs
@@ -42,8 +42,9 @@
     depart(&mut state, "target", 5);
 
     let restored = RegistryState::restore(&state.snapshot()).unwrap();
-    // Older processes wrote nothing after the versions. An empty table is three bytes.
-    let from_older = RegistryState::restore(&older[..older.len() - 3]).unwrap();
+    // Older processes wrote nothing after the versions. The empty tables of departures and roll-outs
+    // are three and two bytes.
+    let from_older = RegistryState::restore(&older[..older.len() - 5]).unwrap();
 
     assert!(has_left(&restored, "target", 5));
     assert_eq!(restored.departures(), state.departures());
--- a/components/registry/tests/versions.rs
+++ b/components/registry/tests/versions.rs
@@ -89,9 +89,9 @@
     register(&mut state, "v1");
 
     let restored = RegistryState::restore(&state.snapshot()).unwrap();
-    // Older processes wrote nothing after the state. The empty tables of versions and departures are
-    // one and three bytes.
-    let from_older = RegistryState::restore(&older[..older.len() - 4]).unwrap();
+    // Older processes wrote nothing after the state. The empty tables of versions, departures and
+    // roll-outs are one, three and two bytes.
+    let from_older = RegistryState::restore(&older[..older.len() - 6]).unwrap();
 
     assert_eq!(names(&restored), ["v1"].map(String::from).into());
     assert!(names(&from_older).is_empty());
--- a/components/rollout/src/record.rs
+++ b/components/rollout/src/record.rs
@@ -107,7 +107,7 @@
 
 impl RolloutRecord {
     /// Whether an order at this time repeats the one that started the roll-out.
-    fn is_repeated_by(&self, order: &RolloutOrder, now_ms: u64) -> bool {
+    pub fn is_repeated_by(&self, order: &RolloutOrder, now_ms: u64) -> bool {
         let is_recent = |ended_at_ms| now_ms < ended_at_ms + REPEAT_WINDOW_MS;
         self.order == *order && self.ended_at_ms.is_none_or(is_recent)
     }
@@ -163,6 +163,11 @@
         self.records.insert(record.order.service.clone(), record);
     }
 
+    /// Removes the record of a service.
+    pub fn remove(&mut self, service: &ServiceName) {
+        self.records.remove(service);
+    }
+
     /// Newest roll-out of a service.
     pub fn get(&self, service: &ServiceName) -> Option<&RolloutRecord> {
         self.records.get(service)
@@ -173,6 +178,16 @@
         self.records.values()
     }
 
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Whether a roll-out is in progress.
     pub fn is_active(&self) -> bool {
         self.iter().any(|record| !record.phase.is_final())
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -256,6 +256,21 @@
             /// Whether the data centre is taken out.
             out: bool,
         },
+        /// Moves the traffic of a service to a software version. Repetitions are idempotent while
+        /// the roll-out is in progress and for some seconds after.
+        StartRollout {
+            /// Affected service.
+            service: ServiceName,
+            /// Version that the traffic is moved to.
+            to: SoftwareVersion,
+            /// Time limit of the roll-out in milliseconds.
+            duration_ms: u64,
+        },
+        /// Rolls the roll-out of a service back. Repetitions are idempotent.
+        CancelRollout {
+            /// Affected service.
+            service: ServiceName,
+        },
     }
 
     /// Reply to an operator's order.
@@ -271,6 +286,13 @@
         },
         /// The order is invalid, for the given reason.
         Invalid(String),
+        /// Another roll-out of the service is in progress.
+        RolloutInProgress {
+            /// Version that it moves the traffic to.
+            to: SoftwareVersion,
+        },
+        /// The order needs a published plan, and none is in force yet.
+        NoPlan,
     }
 
     /// Request to a control node.
@@ -311,6 +333,9 @@
             /// Incarnation that leaves.
             incarnation: Incarnation,
         },
+        /// Proposes the next phase of a roll-out, forwarded by another control node: an encoded
+        /// `RolloutStep` of the `rollout` crate.
+        AdvanceRollout(Vec<u8>),
     }
 
     /// Reply of a control node.
@@ -337,6 +362,8 @@
         Versions(BTreeSet<SoftwareVersion>),
         /// Reply to [`ControlRequest::RegisterVersion`]: whether the version is registered.
         Registered(bool),
+        /// Reply to [`ControlRequest::AdvanceRollout`]: whether the phase has changed.
+        Advanced(bool),
         /// The node currently has no quorum.
         NoQuorum {
             /// Current leader, if known.
