Accept orders of roll-outs from operators over HTTP

The platform's operators had no call to move a service to another version; POST and GET below /-/rollouts were answered 404. ControlApi starts, reads and cancels roll-outs. An order is committed before it is answered 200; a read is confirmed by a quorum. Other orders for a service in progress get 409, no plan or quorum 503, and faults of the order 400 also without a quorum.

--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -7,15 +7,17 @@
 use std::net::SocketAddr;
 
 use link::LinkEndpoint;
+use rollout::{RolloutOrder, RolloutRecord};
 use routes::PublishedPlan;
 use thiserror::Error;
-use units::{DataCentreName, Incarnation, NodeName, PlanNumber};
+use units::{DataCentreName, Incarnation, NodeName, PlanNumber, ServiceName};
 use wire::{
     ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeState, OperatorOrder, OrderReply,
 };
 
 use crate::announced::{check_announcement, check_departure};
 use crate::departures::commit_departure;
+use crate::orders::check_rollout;
 use crate::quorum;
 use crate::requests::{commit_or_forward, confirm_newest};
 use crate::state::ControlContext;
@@ -31,6 +33,12 @@
     /// names the leader and the voters that the node waits for.
     #[error("Failed to reach a quorum of the control nodes: {0}")]
     NoQuorum(String),
+    /// The order contradicts another one that is in progress.
+    #[error("{0}")]
+    Conflict(String),
+    /// The order needs a published plan, and none is in force yet.
+    #[error("No plan has been published yet")]
+    NoPlan,
 }
 
 /// Text of the published plan in force, as submitted by its operator.
@@ -96,6 +104,35 @@
             .await
     }
 
+    /// Starts a roll-out, unless the same order is in progress or has just ended.
+    pub async fn start_rollout(&self, order: RolloutOrder) -> Result<(), ApiError> {
+        // An invalid order is refused without a quorum, too.
+        check_rollout(&order).map_err(ApiError::Invalid)?;
+        self.order(OperatorOrder::StartRollout {
+            service: order.service,
+            to: order.to,
+            duration_ms: order.duration_ms,
+        })
+        .await
+    }
+
+    /// Rolls the roll-out of a service back, unless that has been done.
+    pub async fn cancel_rollout(&self, service: ServiceName) -> Result<(), ApiError> {
+        self.order(OperatorOrder::CancelRollout { service }).await
+    }
+
+    /// Returns the newest roll-out of a service, as confirmed by a quorum, or `None` if none was
+    /// ordered.
+    pub async fn rollout(&self, service: &ServiceName) -> Result<Option<RolloutRecord>, ApiError> {
+        if !confirm_newest(&self.context).await {
+            return Err(self.no_quorum());
+        }
+        Ok(self
+            .context
+            .view
+            .read(|view| view.registry.config().rollouts.get(service).cloned()))
+    }
+
     /// Records the announcement of a target and forwards it to the other control nodes immediately.
     /// Registers the target's version first if it is new, and commits its departure if it is leaving.
     ///
@@ -174,6 +211,10 @@
         match commit_or_forward(&self.context, false, ControlRequest::Order(order)).await {
             ControlReply::Order(OrderReply::Accepted(_)) => Ok(()),
             ControlReply::Order(OrderReply::Invalid(reason)) => Err(ApiError::Invalid(reason)),
+            ControlReply::Order(OrderReply::NoPlan) => Err(ApiError::NoPlan),
+            ControlReply::Order(OrderReply::RolloutInProgress { to }) => Err(ApiError::Conflict(
+                format!("a roll-out of the service to version {to} is in progress"),
+            )),
             _ => Err(self.no_quorum()),
         }
     }
--- a/components/control/src/orders.rs
+++ b/components/control/src/orders.rs
@@ -15,6 +15,12 @@
 /// Maximum number of faults of a services text that a reply lists.
 const MAX_REPORTED_FAULTS: usize = 100;
 
+/// Maximum length of the version of a roll-out, as of those that targets announce.
+const MAX_VERSION_BYTES: usize = 256;
+
+/// Longest roll-out, a day in milliseconds.
+const MAX_ROLLOUT_MS: u64 = 24 * 60 * 60 * 1_000;
+
 /// Returns the commands of an order, in the sequence in which they must be proposed. An invalid
 /// text is refused before any command is proposed.
 pub(crate) async fn order_actions(
@@ -75,11 +81,15 @@
             service,
             to,
             duration_ms,
-        } => Ok(vec![RegistryAction::StartRollout(RolloutOrder {
-            service,
-            to,
-            duration_ms,
-        })]),
+        } => {
+            let order = RolloutOrder {
+                service,
+                to,
+                duration_ms,
+            };
+            check_rollout(&order)?;
+            Ok(vec![RegistryAction::StartRollout(order)])
+        }
         OperatorOrder::CancelRollout { service } => {
             Ok(vec![RegistryAction::CancelRollout { service }])
         }
@@ -87,6 +97,23 @@
     }
 }
 
+/// Returns why an order cannot start a roll-out, whatever the plan contains.
+pub(crate) fn check_rollout(order: &RolloutOrder) -> Result<(), String> {
+    let (version, duration_ms) = (order.to.as_str(), order.duration_ms);
+    if version.is_empty() || version.len() > MAX_VERSION_BYTES {
+        let length = version.len();
+        return Err(format!(
+            "the version has {length} bytes, not 1 to {MAX_VERSION_BYTES}"
+        ));
+    }
+    if duration_ms == 0 || duration_ms > MAX_ROLLOUT_MS {
+        return Err(format!(
+            "the duration is {duration_ms} ms, not 1 to {MAX_ROLLOUT_MS}"
+        ));
+    }
+    Ok(())
+}
+
 fn parse_changes(current: &FleetManifest, text: &str) -> Result<Vec<ManifestChange>, String> {
     match FleetManifest::parse(text) {
         Ok(newer) => Ok(current.diff(&newer)),
