--- a/components/ctl/src/apply.rs
+++ b/components/ctl/src/apply.rs
@@ -71,6 +71,23 @@
     changes: usize,
     invalid: ExitStatus,
     json: bool,
+) -> CommandReport {
+    let json = json.then(|| {
+        serde_json::json!({
+            "order": order,
+            "reply": reply,
+            "changes": changes,
+        })
+    });
+    reply_report(reply, invalid, json)
+}
+
+/// Report of a reply, which is printed as `json` if that is given; `invalid` is the exit status if the
+/// order is invalid.
+pub(crate) fn reply_report(
+    reply: &OrderReply,
+    invalid: ExitStatus,
+    json: Option<serde_json::Value>,
 ) -> CommandReport {
     let (status, text) = match reply {
         OrderReply::Accepted(version) => {
@@ -93,12 +110,7 @@
         ),
         OrderReply::Invalid(reason) => (invalid, format!("Failed to apply the order: {reason}")),
     };
-    if json {
-        let value = serde_json::json!({
-            "order": order,
-            "reply": reply,
-            "changes": changes,
-        });
+    if let Some(value) = json {
         return CommandReport {
             output: format!("{value}\n"),
             errors: String::new(),
--- a/components/ctl/src/commands.rs
+++ b/components/ctl/src/commands.rs
@@ -12,6 +12,7 @@
 use crate::options::{Command, CtlOptions, MemberCommand, QuarantineCommand};
 use crate::orders::{OrderSubject, set_exclusion};
 use crate::quarantine::{lift_quarantine, list_quarantine};
+use crate::rollout::run_rollout_command;
 use crate::status::show_status;
 
 /// Exit code of a command.
@@ -93,6 +94,7 @@
         Command::Quarantine(QuarantineCommand::Lift { subject }) => {
             lift_quarantine(&connect()?, subject).await
         }
+        Command::Rollout(command) => run_rollout_command(&connect()?, command, options.json).await,
         Command::Control(MemberCommand::Members) => list_members(&connect()?, options.json).await,
     }
 }
--- a/components/ctl/src/lib.rs
+++ b/components/ctl/src/lib.rs
@@ -11,6 +11,7 @@
 mod options;
 mod orders;
 mod quarantine;
+mod rollout;
 mod status;
 mod table;
 
@@ -18,6 +19,6 @@
 pub use commands::{CommandReport, ExitStatus, run};
 pub use options::{
     ApplyOptions, Command, ConnectionOptions, CtlOptions, ExclusionState, KeyCommand,
-    MemberCommand, OrderOptions, options,
+    MemberCommand, OrderOptions, RolloutCommand, options,
 };
 pub use table::text_table;
--- a/components/ctl/src/options.rs
+++ b/components/ctl/src/options.rs
@@ -77,6 +77,9 @@
     /// Show or end the quarantine of requests that crash targets
     #[bpaf(command)]
     Quarantine(#[bpaf(external(quarantine_command))] QuarantineCommand),
+    /// Move the traffic of a service to another software version
+    #[bpaf(command)]
+    Rollout(#[bpaf(external(rollout_command))] RolloutCommand),
     /// Show the control nodes
     #[bpaf(command)]
     Control(#[bpaf(external(member_command))] MemberCommand),
@@ -122,6 +125,41 @@
     },
 }
 
+/// Commands for roll-outs
+#[derive(Debug, Clone, Bpaf)]
+pub enum RolloutCommand {
+    /// Start a roll-out, which ends in completed or rolled-back
+    #[bpaf(command)]
+    Start {
+        /// Time limit in seconds
+        #[bpaf(long, argument("SECONDS"))]
+        duration: f64,
+        /// Name of the service
+        #[bpaf(positional("SERVICE"))]
+        service: String,
+        /// Software version of the targets that get the traffic
+        #[bpaf(positional("VERSION"))]
+        version: String,
+    },
+    /// Show the newest roll-out of a service
+    #[bpaf(command)]
+    Status {
+        /// Name of the service
+        #[bpaf(positional("SERVICE"))]
+        service: String,
+    },
+    /// List the newest roll-out of each service
+    #[bpaf(command)]
+    List,
+    /// Roll the roll-out of a service back
+    #[bpaf(command)]
+    Cancel {
+        /// Name of the service
+        #[bpaf(positional("SERVICE"))]
+        service: String,
+    },
+}
+
 /// Commands for the control nodes
 #[derive(Debug, Clone, Bpaf)]
 pub enum MemberCommand {
--- a/components/ctl/tests/commands.rs
+++ b/components/ctl/tests/commands.rs
@@ -4,6 +4,8 @@
 
 use common::{run_ctl, start_control};
 use ctl::ExitStatus;
+use routes::{CallerBounds, PublishedPlan, RoutePlan, ServicePool};
+use units::{ByteSize, PlanNumber};
 
 const SERVICES_TEXT: &str = r#"
 [[region]]
@@ -74,3 +76,61 @@
     assert!(members.output.contains("voter"), "{members:?}");
     handle.stop().await;
 }
+
+/// Guards against roll-outs that operators cannot start, see or cancel, and against a conflict that
+/// scripts take for success.
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_starts_lists_and_cancels_a_rollout() {
+    let folder = tempfile::tempdir().unwrap();
+    let handle = start_control(folder.path()).await;
+    let address = handle.address().to_string();
+    let start = |version| ["rollout", "start", "drafts", version, "--duration", "60"];
+    let run = async |arguments: &[&str]| run_ctl(folder.path(), &address, arguments).await;
+
+    let without_plan = run(&start("v2")).await;
+    let api = handle.api();
+    api.publish(&plan_with_service("drafts"), String::new())
+        .await
+        .unwrap();
+    let before = run(&["rollout", "status", "drafts"]).await;
+    let started = run(&start("v2")).await;
+    let repeated = run(&start("v2")).await;
+    let other = run(&start("v3")).await;
+    let listed = run(&["rollout", "list"]).await;
+    let cancelled = run(&["rollout", "cancel", "drafts"]).await;
+    let after = run(&["--json", "rollout", "status", "drafts"]).await;
+
+    assert_eq!(without_plan.status, ExitStatus::Failed, "{without_plan:?}");
+    assert_eq!(before.status, ExitStatus::Failed, "{before:?}");
+    assert_eq!(started.status, ExitStatus::Done, "{started:?}");
+    assert_eq!(repeated, started);
+    assert_eq!(other.status, ExitStatus::Conflict, "{other:?}");
+    assert!(listed.output.contains("running, step 0"), "{listed:?}");
+    assert_eq!(cancelled.status, ExitStatus::Done, "{cancelled:?}");
+    assert!(after.output.contains("cancelled"), "{after:?}");
+    handle.stop().await;
+}
+
+fn plan_with_service(name: &str) -> PublishedPlan {
+    let pool = ServicePool {
+        health_path: "/health".into(),
+        connections: 9,
+        cold: None,
+        engine: None,
+    };
+    PublishedPlan {
+        number: PlanNumber(1),
+        plan: RoutePlan {
+            routes: Vec::new(),
+            pools: [(name.into(), pool)].into(),
+            organisations: Default::default(),
+            bounds: CallerBounds {
+                max_headers: ByteSize(1),
+                max_body: ByteSize(1),
+                header_timeout_ms: 1,
+                idle_timeout_ms: 1,
+                tokens_per_second: None,
+            },
+        },
+    }
+}
