Carry counts of roll-outs and the installed configuration in reports of entries

The home needs to know which versions answered how, and when all entries have a phase. The directory tells the latter up to 1.5 s late, as it is renewed and forwarded every 500 ms; reports reach the home every 250 ms, so they state the installed configuration too. The home sums the counts, asks RolloutHome for the next step at reports and every 250 ms, and proposes it through the log. It treats a phase as installed only after a quorum has confirmed it for the time for which cut-off entries act on an older configuration, because entries vanish from the directory while there is none. Bounds come from the settings file. Each node logs the changes of roll-outs, the home what it decided by.

--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -16,7 +16,7 @@
 use raft::NodeRole as RaftRole;
 use store::{DiskFiles, SystemFiles};
 use telemetry::{event, events};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::JoinSet;
 use units::{ClockSource, DiskId, Incarnation, NodeName, SystemClock};
 use wire::{HomeId, NodeRole, stable_hash};
@@ -29,6 +29,7 @@
 use crate::peer_link::{PeerFrame, build_announcement, replicate_directory};
 use crate::peers::PeerTable;
 use crate::quorum::{record_gauges, watch_quorum};
+use crate::rollouts::{RolloutHomes, drive_rollouts, watch_rollouts};
 use crate::server::serve;
 use crate::settings::ControlSettings;
 use crate::state::ControlContext;
@@ -133,6 +134,8 @@
         ),
         usage: StateBoard::new(UsageHome::new()),
         demand: StateBoard::new(DemandHome::new()),
+        rollouts: StateBoard::new(RolloutHomes::default()),
+        rollout_due: Arc::new(Notify::new()),
         origins,
         quarantine: StateBoard::new(QuarantineHome::new(home_id(&settings.name))),
         driver,
@@ -146,6 +149,8 @@
     }
     tasks.spawn(replicate_directory(context.clone()));
     tasks.spawn(remove_old_versions(context.clone()));
+    tasks.spawn(drive_rollouts(context.clone()));
+    tasks.spawn(watch_rollouts(context.clone()));
     tasks.spawn(send_ticks(context.driver.clone()));
     tasks.spawn(watch_quorum(context.clone()));
     tasks.spawn(serve(context.clone(), endpoint.clone()));
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod quorum;
 mod requests;
+mod rollouts;
 mod server;
 mod settings;
 mod state;
@@ -27,7 +28,10 @@
 
 pub use api::{ApiError, ControlApi, PublishedText};
 pub use handle::{ControlHandle, start, start_on, start_on_files, start_with_files};
-pub use settings::{ControlArguments, ControlSettings, DEFAULT_CATCH_UP_TIME};
+pub use settings::{
+    ControlArguments, ControlSettings, DEFAULT_CATCH_UP_TIME, DEFAULT_PLAN_TIME,
+    DEFAULT_ROLLOUT_BOUNDS,
+};
 pub use status::{
     ControlStatus, DataCentreReport, FleetStatus, NodeReport, QuarantineStatus, ServiceReport,
 };
--- a/components/control/src/quorum.rs
+++ b/components/control/src/quorum.rs
@@ -13,6 +13,7 @@
 use tokio::time::MissedTickBehavior;
 use units::{ClockTime, DiskId, NodeName};
 
+use crate::rollouts;
 use crate::state::{ControlContext, DriverView};
 
 /// Interval at which the confirmation by a quorum is checked. Half of the interval between the
@@ -185,7 +186,7 @@
     );
 }
 
-/// Records the gauges of the group periodically; runs until it is aborted.
+/// Records the gauges of the group and of roll-outs periodically; runs until it is aborted.
 pub(crate) async fn record_gauges(context: ControlContext, metrics: StatsdClient) {
     let started_at = context.clock.now();
     let mut interval = check_interval();
@@ -202,6 +203,7 @@
         let _ = metrics.gauge("voters", voters);
         let _ = metrics.gauge("voters.present", voters - report.absent().count() as u64);
         let _ = metrics.gauge("confirmation.age.ms", age.as_millis() as u64);
+        rollouts::record_gauges(&context, &metrics);
     }
 }
 
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -17,6 +17,7 @@
 use crate::driver_event::{DriverEvent, ProposeFailure};
 use crate::orders::order_actions;
 use crate::peer_link::apply_directory;
+use crate::rollouts::apply_rollouts;
 use crate::state::ControlContext;
 use crate::status::fleet_status_json;
 use crate::versions::registered_versions;
@@ -186,6 +187,7 @@
     if context.view.read(|view| view.confirmed_at.is_none()) {
         return no_quorum_reply(context);
     }
+    apply_rollouts(context, report);
     ControlReply::Report(EntryReply {
         shares: apply_demand(context, demand),
         quarantine: apply_crashes(context, &report.crashes),
--- a/components/control/src/settings.rs
+++ b/components/control/src/settings.rs
@@ -5,13 +5,25 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use client::LEASE_TIME;
 use raft::RaftSettings;
+use rollout::RolloutBounds;
 use units::{DataCentreName, NodeName, RegionName};
 
 /// Default of [`ControlSettings::catch_up_time`]. A replacement needs about a second beside the
 /// silence of the host that it replaces.
 pub const DEFAULT_CATCH_UP_TIME: Duration = Duration::from_secs(4);
 
+/// Default of [`ControlSettings::rollout_bounds`].
+pub const DEFAULT_ROLLOUT_BOUNDS: RolloutBounds = RolloutBounds {
+    exposure_permille: 100,
+    exposure_slack: 50,
+    rollback_ms: 5_000,
+};
+
+/// Default of [`ControlSettings::plan_time`], the lease of entries and agents.
+pub const DEFAULT_PLAN_TIME: Duration = LEASE_TIME;
+
 /// Settings of a control node.
 #[derive(Debug, Clone)]
 pub struct ControlSettings {
@@ -44,6 +56,11 @@
     pub catch_up_time: Duration,
     /// Time without announcements after which a target without an agent is removed.
     pub target_silence_timeout: Duration,
+    /// Bounds of roll-outs.
+    pub rollout_bounds: RolloutBounds,
+    /// Time after the last confirmation by a quorum for which entries act on their configuration as
+    /// the newest one.
+    pub plan_time: Duration,
 }
 
 impl ControlSettings {
@@ -110,6 +127,8 @@
             raft: RaftSettings::default(),
             catch_up_time: DEFAULT_CATCH_UP_TIME,
             target_silence_timeout: directory::SILENCE_TIMEOUT,
+            rollout_bounds: DEFAULT_ROLLOUT_BOUNDS,
+            plan_time: DEFAULT_PLAN_TIME,
             is_join_only: false,
             has_peer_discovery: false,
         })
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -11,13 +11,14 @@
 use quarantine::QuarantineHome;
 use raft::{NodeRole, NodeStatus};
 use registry::RegistryState;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use units::{ClockSource, ClockTime, ConfigVersion, NodeName};
 
 use crate::driver_event::DriverEvent;
 use crate::formation::{PeerAnnouncement, SeenPeer, SeenPeers};
 use crate::origins::OriginStore;
 use crate::peers::PeerTable;
+use crate::rollouts::RolloutHomes;
 use crate::settings::ControlSettings;
 
 /// Maximum number of configuration versions for which the time of application is kept. The times
@@ -128,6 +129,10 @@
     pub(crate) demand: StateBoard<DemandHome>,
     /// Requests that crash targets, if this node is the home of the entries' reports.
     pub(crate) quarantine: StateBoard<QuarantineHome>,
+    /// Roll-outs in progress, which this node judges if it is the home of the entries' reports.
+    pub(crate) rollouts: StateBoard<RolloutHomes>,
+    /// Wakes the judgement of roll-outs.
+    pub(crate) rollout_due: Arc<Notify>,
     /// Origins of streams that entries have reported.
     pub(crate) origins: OriginStore,
     /// Event queue of the driver.
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -177,6 +177,8 @@
                 data_centre: data_centre.map(DataCentreName::from),
                 raft: RaftSettings::default(),
                 catch_up_time: control::DEFAULT_CATCH_UP_TIME,
+                rollout_bounds: control::DEFAULT_ROLLOUT_BOUNDS,
+                plan_time: control::DEFAULT_PLAN_TIME,
                 target_silence_timeout: directory::SILENCE_TIMEOUT,
                 is_join_only: false,
                 has_peer_discovery: data_centre.is_some(),
--- a/components/ctl/tests/common/mod.rs
+++ b/components/ctl/tests/common/mod.rs
@@ -47,6 +47,8 @@
         data_centre: None,
         raft: RaftSettings::default(),
         catch_up_time: control::DEFAULT_CATCH_UP_TIME,
+        rollout_bounds: control::DEFAULT_ROLLOUT_BOUNDS,
+        plan_time: control::DEFAULT_PLAN_TIME,
         target_silence_timeout: Duration::from_secs(2),
         is_join_only: false,
         has_peer_discovery: false,
--- a/components/ctl/tests/quarantine.rs
+++ b/components/ctl/tests/quarantine.rs
@@ -6,7 +6,7 @@
 use common::{any_local_address, run_ctl, start_control};
 use ctl::ExitStatus;
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
-use units::Incarnation;
+use units::{ConfigVersion, Incarnation};
 use wire::{
     ControlReply, ControlRequest, CrashReport, DemandReport, EntryReport, NodeRole,
     QuarantinedTrait,
@@ -42,6 +42,8 @@
             }],
             refused: Vec::new(),
         },
+        config: ConfigVersion(0),
+        rollouts: Vec::new(),
     })
 }
 
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -30,6 +30,7 @@
             continue;
         };
         let (name, incarnation) = (shared.settings.name.clone(), shared.incarnation);
+        let config = shared.view.read(|view| view.config.version);
         let report = shared.board.write_quietly(|state| {
             for run in state.table.overdue_runs(now) {
                 state.gate.record_wait(run.latency, run.objective);
@@ -37,6 +38,8 @@
             EntryReport {
                 demand: state.gate.take_report(name, incarnation, now),
                 crashes: state.crashes.take_report(now),
+                config,
+                rollouts: Vec::new(),
             }
         });
         if let Some(reply) = sender.send(home, &report, now).await {
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -507,6 +507,8 @@
         data_centre: None,
         raft: RaftSettings::default(),
         catch_up_time: control::DEFAULT_CATCH_UP_TIME,
+        rollout_bounds: control::DEFAULT_ROLLOUT_BOUNDS,
+        plan_time: control::DEFAULT_PLAN_TIME,
         target_silence_timeout: Duration::from_secs(600),
     })
     .await
--- a/components/relay/tests/unconfirmed.rs
+++ b/components/relay/tests/unconfirmed.rs
@@ -85,6 +85,8 @@
                 data_centre: None,
                 raft: RaftSettings::default(),
                 catch_up_time: control::DEFAULT_CATCH_UP_TIME,
+                rollout_bounds: control::DEFAULT_ROLLOUT_BOUNDS,
+                plan_time: control::DEFAULT_PLAN_TIME,
                 target_silence_timeout: Duration::from_secs(600),
             };
             controls.push(control::start_on(settings, endpoint).await.unwrap());
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -60,6 +60,23 @@
     DEPARTURE_RECORDED = 3044, Info, "departure-recorded",
         "A target leaves. If committed is true, no control node lists its process as serving any \
          more, whatever announcements of it arrive; otherwise the target was told to repeat its call.";
+    ROLLOUT_ORDERED = 3045, Info, "rollout-ordered",
+        "This node has learned of a roll-out: an operator moves a service to another software version. \
+         The field old names the versions that were registered then. Logged again after a restart.";
+    ROLLOUT_JUDGED = 3046, Info, "rollout-judged",
+        "This node, to which the entries report, has proposed the next phase of a roll-out. The field \
+         committed is false if it is not known to be in force. evidence is the negative natural \
+         logarithm of the probability of such counts if both versions were equal. route has the most \
+         bad responses of the new version so far; the numbers are requests, failures and slow \
+         responses of the new and the old versions there.";
+    ROLLOUT_ADVANCED = 3047, Info, "rollout-advanced",
+        "A roll-out is in this phase, as far as this node knows: each step gives the new version a \
+         larger share of the requests, and while draining it gets all new ones.";
+    ROLLOUT_COMPLETED = 3048, Info, "rollout-completed",
+        "A roll-out has ended, took_ms after its order: the old versions get no requests.";
+    ROLLOUT_ROLLED_BACK = 3049, Warn, "rollout-rolled-back",
+        "A roll-out has ended, took_ms after its order: the new version gets no requests. The field \
+         reason says what decided it; rollout-judged at the node that proposed it has the counts.";
     CALL_INVALID = 3040, Warn, "call-invalid",
         "A call of an operator or target was invalid and had no effect; the field reason states \
          why.";
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -1,8 +1,10 @@
-//! Reports of entries: their demand, and the crashes that they have observed.
+//! Reports of entries: their demand, the crashes that they have observed, and what they have counted of
+//! roll-outs.
 
-use units::{CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
+use units::{ConfigVersion, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
 
 use crate::crash::{CrashReport, QuarantineReply};
+use crate::rollout::RolloutCounts;
 use crate::usage::FlowId;
 
 units::data! {
@@ -59,6 +61,10 @@
         pub demand: DemandReport,
         /// Crashes of targets, and what clears requests of having caused them.
         pub crashes: CrashReport,
+        /// Newest configuration version that the entry has installed.
+        pub config: ConfigVersion,
+        /// Counts on the roll-outs in progress; empty while there are none.
+        pub rollouts: Vec<RolloutCounts>,
     }
 
     /// Reply to an [`EntryReport`].
