Bound a request to versions and to a number of targets

A roll-out excludes versions and sends a small share to few targets, which VersionRule could not state. It becomes a required version, excluded versions and a maximum number of targets, selected by the hash of their names. The tests of place pass.

--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -14,12 +14,14 @@
 mod queue;
 mod table;
 mod target;
+mod version;
 
 pub use intake::{StatementChange, TargetStatement};
 pub use limit::{EntryPosition, LimitChange};
 pub use pace::ColdPacer;
 pub use queue::{DequeuedRequest, QueuedRequest, WaitKey, WaitQueue};
 pub use table::{
-    PlacementOutcome, PlacementRequest, PlacementSettings, PlacementTable, RunLatency, VersionRule,
+    PlacementOutcome, PlacementRequest, PlacementSettings, PlacementTable, RunLatency,
 };
 pub use target::{ListedTarget, RunKey, TargetKey, TargetRecord};
+pub use version::{RequiredVersion, VersionRule};
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -5,15 +5,13 @@
 use std::time::Duration;
 
 use slotmap::SlotMap;
-use units::{
-    ClockTime, CostUnits, Incarnation, MilliRate, NodeName, RegionName, ServiceName,
-    SoftwareVersion,
-};
+use units::{ClockTime, CostUnits, Incarnation, MilliRate, NodeName, RegionName, ServiceName};
 use wire::stable_hash;
 
 use crate::intake::{StatedIntake, StatementChange, TargetStatement};
 use crate::limit::{EntryPosition, LimitChange, StatedLimit};
 use crate::target::{ListedTarget, RunKey, TargetKey, TargetRecord};
+use crate::version::VersionRule;
 
 /// Percentage of a request's latency objective after which a target that has not returned the first
 /// byte of an earlier request is late and gets no further requests of sessions.
@@ -38,28 +36,6 @@
     pub avoid_duration: Duration,
 }
 
-/// Requirement for the version of a target's software.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub enum VersionRule {
-    /// Any version may run the request.
-    #[default]
-    Any,
-    /// Any version that control has registered may run the request.
-    Registered,
-    /// Only this version may run the request.
-    Only(SoftwareVersion),
-}
-
-impl VersionRule {
-    fn allows(&self, version: Option<&SoftwareVersion>) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Registered => version.is_some(),
-            Self::Only(only) => version == Some(only),
-        }
-    }
-}
-
 /// Requirements of a request for its target.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
@@ -121,7 +97,7 @@
 #[derive(Debug)]
 pub struct PlacementTable {
     settings: PlacementSettings,
-    targets: SlotMap<TargetKey, TargetRecord>,
+    pub(crate) targets: SlotMap<TargetKey, TargetRecord>,
     keys: HashMap<NodeName, TargetKey>,
     runs: SlotMap<RunKey, RunRecord>,
     position: EntryPosition,
@@ -435,8 +411,10 @@
     }
 
     fn eligible(&self, request: &PlacementRequest) -> impl Iterator<Item = TargetKey> {
+        let bounded = self.bounded_targets(request);
         self.targets
             .iter()
+            .filter(move |(key, _)| bounded.as_ref().is_none_or(|keys| keys.contains(key)))
             .filter(|(_, record)| record.is_serving() && record.info.service == request.service)
             .filter(|(_, record)| request.version.allows(record.info.version.as_ref()))
             .filter(|(_, record)| !request.tried.contains(&record.info.name))
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -106,6 +106,11 @@
         self.info.cold_rate.filter(|_| now < self.cold_until)
     }
 
+    /// Whether the target has started so recently that it carries only a little load.
+    pub fn is_cold(&self, now: ClockTime) -> bool {
+        now < self.cold_until
+    }
+
     /// Whether the target accepts new requests, now or later.
     pub(crate) fn is_serving(&self) -> bool {
         self.info.is_serving && !self.stated.is_leaving()
--- a/components/place/tests/choice.rs
+++ b/components/place/tests/choice.rs
@@ -7,7 +7,7 @@
 use common::request;
 use place::{
     ColdPacer, EntryPosition, ListedTarget, PlacementOutcome, PlacementRequest, PlacementTable,
-    RunKey, VersionRule,
+    RequiredVersion, RunKey,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -271,7 +271,7 @@
     }
     let mut table = table(targets);
     let continued = PlacementRequest {
-        version: VersionRule::Only("v1".into()),
+        version: RequiredVersion::Only("v1".into()).into(),
         has_precedence: true,
         ..request(Some(7))
     };
@@ -298,7 +298,7 @@
     unregistered.version = None;
     let mut table = table(vec![unregistered]);
     let registered = PlacementRequest {
-        version: VersionRule::Registered,
+        version: RequiredVersion::Registered.into(),
         ..request(None)
     };
 
--- a/components/place/tests/common/mod.rs
+++ b/components/place/tests/common/mod.rs
@@ -29,7 +29,7 @@
 pub(crate) fn request(affinity: Option<u64>) -> PlacementRequest {
     PlacementRequest {
         service: "advice".into(),
-        version: VersionRule::Any,
+        version: VersionRule::default(),
         affinity,
         work: 10,
         cost: None,
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -7,7 +7,7 @@
 
 use http::{StatusCode, response};
 use hyper::body::Bytes;
-use place::{PlacementRequest, VersionRule};
+use place::{PlacementRequest, RequiredVersion};
 use routes::{RepeatRule, RouteMatch, RouteSpec, WeightedService};
 use telemetry::{event, events};
 use tokio::time::Instant;
@@ -153,7 +153,7 @@
         let regions = admission.holder.iter().map(|holder| holder.regions.clone());
         let placement = PlacementRequest {
             service: service.clone(),
-            version: version_rule(&route, continued.as_ref()),
+            version: required_version(&route, continued.as_ref()).into(),
             affinity: affinity.filter(|_| route.affinity),
             work: metadata
                 .model_usage
@@ -464,11 +464,11 @@
     })
 }
 
-fn version_rule(route: &RouteSpec, continued: Option<&ContinuedOrigin>) -> VersionRule {
+fn required_version(route: &RouteSpec, continued: Option<&ContinuedOrigin>) -> RequiredVersion {
     match continued {
-        Some(continued) => VersionRule::Only(continued.origin.version.clone()),
-        None if route.repeat == RepeatRule::ResumableStream => VersionRule::Registered,
-        None => VersionRule::Any,
+        Some(continued) => RequiredVersion::Only(continued.origin.version.clone()),
+        None if route.repeat == RepeatRule::ResumableStream => RequiredVersion::Registered,
+        None => RequiredVersion::Any,
     }
 }
 
