Choose targets by roll-outs, and report what their versions answer

Entries sent requests to any version of a service while a roll-out ran. The relay now asks the gate of the service for the versions that may run a request, places a canary request without a wait, checks the version again after a wait, and counts failures, slow and other responses by route. It reports the counts and the requests that run at old versions. An own verdict stops a bad version at the entry (event 1530). Tests with real sockets pass: the share of a step holds, a version that fails is rolled back, a good one is completed.

--- a/components/relay/src/crash.rs
+++ b/components/relay/src/crash.rs
@@ -18,6 +18,7 @@
 use units::{ClockTime, NodeName};
 use wire::{FlowId, RequestTrait};
 
+use crate::rollouts::VersionSample;
 use crate::state::{RelayShared, RelayState};
 
 /// Time within which an ended process refuses a connection. It is longer than the round trip to
@@ -56,6 +57,8 @@
     pub(crate) is_retry: bool,
     pub(crate) traits: Vec<RequestTrait>,
     pub(crate) is_settled: bool,
+    /// Answer of a version under roll-out.
+    pub(crate) sample: Option<VersionSample>,
 }
 
 impl SentRequest {
@@ -70,10 +73,27 @@
         });
     }
 
+    /// Records the first byte of the response.
+    pub(crate) fn record_first_byte(&self) {
+        if let Some(sample) = &self.sample {
+            sample.record_first_byte();
+        }
+    }
+
+    /// Records that the target has answered with an error or with a malformed response.
+    pub(crate) fn record_bad_answer(&mut self) {
+        if let Some(sample) = &mut self.sample {
+            sample.record_failure();
+        }
+    }
+
     /// Records a complete response, which shows that the target survived the request. Without a known
     /// end, an empty body may also come from a target that crashed, and a server error may be the last
     /// response of one that is about to.
     pub(crate) fn record_response(&mut self, status: StatusCode, is_sure_end: bool) {
+        if let Some(sample) = &mut self.sample {
+            sample.record_response(status);
+        }
         if !is_sure_end || status.is_server_error() {
             return;
         }
@@ -90,11 +110,15 @@
 
     /// Records that the request cannot have run at the target.
     pub(crate) fn record_not_run(&mut self) {
+        if let Some(sample) = &mut self.sample {
+            sample.ignore();
+        }
         self.is_settled = true;
     }
 
     /// Records that the connection broke before the response was complete.
     pub(crate) fn record_break(&mut self) {
+        self.record_broken_sample();
         self.record_failure();
         let now = self.shared.now();
         let target = ended_target(&self.target);
@@ -108,6 +132,19 @@
         }
     }
 
+    /// Records a failure of the version, unless the request may have crashed the target.
+    fn record_broken_sample(&mut self) {
+        let Some(sample) = &mut self.sample else {
+            return;
+        };
+        let service = &self.target.service;
+        let is_suspected = |state: &RelayState| state.crashes.is_suspected(service, &self.traits);
+        match self.shared.board.read(is_suspected) {
+            true => sample.ignore(),
+            false => sample.record_failure(),
+        }
+    }
+
     fn record_failure(&mut self) {
         self.is_settled = true;
         let now = self.shared.now();
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -14,12 +14,15 @@
 use origins::OriginLog;
 use place::{PlacementSettings, PlacementTable, WaitQueue};
 use quarantine::CrashLog;
+use rollout::{RolloutPhase, VersionGates};
 use salvo::server::ServerHandle;
 use salvo::{Router, Server};
 use telemetry::{event, events};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use units::{ClockSource, Incarnation, NodeName, PlanNumber, SoftwareVersion, SystemClock};
+use units::{
+    ClockSource, Incarnation, NodeName, PlanNumber, ServiceName, SoftwareVersion, SystemClock,
+};
 use wire::{NodeRole, stable_hash};
 
 use crate::demand::report_demand;
@@ -98,6 +101,7 @@
             retry_budgets: Default::default(),
             run_durations: Default::default(),
             crashes: CrashLog::new(),
+            rollouts: VersionGates::new(),
         }),
         incarnation,
         view: StateBoard::new(FleetView::with_lease_time(settings.lease_time)),
@@ -181,6 +185,12 @@
         self.shared.listed(name)?.version
     }
 
+    /// Phase of the newest roll-out of a service; `None` if none was ordered.
+    pub fn rollout_phase(&self, service: &ServiceName) -> Option<RolloutPhase> {
+        let phase = |state: &RelayState| state.rollouts.phase(service).cloned();
+        self.shared.board.read(phase)
+    }
+
     /// Number of the installed plan; `None` before the first plan arrives.
     pub fn plan_number(&self) -> Option<PlanNumber> {
         let index = self.shared.board.read(|state| state.route_index.clone());
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -7,6 +7,7 @@
 use fair::DEMAND_INTERVAL;
 use wire::EntryReport;
 
+use crate::rollouts::{rollout_counts, stop_bad_versions};
 use crate::state::{RelayShared, RelayState};
 
 /// Reports every [`DEMAND_INTERVAL`], or every [`IDLE_REPORT_INTERVAL`] without requests; never
@@ -21,7 +22,10 @@
         interval.tick().await;
         let now = shared.now();
         let is_recent = last_report.is_some_and(|last| now.since(last) < IDLE_REPORT_INTERVAL);
-        let is_idle = |state: &RelayState| state.gate.is_idle(now) && !state.crashes.is_urgent();
+        stop_bad_versions(&shared);
+        let is_idle = |state: &RelayState| {
+            state.gate.is_idle(now) && !state.crashes.is_urgent() && !state.rollouts.is_active()
+        };
         if is_recent && shared.board.read(is_idle) {
             continue;
         }
@@ -39,7 +43,7 @@
                 demand: state.gate.take_report(name, incarnation, now),
                 crashes: state.crashes.take_report(now),
                 config,
-                rollouts: Vec::new(),
+                rollouts: rollout_counts(state),
             }
         });
         if let Some(reply) = sender.send(home, &report, now).await {
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -66,7 +66,7 @@
     let installed = shared
         .board
         .read(|state| state.route_index.as_ref().map(|index| index.number));
-    let (index, targets, position) = shared.view.read(|view| {
+    let (index, targets, position, rollouts) = shared.view.read(|view| {
         let index = changed_index(view, installed);
         let others = view.directory.values();
         let others = others.filter(|entry| is_entry(entry) && entry.name != shared.settings.name);
@@ -76,7 +76,13 @@
             rank: rank.count() as u32,
             count: others.len() as u32 + 1,
         };
-        (index, listed_targets(view, &shared.settings), position)
+        let rollouts = view.config.rollouts.clone();
+        (
+            index,
+            listed_targets(view, &shared.settings),
+            position,
+            rollouts,
+        )
     });
     if let Some(index) = &index {
         event!(
@@ -95,6 +101,10 @@
         }
         let changed = changed_versions(&state.table, &targets);
         state.table.sync(targets, position, now);
+        let exposure_permille = shared.settings.rollout_exposure_permille;
+        state
+            .rollouts
+            .sync(&rollouts, exposure_permille, position.rank, position.count);
         state.drain_queue(now);
         changed
     });
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -24,7 +24,8 @@
 use crate::crash::SentRequest;
 use crate::dialect::{ModelUsage, RequestMetadata};
 use crate::origins::{ContinuedOrigin, refuse_continuation, wait_for_current_view};
-use crate::places::{PlacementError, RunGuard, start_run};
+use crate::places::{PlacementError, RunGuard};
+use crate::rollouts::VersionedRequest;
 use crate::state::RelayShared;
 use crate::stop::{ENTRY_STOPS, RunTimer, check_stop};
 
@@ -359,7 +360,16 @@
         }
         let flow = self.flow();
         let span = info_span!("relay.wait", request = self.metadata.attempt_id.as_str());
-        let starting = start_run(&self.shared, &flow, self.placement.clone(), deadline);
+        let versioned = VersionedRequest {
+            shared: &self.shared,
+            flow: &flow,
+            placement: &self.placement,
+            route: stable_hash(&[self.route.name.as_str().as_bytes()]),
+            is_first_attempt: self.placement.tried.is_empty(),
+            is_continued: self.continued.is_some(),
+            is_confirmed: self.shared.is_confirmed(self.plan_number),
+        };
+        let starting = versioned.start_run(deadline);
         match starting.instrument(span).await {
             Ok(run_guard) => Ok(run_guard),
             Err(reason) if !self.may_have_run => Err(self.placement_refusal(reason)),
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -54,7 +54,7 @@
         &self,
         request: &CallerRequest,
         target: &ListedTarget,
-        run_guard: RunGuard,
+        mut run_guard: RunGuard,
     ) -> SendResult {
         let connection = match self.shared.pool.connect(target.address).await {
             Ok(connection) => connection,
@@ -87,7 +87,11 @@
             is_retry: self.send_count > 0,
             traits: self.traits.clone(),
             is_settled: false,
+            sample: run_guard.sample.take(),
         };
+        if let Some(sample) = &mut sent.sample {
+            sample.set_deadline(self.deadline);
+        }
         let dialect = self.shared.dialect.as_ref();
         let attempt_id = &self.metadata.attempt_id;
         let pool = &self.shared.pool;
@@ -110,7 +114,10 @@
                 }
                 SendResult::NotRun(format!("the target refused with status {status}"))
             }
-            Ok(ExchangeResponse::Invalid(reason)) => SendResult::Unknown(reason),
+            Ok(ExchangeResponse::Invalid(reason)) => {
+                sent.record_bad_answer();
+                SendResult::Unknown(reason)
+            }
             Err(ExchangeError::NotSent(reason) | ExchangeError::Refused(reason)) => {
                 sent.record_not_run();
                 SendResult::NotSent(reason)
@@ -143,6 +150,7 @@
                 None => None,
             };
             run_guard.record_first_byte();
+            sent.record_first_byte();
             if self.may_have_restarted(&sent.target) {
                 let reason = "the target may have restarted with another software version";
                 return SendResult::Unknown(reason.into());
@@ -154,10 +162,12 @@
             return self.streamed(response, first_chunk, run_guard, sent, deadline);
         }
         run_guard.record_first_byte();
+        sent.record_first_byte();
         match response.read_buffered().await {
             Ok(BufferedResponse::Complete { head, body, .. })
                 if head.status.is_server_error() && self.route.repeat.is_repeatable() =>
             {
+                sent.record_bad_answer();
                 SendResult::ServerError(head, body)
             }
             Ok(BufferedResponse::Complete {
@@ -215,9 +225,12 @@
         response: OpenResponse,
         first_chunk: Option<Bytes>,
         run_guard: RunGuard,
-        sent: SentRequest,
+        mut sent: SentRequest,
         deadline: Instant,
     ) -> SendResult {
+        if let Some(sample) = &mut sent.sample {
+            sample.set_deadline(deadline);
+        }
         let has_events = self.has_events(&response);
         SendResult::Response(ForwardedResponse::Stream(Box::new(StreamedResponse {
             response,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod pool;
 mod reporter;
 mod respond;
+mod rollouts;
 mod settings;
 mod state;
 mod stop;
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -9,18 +9,35 @@
 use telemetry::{event, events};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use units::{MilliRate, NodeName};
+use units::{CostUnits, MilliRate, NodeName};
 use wire::FlowKey;
 
+use crate::rollouts::VersionSample;
 use crate::state::RelayShared;
 
 /// A run on a target, which occupies a slot there. The slot is released when the guard is dropped.
 pub(crate) struct RunGuard {
     shared: RelayShared,
     pub(crate) run: RunKey,
+    /// Answer of a version under roll-out.
+    pub(crate) sample: Option<VersionSample>,
 }
 
 impl RunGuard {
+    /// Guards a run, and charges its cost to the organisation's share.
+    fn new(shared: &RelayShared, run: RunKey, cost: Option<CostUnits>) -> Self {
+        if let Some(cost) = cost {
+            shared
+                .board
+                .write_quietly(|state| state.gate.record_grant(cost));
+        }
+        Self {
+            shared: shared.clone(),
+            run,
+            sample: None,
+        }
+    }
+
     /// Records the first byte of the response.
     pub(crate) fn record_first_byte(&self) {
         let now = self.shared.now();
@@ -120,6 +137,23 @@
     Limited(Duration),
 }
 
+/// Starts a run of a request if a target has capacity now.
+pub(crate) fn try_start_run(
+    shared: &RelayShared,
+    flow: &FlowKey,
+    request: &PlacementRequest,
+) -> Option<RunGuard> {
+    let now = shared.now();
+    let run = shared.board.write_quietly(|state| {
+        let PlacementOutcome::Run(run) = state.table.place(request, now) else {
+            return None;
+        };
+        state.queue.charge(flow, request.work, now);
+        Some(run)
+    })?;
+    Some(RunGuard::new(shared, run, request.cost))
+}
+
 /// Starts a run of a request; waits until `deadline` if no target has capacity.
 pub(crate) async fn start_run(
     shared: &RelayShared,
@@ -130,17 +164,7 @@
     let now = shared.now();
     let work = request.work;
     let cost = request.cost;
-    let run_guard = |run| {
-        if let Some(cost) = cost {
-            shared
-                .board
-                .write_quietly(|state| state.gate.record_grant(cost));
-        }
-        RunGuard {
-            shared: shared.clone(),
-            run,
-        }
-    };
+    let run_guard = |run| RunGuard::new(shared, run, cost);
     let (run_sender, run_receiver) = oneshot::channel();
     let placement = shared.board.write_quietly(|state| {
         // Waiting requests of the same flow are served before a request without precedence.
--- a/components/relay/src/respond.rs
+++ b/components/relay/src/respond.rs
@@ -9,6 +9,7 @@
 use salvo::Response;
 use salvo::http::ResBody;
 use telemetry::{event, events};
+use tokio::time::Instant;
 
 use entry::Refusal;
 
@@ -84,6 +85,7 @@
         if let Some(chunk) = streamed.first_chunk.take() {
             return Some((Ok(chunk), Some((streamed, deadline))));
         }
+        let waited_from = Instant::now();
         let next = tokio::select! {
             biased;
             () = &mut deadline => Some(Err("the deadline has passed".into())),
@@ -98,6 +100,9 @@
                 next
             }
         };
+        if let Some(sample) = &mut streamed.sent.sample {
+            sample.record_pause(waited_from.elapsed());
+        }
         let reason = match next {
             Some(Ok(chunk)) => return Some((Ok(chunk), Some((streamed, deadline)))),
             None => {
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -33,6 +33,9 @@
     pub plan_time: Duration,
     /// Bound on retries at other targets, over all entries.
     pub retries: WindowBound,
+    /// Maximum share of a service's requests that a bad version gets during its roll-out, in
+    /// thousandths.
+    pub rollout_exposure_permille: u32,
     /// Time within which a graceful shutdown must end.
     pub stop_timeout: Duration,
 }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -13,6 +13,7 @@
 use origins::OriginLog;
 use place::{ListedTarget, PlacementTable, RunKey, WaitKey, WaitQueue};
 use quarantine::CrashLog;
+use rollout::VersionGates;
 use routes::RouteIndex;
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
@@ -43,6 +44,8 @@
     pub(crate) run_durations: HashMap<RouteName, DurationHistory>,
     /// Requests that were at targets when these crashed.
     pub(crate) crashes: CrashLog,
+    /// Versions that may run requests while roll-outs are in force.
+    pub(crate) rollouts: VersionGates,
 }
 
 impl RelayState {
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -542,6 +542,7 @@
             slack: 50,
             window: Duration::from_secs(10),
         },
+        rollout_exposure_permille: 100,
         stop_timeout: STOP_TIMEOUT,
     }
 }
--- a/components/rollout/src/gate.rs
+++ b/components/rollout/src/gate.rs
@@ -436,6 +436,11 @@
         stopped
     }
 
+    /// Phase of the newest roll-out of a service.
+    pub fn phase(&self, service: &ServiceName) -> Option<&RolloutPhase> {
+        Some(&self.gates.get(service)?.record.phase)
+    }
+
     /// Roll-outs in progress.
     pub fn active(&self) -> impl Iterator<Item = &RolloutRecord> {
         let records = self.gates.values().map(|gate| &gate.record);
--- a/components/rollout/src/home.rs
+++ b/components/rollout/src/home.rs
@@ -94,17 +94,12 @@
     phase: Option<(RolloutPhase, ClockTime)>,
     /// Time at which all entries were first known to have installed the current phase.
     installed_at: Option<ClockTime>,
-    /// Whether no target of the new version has served so far.
-    has_no_target: bool,
 }
 
 impl RolloutHome {
     /// Creates an empty home.
     pub fn new() -> Self {
-        Self {
-            has_no_target: true,
-            ..Self::default()
-        }
+        Self::default()
     }
 
     /// Adds the counts that an entry reported.
@@ -192,7 +187,6 @@
         if is_in_force && self.installed_at.is_none() {
             self.installed_at = Some(now);
         }
-        self.has_no_target &= fleet.new_serving == 0;
         let is_alone = record.phase == RolloutPhase::Draining;
         self.evidence.advance(is_alone, now);
         let phase = if !fleet.has_service {
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -53,4 +53,7 @@
     RELAY_STREAM_BROKEN = 1512, Info, "relay-stream-broken",
         "A response stream ended before its last event, so the connection of the caller was \
          closed.";
+    ROLLOUT_STOPPED = 1530, Warn, "rollout-stopped",
+        "The responses to this entry's own requests show that the new version of a service is bad. \
+         The entry sends nothing to it for the rest of the roll-out.";
 }
