Cut crashes of canary targets separately from the last phase

While all requests go to the new version, each interval has many bad responses. The level to which the highest intervals are cut then also let a crash of a canary target count in full. The level is now taken separately, the sum of both kinds of evidence is corrected, and a rate of 12% instead of 8% is tolerated without a comparison.

--- a/components/rollout/src/evidence.rs
+++ b/components/rollout/src/evidence.rs
@@ -62,8 +62,9 @@
 const SLOW_RATIO: f64 = 2.0;
 
 /// Rate of bad responses that is tolerated while no requests run at the old versions and there is
-/// nothing to compare with at the same time.
-const TOLERATED_RATE: f64 = 0.08;
+/// nothing to compare with at the same time. One of a dozen targets that crashes fails an eighth of
+/// the requests for some intervals.
+const TOLERATED_RATE: f64 = 0.12;
 
 /// Multiple of the old versions' earlier rate that is tolerated in the same case. Faults of the site
 /// may have increased since.
@@ -120,9 +121,15 @@
 impl KindSums {
     /// Sums up intervals, and cuts the highest counts of the new version.
     fn of(intervals: &[IntervalCounts], cut: usize) -> Self {
-        let max_new = cut_level(intervals, cut);
+        // Levels differ where the new version gets all requests.
+        let max_compared = cut_level(intervals, cut, false);
+        let max_alone = cut_level(intervals, cut, true);
         let mut sums = Self::default();
         for interval in intervals {
+            let max_new = match interval.new_probability {
+                Some(_) => max_compared,
+                None => max_alone,
+            };
             let new_bad = interval.new_bad.min(max_new);
             let bad = new_bad + interval.old_bad;
             sums.bad_intervals += u32::from(new_bad > 0.0);
@@ -158,14 +165,22 @@
         }
         let compared = binomial_evidence(self.bad, self.new_bad, self.expected_new);
         let alone = binomial_evidence(self.alone_sent, self.alone_bad, self.alone_expected);
-        compared + alone
+        // The sum of two independent exponents exceeds a level with (1 + level) times the
+        // probability of one.
+        let sum = compared + alone;
+        match compared > 0.0 && alone > 0.0 {
+            true => (sum - sum.ln_1p()).max(compared).max(alone),
+            false => sum,
+        }
     }
 }
 
-/// Highest count of the new version in an interval after the `cut` highest ones, and at least 1.
-fn cut_level(intervals: &[IntervalCounts], cut: usize) -> f64 {
-    let counts = intervals.iter().map(|interval| interval.new_bad);
-    let mut counts: Vec<f64> = counts.collect();
+/// Highest count of the new version in an interval after the `cut` highest ones, and at least 1, of
+/// the intervals with or without a comparison at the same time.
+fn cut_level(intervals: &[IntervalCounts], cut: usize, is_alone: bool) -> f64 {
+    let intervals = intervals.iter();
+    let counts = intervals.filter(|interval| interval.new_probability.is_none() == is_alone);
+    let mut counts: Vec<f64> = counts.map(|interval| interval.new_bad).collect();
     counts.sort_by(|one, other| other.total_cmp(one));
     counts.get(cut).copied().unwrap_or_default().max(1.0)
 }
