Keep rolled back versions out of later roll-outs

The record of a service is replaced by the next order, and a version that was rolled back then counted as an old one and got requests again. The record now lists these versions as barred, as long as they are registered, until an order names them. Test: rolled_back_version_stays_barred_until_an_order_names_it.

--- a/components/relay/src/rollouts.rs
+++ b/components/relay/src/rollouts.rs
@@ -145,6 +145,7 @@
                 version,
                 share_permille,
                 old,
+                excluded,
             } => {
                 let service = &self.placement.service;
                 let old_targets = self
@@ -153,7 +154,7 @@
                     .read(|state| state.table.serving_versions(service, &old));
                 let canary = PlacementRequest {
                     version: VersionRule {
-                        required: RequiredVersion::Only(version.clone()),
+                        required: RequiredVersion::Only(version),
                         max_targets: Some(RolloutPlan::canary_targets(share_permille, old_targets)),
                         ..VersionRule::default()
                     },
@@ -164,7 +165,7 @@
                     let _ = self.shared.metrics.incr("rollouts.canary");
                     return Ok((run_guard, true));
                 }
-                let run_guard = self.wait(with_excluded([version].into()), deadline).await?;
+                let run_guard = self.wait(with_excluded(excluded), deadline).await?;
                 Ok((run_guard, false))
             }
             VersionChoice::Without {
--- a/components/rollout/src/gate.rs
+++ b/components/rollout/src/gate.rs
@@ -28,6 +28,8 @@
         share_permille: u32,
         /// Old versions.
         old: BTreeSet<SoftwareVersion>,
+        /// Versions that may not run it elsewhere.
+        excluded: BTreeSet<SoftwareVersion>,
     },
     /// All versions but these.
     Without {
@@ -118,18 +120,30 @@
         self.record.phase == RolloutPhase::Draining
     }
 
-    fn new_version(&self) -> BTreeSet<SoftwareVersion> {
-        [self.record.order.to.clone()].into()
+    /// Versions that earlier roll-outs have rolled back, and the new one.
+    fn with_new(&self) -> BTreeSet<SoftwareVersion> {
+        let mut versions = self.record.barred.clone();
+        versions.insert(self.record.order.to.clone());
+        versions
+    }
+
+    /// Versions that earlier roll-outs have rolled back, and the old ones.
+    fn with_old(&self) -> BTreeSet<SoftwareVersion> {
+        self.record
+            .barred
+            .union(&self.record.old)
+            .cloned()
+            .collect()
     }
 
     /// Versions that may run no request at all.
     fn forbidden(&self) -> BTreeSet<SoftwareVersion> {
         match self.record.phase {
-            RolloutPhase::Running { .. } => self.new_version(),
-            RolloutPhase::Draining if self.is_stopped => self.new_version(),
-            RolloutPhase::Draining => BTreeSet::new(),
-            RolloutPhase::Completed => self.record.old.clone(),
-            RolloutPhase::RolledBack { .. } => self.new_version(),
+            RolloutPhase::Running { .. } => self.with_new(),
+            RolloutPhase::Draining if self.is_stopped => self.with_new(),
+            RolloutPhase::Draining => self.record.barred.clone(),
+            RolloutPhase::Completed => self.with_old(),
+            RolloutPhase::RolledBack { .. } => self.with_new(),
         }
     }
 
@@ -143,13 +157,14 @@
                     version: self.record.order.to.clone(),
                     share_permille: self.share_permille,
                     old: self.record.old.clone(),
+                    excluded: self.forbidden(),
                 };
             }
         }
         let forbidden = self.forbidden();
         let excluded = match self.record.phase {
-            RolloutPhase::Draining if is_confirmed && !self.is_stopped => self.record.old.clone(),
-            RolloutPhase::Draining => self.new_version(),
+            RolloutPhase::Draining if is_confirmed && !self.is_stopped => self.with_old(),
+            RolloutPhase::Draining => self.with_new(),
             _ => forbidden.clone(),
         };
         VersionChoice::Without {
@@ -163,6 +178,9 @@
     fn allows(&self, version: &SoftwareVersion, is_canary: bool, is_continued: bool) -> bool {
         let is_new = *version == self.record.order.to;
         let is_old = self.record.old.contains(version);
+        if self.record.barred.contains(version) {
+            return false;
+        }
         match self.record.phase {
             RolloutPhase::Running { .. } => {
                 !is_new || (!self.is_stopped && (is_canary || is_continued))
--- a/components/rollout/src/record.rs
+++ b/components/rollout/src/record.rs
@@ -50,6 +50,9 @@
         pub order: RolloutOrder,
         /// Versions that were registered at the order, without the new one.
         pub old: BTreeSet<SoftwareVersion>,
+        /// Registered versions that earlier roll-outs have rolled back. They get no requests until an
+        /// order names them.
+        pub barred: BTreeSet<SoftwareVersion>,
         /// Wall-clock time of the leader at the order, in milliseconds since the Unix epoch.
         pub ordered_at_ms: u64,
         /// Wall-clock time of the leader at the end; `None` while the roll-out is in progress.
@@ -106,6 +109,15 @@
 }
 
 impl RolloutRecord {
+    /// Versions that get no requests after the roll-out until an order names them.
+    fn barred_after(&self) -> BTreeSet<SoftwareVersion> {
+        let mut barred = self.barred.clone();
+        if let RolloutPhase::RolledBack { .. } = self.phase {
+            barred.insert(self.order.to.clone());
+        }
+        barred
+    }
+
     /// Whether an order at this time repeats the one that started the roll-out.
     pub fn is_repeated_by(&self, order: &RolloutOrder, now_ms: u64) -> bool {
         let is_recent = |ended_at_ms| now_ms < ended_at_ms + REPEAT_WINDOW_MS;
@@ -130,11 +142,16 @@
                 return StartOutcome::Conflict;
             }
         }
+        let last = self.records.get(&order.service);
+        let mut barred = last.map_or_else(BTreeSet::new, RolloutRecord::barred_after);
+        barred.retain(|version| *version != order.to && old.contains(version));
+        let is_old = |version: &SoftwareVersion| *version != order.to && !barred.contains(version);
         self.last_number.0 += 1;
         let record = RolloutRecord {
             number: self.last_number,
             order: order.clone(),
-            old: old.into_iter().filter(|old| *old != order.to).collect(),
+            old: old.into_iter().filter(is_old).collect(),
+            barred,
             ordered_at_ms: now_ms,
             ended_at_ms: None,
             phase: RolloutPhase::Running { step: 0 },
--- /dev/null
+++ b/components/rollout/tests/gates.rs
@@ -0,0 +1,77 @@
+//! Versions that entries may use by the records of roll-outs.
+
+use std::time::Duration;
+
+use rollout::{
+    RolloutOrder, RolloutPhase, RolloutStep, RolloutTable, RunStart, SelectedVersion,
+    VersionChoice, VersionGates,
+};
+use units::{ClockTime, ServiceName};
+
+fn order(to: &str) -> RolloutOrder {
+    RolloutOrder {
+        service: "visits".into(),
+        to: to.into(),
+        duration_ms: 12_000,
+    }
+}
+
+/// A table in which v2 was rolled back, and a roll-out of v1 and v2 to another version has begun.
+fn table_after_roll_back(to: &str) -> RolloutTable {
+    let mut table = RolloutTable::default();
+    table.start(&order("v2"), ["v1".into(), "v2".into()].into(), 0);
+    let record = table.get(&"visits".into()).unwrap();
+    let step = RolloutStep {
+        service: "visits".into(),
+        number: record.number,
+        phase: RolloutPhase::RolledBack {
+            reason: "bad responses".into(),
+        },
+    };
+    table.advance(&step, 1_000);
+    table.start(&order(to), ["v1".into(), "v2".into()].into(), 20_000);
+    table
+}
+
+fn may_run(gates: &mut VersionGates, version: &str) -> bool {
+    let selected = SelectedVersion {
+        route: 1,
+        version: Some(&version.into()),
+        is_canary: true,
+        is_continued: false,
+        is_cold: false,
+    };
+    let now = ClockTime::default() + Duration::from_secs(1);
+    gates.begin_run(&"visits".into(), &selected, now) != RunStart::Refused
+}
+
+/// Guards against a version that was rolled back and gets requests as an old one of the next order.
+#[test]
+fn rolled_back_version_stays_barred_until_an_order_names_it() {
+    let service = ServiceName::from("visits");
+    let mut gates = VersionGates::new();
+
+    gates.sync(&table_after_roll_back("v3"), 100, 0, 1);
+    let Some(VersionChoice::Without { excluded, .. }) = gates.choose(&service, true, true) else {
+        panic!("the first request goes to the new version");
+    };
+    assert_eq!(excluded, ["v2".into(), "v3".into()].into());
+    assert!(may_run(&mut gates, "v1"));
+    assert!(!may_run(&mut gates, "v2"));
+
+    gates.sync(&table_after_roll_back("v2"), 100, 0, 1);
+    assert!(may_run(&mut gates, "v2"));
+}
+
+/// Guards against an entry that sends requests to a new version by a configuration that no quorum
+/// has confirmed.
+#[test]
+fn unconfirmed_entry_sends_nothing_to_the_new_version() {
+    let mut gates = VersionGates::new();
+    gates.sync(&table_after_roll_back("v3"), 100, 0, 1);
+
+    for _ in 0..200 {
+        let choice = gates.choose(&"visits".into(), false, true);
+        assert!(matches!(choice, Some(VersionChoice::Without { .. })));
+    }
+}
