--- a/components/rollout/src/gate.rs
+++ b/components/rollout/src/gate.rs
@@ -139,6 +139,10 @@
     /// Versions that may run no request at all.
     fn forbidden(&self) -> BTreeSet<SoftwareVersion> {
         match self.record.phase {
+            // Without an old version there is nothing else to run the requests.
+            RolloutPhase::Running { .. } if self.record.old.is_empty() => {
+                self.record.barred.clone()
+            }
             RolloutPhase::Running { .. } => self.with_new(),
             RolloutPhase::Draining if self.is_stopped => self.with_new(),
             RolloutPhase::Draining => self.record.barred.clone(),
@@ -152,7 +156,8 @@
             if is_first_attempt {
                 self.credit = (self.credit + u64::from(self.share_permille)).min(FULL_CREDIT);
             }
-            if self.credit >= FULL_CREDIT && is_confirmed && !self.is_stopped {
+            let may_select = is_confirmed && !self.is_stopped && !self.record.old.is_empty();
+            if self.credit >= FULL_CREDIT && may_select {
                 return VersionChoice::Canary {
                     version: self.record.order.to.clone(),
                     share_permille: self.share_permille,
@@ -183,7 +188,8 @@
         }
         match self.record.phase {
             RolloutPhase::Running { .. } => {
-                !is_new || (!self.is_stopped && (is_canary || is_continued))
+                let is_selected = is_canary || is_continued || self.record.old.is_empty();
+                !is_new || (!self.is_stopped && is_selected)
             }
             RolloutPhase::Draining => !is_new || !self.is_stopped,
             RolloutPhase::Completed => !is_old,
--- a/components/rollout/tests/gates.rs
+++ b/components/rollout/tests/gates.rs
@@ -75,3 +75,22 @@
         assert!(matches!(choice, Some(VersionChoice::Without { .. })));
     }
 }
+
+/// Guards against an order to the only version of a service, which would leave its requests without
+/// a target.
+#[test]
+fn only_version_of_a_service_runs_all_requests() {
+    let mut table = RolloutTable::default();
+    table.start(&order("v1"), ["v1".into()].into(), 0);
+    let mut gates = VersionGates::new();
+    gates.sync(&table, 100, 0, 1);
+
+    for _ in 0..100 {
+        let choice = gates.choose(&"visits".into(), true, true);
+        let Some(VersionChoice::Without { excluded, .. }) = choice else {
+            panic!("a request goes to the canary targets");
+        };
+        assert!(excluded.is_empty());
+        assert!(may_run(&mut gates, "v1"));
+    }
+}
