Keep the evidence of a roll-out over a short gap in the reports

A home that got no report for 1.6 s, for example because its process did not run, started empty, and a bad version kept its share until new evidence had arrived. Counts are cumulative, so only a gap of 5 s now empties the home.

--- a/components/control/src/rollouts/homes.rs
+++ b/components/control/src/rollouts/homes.rs
@@ -18,6 +18,11 @@
 /// 250 ms while a roll-out is in progress, and give an unreachable home up after a second.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_600);
 
+/// Time without reports after which a node starts empty. Counts are cumulative, so a shorter gap, for
+/// example of a process that did not run, loses nothing; after a longer one the step may have been
+/// judged elsewhere, and its time here would count although no request was judged.
+const MAX_HOME_GAP: Duration = Duration::from_secs(5);
+
 /// Time added to that for which entries act on an unconfirmed configuration, for requests and reports
 /// in transit and inaccurate clocks.
 const PLAN_TIME_MARGIN: Duration = Duration::from_millis(500);
@@ -177,8 +182,8 @@
         bounds: &RolloutBounds,
         now: ClockTime,
     ) -> bool {
-        if !self.is_home(now) {
-            // Reports went elsewhere, or nowhere. What happened meanwhile is not known here.
+        let last = self.last_report_at;
+        if last.is_none_or(|last| now.since(last) >= MAX_HOME_GAP) {
             self.homes.clear();
         }
         self.last_report_at = Some(now);
