Resend calls in the tests of roll-outs until a quorum confirms them

On a machine with a load of 18 on 7 cores a test failed as its first call got no quorum in time, which operators answer by resending, and a version might be registered only with a later announcement. What the tests assert is unchanged.

--- a/components/control/tests/rollouts.rs
+++ b/components/control/tests/rollouts.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use client::ControlClient;
+use control::ApiError;
 use registry::FleetConfig;
 use rollout::{RolloutOrder, RolloutPhase, RolloutRecord};
 use routes::{CallerBounds, PublishedPlan, RoutePlan, ServicePool};
@@ -59,12 +60,34 @@
     }
 }
 
-/// Publishes the plan and orders the roll-out at a node.
+/// Repeats a call as operators do, until a quorum has confirmed it.
+async fn resend<T>(call: impl AsyncFn() -> Result<T, ApiError>) -> T {
+    let started_at = Instant::now();
+    loop {
+        match call().await {
+            Ok(value) => return value,
+            Err(ApiError::NoQuorum(reason)) => {
+                assert!(started_at.elapsed() < END_TIMEOUT, "{reason}");
+            }
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+/// Publishes the plan, registers both versions and orders the roll-out at a node.
 async fn start_rollout(group: &TestGroup, index: usize) {
     let api = group.nodes[index].as_ref().unwrap().api();
-    api.publish(&plan(), String::new()).await.unwrap();
-    announce_targets(group, index, 0).await;
-    api.start_rollout(order()).await.unwrap();
+    resend(async || api.publish(&plan(), String::new()).await).await;
+    let entry = group.client(NodeRole::Entry, "entry-0");
+    let versions = ControlRequest::Versions(service());
+    let both = ControlReply::Versions(["v1".into(), "v2".into()].into());
+    let started_at = Instant::now();
+    // A registration that takes too long is made again with the next announcement.
+    while entry.request(&versions).await.ok().as_ref() != Some(&both) {
+        assert!(started_at.elapsed() < END_TIMEOUT);
+        announce_targets(group, index, 0).await;
+    }
+    resend(async || api.start_rollout(order()).await).await;
 }
 
 /// Announces a target of each version.
@@ -86,12 +109,8 @@
 
 async fn read_rollout(group: &TestGroup, index: usize) -> RolloutRecord {
     let api = group.nodes[index].as_ref().unwrap().api();
-    loop {
-        // A read fails while an election is running.
-        if let Ok(record) = api.rollout(&service()).await {
-            return record.expect("the service has a roll-out");
-        }
-    }
+    let record = resend(async || api.rollout(&service()).await).await;
+    record.expect("the service has a roll-out")
 }
 
 /// Entry that sends requests to both versions as the phase demands, and reports their answers.
@@ -242,10 +261,7 @@
     }
     group.wait_ready().await;
     let api = group.nodes[1].as_ref().unwrap().api();
-    let started_at = Instant::now();
-    while let Err(error) = api.start_rollout(order()).await {
-        assert!(started_at.elapsed() < END_TIMEOUT, "{error}");
-    }
+    resend(async || api.start_rollout(order()).await).await;
     let after = read_rollout(&group, 1).await;
 
     assert_eq!(before.old, ["v1".into()].into());
