Bound the load of canary targets to that of old targets

The number of canary targets was rounded down, so one target could get almost twice the load of an old target, which slows a good version down. It is now rounded so that the load is at most 1.15 times that, and above half of it. Test: canary_targets_have_about_the_load_of_old_targets.

--- a/components/rollout/src/plan.rs
+++ b/components/rollout/src/plan.rs
@@ -20,6 +20,10 @@
 /// Maximum time that is reserved for the requests that run at old versions.
 const MAX_DRAIN_MS: u64 = 20_000;
 
+/// Maximum load of a canary target, in thousandths of that of an old target. Twice the load would
+/// slow a good version down.
+const MAX_CANARY_LOAD_PERMILLE: usize = 1_150;
+
 /// One step of a plan.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedStep {
@@ -71,10 +75,11 @@
         step.map_or(0, |step| step.share_permille)
     }
 
-    /// Number of targets of the new version that get the share of a step, so that each has at least
-    /// the load of one of the old targets. Faults under load then show at a small share.
+    /// Number of targets of the new version that get the share of a step, so that each has about the
+    /// load of one of the old targets. Faults under load then show at a small share.
     pub fn canary_targets(share_permille: u32, old_targets: usize) -> usize {
-        (old_targets * share_permille as usize / 1_000).max(1)
+        let share = old_targets * share_permille as usize;
+        share.div_ceil(MAX_CANARY_LOAD_PERMILLE).max(1)
     }
 
     /// Start of a step, or of `Draining` after the last one, in milliseconds after the order.
--- a/components/rollout/tests/gates.rs
+++ b/components/rollout/tests/gates.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rollout::{
-    RolloutOrder, RolloutPhase, RolloutStep, RolloutTable, RunStart, SelectedVersion,
+    RolloutOrder, RolloutPhase, RolloutPlan, RolloutStep, RolloutTable, RunStart, SelectedVersion,
     VersionChoice, VersionGates,
 };
 use units::{ClockTime, ServiceName};
@@ -94,3 +94,17 @@
         assert!(may_run(&mut gates, "v1"));
     }
 }
+
+/// Guards against canary targets with much more load than old targets, which slows a good version
+/// down, and with so little that faults under load do not show.
+#[test]
+fn canary_targets_have_about_the_load_of_old_targets() {
+    for old_targets in 1..=180 {
+        for share_permille in [22, 45, 90] {
+            let share = old_targets as f64 * f64::from(share_permille) / 1_000.0;
+            let load = share / RolloutPlan::canary_targets(share_permille, old_targets) as f64;
+            let is_sufficient = share < 1.0 || load > 0.5;
+            assert!(load <= 1.15 && is_sufficient, "{load} of {old_targets}");
+        }
+    }
+}
