--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -18,6 +18,7 @@
 use crate::driver_event::{DriverEvent, ProposeFailure};
 use crate::orders::order_actions;
 use crate::peer_link::apply_directory;
+use crate::rollouts::apply_rollouts;
 use crate::state::ControlContext;
 use crate::status::fleet_status_json;
 use crate::versions::registered_versions;
@@ -92,7 +93,8 @@
         }
         ControlRequest::Directory(_)
         | ControlRequest::RegisterVersion(_)
-        | ControlRequest::Depart { .. } => role == NodeRole::Control,
+        | ControlRequest::Depart { .. }
+        | ControlRequest::AdvanceRollout(_) => role == NodeRole::Control,
         ControlRequest::Report(_)
         | ControlRequest::RecordOrigins(_)
         | ControlRequest::FindOrigin(_)
@@ -186,6 +188,7 @@
     if context.view.read(|view| view.confirmed_at.is_none()) {
         return no_quorum_reply(context);
     }
+    apply_rollouts(context, report);
     ControlReply::Report(EntryReply {
         shares: apply_demand(context, demand),
         quarantine: apply_crashes(context, &report.crashes),
@@ -277,6 +280,10 @@
         ControlRequest::Depart { name, incarnation } => {
             vec![RegistryAction::Depart { name, incarnation }]
         }
+        ControlRequest::AdvanceRollout(step) => match postcard::from_bytes(&step) {
+            Ok(step) => vec![RegistryAction::AdvanceRollout(step)],
+            Err(error) => return ControlReply::BadRequest(error.to_string()),
+        },
         ControlRequest::Order(order) => {
             if !has_applied_expected(context, &order).await {
                 return no_quorum_reply(context);
@@ -288,7 +295,7 @@
         }
         _ => {
             return ControlReply::BadRequest(
-                "only calls, orders, versions and departures are committed".into(),
+                "only calls, orders, versions, departures and roll-outs are committed".into(),
             );
         }
     };
@@ -305,6 +312,7 @@
         RegistryOutcome::Order(reply) => ControlReply::Order(reply),
         RegistryOutcome::Begin(outcome) => ControlReply::Begun(outcome),
         RegistryOutcome::Registered(is_registered) => ControlReply::Registered(is_registered),
+        RegistryOutcome::Advanced(has_advanced) => ControlReply::Advanced(has_advanced),
     }
 }
 
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -7,6 +7,7 @@
 use fair::DEMAND_INTERVAL;
 use wire::EntryReport;
 
+use crate::rollouts::{rollout_counts, stop_bad_versions};
 use crate::state::{RelayShared, RelayState};
 
 /// Reports every [`DEMAND_INTERVAL`], or every [`IDLE_REPORT_INTERVAL`] without requests; never
@@ -22,7 +23,10 @@
         interval.tick().await;
         let now = shared.now();
         let is_recent = last_report.is_some_and(|last| now.since(last) < IDLE_REPORT_INTERVAL);
-        let is_idle = |state: &RelayState| state.gate.is_idle(now) && !state.crashes.is_urgent();
+        stop_bad_versions(&shared);
+        let is_idle = |state: &RelayState| {
+            state.gate.is_idle(now) && !state.crashes.is_urgent() && !state.rollouts.is_active()
+        };
         if is_recent && shared.board.read(is_idle) {
             continue;
         }
@@ -31,6 +35,7 @@
             continue;
         };
         let (name, incarnation) = (shared.settings.name.clone(), shared.incarnation);
+        let config = shared.view.read(|view| view.config.version);
         let report = shared.board.write_quietly(|state| {
             for run in state.table.overdue_runs(now) {
                 state.gate.record_wait(run.latency, run.objective);
@@ -42,6 +47,8 @@
             EntryReport {
                 demand,
                 crashes: state.crashes.take_report(now),
+                config,
+                rollouts: rollout_counts(state),
             }
         });
         if let Some(reply) = sender.send(home, &report, now).await {
