--- a/components/control/tests/rollouts.rs
+++ b/components/control/tests/rollouts.rs
@@ -204,6 +204,7 @@
                 served: CostUnits(0),
                 answers: 0,
                 lateness_permille: 0,
+                known_capacity: None,
             },
             crashes: CrashReport {
                 source: None,
