Read the bodies of callers within the memory budget of the entry

Cause: payload_with_max_size reads each body into memory, so that the number of clients alone decides how much an entry holds.

The listener's BodyGate reserves memory before it reads, and copies frames into one buffer. A body that does not fit waits unread for at most 1 s and is refused as not run (503 body-budget). A body without progress is ended (408), an announced length above the limit is refused at the head (413). The memory comes from limits.memoryMb of the settings file, by default 256 MB.

--- a/components/intake/src/lib.rs
+++ b/components/intake/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use budget::{BodyBudget, BodyKey, BodyStatus};
 pub use limits::{DEFAULT_MEMORY, MemoryLimits};
-pub use small::SmallPool;
+pub use small::{SMALL_TICK, SmallPool, SmallProgress};
 
 /// Largest body that draws on the part for small bodies, in bytes.
 pub const SMALL_BODY_BYTES: u64 = 64 << 10;
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 
+use listener::HeldBody;
 use place::TargetStatement;
 use wire::EventTail;
 
@@ -47,12 +48,12 @@
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
 
 /// A request as received from its caller.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
 }
 
 /// Head of a response, and the connection that delivers its body.
@@ -168,7 +169,7 @@
         .method(request.method.clone())
         .uri(path)
         .version(Version::HTTP_11)
-        .body(Full::new(request.body.clone()))
+        .body(Full::new(request.body.bytes.clone()))
         .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     *outgoing.headers_mut() = headers;
     Ok(outgoing)
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -11,11 +11,12 @@
 use eyre::WrapErr;
 use fair::ShareGate;
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
+use listener::BodyGate;
 use origins::OriginLog;
 use place::{PlacementSettings, PlacementTable, WaitQueue};
 use quarantine::CrashLog;
+use salvo::Router;
 use salvo::server::ServerHandle;
-use salvo::{Router, Server};
 use telemetry::{event, events};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -36,10 +37,6 @@
 /// about once in this time.
 const FAILED_TARGET_BACKOFF: Duration = Duration::from_secs(1);
 
-/// Maximum size of the buffer of a caller's connection. It must hold the head of a request; bodies
-/// are read in chunks. The server's default of 400 KiB used more memory than small hosts have.
-const MAX_BUFFER_BYTES: usize = 32 << 10;
-
 /// Time for which a leaving relay still accepts connections. The load balancer checks readiness
 /// once a second and stops sending callers after two failures.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
@@ -101,6 +98,7 @@
         }),
         incarnation,
         view: StateBoard::new(FleetView::with_lease_time(settings.lease_time)),
+        bodies: BodyGate::new(&settings.limits),
         settings: Arc::new(settings),
         clock,
         address: endpoint.address(),
@@ -152,8 +150,7 @@
         .local_addr()
         .wrap_err("Failed to read the HTTP address")?;
     let router = Router::with_path("{**rest}").goal(RelayHandler::new(shared.clone()));
-    let mut server = Server::new(acceptor);
-    server.http1_mut().max_buf_size(MAX_BUFFER_BYTES);
+    let server = listener::server(acceptor);
     let handle = server.handle();
     server_task.spawn(async move { server.serve(router).await });
     Ok((address, handle))
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -148,7 +148,7 @@
             request.method.as_str().as_bytes(),
             self.metadata.host.as_bytes(),
             request.uri.to_string().as_bytes(),
-            &request.body,
+            &request.body.bytes,
         ]);
         vec![RequestTrait::Content(hash)]
     }
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cadence::prelude::*;
-use http_body_util::BodyExt;
+use listener::{BodyError, discard_body};
 use routes::RepeatRule;
 use salvo::prelude::*;
 use telemetry::{event, events};
@@ -27,6 +27,10 @@
 /// another entry.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// `Retry-After` of a refusal for lack of memory. Bodies that make no progress are ended within a few
+/// seconds, and a retry may reach another entry.
+const BUDGET_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Forwards callers' requests to targets.
 pub(crate) struct RelayHandler {
     shared: RelayShared,
@@ -92,22 +96,21 @@
             ForwardedRequest::new(self.shared.clone(), metadata, admission, origin, arrived_at)?;
         forwarded.check_share()?;
         let max_body_bytes = route_index.plan.bounds.max_body.0;
-        let payload = req.payload_with_max_size(max_body_bytes as usize);
-        let body = tokio::time::timeout_at(forwarded.deadline(), payload)
-            .await
-            .map_err(|_| late_body_refusal())?
-            .map_err(|error| match error {
-                salvo::http::ParseError::PayloadTooLarge => {
-                    let refusal = large_body_refusal(max_body_bytes);
-                    final_refusal(&self.shared, route_index.number, refusal)
-                }
-                error => unreadable_body_refusal(&error),
-            })?;
+        let reading = self
+            .shared
+            .bodies
+            .read(req.body_mut(), max_body_bytes, forwarded.deadline());
+        let body = reading.await.map_err(|error| match error {
+            BodyError::TooLarge(_) => {
+                final_refusal(&self.shared, route_index.number, body_refusal(&error))
+            }
+            error => body_refusal(&error),
+        })?;
         let request = CallerRequest {
             method: head.method,
             uri: head.uri,
             headers: head.headers,
-            body: body.clone(),
+            body,
         };
         Ok((forwarded, request))
     }
@@ -129,32 +132,26 @@
     head
 }
 
-fn late_body_refusal() -> Refusal {
-    let message = "Failed to read the body before the deadline of the request";
-    Refusal::not_run(408, "body-timeout", message)
-}
-
-fn large_body_refusal(max_body_bytes: u64) -> Refusal {
-    let message = format!("Failed to accept the body: the limit is {max_body_bytes} bytes");
-    Refusal::not_run(413, "body-too-large", message)
-}
-
-fn unreadable_body_refusal(error: &salvo::http::ParseError) -> Refusal {
-    let message = format!("Failed to read the body: {error}");
-    Refusal::not_run(400, "bad-request", message)
+fn body_refusal(error: &BodyError) -> Refusal {
+    let (status, code) = match error {
+        BodyError::TooLarge(_) => (413, "body-too-large"),
+        BodyError::NoMemory => (503, "body-budget"),
+        BodyError::Stalled | BodyError::Late => (408, "body-timeout"),
+        BodyError::Broken(_) => (400, "bad-request"),
+    };
+    let refusal = Refusal::not_run(status, code, format!("Failed to read the body: {error}"));
+    match error {
+        BodyError::NoMemory => refusal.retry_after(BUDGET_RETRY_AFTER),
+        _ => refusal,
+    }
 }
 
 /// Time within which the rest of a refused request's body must arrive.
 const BODY_DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Reads and discards the rest of a body. Closing a connection with unread data resets it, and the
-/// caller may lose the response.
-async fn discard_body(req: &mut Request) {
-    let mut body = req.take_body();
-    let discarded = async { while let Some(Ok(_)) = body.frame().await {} };
-    // On a timeout, the caller still gets the response before its connection is closed.
-    let _ = tokio::time::timeout(BODY_DISCARD_TIMEOUT, discarded).await;
-}
+/// Part of a refused body that is read and discarded: all of a legal one, so that its caller certainly
+/// gets the refusal and the connection stays usable.
+const MAX_DISCARDED_BYTES: u64 = 4 << 20;
 
 #[async_trait]
 impl Handler for RelayHandler {
@@ -175,7 +172,7 @@
                     .metrics
                     .incr(&format!("refusals.{}.{}", refusal.status, refusal.code));
                 tokio::select! {
-                    () = discard_body(req) => {}
+                    () = discard_body(req.body_mut(), MAX_DISCARDED_BYTES, BODY_DISCARD_TIMEOUT) => {}
                     () = wait_for_stop(&self.shared) => {}
                 }
                 event!(
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -28,6 +28,7 @@
     CallerDialect, ForwardMetadata, MetadataError, ModelUsage, PromptPart, RequestMetadata,
     ResponseVerdict, StreamContinuation,
 };
+pub use intake::MemoryLimits;
 pub use limits::WindowBound;
 pub use place::TargetStatement;
 pub use settings::RelaySettings;
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use intake::MemoryLimits;
 use limits::WindowBound;
 use units::{DataCentreName, NodeName, RegionName};
 
@@ -33,6 +34,8 @@
     pub plan_time: Duration,
     /// Bound on retries at other targets, over all entries.
     pub retries: WindowBound,
+    /// Memory and descriptors of the process.
+    pub limits: MemoryLimits,
     /// Time within which a graceful shutdown must end.
     pub stop_timeout: Duration,
 }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -10,6 +10,7 @@
 use client::{ControlClient, FleetView};
 use fair::ShareGate;
 use limits::{DurationHistory, WindowBound, WindowBudget};
+use listener::BodyGate;
 use origins::OriginLog;
 use place::{ListedTarget, PlacementTable, RunKey, WaitKey, WaitQueue};
 use quarantine::CrashLog;
@@ -105,6 +106,8 @@
     pub(crate) dialect: Arc<dyn CallerDialect>,
     pub(crate) metrics: Arc<StatsdClient>,
     pub(crate) pool: ConnectionPool,
+    /// Memory for the bodies of requests.
+    pub(crate) bodies: BodyGate,
     /// Where this entry's streams began that may be continued.
     pub(crate) origins: StateBoard<OriginLog>,
     /// Client for the control nodes.
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -540,6 +540,7 @@
             slack: 50,
             window: Duration::from_secs(10),
         },
+        limits: relay::MemoryLimits::default(),
         stop_timeout: STOP_TIMEOUT,
     }
 }
