--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -6,17 +6,20 @@
 
 use board::StateBoard;
 use cadence::StatsdClient;
+use cadence::prelude::*;
 use client::{ControlClient, FleetView, keep_lease};
 use entry::model_pool;
 use eyre::WrapErr;
 use fair::ShareGate;
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
+use listener::{BodyGate, ConnectionTable};
 use origins::OriginLog;
 use place::{PlacementSettings, PlacementTable, WaitQueue};
 use quarantine::CrashLog;
 use rollout::{RolloutPhase, VersionGates};
+use salvo::Router;
+use salvo::fuse::FuseConfig;
 use salvo::server::ServerHandle;
-use salvo::{Router, Server};
 use telemetry::{event, events};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -39,10 +42,6 @@
 /// about once in this time.
 const FAILED_TARGET_BACKOFF: Duration = Duration::from_secs(1);
 
-/// Maximum size of the buffer of a caller's connection. It must hold the head of a request; bodies
-/// are read in chunks. The server's default of 400 KiB used more memory than small hosts have.
-const MAX_BUFFER_BYTES: usize = 32 << 10;
-
 /// Time for which a leaving relay still accepts connections. The load balancer checks readiness
 /// once a second and stops sending callers after two failures.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
@@ -105,6 +104,7 @@
         }),
         incarnation,
         view: StateBoard::new(FleetView::with_lease_time(settings.lease_time)),
+        bodies: BodyGate::new(&settings.limits),
         settings: Arc::new(settings),
         clock,
         address: endpoint.address(),
@@ -149,20 +149,56 @@
     server_task: &mut JoinSet<()>,
 ) -> eyre::Result<(SocketAddr, ServerHandle)> {
     let address = shared.settings.http;
+    let connections = ConnectionTable::new(shared.settings.limits.max_connections());
     let acceptor = listener::listen(address)
         .await
-        .wrap_err_with(|| format!("Failed to open the HTTP address {address}"))?;
+        .wrap_err_with(|| format!("Failed to open the HTTP address {address}"))?
+        .bounded_by(connections.clone());
     let address = acceptor
         .local_addr()
         .wrap_err("Failed to read the HTTP address")?;
     let router = Router::with_path("{**rest}").goal(RelayHandler::new(shared.clone()));
-    let mut server = Server::new(acceptor);
-    server.http1_mut().max_buf_size(MAX_BUFFER_BYTES);
+    let fuse = FuseConfig::default().with_http1_header_timeout(MAX_IDLE_TIME);
+    let server = listener::server(acceptor).fuse_config(fuse);
     let handle = server.handle();
-    server_task.spawn(async move { server.serve(router).await });
+    let shared = shared.clone();
+    server_task.spawn(async move {
+        tokio::select! {
+            () = server.serve(router) => {}
+            () = check_connections(shared, connections) => {}
+        }
+    });
     Ok((address, handle))
 }
 
+/// Time after which the server closes an idle connection in any case. The time-outs of the plan are
+/// applied by [`check_connections`]; the server's own default of 30 s may be shorter than these.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(600);
+
+/// Interval between two checks of the connections' time-outs.
+const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Closes connections by the time-outs of the plan in force. Never returns.
+async fn check_connections(shared: RelayShared, connections: ConnectionTable) {
+    loop {
+        tokio::time::sleep(CONNECTION_CHECK_INTERVAL).await;
+        let bounds = shared.board.read(|state| {
+            let index = state.route_index.as_ref();
+            index.map(|index| index.plan.bounds)
+        });
+        if let Some(bounds) = bounds {
+            connections.close_expired(
+                Duration::from_millis(bounds.header_timeout_ms),
+                Duration::from_millis(bounds.idle_timeout_ms),
+            );
+        }
+        let metrics = &shared.metrics;
+        let _ = metrics.gauge("connections", connections.len() as u64);
+        let _ = metrics.gauge("connections.closed-by-bound", connections.closed_by_bound());
+        let _ = metrics.gauge("body-bytes", shared.bodies.used());
+    }
+}
+
 impl RelayHandle {
     /// Address on which callers' HTTP is served.
     pub fn http(&self) -> SocketAddr {
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use intake::MemoryLimits;
 use limits::WindowBound;
 use units::{DataCentreName, NodeName, RegionName};
 
@@ -36,6 +37,8 @@
     /// Maximum share of a service's requests that a bad version gets during its roll-out, in
     /// thousandths.
     pub rollout_exposure_permille: u32,
+    /// Memory and descriptors of the process.
+    pub limits: MemoryLimits,
     /// Time within which a graceful shutdown must end.
     pub stop_timeout: Duration,
 }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -543,6 +543,7 @@
             window: Duration::from_secs(10),
         },
         rollout_exposure_permille: 100,
+        limits: relay::MemoryLimits::default(),
         stop_timeout: STOP_TIMEOUT,
     }
 }
