--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod event_tail;
 mod hash;
 mod hello;
+mod load;
 mod origin;
 mod rollout;
 mod run;
@@ -31,6 +32,7 @@
 pub use event_tail::EventTail;
 pub use hash::stable_hash;
 pub use hello::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
+pub use load::{LoadReply, LoadReport, LoadRevision, TargetLoad};
 pub use origin::{OriginAnswer, OriginBatch, StreamId, StreamOrigin};
 pub use rollout::{RolloutCounts, VersionCount};
 pub use run::{
