Place sessions by the loads over all entries where there is a view

A placement table with evened-out services reports its loads, keeps the view of all entries' loads, and selects among the first four targets of a session's order by the bounds of the balance crate and by the memory of the targets. The target that last got the session comes first. Without a current view every decision is that of before; the existing tests pass, with one field added to the request that they build. The selection for sessions moved to session.rs.

--- a/components/balance/src/memory.rs
+++ b/components/balance/src/memory.rs
@@ -100,16 +100,15 @@
         self.common.tokens
     }
 
-    /// Tokens by which a request would raise the sum, including common parts.
-    pub fn needed(&self, memory: &RequestMemory) -> u64 {
-        let session = memory
-            .session
-            .iter()
-            .map(|part| self.sessions.needed(*part));
+    /// Tokens by which a request would raise the sum, and those of common parts.
+    pub fn needed(&self, memory: &RequestMemory) -> (u64, u64) {
+        let session = memory.session.iter();
+        let session = session.map(|part| self.sessions.needed(*part));
         let common = memory.common.iter().map(|part| self.common.needed(*part));
-        session
-            .chain(common)
-            .fold(memory.own_tokens, u64::saturating_add)
+        (
+            session.fold(memory.own_tokens, u64::saturating_add),
+            common.fold(0, u64::saturating_add),
+        )
     }
 
     /// Adds a request that starts to run.
--- a/components/balance/src/service.rs
+++ b/components/balance/src/service.rs
@@ -46,8 +46,6 @@
 pub struct TargetEstimate {
     /// Running requests, in thousandths.
     pub load: u64,
-    /// Memory that they need, in tokens.
-    pub held_tokens: u64,
 }
 
 /// Loads of the targets of one service at one time.
@@ -106,16 +104,23 @@
         let max_age = VIEW_TTL.as_millis() as u64;
         let age = (self.age.as_millis() as u64).min(max_age);
         let moved = (known * (max_age - age) + self.mean_others * age) / max_age;
-        let common = others.map_or(0, |load| load.common_tokens);
         TargetEstimate {
             load: moved + u64::from(candidate.own_running) * 1_000,
-            held_tokens: others
-                .map_or(0, |load| load.held_tokens)
-                .saturating_add(candidate.own_held_tokens)
-                .saturating_add(common.max(candidate.own_common_tokens)),
         }
     }
 
+    /// Whether the requests of all entries fit into the memory of a target, where `candidate` includes the
+    /// request to be placed. An idle target takes any request.
+    pub fn has_memory(&self, candidate: &LoadCandidate, cache_tokens: u64) -> bool {
+        let others = self.view.others(candidate.target).unwrap_or_default();
+        let held_tokens = others
+            .held_tokens
+            .saturating_add(candidate.own_held_tokens)
+            .saturating_add(others.common_tokens.max(candidate.own_common_tokens));
+        let is_idle = candidate.own_running == 0 && others.running == 0;
+        is_idle || held_tokens <= cache_tokens / 100 * MEMORY_PERCENT
+    }
+
     /// Whether a target with this estimated load may get a request of a session. `is_known` tells whether
     /// it was the last one to get a request of the session.
     pub fn is_within_bound(&self, estimate: &TargetEstimate, is_known: bool) -> bool {
@@ -127,11 +132,3 @@
         estimate.load < bound.max(self.mean + MIN_MARGIN)
     }
 }
-
-impl TargetEstimate {
-    /// Whether a request that needs this memory fits beside the others. An idle target takes any.
-    pub fn has_memory(&self, needed: u64, cache_tokens: u64) -> bool {
-        let held = self.held_tokens.saturating_add(needed);
-        self.held_tokens == 0 || held <= cache_tokens / 100 * MEMORY_PERCENT
-    }
-}
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -4,25 +4,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use balance::RequestMemory;
 use slotmap::SlotMap;
 use units::{
     ClockTime, CostUnits, Incarnation, MilliRate, NodeName, RegionName, ServiceName,
     SoftwareVersion,
 };
-use wire::stable_hash;
 
+use crate::even::{LoadBook, LoadMove};
 use crate::intake::{StatedIntake, StatementChange, TargetStatement};
 use crate::limit::{EntryPosition, LimitChange, StatedLimit};
 use crate::target::{ListedTarget, RunKey, TargetKey, TargetRecord};
 
-/// Percentage of a request's latency objective after which a target that has not returned the first
-/// byte of an earlier request is late and gets no further requests of sessions.
-///
-/// Entries admit a burst before the organisation's share is known. Because of this limit, the burst
-/// waits in the [`WaitQueue`](crate::WaitQueue), where organisations take turns, and not at the
-/// target.
-const LATE_PERCENT: u32 = 60;
-
 /// Number of requests over which the mean work is taken.
 const MEAN_WORK_SAMPLES: u64 = 64;
 
@@ -82,6 +75,8 @@
     /// Whether it continues a stream that was admitted before. It goes before other requests, which
     /// more targets may run.
     pub has_precedence: bool,
+    /// Memory that it needs at a target, if its service has targets whose memory is known.
+    pub memory: Option<RequestMemory>,
 }
 
 /// Result of [`PlacementTable::place`].
@@ -115,13 +110,16 @@
     cost: Option<CostUnits>,
     objective: Duration,
     has_first_byte: bool,
+    memory: Option<RequestMemory>,
+    /// Why the run is not at the first target of its session, if that is because of loads.
+    load_move: Option<LoadMove>,
 }
 
 /// Targets listed by the directory, and the runs of one entry at them.
 #[derive(Debug)]
 pub struct PlacementTable {
     settings: PlacementSettings,
-    targets: SlotMap<TargetKey, TargetRecord>,
+    pub(crate) targets: SlotMap<TargetKey, TargetRecord>,
     keys: HashMap<NodeName, TargetKey>,
     runs: SlotMap<RunKey, RunRecord>,
     position: EntryPosition,
@@ -130,6 +128,8 @@
     unlisted: HashMap<(NodeName, Incarnation), (StatedIntake, ClockTime)>,
     /// Moving average of the work of requests to each service.
     mean_work: HashMap<ServiceName, u64>,
+    /// Loads over all entries.
+    pub(crate) loads: LoadBook,
 }
 
 impl PlacementTable {
@@ -143,6 +143,7 @@
             position: EntryPosition::SINGLE,
             unlisted: HashMap::new(),
             mean_work: HashMap::new(),
+            loads: LoadBook::new(),
         }
     }
 
@@ -229,6 +230,11 @@
         self.targets.get(self.runs.get(run)?.target)
     }
 
+    /// Why a run is not at the first target of its session, if that is because of loads.
+    pub fn load_move(&self, run: RunKey) -> Option<&LoadMove> {
+        self.runs.get(run)?.load_move.as_ref()
+    }
+
     /// Target with this name, as listed by the directory.
     pub fn listed(&self, name: &NodeName) -> Option<&ListedTarget> {
         let key = self.keys.get(name)?;
@@ -263,7 +269,11 @@
             selected = self.select(request, reserved, now);
         }
         match selected.or_else(|| self.select(request, others, now)) {
-            Some(key) => PlacementOutcome::Run(self.start_run(key, request, now)),
+            Some((key, load_move)) => {
+                let run = self.start_run(key, request, now);
+                self.runs[run].load_move = load_move;
+                PlacementOutcome::Run(run)
+            }
             None => PlacementOutcome::NoCapacity,
         }
     }
@@ -291,14 +301,20 @@
         request: &PlacementRequest,
         candidates: Vec<TargetKey>,
         now: ClockTime,
-    ) -> Option<TargetKey> {
+    ) -> Option<(TargetKey, Option<LoadMove>)> {
+        let least_loaded = || Some((self.select_least_loaded(&candidates, now)?, None));
         let Some(session) = request.affinity else {
-            return self.select_least_loaded(&candidates, now);
+            return least_loaded();
+        };
+        let selected = match self.service_load(&request.service, now) {
+            Some(load) => self.select_by_load(&load, session, request, &candidates, now),
+            None => self
+                .select_for_session(session, request.objective, &candidates, now)
+                .map(|key| (key, None)),
         };
-        let selected = self.select_for_session(session, request.objective, &candidates, now);
         // Reading the prompt again costs less than a stream that cannot go on.
         match request.has_precedence {
-            true => selected.or_else(|| self.select_least_loaded(&candidates, now)),
+            true => selected.or_else(least_loaded),
             false => selected,
         }
     }
@@ -418,6 +434,9 @@
         };
         if let Some(target) = self.targets.get_mut(record.target) {
             target.running = target.running.saturating_sub(1);
+            if let Some(memory) = &record.memory {
+                target.memory.remove(memory);
+            }
             if !record.has_first_byte {
                 target.pending.remove(&(record.sent_at, run));
                 target.pending_work = target.pending_work.saturating_sub(record.work);
@@ -448,7 +467,7 @@
             .map(|(key, _)| key)
     }
 
-    fn has_capacity(&self, key: TargetKey, now: ClockTime) -> bool {
+    pub(crate) fn has_capacity(&self, key: TargetKey, now: ClockTime) -> bool {
         let record = &self.targets[key];
         let is_paced = record.cold_rate(now).is_some();
         record.running < record.info.slots.0 && (!is_paced || record.pacer.is_open(now))
@@ -463,8 +482,17 @@
             cost: request.cost,
             objective: request.objective,
             has_first_byte: false,
+            memory: request.memory.clone(),
+            load_move: None,
         });
         let record = &mut self.targets[key];
+        if let Some(memory) = &request.memory {
+            record.memory.add(memory);
+        }
+        if let Some(session) = request.affinity {
+            self.loads
+                .record_session(&request.service, session, record.hash);
+        }
         record.running += 1;
         record.pending_work += request.work;
         record.pending.insert((now, run));
@@ -477,55 +505,6 @@
         run
     }
 
-    /// Selects the session's preferred target or its second choice, both fixed by a hash.
-    ///
-    /// Any other target would have to process the whole prompt again. The second choice is used
-    /// only if the preferred target has stalled, is full or is cold; the request waits if both are
-    /// late.
-    fn select_for_session(
-        &self,
-        session: u64,
-        objective: Duration,
-        candidates: &[TargetKey],
-        now: ClockTime,
-    ) -> Option<TargetKey> {
-        let (preferred, second) = self.highest_scores(session, candidates)?;
-        let is_late =
-            |key: TargetKey| self.targets[key].longest_wait(now) > objective * LATE_PERCENT / 100;
-        if self.has_capacity(preferred, now) && !is_late(preferred) {
-            return Some(preferred);
-        }
-        let has_stalled = !self.has_capacity(preferred, now)
-            || self.targets[preferred].longest_wait(now) > objective;
-        let second = second.filter(|_| has_stalled)?;
-        (self.has_capacity(second, now) && !is_late(second)).then_some(second)
-    }
-
-    /// Candidates with the highest and second highest score for a session.
-    fn highest_scores(
-        &self,
-        session: u64,
-        candidates: &[TargetKey],
-    ) -> Option<(TargetKey, Option<TargetKey>)> {
-        let mut highest: Option<(u64, TargetKey)> = None;
-        let mut second: Option<(u64, TargetKey)> = None;
-        for key in candidates {
-            let scored = (self.score(session, *key), *key);
-            if highest.is_none_or(|highest| scored.0 > highest.0) {
-                second = highest.replace(scored);
-            } else if second.is_none_or(|second| scored.0 > second.0) {
-                second = Some(scored);
-            }
-        }
-        let (_, highest) = highest?;
-        Some((highest, second.map(|(_, key)| key)))
-    }
-
-    fn score(&self, session: u64, key: TargetKey) -> u64 {
-        let name = self.targets[key].info.name.as_str();
-        stable_hash(&[&session.to_le_bytes(), name.as_bytes()])
-    }
-
     /// Selects the least loaded target with capacity, preferring those in the entry's region.
     fn select_least_loaded(&self, candidates: &[TargetKey], now: ClockTime) -> Option<TargetKey> {
         let own_region = self.settings.region.as_ref();
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use balance::{MemoryLedger, target_hash};
 use units::{
     ClockTime, DataCentreName, Incarnation, MilliRate, NodeName, RegionName, ServiceName,
     SlotCount, SoftwareVersion,
@@ -60,6 +61,10 @@
     pub pending_work: u64,
     /// Running requests without a first byte, ordered by send time.
     pub(crate) pending: BTreeSet<(ClockTime, RunKey)>,
+    /// Hash of its name in reports of load.
+    pub(crate) hash: u64,
+    /// Memory that the running requests need, as far as it is stated.
+    pub(crate) memory: MemoryLedger,
     cold_until: ClockTime,
     pub(crate) pacer: ColdPacer,
     /// What the process has stated in its responses.
@@ -71,6 +76,8 @@
 impl TargetRecord {
     pub(crate) fn new(info: ListedTarget, position: EntryPosition, now: ClockTime) -> Self {
         let mut record = Self {
+            hash: target_hash(&info.name),
+            memory: MemoryLedger::default(),
             info,
             running: 0,
             pending_work: 0,
--- a/components/place/tests/common/mod.rs
+++ b/components/place/tests/common/mod.rs
@@ -37,6 +37,7 @@
         regions: Vec::new(),
         tried: Vec::new(),
         has_precedence: false,
+        memory: None,
     }
 }
 
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -166,6 +166,7 @@
             has_precedence: continued
                 .as_ref()
                 .is_some_and(|continued| continued.has_precedence),
+            memory: None,
         };
         let caller_deadline = arrived_at + remaining;
         Ok(Self {
