Report loads of targets to the home and apply its totals

Entries include the load of targets in their report, and the home answers with the totals over all entries.

--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -6,6 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use balance::LoadHome;
 use board::StateBoard;
 use cadence::StatsdClient;
 use directory::NodeDirectory;
@@ -135,6 +136,7 @@
         demand: StateBoard::new(DemandHome::new()),
         origins,
         quarantine: StateBoard::new(QuarantineHome::new(home_id(&settings.name))),
+        loads: StateBoard::new(LoadHome::new(home_id(&settings.name))),
         driver,
         peers,
         clock,
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -9,9 +9,9 @@
 use tokio::sync::oneshot;
 use units::{ConfigVersion, NodeName};
 use wire::{
-    ControlReply, ControlRequest, CrashReport, DemandReport, EntryReply, EntryReport, Hello,
-    NodeKind, NodeRole, OperatorOrder, OrderReply, QuarantineReply, RenewReply, RenewRequest,
-    ShareReply, UsageReport,
+    ControlReply, ControlRequest, CrashReport, DemandReport, DirectoryEntry, EntryReply,
+    EntryReport, Hello, LoadReply, LoadReport, NodeKind, NodeRole, NodeState, OperatorOrder,
+    OrderReply, QuarantineReply, RenewReply, RenewRequest, ShareReply, UsageReport,
 };
 
 use crate::driver_event::{DriverEvent, ProposeFailure};
@@ -188,6 +188,24 @@
     ControlReply::Report(EntryReply {
         shares: apply_demand(context, demand),
         quarantine: apply_crashes(context, &report.crashes),
+        loads: report
+            .loads
+            .as_ref()
+            .map(|loads| apply_loads(context, peer, loads)),
+    })
+}
+
+/// Adds the load that an entry puts on targets to that of the others.
+fn apply_loads(context: &ControlContext, peer: &Hello, report: &LoadReport) -> LoadReply {
+    let listed_count = context.with_nodes(|nodes| {
+        let is_serving = |entry: &&DirectoryEntry| {
+            entry.kind == NodeKind::Entry && entry.state == NodeState::Serving
+        };
+        nodes.entries().filter(is_serving).count()
+    });
+    let now = context.clock.now();
+    context.loads.write_quietly(|home| {
+        home.apply_report(&peer.name, peer.incarnation, report, listed_count, now)
     })
 }
 
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use balance::LoadHome;
 use board::StateBoard;
 use client::LEASE_TIME;
 use directory::NodeDirectory;
@@ -128,6 +129,8 @@
     pub(crate) demand: StateBoard<DemandHome>,
     /// Requests that crash targets, if this node is the home of the entries' reports.
     pub(crate) quarantine: StateBoard<QuarantineHome>,
+    /// Loads of targets over all entries, if this node is the home of the entries' reports.
+    pub(crate) loads: StateBoard<LoadHome>,
     /// Origins of streams that entries have reported.
     pub(crate) origins: OriginStore,
     /// Event queue of the driver.
--- a/components/control/tests/group.rs
+++ b/components/control/tests/group.rs
@@ -273,6 +273,7 @@
             quarantine: Vec::new(),
             refused: Vec::new(),
         },
+        loads: None,
     });
 
     let unconfirmed = entry.request_once(&report).await;
--- a/components/ctl/tests/quarantine.rs
+++ b/components/ctl/tests/quarantine.rs
@@ -42,6 +42,7 @@
             }],
             refused: Vec::new(),
         },
+        loads: None,
     })
 }
 
--- a/components/entry/src/crashes.rs
+++ b/components/entry/src/crashes.rs
@@ -139,6 +139,7 @@
             crashes: shared
                 .board
                 .write_quietly(|state| state.crashes.take_report(now)),
+            loads: None,
         };
         if let Some(reply) = sender.send(home, &report, now).await {
             let now = shared.now();
--- a/components/entry/tests/common/home.rs
+++ b/components/entry/tests/common/home.rs
@@ -35,6 +35,7 @@
                 Some(ControlReply::Report(EntryReply {
                     shares: ShareReply { flows: Vec::new() },
                     quarantine,
+                    loads: None,
                 }))
             }
             _ => None,
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -1,6 +1,6 @@
-//! Reports the demand for the model engines and the crashes of targets to their home, which is the
-//! control node that merges the reports of all entries, and applies the shares and the quarantine in
-//! the replies.
+//! Reports the demand for the model engines, the crashes of targets and the load on them to their home,
+//! which is the control node that merges the reports of all entries, and applies the shares, the
+//! quarantine and the loads in the replies.
 
 use client::ControlClient;
 use entry::{IDLE_REPORT_INTERVAL, ReportSender};
@@ -30,6 +30,7 @@
             continue;
         };
         let (name, incarnation) = (shared.settings.name.clone(), shared.incarnation);
+        let reported_at = shared.now();
         let report = shared.board.write_quietly(|state| {
             for run in state.table.overdue_runs(now) {
                 state.gate.record_wait(run.latency, run.objective);
@@ -37,6 +38,7 @@
             EntryReport {
                 demand: state.gate.take_report(name, incarnation, now),
                 crashes: state.crashes.take_report(now),
+                loads: state.table.take_load_report(),
             }
         });
         if let Some(reply) = sender.send(home, &report, now).await {
@@ -45,6 +47,10 @@
                 state.gate.apply_reply(&reply.shares, now);
                 let quarantine = &reply.quarantine;
                 state.crashes.apply_reply(&report.crashes, quarantine, now);
+                if let Some(loads) = &reply.loads {
+                    state.table.apply_load_reply(loads, reported_at);
+                    state.drain_queue(now);
+                }
             });
         }
     }
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -1,14 +1,15 @@
 //! Applies changes of the fleet view to the relay's state.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use client::FleetView;
+use fair::DEMAND_INTERVAL;
 use place::{EntryPosition, ListedTarget, PlacementTable};
-use routes::{RouteIndex, ServicePool};
+use routes::{RouteIndex, RoutePlan, ServicePool};
 use telemetry::{event, events};
-use units::{NodeName, PlanNumber, RouteName};
+use units::{NodeName, PlanNumber, RouteName, ServiceName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
 use crate::crash::record_listed;
@@ -20,6 +21,10 @@
 /// limit of a cold target may admit a waiting request at any time.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Shortest latency objective of services whose targets are evened out. Loads of other entries are up
+/// to two intervals of reports old, which is of no use for a shorter one.
+const MIN_EVEN_OBJECTIVE: Duration = DEMAND_INTERVAL.saturating_mul(2);
+
 /// Interval at which idle connections are checked.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -91,6 +96,7 @@
             let routes: HashSet<&RouteName> =
                 index.plan.routes.iter().map(|route| &route.name).collect();
             state.run_durations.retain(|name, _| routes.contains(name));
+            state.table.set_even_services(even_services(&index.plan));
             state.route_index = Some(Arc::new(index));
         }
         let changed = changed_versions(&state.table, &targets);
@@ -101,6 +107,26 @@
     record_restarts(shared, &changed);
 }
 
+/// Services whose targets are evened out, with the memory of each target in tokens.
+fn even_services(plan: &RoutePlan) -> BTreeMap<ServiceName, u64> {
+    let is_even = |service: &ServiceName| {
+        let routes = plan.routes.iter();
+        let mut routes = routes
+            .filter(|route| {
+                let mut split = route.split.iter();
+                split.any(|part| part.service == *service)
+            })
+            .peekable();
+        routes.peek().is_some() && routes.all(|route| route.objective() >= MIN_EVEN_OBJECTIVE)
+    };
+    let pools = plan.pools.iter();
+    pools
+        .filter_map(|(service, pool)| Some((service, pool.engine?.cache_tokens)))
+        .filter(|(service, cache_tokens)| *cache_tokens > 0 && is_even(service))
+        .map(|(service, cache_tokens)| (service.clone(), cache_tokens))
+        .collect()
+}
+
 /// Listed targets whose version differs from that under which the table has them.
 fn changed_versions(table: &PlacementTable, targets: &[ListedTarget]) -> Vec<ListedTarget> {
     let is_changed = |target: &&ListedTarget| {
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -1,8 +1,10 @@
-//! Reports of entries: their demand, and the crashes that they have observed.
+//! Reports of entries: their demand, the crashes that they have observed, and the load that they put on
+//! targets.
 
 use units::{CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
 
 use crate::crash::{CrashReport, QuarantineReply};
+use crate::load::{LoadReply, LoadReport};
 use crate::usage::FlowId;
 
 units::data! {
@@ -59,6 +61,8 @@
         pub demand: DemandReport,
         /// Crashes of targets, and what clears requests of having caused them.
         pub crashes: CrashReport,
+        /// Load that the entry puts on targets; `None` if no service needs it.
+        pub loads: Option<LoadReport>,
     }
 
     /// Reply to an [`EntryReport`].
@@ -67,5 +71,7 @@
         pub shares: ShareReply,
         /// Requests that crash targets.
         pub quarantine: QuarantineReply,
+        /// Loads over all entries, if the entry has reported its own.
+        pub loads: Option<LoadReply>,
     }
 }
