Count the memory of requests and log moves between targets

A request that loads or memory move away from the first target of its session is logged (event 1522) with the loads and their age, and counted (load-move).

--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, request, response};
 use manifest::KeyHash;
-use place::TargetStatement;
+use place::{RequestMemory, TargetStatement};
 use thiserror::Error;
 use units::{NodeName, OrganisationName};
 
@@ -39,6 +39,9 @@
     pub prompt_tokens: u64,
     /// Maximum number of tokens in the response.
     pub max_output_tokens: u64,
+    /// Caller's estimate of the number of tokens in the response, if stated. It is right at the median
+    /// and often far off.
+    pub output_hint: Option<u64>,
     /// Parts of the prompt in order. Requests may share all parts; the last belongs to the request or
     /// its session.
     pub parts: Vec<PromptPart>,
@@ -60,6 +63,18 @@
         let last_shared = self.parts.len().checked_sub(2)?;
         Some(self.parts[last_shared].id)
     }
+
+    /// Memory that the request needs at a target.
+    pub(crate) fn memory(&self) -> RequestMemory {
+        let shared_count = self.parts.len().saturating_sub(1);
+        let shared = self.parts[..shared_count].iter();
+        RequestMemory::new(
+            self.prompt_tokens,
+            shared.map(|part| (part.id, part.tokens)),
+            self.output_hint,
+            self.max_output_tokens,
+        )
+    }
 }
 
 /// Metadata that is forwarded to a target with a request.
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -151,6 +151,9 @@
         let is_late = route.timeout().saturating_sub(remaining) > route.objective();
         let is_within_share = admit_by_share(&shared, organisation.as_ref(), cost, is_late);
         let regions = admission.holder.iter().map(|holder| holder.regions.clone());
+        let is_even = shared
+            .board
+            .read(|state| state.table.is_even_service(&service));
         let placement = PlacementRequest {
             service: service.clone(),
             version: version_rule(&route, continued.as_ref()),
@@ -166,7 +169,11 @@
             has_precedence: continued
                 .as_ref()
                 .is_some_and(|continued| continued.has_precedence),
-            memory: None,
+            memory: metadata
+                .model_usage
+                .as_ref()
+                .filter(|_| is_even)
+                .map(ModelUsage::memory),
         };
         let caller_deadline = arrived_at + remaining;
         Ok(Self {
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cadence::prelude::*;
 use place::{
     LimitChange, ListedTarget, PlacementOutcome, PlacementRequest, QueuedRequest, RunKey,
     TargetStatement,
@@ -131,6 +132,7 @@
     let work = request.work;
     let cost = request.cost;
     let run_guard = |run| {
+        record_load_move(shared, run);
         if let Some(cost) = cost {
             shared
                 .board
@@ -192,6 +194,26 @@
     }
 }
 
+/// Logs and counts a run that is not at the first target of its session because of loads.
+fn record_load_move(shared: &RelayShared, run: RunKey) {
+    let load_move = shared
+        .board
+        .read(|state| state.table.load_move(run).cloned());
+    let Some(load_move) = load_move else {
+        return;
+    };
+    let _ = shared.metrics.incr("load-move");
+    event!(
+        events::SESSION_MOVED,
+        first = load_move.first,
+        first_load = load_move.first_load,
+        load = load_move.load,
+        mean = load_move.mean,
+        age_ms = load_move.age.as_millis() as u64,
+        has_memory = load_move.has_memory
+    );
+}
+
 /// Removes a request from the queue when its task stops waiting, and ends a run that was started
 /// for it but not received.
 struct QueueGuard<'a> {
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -112,6 +112,7 @@
     ModelUsage {
         prompt_tokens: 10,
         max_output_tokens: 1,
+        output_hint: None,
         parts: parts.collect(),
     }
 }
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -50,6 +50,11 @@
     PAUSE_STATED = 1521, Info, "pause-stated",
         "A target has refused a request and states for how long it wants none. It gets none of this \
          entry in that time.";
+    SESSION_MOVED = 1522, Info, "session-moved",
+        "A request goes to another target than the first of its session, because the load of that \
+         one over all entries exceeds its bound, or the request does not fit into its memory (field \
+         has_memory). Loads are in thousandths of a running request; age_ms is the mean age of what \
+         is known of the other entries.";
     RELAY_STREAM_BROKEN = 1512, Info, "relay-stream-broken",
         "A response stream ended before its last event, so the connection of the caller was \
          closed.";
