--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -6,6 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use balance::LoadHome;
 use board::StateBoard;
 use cadence::StatsdClient;
 use directory::NodeDirectory;
@@ -138,6 +139,7 @@
         rollout_due: Arc::new(Notify::new()),
         origins,
         quarantine: StateBoard::new(QuarantineHome::new(home_id(&settings.name))),
+        loads: StateBoard::new(LoadHome::new(home_id(&settings.name))),
         driver,
         peers,
         clock,
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use balance::LoadHome;
 use board::StateBoard;
 use client::LEASE_TIME;
 use directory::NodeDirectory;
@@ -133,6 +134,8 @@
     pub(crate) rollouts: StateBoard<RolloutHomes>,
     /// Wakes the judgement of roll-outs.
     pub(crate) rollout_due: Arc<Notify>,
+    /// Loads of targets over all entries, if this node is the home of the entries' reports.
+    pub(crate) loads: StateBoard<LoadHome>,
     /// Origins of streams that entries have reported.
     pub(crate) origins: OriginStore,
     /// Event queue of the driver.
--- a/components/control/tests/group.rs
+++ b/components/control/tests/group.rs
@@ -276,6 +276,7 @@
         },
         config: ConfigVersion(0),
         rollouts: Vec::new(),
+        loads: None,
     });
 
     let unconfirmed = entry.request_once(&report).await;
--- a/components/ctl/tests/quarantine.rs
+++ b/components/ctl/tests/quarantine.rs
@@ -45,6 +45,7 @@
         },
         config: ConfigVersion(0),
         rollouts: Vec::new(),
+        loads: None,
     })
 }
 
--- a/components/entry/src/crashes.rs
+++ b/components/entry/src/crashes.rs
@@ -141,6 +141,7 @@
                 .write_quietly(|state| state.crashes.take_report(now)),
             config: shared.view.read(|view| view.config.version),
             rollouts: Vec::new(),
+            loads: None,
         };
         if let Some(reply) = sender.send(home, &report, now).await {
             let now = shared.now();
--- a/components/entry/tests/common/home.rs
+++ b/components/entry/tests/common/home.rs
@@ -38,6 +38,7 @@
                         capacity: None,
                     },
                     quarantine,
+                    loads: None,
                 }))
             }
             _ => None,
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -1,9 +1,10 @@
-//! Reports of entries: their demand, the crashes that they have observed, and what they have counted of
-//! roll-outs.
+//! Reports of entries: their demand, the crashes that they have observed, the load that they put on
+//! targets, and what they have counted of roll-outs.
 
 use units::{ConfigVersion, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
 
 use crate::crash::{CrashReport, QuarantineReply};
+use crate::load::{LoadReply, LoadReport};
 use crate::rollout::RolloutCounts;
 use crate::usage::FlowId;
 
@@ -78,6 +79,8 @@
         pub config: ConfigVersion,
         /// Counts on the roll-outs in progress; empty while there are none.
         pub rollouts: Vec<RolloutCounts>,
+        /// Load that the entry puts on targets; `None` if no service needs it.
+        pub loads: Option<LoadReport>,
     }
 
     /// Reply to an [`EntryReport`].
@@ -86,5 +89,7 @@
         pub shares: ShareReply,
         /// Requests that crash targets.
         pub quarantine: QuarantineReply,
+        /// Loads over all entries, if the entry has reported its own.
+        pub loads: Option<LoadReply>,
     }
 }
