--- a/components/control/tests/rollouts.rs
+++ b/components/control/tests/rollouts.rs
@@ -206,6 +206,7 @@
                 lateness_permille: 0,
                 known_capacity: None,
             },
+            loads: None,
             crashes: CrashReport {
                 source: None,
                 observations: Vec::new(),
