Turn the even load of targets on by a flag only

Cause: each entry sees a thirtieth of a session's requests, so the entries keep different targets for it.

--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -102,7 +102,9 @@
             let routes: HashSet<&RouteName> =
                 index.plan.routes.iter().map(|route| &route.name).collect();
             state.run_durations.retain(|name, _| routes.contains(name));
-            state.table.set_even_services(even_services(&index.plan));
+            if shared.settings.is_load_evened {
+                state.table.set_even_services(even_services(&index.plan));
+            }
             state.route_index = Some(Arc::new(index));
         }
         let changed = changed_versions(&state.table, &targets);
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -37,6 +37,8 @@
     /// Maximum share of a service's requests that a bad version gets during its roll-out, in
     /// thousandths.
     pub rollout_exposure_permille: u32,
+    /// Whether sessions are placed by the loads of targets over all entries, where the plan allows it.
+    pub is_load_evened: bool,
     /// Memory and descriptors of the process.
     pub limits: MemoryLimits,
     /// Time within which a graceful shutdown must end.
