Keep versions barred that a roll-out has replaced or rolled back

An order for the version in force left only the canary share served: the versions before it are still registered for a minute, so they counted as the old ones, which get all other requests and have no targets. A version that was rolled back was released by the next order if it had no target at that moment.

Change: a completed roll-out bars the versions that it replaced, and a barred version is released only by an order that names it; 64 of them are kept for a service. Both new tests fail before.

--- a/components/rollout/src/record.rs
+++ b/components/rollout/src/record.rs
@@ -8,6 +8,10 @@
 /// resend an order for at most a few seconds.
 const REPEAT_WINDOW_MS: u64 = 10_000;
 
+/// Maximum number of versions of a service that are barred by earlier roll-outs. Their targets may
+/// start again long after, so a version is not released when it has no target.
+const MAX_BARRED_VERSIONS: usize = 64;
+
 units::number!(
     /// Number of a roll-out, which increases with each order.
     RolloutNumber(u64)
@@ -112,8 +116,15 @@
     /// Versions that get no requests after the roll-out until an order names them.
     fn barred_after(&self) -> BTreeSet<SoftwareVersion> {
         let mut barred = self.barred.clone();
-        if let RolloutPhase::RolledBack { .. } = self.phase {
-            barred.insert(self.order.to.clone());
+        match self.phase {
+            RolloutPhase::RolledBack { .. } => {
+                barred.insert(self.order.to.clone());
+            }
+            RolloutPhase::Completed => barred.extend(self.old.iter().cloned()),
+            RolloutPhase::Running { .. } | RolloutPhase::Draining => {}
+        }
+        while barred.len() > MAX_BARRED_VERSIONS {
+            barred.pop_first();
         }
         barred
     }
@@ -144,7 +155,7 @@
         }
         let last = self.records.get(&order.service);
         let mut barred = last.map_or_else(BTreeSet::new, RolloutRecord::barred_after);
-        barred.retain(|version| *version != order.to && old.contains(version));
+        barred.remove(&order.to);
         let is_old = |version: &SoftwareVersion| *version != order.to && !barred.contains(version);
         self.last_number.0 += 1;
         let record = RolloutRecord {
--- a/components/rollout/tests/gates.rs
+++ b/components/rollout/tests/gates.rs
@@ -1,12 +1,13 @@
 //! Versions that entries may use by the records of roll-outs.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rollout::{
     RolloutOrder, RolloutPhase, RolloutPlan, RolloutStep, RolloutTable, RunStart, SelectedVersion,
     VersionChoice, VersionGates,
 };
-use units::{ClockTime, ServiceName};
+use units::{ClockTime, ServiceName, SoftwareVersion};
 
 fn order(to: &str) -> RolloutOrder {
     RolloutOrder {
@@ -108,3 +109,49 @@
         }
     }
 }
+
+/// Guards against a second order for the version in force that takes its requests away, since the
+/// versions before it are still registered but have no targets.
+#[test]
+fn order_for_the_version_in_force_keeps_its_requests() {
+    let versions: BTreeSet<SoftwareVersion> = ["v1".into(), "v2".into()].into();
+    let mut table = RolloutTable::default();
+    table.start(&order("v2"), versions.clone(), 0);
+    for phase in [RolloutPhase::Draining, RolloutPhase::Completed] {
+        let number = table.get(&"visits".into()).unwrap().number;
+        let service = "visits".into();
+        let step = RolloutStep {
+            service,
+            number,
+            phase,
+        };
+        assert!(table.advance(&step, 1_000));
+    }
+
+    table.start(&order("v2"), versions, 60_000);
+
+    let record = table.get(&"visits".into()).unwrap();
+    assert!(record.old.is_empty(), "{record:?}");
+    assert!(record.barred.contains(&"v1".into()), "{record:?}");
+}
+
+/// Guards against a rolled-back version that gets requests after the next order, because it had no target
+/// at that moment.
+#[test]
+fn rolled_back_version_without_targets_stays_barred() {
+    let mut table = table_after_roll_back("v1");
+    let number = table.get(&"visits".into()).unwrap().number;
+    let step = RolloutStep {
+        service: "visits".into(),
+        number,
+        phase: RolloutPhase::RolledBack {
+            reason: "no target".into(),
+        },
+    };
+    table.advance(&step, 30_000);
+
+    table.start(&order("v3"), ["v1".into()].into(), 90_000);
+
+    let record = table.get(&"visits".into()).unwrap();
+    assert!(record.barred.contains(&"v2".into()), "{record:?}");
+}
