Count runs at targets that are not listed any longer

Old targets could be stopped under running requests: an entry counted the runs of listed targets only, and a target whose announcements are cut off is not listed while its runs go on. Found by a review that read the code. The runs themselves are counted now, by the version of their target at the start.

--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -6,7 +6,10 @@
 
 use balance::RequestMemory;
 use slotmap::SlotMap;
-use units::{ClockTime, CostUnits, Incarnation, MilliRate, NodeName, RegionName, ServiceName};
+use units::{
+    ClockTime, CostUnits, Incarnation, MilliRate, NodeName, RegionName, ServiceName,
+    SoftwareVersion,
+};
 
 use crate::even::{LoadBook, LoadMove};
 use crate::intake::{StatedIntake, StatementChange, TargetStatement};
@@ -79,8 +82,11 @@
 
 /// Request that was sent to a target.
 #[derive(Debug, Clone)]
-struct RunRecord {
+pub(crate) struct RunRecord {
     target: TargetKey,
+    pub(crate) service: ServiceName,
+    /// Version of the target when the run began. The target may be unlisted while the run goes on.
+    pub(crate) version: Option<SoftwareVersion>,
     sent_at: ClockTime,
     work: u64,
     cost: Option<CostUnits>,
@@ -97,7 +103,7 @@
     settings: PlacementSettings,
     pub(crate) targets: SlotMap<TargetKey, TargetRecord>,
     keys: HashMap<NodeName, TargetKey>,
-    runs: SlotMap<RunKey, RunRecord>,
+    pub(crate) runs: SlotMap<RunKey, RunRecord>,
     position: EntryPosition,
     /// Statements of processes that are not listed, and the time since which they are not. An
     /// announcement from before a statement may list the process again.
@@ -455,6 +461,8 @@
         self.record_work(request);
         let run = self.runs.insert(RunRecord {
             target: key,
+            service: request.service.clone(),
+            version: self.targets[key].info.version.clone(),
             sent_at: now,
             work: request.work,
             cost: request.cost,
--- a/components/place/src/version.rs
+++ b/components/place/src/version.rs
@@ -79,13 +79,11 @@
         service: &ServiceName,
         versions: &BTreeSet<SoftwareVersion>,
     ) -> u64 {
-        let targets = self.targets.values();
-        let targets = targets.filter(|record| {
-            let version = record.info.version.as_ref();
-            record.info.service == *service
-                && version.is_some_and(|version| versions.contains(version))
+        let runs = self.runs.values().filter(|record| {
+            let version = record.version.as_ref();
+            record.service == *service && version.is_some_and(|version| versions.contains(version))
         });
-        targets.map(|record| u64::from(record.running)).sum()
+        runs.count() as u64
     }
 
     /// Targets to which the rule of a request bounds it; `None` without a bound.
--- a/components/place/tests/version_rule.rs
+++ b/components/place/tests/version_rule.rs
@@ -73,3 +73,20 @@
     assert_eq!(names.len(), 2);
     assert_eq!(names, place_all(&mut other, rule));
 }
+
+/// Guards against old targets that are stopped under running requests, because the directory does not list
+/// them for a while.
+#[test]
+fn runs_at_unlisted_targets_count() {
+    let mut table = two_versions();
+    let rule = VersionRule {
+        required: RequiredVersion::Only("v1".into()),
+        ..VersionRule::default()
+    };
+    place_all(&mut table, rule);
+
+    table.sync(Vec::new(), EntryPosition::SINGLE, ClockTime(1));
+
+    let running = table.running_versions(&"advice".into(), &["v1".into()].into());
+    assert_eq!(running, 32);
+}
