Roll back a version that never answers or has lost its targets

A new version whose targets could not be reached became the only one at 80% of the time limit, since nothing counted against it; one whose targets all died while the old runs ended could complete, or stay in progress for good. Found by a review that read the code. Without an answer it is rolled back at the time limit ("no answer"); without targets at once ("no target"), and it completes only with a quarter of the old targets.

--- a/components/rollout/src/home.rs
+++ b/components/rollout/src/home.rs
@@ -198,7 +198,10 @@
                 RolloutPhase::Running { step } => {
                     self.after_step(step, record, fleet, bounds, now)?
                 }
-                _ if self.is_drained(fleet, now) => RolloutPhase::Completed,
+                _ if fleet.new_serving == 0 && self.is_observed(now) => rolled_back("no target"),
+                _ if has_enough_targets(fleet) && self.is_drained(fleet, now) => {
+                    RolloutPhase::Completed
+                }
                 _ => return None,
             }
         };
@@ -244,17 +247,15 @@
         if fleet.new_serving == 0 && elapsed_ms >= duration_ms {
             return Some(rolled_back("no target"));
         }
-        let is_observed = self
-            .installed_at
-            .is_some_and(|installed_at| now.since(installed_at) >= MIN_OBSERVED);
-        if elapsed_ms < plan.start_ms(step + 1) || !is_observed || fleet.new_serving == 0 {
+        if elapsed_ms < plan.start_ms(step + 1) || !self.is_observed(now) || fleet.new_serving == 0
+        {
             return None;
         }
         let is_held = elapsed_ms < duration_ms * MAX_HOLD_PERCENT / 100;
         if (step as usize) + 1 < plan.steps().len() {
             return Some(RolloutPhase::Running { step: step + 1 });
         }
-        if fleet.new_serving < fleet.old_serving.div_ceil(MIN_TARGETS_DIVISOR) {
+        if !has_enough_targets(fleet) {
             return (elapsed_ms >= duration_ms).then(|| rolled_back("too few targets"));
         }
         let evidence = self.evidence.highest();
@@ -264,10 +265,20 @@
         if is_held && evidence >= SUSPICION_EVIDENCE {
             return None;
         }
+        if self.new_answers == 0 {
+            // Nothing is known of the version: its targets may be unreachable.
+            return (elapsed_ms >= duration_ms).then(|| rolled_back("no answer"));
+        }
         let has_answers = self.new_answers >= MIN_ANSWERS;
         (has_answers || !is_held).then_some(RolloutPhase::Draining)
     }
 
+    /// Whether the current phase has been in force at all entries for long enough to show.
+    fn is_observed(&self, now: ClockTime) -> bool {
+        self.installed_at
+            .is_some_and(|installed_at| now.since(installed_at) >= MIN_OBSERVED)
+    }
+
     /// Whether no request runs at an old target and none can begin there.
     fn is_drained(&self, fleet: &RolloutFleet, now: ClockTime) -> bool {
         let Some(installed_at) = self.installed_at else {
@@ -286,6 +297,11 @@
     }
 }
 
+/// Whether the new version has enough targets to get all requests.
+fn has_enough_targets(fleet: &RolloutFleet) -> bool {
+    fleet.new_serving >= fleet.old_serving.div_ceil(MIN_TARGETS_DIVISOR).max(1)
+}
+
 fn rolled_back(reason: &str) -> RolloutPhase {
     RolloutPhase::RolledBack {
         reason: reason.into(),
