Close HTTP/2 at bounded listeners, and keep closing connections counted

A client could take all places of the bound with connections that no time-out applies to: frames of HTTP/2 are not inspected, so these counted as busy for good. A connection that was closed to make room was forgotten while its response was still being sent, so the bound did not hold. A response could be cut by the header time-out if part of the next head had arrived. Found by a review that read the code.

Callers of these listeners speak HTTP/1.1 (the project's own entry is not bounded and still takes HTTP/2). Connections that close stay in the table, up to twice the bound. A write extends the header time-out. A test shows the first fault; the other two are not reproduced.

--- a/components/listener/src/connections.rs
+++ b/components/listener/src/connections.rs
@@ -1,7 +1,7 @@
 //! Connections of a process: their number, and the time-outs for heads and idle connections.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -20,11 +20,13 @@
     Head,
     /// The head is complete and nothing of the response is written.
     Busy,
-    /// HTTP/2, whose frames are not inspected.
-    Other,
 }
 
-const PHASES: [Phase; 4] = [Phase::Idle, Phase::Head, Phase::Busy, Phase::Other];
+const PHASES: [Phase; 3] = [Phase::Idle, Phase::Head, Phase::Busy];
+
+/// Factor on the bound of connections that those which end after their response may reach together
+/// with the others.
+const MAX_CLOSING_FACTOR: usize = 2;
 
 /// State of a connection, shared with its stream.
 #[derive(Debug)]
@@ -33,6 +35,8 @@
     phase: AtomicU8,
     /// Begin of the phase, or time of the last write, in milliseconds after the start of the table.
     since_ms: AtomicU64,
+    /// Whether it was closed because of the bound, and may still send a response.
+    is_closing: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -108,23 +112,27 @@
         let mut connections = self.lock();
         if connections.len() >= self.state.max {
             self.state.closed.fetch_add(1, Ordering::Relaxed);
+            let has_room = connections.len() < MAX_CLOSING_FACTOR * self.state.max;
             let idle = connections
-                .iter()
-                .filter(|(_, connection)| connection.phase() == Phase::Idle);
-            let oldest = idle.min_by_key(|(_, connection)| connection.since_ms());
-            let oldest = oldest.map(|(id, _)| *id);
+                .values()
+                .filter(|connection| connection.is_idle());
+            let oldest = idle.min_by_key(|connection| connection.since_ms());
+            let oldest = oldest.filter(|_| has_room);
             event!(
                 events::CONNECTION_BOUND,
                 max = self.state.max,
                 is_accepted = oldest.is_some()
             );
-            connections.remove(&oldest?)?.ctrl.graceful_shutdown();
+            let oldest = oldest?;
+            oldest.is_closing.store(true, Ordering::Relaxed);
+            oldest.ctrl.graceful_shutdown();
         }
         let id = self.state.next_id.fetch_add(1, Ordering::Relaxed);
         let connection = Arc::new(Connection {
             ctrl: ctrl.clone(),
             phase: AtomicU8::new(Phase::Idle as u8),
             since_ms: AtomicU64::new(self.now_ms()),
+            is_closing: AtomicBool::new(false),
         });
         connections.insert(id, connection.clone());
         Some(ConnectionEntry {
@@ -151,6 +159,11 @@
         PHASES[usize::from(self.phase.load(Ordering::Relaxed))]
     }
 
+    /// Whether it may be closed to make room for another one.
+    fn is_idle(&self) -> bool {
+        self.phase() == Phase::Idle && !self.is_closing.load(Ordering::Relaxed)
+    }
+
     fn since_ms(&self) -> u64 {
         self.since_ms.load(Ordering::Relaxed)
     }
--- a/components/listener/src/stream.rs
+++ b/components/listener/src/stream.rs
@@ -58,17 +58,18 @@
         }
     }
 
-    fn record_read(&mut self, bytes: &[u8]) {
+    /// Records bytes that have arrived. Fails for HTTP/2, whose frames are not inspected, so that no
+    /// time-out would apply to the connection.
+    fn record_read(&mut self, bytes: &[u8]) -> io::Result<()> {
         let Some(entry) = &self.entry else {
-            return;
+            return Ok(());
         };
-        if bytes.is_empty() || matches!(entry.phase(), Phase::Busy | Phase::Other) {
-            return;
+        if bytes.is_empty() || entry.phase() == Phase::Busy {
+            return Ok(());
         }
         if entry.phase() == Phase::Idle {
             if bytes.starts_with(HTTP2_PREFACE) {
-                entry.set_phase(Phase::Other);
-                return;
+                return Err(io::ErrorKind::ConnectionAborted.into());
             }
             self.scanner = HeadScanner::default();
             entry.set_phase(Phase::Head);
@@ -76,14 +77,20 @@
         if self.scanner.scan(bytes) {
             entry.set_phase(Phase::Busy);
         }
+        Ok(())
     }
 
     fn record_write(&self, bytes: &[u8]) {
-        if let Some(entry) = &self.entry
-            && matches!(entry.phase(), Phase::Busy | Phase::Idle)
-            && !bytes.starts_with(INTERIM_RESPONSE)
-        {
-            entry.set_phase(Phase::Idle);
+        let Some(entry) = &self.entry else {
+            return;
+        };
+        match entry.phase() {
+            // The response to the request before is still being sent, and must not be cut.
+            Phase::Head => entry.set_phase(Phase::Head),
+            Phase::Busy | Phase::Idle if !bytes.starts_with(INTERIM_RESPONSE) => {
+                entry.set_phase(Phase::Idle);
+            }
+            Phase::Busy | Phase::Idle => {}
         }
     }
 }
@@ -97,7 +104,7 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if let Poll::Ready(Ok(())) = polled {
-            self.record_read(&buf.filled()[before..]);
+            self.record_read(&buf.filled()[before..])?;
         }
         polled
     }
--- a/components/listener/tests/connections.rs
+++ b/components/listener/tests/connections.rs
@@ -108,3 +108,15 @@
     }
     assert_eq!(table.closed_by_bound(), 2);
 }
+
+/// Guards against connections that no time-out applies to, which would take all places of the bound.
+#[tokio::test]
+async fn http2_connections_are_closed() {
+    let table = ConnectionTable::new(8);
+    let address = serve(&table).await;
+    let mut stream = open(address, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").await;
+
+    let received = receive(&mut stream).await;
+
+    assert_eq!(received, "");
+}
