Apply the header limit of the plan and end writes that stall

maxHeaderBytes was read and applied nowhere: heads of up to 32 KiB were accepted where the plan allows 16. A caller that reads nothing kept a slot of the target as long as its connection lasted, since the deadline is only checked when there is room to write. Found by a review that read the code; neither is reproduced.

Headers above the limit are refused as not run (431); a write without progress for 30 s closes the connection.

--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -158,7 +158,9 @@
         .local_addr()
         .wrap_err("Failed to read the HTTP address")?;
     let router = Router::with_path("{**rest}").goal(RelayHandler::new(shared.clone()));
-    let fuse = FuseConfig::default().with_http1_header_timeout(MAX_IDLE_TIME);
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(MAX_IDLE_TIME)
+        .with_write_stall_timeout(WRITE_STALL_TIMEOUT);
     let server = listener::server(acceptor).fuse_config(fuse);
     let handle = server.handle();
     let shared = shared.clone();
@@ -175,6 +177,10 @@
 /// applied by [`check_connections`]; the server's own default of 30 s may be shorter than these.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(600);
 
+/// Time without progress of a write after which a connection is closed. A caller that reads nothing
+/// would keep a slot of the target as long as its connection lasts.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Interval between two checks of the connections' time-outs.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cadence::prelude::*;
+use http::HeaderMap;
 use listener::{BodyError, discard_body};
 use routes::RepeatRule;
 use salvo::prelude::*;
@@ -75,6 +76,8 @@
             let refusal = Refusal::not_run(503, "no-plan", message);
             return Err(refusal.retry_after(PLAN_RETRY_AFTER));
         };
+        check_headers(&head.headers, route_index.plan.bounds.max_headers.0)
+            .map_err(|refusal| final_refusal(&self.shared, route_index.number, refusal))?;
         let admission = admit(&self.shared, &route_index, &metadata, head.uri.path())?;
         let route = &admission.route;
         let remaining = metadata.remaining.unwrap_or(route.timeout());
@@ -116,6 +119,19 @@
     }
 }
 
+/// Refuses a request whose header names and values are larger than the plan allows.
+fn check_headers(headers: &HeaderMap, max_bytes: u64) -> Result<(), Refusal> {
+    let sizes = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    let bytes = sizes.sum::<usize>() as u64;
+    if bytes <= max_bytes {
+        return Ok(());
+    }
+    let message = format!("Failed to accept the headers: {bytes} bytes, the limit is {max_bytes}");
+    Err(Refusal::not_run(431, "headers-too-large", message))
+}
+
 /// Yields to all other runnable tasks and returns the time until this task runs again.
 async fn measure_scheduler_turn() -> Duration {
     let start = Instant::now();
