Log cold periods of targets, numbers of entries and evacuations at each entry

Callers saw nothing of this change. A flooded target could not be explained from the logs: no line said when a target told that it is cold, when an entry began and ended to limit its requests, by which announcement and control node, and as one of how many entries. No logic changes.

--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -9,6 +9,7 @@
 use link::LinkEndpoint;
 use rollout::{RolloutOrder, RolloutRecord};
 use routes::PublishedPlan;
+use telemetry::{event, events};
 use thiserror::Error;
 use units::{DataCentreName, Incarnation, NodeName, PlanNumber, ServiceName};
 use wire::{
@@ -141,6 +142,7 @@
         check_announcement(&entry).map_err(ApiError::Invalid)?;
         check_version(&self.context, &mut entry).await;
         let (name, incarnation, state) = (entry.name.clone(), entry.incarnation, entry.state);
+        self.log_cold_target(&entry);
         self.update_directory(entry);
         match state {
             NodeState::Serving => Ok(()),
@@ -148,6 +150,24 @@
         }
     }
 
+    fn log_cold_target(&self, entry: &DirectoryEntry) {
+        let cold_ms = |entry: &DirectoryEntry| match &entry.kind {
+            NodeKind::Target(target) => target.cold_ms,
+            NodeKind::Entry | NodeKind::Agent(_) => 0,
+        };
+        let known = self.context.node(&entry.name);
+        let known = known.filter(|known| known.incarnation == entry.incarnation);
+        if cold_ms(entry) > known.as_ref().map_or(0, cold_ms) {
+            event!(
+                events::TARGET_COLD,
+                target = entry.name,
+                data_centre = entry.data_centre,
+                incarnation = entry.incarnation,
+                cold_ms = cold_ms(entry)
+            );
+        }
+    }
+
     fn update_directory(&self, entry: DirectoryEntry) {
         let now = self.context.clock.now();
         let accepted = self
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -11,6 +11,7 @@
     SoftwareVersion,
 };
 
+use crate::cold::{ColdChange, ColdEnd};
 use crate::even::{LoadBook, LoadMove};
 use crate::intake::{StatedIntake, StatementChange, TargetStatement};
 use crate::limit::{EntryPosition, LimitChange, StatedLimit};
@@ -110,6 +111,8 @@
     unlisted: HashMap<(NodeName, Incarnation), (StatedIntake, ClockTime)>,
     /// Moving average of the work of requests to each service.
     mean_work: HashMap<ServiceName, u64>,
+    /// Cold periods that have begun or ended and were not reported.
+    cold_changes: Vec<ColdChange>,
     /// Loads over all entries.
     pub(crate) loads: LoadBook,
 }
@@ -125,6 +128,7 @@
             position: EntryPosition::SINGLE,
             unlisted: HashMap::new(),
             mean_work: HashMap::new(),
+            cold_changes: Vec::new(),
             loads: LoadBook::new(),
         }
     }
@@ -149,7 +153,9 @@
             newest.values().map(|target| target.name.clone()).collect();
         self.keys.retain(|name, key| {
             let is_listed = listed.contains(name);
-            if !is_listed && let Some(record) = self.targets.remove(*key) {
+            if !is_listed && let Some(mut record) = self.targets.remove(*key) {
+                let change = record.end_cold_period(ColdEnd::Unlisted, position, now);
+                self.cold_changes.extend(change);
                 let process = (record.info.name, record.info.incarnation);
                 self.unlisted.insert(process, (record.stated, now));
             }
@@ -163,6 +169,15 @@
         }
     }
 
+    /// Cold periods that have begun or ended since the last call.
+    pub fn take_cold_changes(&mut self, now: ClockTime) -> Vec<ColdChange> {
+        let position = self.position;
+        let records = self.targets.values_mut();
+        let changes = records.filter_map(|record| record.take_cold_change(position, now));
+        self.cold_changes.extend(changes);
+        std::mem::take(&mut self.cold_changes)
+    }
+
     /// Position of the entry among the live entries.
     pub fn position(&self) -> EntryPosition {
         self.position
@@ -184,8 +199,10 @@
                     record.stated = stated;
                 }
                 let key = self.targets.insert(record);
-                if let Some(old) = self.keys.insert(name, key) {
-                    self.targets.remove(old);
+                let replaced = self.keys.insert(name, key);
+                if let Some(mut replaced) = replaced.and_then(|old| self.targets.remove(old)) {
+                    let change = replaced.end_cold_period(ColdEnd::Replaced, self.position, now);
+                    self.cold_changes.extend(change);
                 }
             }
         }
@@ -482,9 +499,7 @@
         record.running += 1;
         record.pending_work += request.work;
         record.pending.insert((now, run));
-        if let Some(rate) = record.cold_rate(now) {
-            record.pacer.record_request(rate, self.position.count, now);
-        }
+        record.record_paced_request(self.position.count, now);
         if let Some(limit) = &mut record.stated.limit {
             limit.record_request(self.position, now);
         }
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -10,6 +10,7 @@
     SlotCount, SoftwareVersion,
 };
 
+use crate::cold::{ColdChange, ColdEnd, ColdPeriod, ColdStep};
 use crate::intake::StatedIntake;
 use crate::limit::EntryPosition;
 use crate::pace::ColdPacer;
@@ -67,6 +68,8 @@
     pub(crate) memory: MemoryLedger,
     cold_until: ClockTime,
     pub(crate) pacer: ColdPacer,
+    /// Period whose end has not been reported.
+    cold_period: Option<ColdPeriod>,
     /// What the process has stated in its responses.
     pub(crate) stated: StatedIntake,
     /// Time until which the target is avoided after a failed connection.
@@ -84,6 +87,7 @@
             pending: BTreeSet::new(),
             cold_until: now,
             pacer: ColdPacer::default(),
+            cold_period: None,
             stated: StatedIntake::default(),
             avoid_until: now,
         };
@@ -108,6 +112,70 @@
         }
     }
 
+    /// Reports a cold period that has begun or ended since the last call.
+    pub(crate) fn take_cold_change(
+        &mut self,
+        position: EntryPosition,
+        now: ClockTime,
+    ) -> Option<ColdChange> {
+        match (self.cold_period, self.cold_rate(now)) {
+            (None, Some(rate)) => {
+                self.cold_period = Some(ColdPeriod {
+                    started_at: now,
+                    rate,
+                    sent: 0,
+                });
+                let cold_ms = self.info.cold_ms;
+                Some(self.cold_change(rate, position, ColdStep::Started { cold_ms }))
+            }
+            (Some(_), None) => {
+                let reason = match self.info.cold_ms {
+                    0 => ColdEnd::Announced,
+                    _ => ColdEnd::Elapsed,
+                };
+                self.end_cold_period(reason, position, now)
+            }
+            _ => None,
+        }
+    }
+
+    /// Ends a cold period that has not been reported as ended, and returns the report.
+    pub(crate) fn end_cold_period(
+        &mut self,
+        reason: ColdEnd,
+        position: EntryPosition,
+        now: ClockTime,
+    ) -> Option<ColdChange> {
+        let period = self.cold_period.take()?;
+        let step = ColdStep::Ended {
+            reason,
+            duration: now.since(period.started_at),
+            sent: period.sent,
+        };
+        Some(self.cold_change(period.rate, position, step))
+    }
+
+    fn cold_change(&self, rate: MilliRate, position: EntryPosition, step: ColdStep) -> ColdChange {
+        ColdChange {
+            target: self.info.name.clone(),
+            incarnation: self.info.incarnation,
+            sequence: self.info.sequence,
+            rate,
+            position,
+            step,
+        }
+    }
+
+    /// Records a request that is sent now.
+    pub(crate) fn record_paced_request(&mut self, entries: u32, now: ClockTime) {
+        if let Some(rate) = self.cold_rate(now) {
+            self.pacer.record_request(rate, entries, now);
+        }
+        if let Some(period) = &mut self.cold_period {
+            period.sent += 1;
+        }
+    }
+
     /// Rate limit over all entries, if the target is cold and has one.
     pub(crate) fn cold_rate(&self, now: ClockTime) -> Option<MilliRate> {
         self.info.cold_rate.filter(|_| now < self.cold_until)
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -1,15 +1,15 @@
 //! Applies changes of the fleet view to the relay's state.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use client::FleetView;
+use client::{DirectoryRevision, FleetView};
 use fair::DEMAND_INTERVAL;
-use place::{EntryPosition, ListedTarget, PlacementTable};
+use place::{ColdChange, ColdStep, EntryPosition, ListedTarget, PlacementTable};
 use routes::{RouteIndex, RoutePlan, ServicePool};
 use telemetry::{event, events};
-use units::{NodeName, PlanNumber, RouteName, ServiceName};
+use units::{DataCentreName, Incarnation, NodeName, PlanNumber, RouteName, ServiceName};
 use wire::{DirectoryEntry, NodeKind, NodeState};
 
 use crate::crash::record_listed;
@@ -31,8 +31,10 @@
 /// Applies each change of the view; never returns.
 pub(crate) async fn follow_view(shared: RelayShared) {
     let mut view_changes = shared.view.changes();
+    let mut out_data_centres = BTreeSet::new();
     loop {
         apply_view(&shared);
+        log_data_centres(&shared, &mut out_data_centres);
         // `changed` cannot fail: `shared` keeps the board alive as long as this task.
         let _ = view_changes.changed().await;
     }
@@ -71,7 +73,7 @@
     let installed = shared
         .board
         .read(|state| state.route_index.as_ref().map(|index| index.number));
-    let (index, targets, position, rollouts) = shared.view.read(|view| {
+    let (index, targets, position, rollouts, origin) = shared.view.read(|view| {
         let index = changed_index(view, installed);
         let others = view.directory.values();
         let others = others.filter(|entry| is_entry(entry) && entry.name != shared.settings.name);
@@ -87,6 +89,10 @@
             listed_targets(view, &shared.settings),
             position,
             rollouts,
+            DirectoryOrigin {
+                revision: view.revision,
+                age: view.age(now),
+            },
         )
     });
     if let Some(index) = &index {
@@ -97,7 +103,7 @@
         );
     }
     record_listed(shared, &targets);
-    let changed = shared.board.write(|state| {
+    let (changed, old_position, cold_changes) = shared.board.write(|state| {
         if let Some(index) = index {
             let routes: HashSet<&RouteName> =
                 index.plan.routes.iter().map(|route| &route.name).collect();
@@ -108,15 +114,100 @@
             state.route_index = Some(Arc::new(index));
         }
         let changed = changed_versions(&state.table, &targets);
+        let old_position = state.table.position();
         state.table.sync(targets, position, now);
+        let cold_changes = state.table.take_cold_changes(now);
         let exposure_permille = shared.settings.rollout_exposure_permille;
         state
             .rollouts
             .sync(&rollouts, exposure_permille, position.rank, position.count);
         state.drain_queue(now);
-        changed
+        (changed, old_position, cold_changes)
     });
     record_restarts(shared, &changed);
+    if old_position.count != position.count {
+        event!(
+            events::ENTRY_COUNT_CHANGED,
+            old = old_position.count,
+            new = position.count,
+            rank = position.rank,
+            source = origin.source(),
+            revision = origin.number(),
+            age_ms = origin.age.as_millis()
+        );
+    }
+    for change in &cold_changes {
+        log_cold_change(change, &origin);
+    }
+}
+
+/// Logs the data centres that were taken out or brought back since the last call.
+fn log_data_centres(shared: &RelayShared, known: &mut BTreeSet<DataCentreName>) {
+    let (version, out) = shared.view.read(|view| {
+        let config = &view.config;
+        (config.version, config.out_data_centres.clone())
+    });
+    for data_centre in known.symmetric_difference(&out) {
+        event!(
+            events::DATA_CENTRE_CHANGED,
+            data_centre = data_centre,
+            out = out.contains(data_centre),
+            version = version
+        );
+    }
+    *known = out;
+}
+
+/// Control node and revision from which the directory comes, and the time since a quorum confirmed it.
+struct DirectoryOrigin {
+    revision: Option<DirectoryRevision>,
+    age: Duration,
+}
+
+impl DirectoryOrigin {
+    /// Incarnation of the control node.
+    fn source(&self) -> Incarnation {
+        self.revision.map_or(Incarnation(0), |(source, _)| source)
+    }
+
+    fn number(&self) -> u64 {
+        self.revision.map_or(0, |(_, number)| number)
+    }
+}
+
+fn log_cold_change(change: &ColdChange, origin: &DirectoryOrigin) {
+    match change.step {
+        ColdStep::Started { cold_ms } => event!(
+            events::COLD_STARTED,
+            target = change.target,
+            incarnation = change.incarnation,
+            sequence = change.sequence,
+            cold_ms = cold_ms,
+            milli_rate = change.rate,
+            entries = change.position.count,
+            rank = change.position.rank,
+            source = origin.source(),
+            revision = origin.number(),
+            age_ms = origin.age.as_millis()
+        ),
+        ColdStep::Ended {
+            reason,
+            duration,
+            sent,
+        } => event!(
+            events::COLD_ENDED,
+            target = change.target,
+            incarnation = change.incarnation,
+            sequence = change.sequence,
+            reason = reason.as_str(),
+            duration_ms = duration.as_millis(),
+            sent = sent,
+            entries = change.position.count,
+            source = origin.source(),
+            revision = origin.number(),
+            age_ms = origin.age.as_millis()
+        ),
+    }
 }
 
 /// Services whose targets are evened out, with the memory of each target in tokens.
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -77,6 +77,9 @@
     ROLLOUT_ROLLED_BACK = 3049, Warn, "rollout-rolled-back",
         "A roll-out has ended, took_ms after its order: the new version gets no requests. The field \
          reason says what decided it; rollout-judged at the node that proposed it has the counts.";
+    TARGET_COLD = 3050, Info, "target-cold",
+        "A target has announced to this node that it is cold, and was not, or longer than it had said. \
+         Entries learn of it with their next renewal, within 500 ms and the time of one call.";
     CALL_INVALID = 3040, Warn, "call-invalid",
         "A call of an operator or target was invalid and had no effect; the field reason states \
          why.";
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -56,6 +56,22 @@
          one over all entries exceeds its bound, or the request does not fit into its memory (field \
          has_memory). Loads are in thousandths of a running request; age_ms is the mean age of what \
          is known of the other entries.";
+    COLD_STARTED = 1523, Info, "cold-started",
+        "A target is cold, by the announcement with this sequence number. This entry sends it its part \
+         of the rate, in thousandths of a request per second, as one of so many entries. The fields \
+         source and revision name the control node, by its start time, and the directory that told \
+         so, and age_ms when a quorum confirmed that node last.";
+    COLD_ENDED = 1524, Info, "cold-ended",
+        "A target gets full load from this entry again, or is not listed any more. The field reason is \
+         announced (it says that it is warm), elapsed (the announced time has passed), unlisted or \
+         replaced (a later process has its name). The field sent is the number of requests that this \
+         entry sent in the period.";
+    ENTRY_COUNT_CHANGED = 1525, Info, "entry-count-changed",
+        "The number of entries that this one divides rates by has changed, by the directory of the \
+         control node with this start time.";
+    DATA_CENTRE_CHANGED = 1526, Info, "data-centre-changed",
+        "The entry has learned that a data centre was taken out, so that its targets get no new \
+         requests, or brought back.";
     RELAY_STREAM_BROKEN = 1512, Info, "relay-stream-broken",
         "A response stream ended before its last event, so the connection of the caller was \
          closed.";
