Limit requests to a cold target until it announces that it is warm

Cause: entries ended a cold period by a count-down of their own, which proves nothing about the next period. The class of fault is a decision that takes missing news for good news.

A period now lasts as long as the latest announcement says that the target is cold.

target_is_cold_until_it_says_that_it_is_warm fails before this change and passes with it.

--- a/components/place/src/cold.rs
+++ b/components/place/src/cold.rs
@@ -5,6 +5,7 @@
 use units::{ClockTime, Incarnation, MilliRate, NodeName};
 
 use crate::limit::EntryPosition;
+use crate::pace::ColdPacer;
 
 /// Begin or end of the time in which an entry limits its requests to a cold target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,8 +46,6 @@
 /// Why an entry no longer limits its requests to a cold target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ColdEnd {
-    /// The announced time has passed.
-    Elapsed,
     /// The target has announced that it is warm.
     Announced,
     /// The directory no longer lists the target.
@@ -59,7 +58,6 @@
     /// Name of the reason in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Elapsed => "elapsed",
             Self::Announced => "announced",
             Self::Unlisted => "unlisted",
             Self::Replaced => "replaced",
@@ -67,10 +65,50 @@
     }
 }
 
-/// Cold period that has not been reported as ended.
+/// Time in which an entry sends a target only its part of a rate.
+///
+/// It ends when the target announces that it is warm, not when the announced time has passed: until that
+/// announcement arrives, another cold period may have begun.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ColdPeriod {
-    pub(crate) started_at: ClockTime,
-    pub(crate) rate: MilliRate,
-    pub(crate) sent: u64,
+    started_at: ClockTime,
+    rate: MilliRate,
+    pacer: ColdPacer,
+    sent: u64,
+}
+
+impl ColdPeriod {
+    pub(crate) fn starting(rate: MilliRate, position: EntryPosition, now: ClockTime) -> Self {
+        Self {
+            started_at: now,
+            rate,
+            pacer: ColdPacer::starting(rate, position, now),
+            sent: 0,
+        }
+    }
+
+    pub(crate) fn is_open(&self, now: ClockTime) -> bool {
+        self.pacer.is_open(now)
+    }
+
+    pub(crate) fn record_request(&mut self, entries: u32, now: ClockTime) {
+        self.pacer.record_request(self.rate, entries, now);
+        self.sent += 1;
+    }
+
+    pub(crate) fn set_rate(&mut self, rate: MilliRate) {
+        self.rate = rate;
+    }
+
+    pub(crate) fn rate(&self) -> MilliRate {
+        self.rate
+    }
+
+    pub(crate) fn ended(&self, reason: ColdEnd, now: ClockTime) -> ColdStep {
+        ColdStep::Ended {
+            reason,
+            duration: now.since(self.started_at),
+            sent: self.sent,
+        }
+    }
 }
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -170,11 +170,7 @@
     }
 
     /// Cold periods that have begun or ended since the last call.
-    pub fn take_cold_changes(&mut self, now: ClockTime) -> Vec<ColdChange> {
-        let position = self.position;
-        let records = self.targets.values_mut();
-        let changes = records.filter_map(|record| record.take_cold_change(position, now));
-        self.cold_changes.extend(changes);
+    pub fn take_cold_changes(&mut self) -> Vec<ColdChange> {
         std::mem::take(&mut self.cold_changes)
     }
 
@@ -188,13 +184,17 @@
         let existing = key.and_then(|key| self.targets.get_mut(key));
         match existing {
             Some(record) if record.info.incarnation == target.incarnation => {
-                record.update(target, self.position, now);
+                record.info = target;
+                let change = record.update_cold_period(self.position, now);
+                self.cold_changes.extend(change);
             }
             _ => {
                 // A restarted target has none of the requests of the earlier process.
                 let name = target.name.clone();
                 let process = (name.clone(), target.incarnation);
-                let mut record = TargetRecord::new(target, self.position, now);
+                let mut record = TargetRecord::new(target, now);
+                let change = record.update_cold_period(self.position, now);
+                self.cold_changes.extend(change);
                 if let Some((stated, _)) = self.unlisted.remove(&process) {
                     record.stated = stated;
                 }
@@ -470,8 +470,7 @@
 
     pub(crate) fn has_capacity(&self, key: TargetKey, now: ClockTime) -> bool {
         let record = &self.targets[key];
-        let is_paced = record.cold_rate(now).is_some();
-        record.running < record.info.slots.0 && (!is_paced || record.pacer.is_open(now))
+        record.running < record.info.slots.0 && !record.is_paced(now)
     }
 
     fn start_run(&mut self, key: TargetKey, request: &PlacementRequest, now: ClockTime) -> RunKey {
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -13,7 +13,6 @@
 use crate::cold::{ColdChange, ColdEnd, ColdPeriod, ColdStep};
 use crate::intake::StatedIntake;
 use crate::limit::EntryPosition;
-use crate::pace::ColdPacer;
 
 slotmap::new_key_type! {
     /// Handle of a target in a [`PlacementTable`](crate::PlacementTable).
@@ -45,7 +44,7 @@
     pub slots: SlotCount,
     /// Whether it accepts new requests.
     pub is_serving: bool,
-    /// Duration for which it stays cold after its announcement, in milliseconds.
+    /// Remaining cold time by its announcement, in milliseconds; 0 once it is warm.
     pub cold_ms: u64,
     /// Rate limit over all entries while the target is cold; `None` if it takes full load.
     pub cold_rate: Option<MilliRate>,
@@ -66,9 +65,7 @@
     pub(crate) hash: u64,
     /// Memory that the running requests need, as far as it is stated.
     pub(crate) memory: MemoryLedger,
-    cold_until: ClockTime,
-    pub(crate) pacer: ColdPacer,
-    /// Period whose end has not been reported.
+    /// Set while the latest announcement says that the target is cold, if it then takes a limited rate.
     cold_period: Option<ColdPeriod>,
     /// What the process has stated in its responses.
     pub(crate) stated: StatedIntake,
@@ -77,69 +74,42 @@
 }
 
 impl TargetRecord {
-    pub(crate) fn new(info: ListedTarget, position: EntryPosition, now: ClockTime) -> Self {
-        let mut record = Self {
+    pub(crate) fn new(info: ListedTarget, now: ClockTime) -> Self {
+        Self {
             hash: target_hash(&info.name),
             memory: MemoryLedger::default(),
             info,
             running: 0,
             pending_work: 0,
             pending: BTreeSet::new(),
-            cold_until: now,
-            pacer: ColdPacer::default(),
             cold_period: None,
             stated: StatedIntake::default(),
             avoid_until: now,
-        };
-        record.restart_cold_period(position, now);
-        record
-    }
-
-    /// Updates the listing; a new announcement restarts the cold period.
-    pub(crate) fn update(&mut self, info: ListedTarget, position: EntryPosition, now: ClockTime) {
-        let is_newer = info.sequence != self.info.sequence;
-        self.info = info;
-        if is_newer {
-            self.restart_cold_period(position, now);
-        }
-    }
-
-    fn restart_cold_period(&mut self, position: EntryPosition, now: ClockTime) {
-        let was_cold = self.cold_rate(now).is_some();
-        self.cold_until = now + Duration::from_millis(self.info.cold_ms);
-        if let (false, Some(rate)) = (was_cold, self.cold_rate(now)) {
-            self.pacer = ColdPacer::starting(rate, position, now);
         }
     }
 
-    /// Reports a cold period that has begun or ended since the last call.
-    pub(crate) fn take_cold_change(
+    /// Begins or ends the cold period as the latest listing says. Returns what has changed.
+    pub(crate) fn update_cold_period(
         &mut self,
         position: EntryPosition,
         now: ClockTime,
     ) -> Option<ColdChange> {
-        match (self.cold_period, self.cold_rate(now)) {
-            (None, Some(rate)) => {
-                self.cold_period = Some(ColdPeriod {
-                    started_at: now,
-                    rate,
-                    sent: 0,
-                });
+        let rate = self.info.cold_rate.filter(|_| self.is_cold());
+        match (rate, &mut self.cold_period) {
+            (None, _) => self.end_cold_period(ColdEnd::Announced, position, now),
+            (Some(rate), Some(period)) => {
+                period.set_rate(rate);
+                None
+            }
+            (Some(rate), None) => {
+                self.cold_period = Some(ColdPeriod::starting(rate, position, now));
                 let cold_ms = self.info.cold_ms;
                 Some(self.cold_change(rate, position, ColdStep::Started { cold_ms }))
             }
-            (Some(_), None) => {
-                let reason = match self.info.cold_ms {
-                    0 => ColdEnd::Announced,
-                    _ => ColdEnd::Elapsed,
-                };
-                self.end_cold_period(reason, position, now)
-            }
-            _ => None,
         }
     }
 
-    /// Ends a cold period that has not been reported as ended, and returns the report.
+    /// Ends the cold period if there is one, and returns what has changed.
     pub(crate) fn end_cold_period(
         &mut self,
         reason: ColdEnd,
@@ -147,12 +117,7 @@
         now: ClockTime,
     ) -> Option<ColdChange> {
         let period = self.cold_period.take()?;
-        let step = ColdStep::Ended {
-            reason,
-            duration: now.since(period.started_at),
-            sent: period.sent,
-        };
-        Some(self.cold_change(period.rate, position, step))
+        Some(self.cold_change(period.rate(), position, period.ended(reason, now)))
     }
 
     fn cold_change(&self, rate: MilliRate, position: EntryPosition, step: ColdStep) -> ColdChange {
@@ -166,24 +131,22 @@
         }
     }
 
-    /// Records a request that is sent now.
+    /// Whether a cold target takes no further request of this entry now.
+    pub(crate) fn is_paced(&self, now: ClockTime) -> bool {
+        let period = self.cold_period.as_ref();
+        period.is_some_and(|period| !period.is_open(now))
+    }
+
+    /// Counts a request that is sent now to the part that a cold target takes.
     pub(crate) fn record_paced_request(&mut self, entries: u32, now: ClockTime) {
-        if let Some(rate) = self.cold_rate(now) {
-            self.pacer.record_request(rate, entries, now);
-        }
         if let Some(period) = &mut self.cold_period {
-            period.sent += 1;
+            period.record_request(entries, now);
         }
     }
 
-    /// Rate limit over all entries, if the target is cold and has one.
-    pub(crate) fn cold_rate(&self, now: ClockTime) -> Option<MilliRate> {
-        self.info.cold_rate.filter(|_| now < self.cold_until)
-    }
-
-    /// Whether the target has started so recently that it carries only a little load.
-    pub fn is_cold(&self, now: ClockTime) -> bool {
-        now < self.cold_until
+    /// Whether the target carries only a little load, by its latest announcement.
+    pub fn is_cold(&self) -> bool {
+        self.info.cold_ms > 0
     }
 
     /// Whether the target accepts new requests, now or later.
--- /dev/null
+++ b/components/place/tests/cold.rs
@@ -0,0 +1,79 @@
+//! Requests to targets that are cold or may be.
+
+mod common;
+
+use common::{request, table};
+use place::{ColdEnd, ColdStep, EntryPosition, ListedTarget, PlacementOutcome, PlacementTable};
+use units::{ClockTime, MilliRate};
+
+/// Rate that a cold target takes from all entries together, and the interval between two requests.
+const RATE: MilliRate = MilliRate(20_000);
+const INTERVAL_MS: u64 = 50;
+
+fn listed(sequence: u64, cold_ms: u64) -> ListedTarget {
+    ListedTarget {
+        sequence,
+        cold_ms,
+        cold_rate: Some(RATE),
+        ..common::target(1)
+    }
+}
+
+fn list(table: &mut PlacementTable, target: ListedTarget, now: u64) {
+    table.sync(vec![target], EntryPosition::SINGLE, ClockTime(now));
+}
+
+/// Number of requests that the table sends in the second from `start`, if one waits at any time and
+/// each is answered at once.
+fn sent_in_a_second(table: &mut PlacementTable, start: u64) -> usize {
+    let mut sent = 0;
+    for now in start..start + 1_000 {
+        if let PlacementOutcome::Run(run) = table.place(&request(None), ClockTime(now)) {
+            table.end_run(run);
+            sent += 1;
+        }
+    }
+    sent
+}
+
+/// Requests in a second at the rate; one more may fall on its edge.
+const MAX_PACED: usize = 1_000 / INTERVAL_MS as usize + 1;
+
+/// Guards against full load between the end of an announced cold period and the announcement of the
+/// next one, which an entry hears later.
+#[test]
+fn target_is_cold_until_it_says_that_it_is_warm() {
+    let mut table = table(vec![listed(1, 300)], EntryPosition::SINGLE);
+
+    let after_announced_time = sent_in_a_second(&mut table, 301);
+    list(&mut table, listed(2, 3_000), 1_400);
+    let in_next_period = sent_in_a_second(&mut table, 1_400);
+    list(&mut table, listed(3, 0), 2_400);
+    let warm = sent_in_a_second(&mut table, 2_400);
+
+    assert!(after_announced_time <= MAX_PACED, "{after_announced_time}");
+    assert!(in_next_period <= MAX_PACED, "{in_next_period}");
+    assert_eq!(warm, 1_000);
+}
+
+/// Guards against logs that do not tell when an entry limited its requests, by which announcement and
+/// as one of how many entries.
+#[test]
+fn cold_periods_are_reported() {
+    let position = EntryPosition { rank: 1, count: 4 };
+    let mut table = table(vec![listed(1, 3_000)], position);
+    sent_in_a_second(&mut table, 0);
+
+    table.sync(vec![listed(2, 0)], position, ClockTime(3_500));
+    let changes = table.take_cold_changes();
+
+    let [started, ended] = &changes[..] else {
+        panic!("{changes:?}");
+    };
+    assert_eq!(started.step, ColdStep::Started { cold_ms: 3_000 });
+    assert_eq!((started.sequence, started.position), (1, position));
+    assert!(matches!(
+        ended.step,
+        ColdStep::Ended { reason: ColdEnd::Announced, sent: 5..=6, duration } if duration.as_millis() == 3_500
+    ));
+}
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -116,7 +116,7 @@
         let changed = changed_versions(&state.table, &targets);
         let old_position = state.table.position();
         state.table.sync(targets, position, now);
-        let cold_changes = state.table.take_cold_changes(now);
+        let cold_changes = state.table.take_cold_changes();
         let exposure_permille = shared.settings.rollout_exposure_permille;
         state
             .rollouts
--- a/components/relay/src/rollouts.rs
+++ b/components/relay/src/rollouts.rs
@@ -203,7 +203,7 @@
                 version: target.info.version.as_ref(),
                 is_canary,
                 is_continued: self.is_continued,
-                is_cold: target.is_cold(now),
+                is_cold: target.is_cold(),
             };
             let service = &target.info.service;
             Some(state.rollouts.begin_run(service, &selected, now))
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -63,7 +63,7 @@
          so, and age_ms when a quorum confirmed that node last.";
     COLD_ENDED = 1524, Info, "cold-ended",
         "A target gets full load from this entry again, or is not listed any more. The field reason is \
-         announced (it says that it is warm), elapsed (the announced time has passed), unlisted or \
+         announced (it says that it is warm), unlisted or \
          replaced (a later process has its name). The field sent is the number of requests that this \
          entry sent in the period.";
     ENTRY_COUNT_CHANGED = 1525, Info, "entry-count-changed",
