Take targets of a data centre that is brought back as cold until they announce themselves

Callers saw: a target that becomes cold shortly before its evacuation is taken back gets full load until its next announcement, and crashes. With three control and seven entry processes it got 243 requests in one second where 35 are allowed, and 233 with an entry restarted.

Cause: entries sent by an announcement from before the target became cold. While its data centre is out it gets no load that would show it.

The version at which a data centre was last brought back is part of the replicated state. Each announcement carries the version that had been in force for 1 s when control accepted it. An entry takes targets with an older announcement as cold, so an entry or control node that starts then knows it, too. Control nodes tell entries of the first announcement since the return at once. Evacuations that end with warm targets cost their data centre up to one interval of announcements and a renewal at the limited rate.

--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -5,13 +5,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use link::LinkEndpoint;
 use rollout::{RolloutOrder, RolloutRecord};
 use routes::PublishedPlan;
 use telemetry::{event, events};
 use thiserror::Error;
-use units::{DataCentreName, Incarnation, NodeName, PlanNumber, ServiceName};
+use units::{ClockTime, DataCentreName, Incarnation, NodeName, PlanNumber, ServiceName};
 use wire::{
     ControlReply, ControlRequest, DirectoryEntry, NodeKind, NodeState, OperatorOrder, OrderReply,
 };
@@ -24,6 +25,9 @@
 use crate::state::ControlContext;
 use crate::versions::check_version;
 
+/// Time for which a call of a target may be under way. The sender gives up after it.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Reason why a request of an adapter failed.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum ApiError {
@@ -140,6 +144,7 @@
     /// Returns [`ApiError::Invalid`] if the entry cannot be that of a target.
     pub async fn announce(&self, mut entry: DirectoryEntry) -> Result<(), ApiError> {
         check_announcement(&entry).map_err(ApiError::Invalid)?;
+        self.record_version(&mut entry);
         check_version(&self.context, &mut entry).await;
         let (name, incarnation, state) = (entry.name.clone(), entry.incarnation, entry.state);
         self.log_cold_target(&entry);
@@ -150,6 +155,20 @@
         }
     }
 
+    /// Records the version of the configuration that was in force before a target can have sent its
+    /// announcement.
+    fn record_version(&self, entry: &mut DirectoryEntry) {
+        let now = self.context.clock.now();
+        // `ClockTime` saturates at zero, where no version is in force.
+        let sent_after = ClockTime(
+            now.0
+                .saturating_sub(ANNOUNCEMENT_TIMEOUT.as_millis() as u64),
+        );
+        if let NodeKind::Target(target) = &mut entry.kind {
+            target.accepted_at = self.context.view.read(|view| view.version_at(sent_after));
+        }
+    }
+
     fn log_cold_target(&self, entry: &DirectoryEntry) {
         let cold_ms = |entry: &DirectoryEntry| match &entry.kind {
             NodeKind::Target(target) => target.cold_ms,
--- a/components/control/src/departures.rs
+++ b/components/control/src/departures.rs
@@ -51,8 +51,10 @@
     pub(crate) fn with_nodes<R>(&self, access: impl FnOnce(&mut NodeDirectory) -> R) -> R {
         let now = self.clock.now();
         self.nodes.write_quietly(|nodes| {
-            self.view
-                .read(|view| nodes.apply_departures(view.registry.departures(), now));
+            self.view.read(|view| {
+                nodes.apply_departures(view.registry.departures(), now);
+                nodes.apply_returns(&view.registry.config().returns);
+            });
             access(nodes)
         })
     }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -104,6 +104,13 @@
         }
     }
 
+    /// Newest version of the configuration that was applied at `time`; 0 if that is not known.
+    pub(crate) fn version_at(&self, time: ClockTime) -> ConfigVersion {
+        let mut times = self.version_times.iter().rev();
+        let applied = times.find(|(_, applied_at)| *applied_at <= time);
+        applied.map_or(ConfigVersion(0), |(version, _)| *version)
+    }
+
     /// Time since the first version newer than `installed` was applied, or `None` if `installed` is
     /// current.
     pub(crate) fn config_lag(&self, installed: ConfigVersion, now: ClockTime) -> Option<Duration> {
--- a/components/control/tests/departures.rs
+++ b/components/control/tests/departures.rs
@@ -6,7 +6,7 @@
 
 use control::{ApiError, ControlHandle};
 use support::{TestGroup, node, renew, renew_request};
-use units::{Incarnation, SlotCount};
+use units::{ConfigVersion, Incarnation, SlotCount};
 use wire::{
     AnnouncedTarget, ControlReply, DirectoryEntry, NodeKind, NodeRole, NodeState, RenewReply,
 };
@@ -21,6 +21,7 @@
         slots: SlotCount(6),
         cold_ms: 0,
         sequence,
+        accepted_at: ConfigVersion(0),
     });
     DirectoryEntry {
         incarnation: Incarnation(incarnation),
--- a/components/control/tests/rollouts.rs
+++ b/components/control/tests/rollouts.rs
@@ -10,7 +10,7 @@
 use rollout::{RolloutOrder, RolloutPhase, RolloutRecord};
 use routes::{CallerBounds, PublishedPlan, RoutePlan, ServicePool};
 use support::{NODE_NAMES, TestGroup, node};
-use units::{ByteSize, CostUnits, Incarnation, PlanNumber, ServiceName, SlotCount};
+use units::{ByteSize, ConfigVersion, CostUnits, Incarnation, PlanNumber, ServiceName, SlotCount};
 use wire::{
     AnnouncedTarget, ControlReply, ControlRequest, CrashReport, DemandReport, EntryReport,
     NodeKind, NodeRole, RenewRequest, RolloutCounts, VersionCount,
@@ -100,6 +100,7 @@
             slots: SlotCount(4),
             cold_ms: 0,
             sequence,
+            accepted_at: ConfigVersion(0),
         };
         let name = format!("target-{version}");
         let entry = node(&name, NodeKind::Target(target));
--- a/components/directory/src/directory.rs
+++ b/components/directory/src/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use units::{ClockTime, Incarnation, NodeName};
+use units::{ClockTime, ConfigVersion, DataCentreName, Incarnation, NodeName};
 use wire::{DirectoryDelta, DirectoryEntry, NodeKind, NodeState};
 
 use crate::departures::{DepartureRecord, DepartureTable};
@@ -59,6 +59,8 @@
     last_discarded_revision: u64,
     /// Copy of the departures in the replicated state.
     departures: DepartureTable,
+    /// Copy of the versions at which data centres were brought back.
+    returns: BTreeMap<DataCentreName, ConfigVersion>,
     /// Time without announcements after which a target without an agent is removed.
     target_silence_timeout: Duration,
 }
@@ -76,6 +78,7 @@
             by_removal_time: BTreeSet::new(),
             last_discarded_revision: 0,
             departures: DepartureTable::default(),
+            returns: BTreeMap::new(),
             target_silence_timeout: SILENCE_TIMEOUT,
         }
     }
@@ -140,6 +143,36 @@
         }
     }
 
+    /// Takes over the versions at which data centres were brought back. Entries are told at once of the
+    /// targets there that have announced themselves since.
+    pub fn apply_returns(&mut self, returns: &BTreeMap<DataCentreName, ConfigVersion>) {
+        if self.returns == *returns {
+            return;
+        }
+        let old = std::mem::replace(&mut self.returns, returns.clone());
+        let is_told = |entry: &DirectoryEntry| {
+            let version = self.returns.get(&entry.data_centre);
+            version.is_some()
+                && version != old.get(&entry.data_centre)
+                && self.is_announced_since_return(entry)
+        };
+        let entries = self.entries().filter(|entry| is_told(entry));
+        for entry in entries.cloned().collect::<Vec<_>>() {
+            self.replace_entry(entry);
+        }
+    }
+
+    /// Whether a target has announced itself since its data centre was last brought back.
+    fn is_announced_since_return(&self, entry: &DirectoryEntry) -> bool {
+        let version = self.returns.get(&entry.data_centre);
+        match &entry.kind {
+            NodeKind::Target(target) => {
+                version.is_none_or(|version| target.accepted_at >= *version)
+            }
+            NodeKind::Entry | NodeKind::Agent(_) => true,
+        }
+    }
+
     /// Nodes whose last direct announcement is later than `since`, to be forwarded.
     ///
     /// Forwarded announcements are left out: two control nodes would otherwise keep refreshing a
@@ -265,9 +298,11 @@
         let name = entry.name.clone();
         self.discard_removed(&name);
         let old = self.nodes.remove(&name);
-        let is_changed = old
-            .as_ref()
-            .is_none_or(|old| is_significant_change(&old.entry, &entry));
+        let is_changed = old.as_ref().is_none_or(|old| {
+            is_significant_change(&old.entry, &entry)
+                || self.is_announced_since_return(&entry)
+                    != self.is_announced_since_return(&old.entry)
+        });
         let is_same_process = old
             .as_ref()
             .is_some_and(|old| old.entry.incarnation == entry.incarnation);
--- a/components/directory/tests/targets.rs
+++ b/components/directory/tests/targets.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use directory::{DepartureTable, NodeDirectory};
+use rstest::rstest;
 use units::{ClockTime, ConfigVersion, Incarnation, SlotCount};
 use wire::{AnnouncedTarget, DirectoryEntry, NodeKind, NodeState};
 
@@ -22,6 +23,7 @@
             slots: SlotCount(6),
             cold_ms: 0,
             sequence,
+            accepted_at: ConfigVersion(0),
         }),
     }
 }
@@ -211,3 +213,49 @@
     assert!(departures.contains(&name(9_000), Incarnation(1)));
     assert!(!departures.contains(&name(0), Incarnation(1)));
 }
+
+/// Announcement that a control node accepted at this version of the configuration.
+fn accepted_at(version: u64, sequence: u64) -> DirectoryEntry {
+    let mut entry = announcement(1, sequence, NodeState::Serving);
+    if let NodeKind::Target(target) = &mut entry.kind {
+        target.accepted_at = ConfigVersion(version);
+    }
+    entry
+}
+
+/// Versions of the announcements that a node hears after this revision.
+fn heard_versions(directory: &NodeDirectory, revision: u64) -> Vec<ConfigVersion> {
+    let delta = directory.delta_since(Incarnation(1), revision);
+    let targets = delta.changed.iter().filter_map(|entry| match &entry.kind {
+        NodeKind::Target(target) => Some(target.accepted_at),
+        _ => None,
+    });
+    targets.collect()
+}
+
+/// Guards against entries that are not told of the first announcement after the data centre of a target
+/// was brought back, and against ones that take an earlier announcement for it.
+#[rstest]
+#[case::of_a_current_node(false)]
+#[case::of_a_node_that_learns_of_the_return_later(true)]
+fn first_announcement_since_a_return_changes_the_directory(#[case] learns_late: bool) {
+    let mut directory = directory();
+    directory.announce(accepted_at(6, 1), ClockTime(0));
+    let returns = [("praha-1".into(), ConfigVersion(7))].into();
+    if !learns_late {
+        directory.apply_returns(&returns);
+    }
+    let before = directory.revision();
+
+    directory.announce(accepted_at(6, 2), ClockTime(10));
+    let of_earlier = heard_versions(&directory, before);
+    directory.apply_forwarded(vec![accepted_at(7, 3)], ClockTime(20));
+    directory.apply_returns(&returns);
+    let of_first = heard_versions(&directory, before);
+    let after_first = directory.revision();
+    directory.announce(accepted_at(8, 4), ClockTime(30));
+
+    assert_eq!(of_earlier, []);
+    assert_eq!(of_first, [ConfigVersion(7)]);
+    assert_eq!(heard_versions(&directory, after_first), []);
+}
--- a/components/place/src/cold.rs
+++ b/components/place/src/cold.rs
@@ -27,8 +27,10 @@
 /// Step of a cold period.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ColdStep {
-    /// The target is cold for `cold_ms`, by its announcement.
+    /// The target gets its limited rate from now on.
     Started {
+        /// Why it is taken as cold.
+        cause: ColdCause,
         /// Remaining cold time that the announcement states, in milliseconds.
         cold_ms: u64,
     },
@@ -43,11 +45,30 @@
     },
 }
 
+/// Why an entry limits its requests to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ColdCause {
+    /// The target has announced that it is cold.
+    Announced,
+    /// Its data centre was out. It may have become cold since its announcement.
+    Returned,
+}
+
+impl ColdCause {
+    /// Name of the cause in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Announced => "announced",
+            Self::Returned => "returned",
+        }
+    }
+}
+
 /// Why an entry no longer limits its requests to a cold target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ColdEnd {
     /// The target has announced that it is warm.
-    Announced,
+    Warm,
     /// The directory no longer lists the target.
     Unlisted,
     /// Another process has taken its place.
@@ -58,7 +79,7 @@
     /// Name of the reason in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Announced => "announced",
+            Self::Warm => "warm",
             Self::Unlisted => "unlisted",
             Self::Replaced => "replaced",
         }
--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -21,7 +21,7 @@
 mod version;
 
 pub use balance::RequestMemory;
-pub use cold::{ColdChange, ColdEnd, ColdStep};
+pub use cold::{ColdCause, ColdChange, ColdEnd, ColdStep};
 pub use even::LoadMove;
 pub use intake::{StatementChange, TargetStatement};
 pub use limit::{EntryPosition, LimitChange};
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -10,7 +10,7 @@
     SlotCount, SoftwareVersion,
 };
 
-use crate::cold::{ColdChange, ColdEnd, ColdPeriod, ColdStep};
+use crate::cold::{ColdCause, ColdChange, ColdEnd, ColdPeriod, ColdStep};
 use crate::intake::StatedIntake;
 use crate::limit::EntryPosition;
 
@@ -46,6 +46,8 @@
     pub is_serving: bool,
     /// Remaining cold time by its announcement, in milliseconds; 0 once it is warm.
     pub cold_ms: u64,
+    /// Whether it may have become cold since its announcement, because its data centre was out.
+    pub is_unconfirmed: bool,
     /// Rate limit over all entries while the target is cold; `None` if it takes full load.
     pub cold_rate: Option<MilliRate>,
 }
@@ -94,19 +96,16 @@
         position: EntryPosition,
         now: ClockTime,
     ) -> Option<ColdChange> {
-        let rate = self.info.cold_rate.filter(|_| self.is_cold());
-        match (rate, &mut self.cold_period) {
-            (None, _) => self.end_cold_period(ColdEnd::Announced, position, now),
-            (Some(rate), Some(period)) => {
-                period.set_rate(rate);
-                None
-            }
-            (Some(rate), None) => {
-                self.cold_period = Some(ColdPeriod::starting(rate, position, now));
-                let cold_ms = self.info.cold_ms;
-                Some(self.cold_change(rate, position, ColdStep::Started { cold_ms }))
-            }
+        let Some((cause, rate)) = self.cold_cause().zip(self.info.cold_rate) else {
+            return self.end_cold_period(ColdEnd::Warm, position, now);
+        };
+        if let Some(period) = &mut self.cold_period {
+            period.set_rate(rate);
+            return None;
         }
+        self.cold_period = Some(ColdPeriod::starting(rate, position, now));
+        let cold_ms = self.info.cold_ms;
+        Some(self.cold_change(rate, position, ColdStep::Started { cause, cold_ms }))
     }
 
     /// Ends the cold period if there is one, and returns what has changed.
@@ -144,9 +143,16 @@
         }
     }
 
-    /// Whether the target carries only a little load, by its latest announcement.
+    /// Why the target may carry only a little load; `None` if it takes full load.
+    fn cold_cause(&self) -> Option<ColdCause> {
+        let announced = (self.info.cold_ms > 0).then_some(ColdCause::Announced);
+        let returned = self.info.is_unconfirmed.then_some(ColdCause::Returned);
+        announced.or(returned)
+    }
+
+    /// Whether the target may carry only a little load.
     pub fn is_cold(&self) -> bool {
-        self.info.cold_ms > 0
+        self.cold_cause().is_some()
     }
 
     /// Whether the target accepts new requests, now or later.
--- a/components/place/tests/common/mod.rs
+++ b/components/place/tests/common/mod.rs
@@ -21,6 +21,7 @@
         slots: SlotCount(8),
         is_serving: true,
         cold_ms: 0,
+        is_unconfirmed: false,
         cold_rate: None,
     }
 }
--- a/components/registry/src/config.rs
+++ b/components/registry/src/config.rs
@@ -1,6 +1,6 @@
 //! Configuration that entries and agents install, and its updates.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use manifest::{FleetManifest, ManifestChange};
 use rollout::{RolloutRecord, RolloutTable};
@@ -8,6 +8,12 @@
 use thiserror::Error;
 use units::{ConfigVersion, DataCentreName, ServiceName, TargetName};
 
+/// Version at which each data centre was last brought back; those that are out are left out.
+///
+/// While a data centre was out, its targets may have become cold without any load that would show it.
+/// An announcement that control accepted at an earlier version does not tell.
+pub type ReturnVersions = BTreeMap<DataCentreName, ConfigVersion>;
+
 units::data! {
     /// Configuration of the fleet at one version.
     #[derive(Default)]
@@ -26,6 +32,10 @@
         /// snapshots can be restored.
         #[serde(skip)]
         pub rollouts: RolloutTable,
+        /// Versions at which data centres were last brought back. Encoded apart from the other fields,
+        /// too.
+        #[serde(skip)]
+        pub returns: ReturnVersions,
     }
 
     /// One change of the configuration.
@@ -62,6 +72,8 @@
             config: Box<FleetConfig>,
             /// Roll-outs of the configuration.
             rollouts: RolloutTable,
+            /// Versions at which data centres were brought back.
+            returns: ReturnVersions,
         },
         /// Changes between two versions.
         Incremental {
@@ -71,6 +83,8 @@
             to: ConfigVersion,
             /// Changes in the order of their application.
             changes: Vec<ConfigChange>,
+            /// Versions at which data centres were brought back, all of them.
+            returns: ReturnVersions,
         },
     }
 }
@@ -122,20 +136,31 @@
 
     fn update(&mut self, update: ConfigUpdate) -> Result<(), ConfigError> {
         match update {
-            ConfigUpdate::Full { config, rollouts } => {
+            ConfigUpdate::Full {
+                config,
+                rollouts,
+                returns,
+            } => {
                 if config.version > self.version {
                     *self = *config;
                     self.rollouts = rollouts;
+                    self.returns = returns;
                 }
             }
             ConfigUpdate::Incremental { to, .. } if to <= self.version => {}
-            ConfigUpdate::Incremental { from, to, changes } => {
+            ConfigUpdate::Incremental {
+                from,
+                to,
+                changes,
+                returns,
+            } => {
                 if from != self.version {
                     let installed = self.version;
                     return Err(ConfigError::Gap { from, installed });
                 }
                 changes.iter().for_each(|change| self.apply(change));
                 self.version = to;
+                self.returns = returns;
             }
         }
         Ok(())
@@ -157,6 +182,25 @@
         }
     }
 
+    /// Records the data centres that a change takes out or brings back at the current version.
+    pub(crate) fn record_return(&mut self, change: &ConfigChange) {
+        match change {
+            ConfigChange::DataCentre {
+                data_centre,
+                out: true,
+            } => {
+                self.returns.remove(data_centre);
+            }
+            ConfigChange::DataCentre {
+                data_centre,
+                out: false,
+            } => {
+                self.returns.insert(data_centre.clone(), self.version);
+            }
+            _ => {}
+        }
+    }
+
     /// Whether a target gets no new requests, because it or its data centre is out.
     pub fn is_out(&self, data_centre: &DataCentreName, target: &TargetName) -> bool {
         self.out_data_centres.contains(data_centre) || self.out_targets.contains(target)
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -19,6 +19,6 @@
 
 pub use calls::{CallRecord, MAX_STORED_BODY_BYTES, MAX_STORED_TOTAL_BYTES};
 pub use command::{RegistryAction, RegistryCommand, RegistryOutcome, StageId, WallTime};
-pub use config::{ConfigChange, ConfigError, ConfigUpdate, FleetConfig};
+pub use config::{ConfigChange, ConfigError, ConfigUpdate, FleetConfig, ReturnVersions};
 pub use state::{MAX_OUT_TARGETS, MAX_ROLLOUTS, RegistryError, RegistryLimits, RegistryState};
 pub use versions::VersionTable;
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -335,6 +335,9 @@
         if !changes.is_empty() {
             changes.iter().for_each(|change| self.config.apply(change));
             self.config.version.0 += 1;
+            changes
+                .iter()
+                .for_each(|change| self.config.record_return(change));
             self.history.push(self.config.version, changes);
         }
         OrderReply::Accepted(self.config.version)
@@ -399,10 +402,12 @@
                 from: version,
                 to: self.config.version,
                 changes,
+                returns: self.config.returns.clone(),
             },
             None => ConfigUpdate::Full {
                 config: Box::new(self.config.clone()),
                 rollouts: self.config.rollouts.clone(),
+                returns: self.config.returns.clone(),
             },
         };
         postcard::to_stdvec(&update).expect("an update encodes into memory")
@@ -417,6 +422,8 @@
         bytes.extend(departures.expect("the departures encode into memory"));
         let rollouts = postcard::to_stdvec(&self.config.rollouts);
         bytes.extend(rollouts.expect("the roll-outs encode into memory"));
+        let returns = postcard::to_stdvec(&self.config.returns);
+        bytes.extend(returns.expect("the versions encode into memory"));
         bytes
     }
 
@@ -433,7 +440,10 @@
             (state.departures, rest) = postcard::take_from_bytes(rest).map_err(to_error)?;
         }
         if !rest.is_empty() {
-            state.config.rollouts = postcard::from_bytes(rest).map_err(to_error)?;
+            (state.config.rollouts, rest) = postcard::take_from_bytes(rest).map_err(to_error)?;
+        }
+        if !rest.is_empty() {
+            state.config.returns = postcard::from_bytes(rest).map_err(to_error)?;
         }
         state.calls.rebuild();
         Ok(state)
--- a/components/registry/tests/plans.rs
+++ b/components/registry/tests/plans.rs
@@ -98,3 +98,36 @@
     );
     assert!(state.config().out_data_centres.is_empty());
 }
+
+/// Guards against nodes that do not know when a data centre was last brought back, or keep a return that
+/// another evacuation has followed.
+#[test]
+fn updates_and_snapshots_contain_the_returns_of_data_centres() {
+    let mut state = RegistryState::default();
+    evacuate(&mut state, true);
+    let mut incremental = FleetConfig::default();
+    incremental
+        .install(&state.changes_since(incremental.version))
+        .unwrap();
+    evacuate(&mut state, false);
+    evacuate(&mut state, false);
+    publish(&mut state, 1, "one");
+    let older = state.snapshot();
+
+    let mut full = FleetConfig::default();
+    full.install(&state.changes_since(full.version)).unwrap();
+    incremental
+        .install(&state.changes_since(incremental.version))
+        .unwrap();
+    let restored = RegistryState::restore(&state.snapshot()).unwrap();
+    let from_older = RegistryState::restore(&older[..older.len() - 10]).unwrap();
+    let returned = state.config().returns.clone();
+    evacuate(&mut state, true);
+
+    assert_eq!(returned, [("praha-1".into(), ConfigVersion(2))].into());
+    assert_eq!(full.returns, returned);
+    assert_eq!(incremental.returns, returned);
+    assert_eq!(restored.config().returns, returned);
+    assert!(from_older.config().returns.is_empty());
+    assert!(state.config().returns.is_empty());
+}
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -177,12 +177,13 @@
 
 fn log_cold_change(change: &ColdChange, origin: &DirectoryOrigin) {
     match change.step {
-        ColdStep::Started { cold_ms } => event!(
+        ColdStep::Started { cause, cold_ms } => event!(
             events::COLD_STARTED,
             target = change.target,
             incarnation = change.incarnation,
             sequence = change.sequence,
             cold_ms = cold_ms,
+            cause = cause.as_str(),
             milli_rate = change.rate,
             entries = change.position.count,
             rank = change.position.rank,
@@ -288,6 +289,11 @@
         slots: target.slots,
         is_serving: entry.state == NodeState::Serving && !is_out,
         cold_ms: target.cold_ms,
+        is_unconfirmed: view
+            .config
+            .returns
+            .get(&entry.data_centre)
+            .is_some_and(|version| target.accepted_at < *version),
         cold_rate: pool.and_then(cold_rate),
     })
 }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -228,6 +228,7 @@
                 slots: SlotCount(4),
                 cold_ms: 0,
                 sequence: 1,
+                accepted_at: ConfigVersion(0),
             }),
         }
     }
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -57,15 +57,15 @@
          has_memory). Loads are in thousandths of a running request; age_ms is the mean age of what \
          is known of the other entries.";
     COLD_STARTED = 1523, Info, "cold-started",
-        "A target is cold, by the announcement with this sequence number. This entry sends it its part \
-         of the rate, in thousandths of a request per second, as one of so many entries. The fields \
-         source and revision name the control node, by its start time, and the directory that told \
-         so, and age_ms when a quorum confirmed that node last.";
+        "This entry sends a target only its part of the rate of a cold target, in thousandths of a \
+         request per second, as one of so many entries. The field cause is announced (by the \
+         announcement with this sequence number) or returned (its data centre was out, and it has not \
+         announced itself since). source and revision name the control node, by its start time, and the \
+         directory that told so, and age_ms when a quorum confirmed that node last.";
     COLD_ENDED = 1524, Info, "cold-ended",
         "A target gets full load from this entry again, or is not listed any more. The field reason is \
-         announced (it says that it is warm), unlisted or \
-         replaced (a later process has its name). The field sent is the number of requests that this \
-         entry sent in the period.";
+         warm (by the announcement with this sequence number), unlisted or replaced (a later process has \
+         its name). The field sent is the number of requests that this entry sent in the period.";
     ENTRY_COUNT_CHANGED = 1525, Info, "entry-count-changed",
         "The number of entries that this one divides rates by has changed, by the directory of the \
          control node with this start time.";
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -44,6 +44,9 @@
         pub cold_ms: u64,
         /// Sequence number of the announcement, which increases within an incarnation.
         pub sequence: u64,
+        /// Newest version of the configuration that was in force before the target sent the
+        /// announcement, as far as the control node that accepted it knows.
+        pub accepted_at: ConfigVersion,
     }
 
     /// Kind of a node in the directory, with the data specific to that kind.
