Divide rates by all entries that may send requests

Callers would see: cold targets crash when a control node restarts. Its followers heard only of each other, and each sent the rate of a cold target as one of few.

Cause: the number of entries came from whatever list was the latest, however incomplete.

EntryRoster counts an entry until its lease and a planned stop must be over. Control nodes say whether they have listened long enough to have heard of all; before that, an entry that has just started sends nothing to cold targets.

--- a/components/bench/src/messages.rs
+++ b/components/bench/src/messages.rs
@@ -115,6 +115,7 @@
             source: Incarnation(1_700_000_000_000),
             revision: 100_000,
             is_complete: false,
+            is_settled: true,
             changed: (0..nodes)
                 .map(|number| fixtures::directory_entry(number, 8))
                 .collect(),
--- a/components/client/src/view.rs
+++ b/components/client/src/view.rs
@@ -25,6 +25,8 @@
     pub directory: BTreeMap<NodeName, DirectoryEntry>,
     /// Revision of `directory`; `None` before the first update.
     pub revision: Option<DirectoryRevision>,
+    /// Whether the control node of `revision` had heard of all live nodes.
+    pub is_settled: bool,
 }
 
 impl Default for FleetView {
@@ -42,6 +44,7 @@
             lease_time,
             directory: BTreeMap::new(),
             revision: None,
+            is_settled: false,
         }
     }
 
@@ -83,5 +86,6 @@
             self.directory.insert(entry.name.clone(), entry);
         }
         self.revision = Some((delta.source, delta.revision));
+        self.is_settled = delta.is_settled;
     }
 }
--- a/components/client/tests/requests.rs
+++ b/components/client/tests/requests.rs
@@ -145,6 +145,7 @@
         source: Incarnation(source),
         revision,
         is_complete,
+        is_settled: true,
         changed: changed.iter().map(|name| entry(name)).collect(),
         removed: Vec::new(),
     }
--- a/components/directory/src/directory.rs
+++ b/components/directory/src/directory.rs
@@ -47,6 +47,8 @@
 #[derive(Debug, Clone)]
 pub struct NodeDirectory {
     source: Incarnation,
+    started_at: Option<ClockTime>,
+    is_settled: bool,
     revision: u64,
     nodes: BTreeMap<NodeName, NodeRecord>,
     removed: BTreeMap<NodeName, RemovedNode>,
@@ -70,6 +72,8 @@
     pub fn new(source: Incarnation) -> Self {
         Self {
             source,
+            started_at: None,
+            is_settled: false,
             revision: 0,
             nodes: BTreeMap::new(),
             removed: BTreeMap::new(),
@@ -188,6 +192,8 @@
     /// Removes the nodes whose announcements have timed out, and discards removals older than
     /// [`REMOVAL_RETENTION`].
     pub fn tick(&mut self, now: ClockTime) {
+        let started_at = *self.started_at.get_or_insert(now);
+        self.is_settled |= now.since(started_at) >= SILENCE_TIMEOUT;
         while let Some((expiry, name)) = self.by_expiry.first().cloned() {
             if now < expiry {
                 break;
@@ -230,6 +236,7 @@
             source: self.source,
             revision: self.revision,
             is_complete: false,
+            is_settled: self.is_settled,
             changed: live
                 .into_iter()
                 .map(|name| self.nodes[name].entry.clone())
@@ -264,6 +271,7 @@
             source: self.source,
             revision: self.revision,
             is_complete: true,
+            is_settled: self.is_settled,
             changed: self.entries().cloned().collect(),
             removed: Vec::new(),
         }
--- a/components/place/src/cold.rs
+++ b/components/place/src/cold.rs
@@ -108,6 +108,10 @@
         }
     }
 
+    pub(crate) fn restart_pace(&mut self, position: EntryPosition, now: ClockTime) {
+        self.pacer = ColdPacer::starting(self.rate, position, now);
+    }
+
     pub(crate) fn is_open(&self, now: ClockTime) -> bool {
         self.pacer.is_open(now)
     }
--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -15,6 +15,7 @@
 mod limit;
 mod pace;
 mod queue;
+mod roster;
 mod session;
 mod table;
 mod target;
@@ -27,6 +28,7 @@
 pub use limit::{EntryPosition, LimitChange};
 pub use pace::ColdPacer;
 pub use queue::{DequeuedRequest, QueuedRequest, WaitKey, WaitQueue};
+pub use roster::EntryRoster;
 pub use table::{
     PlacementOutcome, PlacementRequest, PlacementSettings, PlacementTable, RunLatency,
 };
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -106,6 +106,8 @@
     keys: HashMap<NodeName, TargetKey>,
     pub(crate) runs: SlotMap<RunKey, RunRecord>,
     position: EntryPosition,
+    /// Whether the position is that among all entries. Cold targets get nothing before.
+    is_settled: bool,
     /// Statements of processes that are not listed, and the time since which they are not. An
     /// announcement from before a statement may list the process again.
     unlisted: HashMap<(NodeName, Incarnation), (StatedIntake, ClockTime)>,
@@ -126,6 +128,7 @@
             keys: HashMap::new(),
             runs: SlotMap::with_key(),
             position: EntryPosition::SINGLE,
+            is_settled: true,
             unlisted: HashMap::new(),
             mean_work: HashMap::new(),
             cold_changes: Vec::new(),
@@ -174,6 +177,17 @@
         std::mem::take(&mut self.cold_changes)
     }
 
+    /// Sets whether the position is that among all entries. While it may be that among too few, a part of
+    /// a rate is unknown, and cold targets get nothing.
+    pub fn set_settled(&mut self, is_settled: bool, now: ClockTime) {
+        if std::mem::replace(&mut self.is_settled, is_settled) == is_settled {
+            return;
+        }
+        for record in self.targets.values_mut() {
+            record.restart_pace(self.position, now);
+        }
+    }
+
     /// Position of the entry among the live entries.
     pub fn position(&self) -> EntryPosition {
         self.position
@@ -470,7 +484,9 @@
 
     pub(crate) fn has_capacity(&self, key: TargetKey, now: ClockTime) -> bool {
         let record = &self.targets[key];
-        record.running < record.info.slots.0 && !record.is_paced(now)
+        record.running < record.info.slots.0
+            && record.takes_paced_request(now)
+            && (self.is_settled || !record.has_cold_period())
     }
 
     fn start_run(&mut self, key: TargetKey, request: &PlacementRequest, now: ClockTime) -> RunKey {
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -130,10 +130,22 @@
         }
     }
 
-    /// Whether a cold target takes no further request of this entry now.
-    pub(crate) fn is_paced(&self, now: ClockTime) -> bool {
+    /// Whether the target gets only this entry's part of a rate.
+    pub(crate) fn has_cold_period(&self) -> bool {
+        self.cold_period.is_some()
+    }
+
+    /// Whether this entry's part of a cold target's rate allows a request now.
+    pub(crate) fn takes_paced_request(&self, now: ClockTime) -> bool {
         let period = self.cold_period.as_ref();
-        period.is_some_and(|period| !period.is_open(now))
+        period.is_none_or(|period| period.is_open(now))
+    }
+
+    /// Spreads the next requests to a cold target by a new position.
+    pub(crate) fn restart_pace(&mut self, position: EntryPosition, now: ClockTime) {
+        if let Some(period) = &mut self.cold_period {
+            period.restart_pace(position, now);
+        }
     }
 
     /// Counts a request that is sent now to the part that a cold target takes.
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -14,7 +14,7 @@
 use link::{KeyFiles, LinkEndpoint, LinkIdentity};
 use listener::{BodyGate, ConnectionTable};
 use origins::OriginLog;
-use place::{PlacementSettings, PlacementTable, WaitQueue};
+use place::{EntryRoster, PlacementSettings, PlacementTable, WaitQueue};
 use quarantine::CrashLog;
 use rollout::{RolloutPhase, VersionGates};
 use salvo::Router;
@@ -94,6 +94,7 @@
         board: StateBoard::new(RelayState {
             route_index: None,
             table,
+            roster: EntryRoster::new(settings.name.clone(), settings.entry_retention()),
             queue: WaitQueue::new(),
             waiters: Default::default(),
             gate: ShareGate::new(model_pool(), gate_seed, clock.now()),
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -6,7 +6,7 @@
 
 use client::{DirectoryRevision, FleetView};
 use fair::DEMAND_INTERVAL;
-use place::{ColdChange, ColdStep, EntryPosition, ListedTarget, PlacementTable};
+use place::{ColdChange, ColdStep, ListedTarget, PlacementTable};
 use routes::{RouteIndex, RoutePlan, ServicePool};
 use telemetry::{event, events};
 use units::{DataCentreName, Incarnation, NodeName, PlanNumber, RouteName, ServiceName};
@@ -73,24 +73,19 @@
     let installed = shared
         .board
         .read(|state| state.route_index.as_ref().map(|index| index.number));
-    let (index, targets, position, rollouts, origin) = shared.view.read(|view| {
+    let (index, targets, entries, rollouts, origin) = shared.view.read(|view| {
         let index = changed_index(view, installed);
-        let others = view.directory.values();
-        let others = others.filter(|entry| is_entry(entry) && entry.name != shared.settings.name);
-        let others: Vec<&NodeName> = others.map(|entry| &entry.name).collect();
-        let rank = others.iter().filter(|name| ***name < shared.settings.name);
-        let position = EntryPosition {
-            rank: rank.count() as u32,
-            count: others.len() as u32 + 1,
-        };
+        let entries = view.directory.values().filter(|entry| is_entry(entry));
+        let entries: Vec<NodeName> = entries.map(|entry| entry.name.clone()).collect();
         let rollouts = view.config.rollouts.clone();
         (
             index,
             listed_targets(view, &shared.settings),
-            position,
+            entries,
             rollouts,
             DirectoryOrigin {
                 revision: view.revision,
+                is_settled: view.is_settled,
                 age: view.age(now),
             },
         )
@@ -103,7 +98,7 @@
         );
     }
     record_listed(shared, &targets);
-    let (changed, old_position, cold_changes) = shared.board.write(|state| {
+    let (changed, old_position, position, cold_changes) = shared.board.write(|state| {
         if let Some(index) = index {
             let routes: HashSet<&RouteName> =
                 index.plan.routes.iter().map(|route| &route.name).collect();
@@ -115,14 +110,17 @@
         }
         let changed = changed_versions(&state.table, &targets);
         let old_position = state.table.position();
+        state.roster.sync(entries.iter(), origin.is_settled, now);
+        let position = state.roster.position();
         state.table.sync(targets, position, now);
+        state.table.set_settled(state.roster.is_settled(), now);
         let cold_changes = state.table.take_cold_changes();
         let exposure_permille = shared.settings.rollout_exposure_permille;
         state
             .rollouts
             .sync(&rollouts, exposure_permille, position.rank, position.count);
         state.drain_queue(now);
-        (changed, old_position, cold_changes)
+        (changed, old_position, position, cold_changes)
     });
     record_restarts(shared, &changed);
     if old_position.count != position.count {
@@ -131,6 +129,7 @@
             old = old_position.count,
             new = position.count,
             rank = position.rank,
+            settled = origin.is_settled,
             source = origin.source(),
             revision = origin.number(),
             age_ms = origin.age.as_millis()
@@ -161,6 +160,7 @@
 /// Control node and revision from which the directory comes, and the time since a quorum confirmed it.
 struct DirectoryOrigin {
     revision: Option<DirectoryRevision>,
+    is_settled: bool,
     age: Duration,
 }
 
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -46,6 +46,12 @@
 }
 
 impl RelaySettings {
+    /// Time for which an entry that is no longer listed may go on sending requests: until its lease has
+    /// ended and its planned stop is over.
+    pub(crate) fn entry_retention(&self) -> Duration {
+        self.lease_time + self.stop_timeout
+    }
+
     /// Region of the host, if its data centre is listed.
     pub fn region(&self) -> Option<&RegionName> {
         self.regions.get(&self.data_centre)
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -12,7 +12,7 @@
 use limits::{DurationHistory, WindowBound, WindowBudget};
 use listener::BodyGate;
 use origins::OriginLog;
-use place::{ListedTarget, PlacementTable, RunKey, WaitKey, WaitQueue};
+use place::{EntryRoster, ListedTarget, PlacementTable, RunKey, WaitKey, WaitQueue};
 use quarantine::CrashLog;
 use rollout::VersionGates;
 use routes::RouteIndex;
@@ -33,6 +33,8 @@
     /// Index of the installed plan; `None` before the first plan arrives.
     pub(crate) route_index: Option<Arc<RouteIndex>>,
     pub(crate) table: PlacementTable,
+    /// Entries among which rates and budgets are divided.
+    pub(crate) roster: EntryRoster,
     pub(crate) queue: WaitQueue,
     /// Senders that deliver runs to the waiting requests; `None` means that no live target may
     /// serve the request.
@@ -50,10 +52,9 @@
 }
 
 impl RelayState {
-    /// Number of entries that send requests, including this one. A leaving entry counts, since it
-    /// still sends the requests that it accepts.
+    /// Number of entries that may send requests, including this one.
     pub(crate) fn entry_count(&self) -> u32 {
-        self.table.position().count
+        self.roster.position().count
     }
 
     /// Number of other serving entries in the directory.
@@ -77,14 +78,18 @@
     }
 
     /// Returns the retry budget of a service. The slack of the fleet-wide bound is divided evenly
-    /// among the entries.
+    /// among the entries; there is none while their number is unknown.
     pub(crate) fn budget(
         &mut self,
         service: &ServiceName,
         settings: &RelaySettings,
     ) -> &mut WindowBudget {
+        let slack = match self.roster.is_settled() {
+            true => settings.retries.slack / u64::from(self.entry_count()),
+            false => 0,
+        };
         let bound = WindowBound {
-            slack: settings.retries.slack / u64::from(self.entry_count()),
+            slack,
             ..settings.retries
         };
         let budget = self
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -97,6 +97,8 @@
         pub revision: u64,
         /// Whether `changed` holds the complete directory.
         pub is_complete: bool,
+        /// Whether the control node has listened for so long that it has heard of all live nodes.
+        pub is_settled: bool,
         /// Added and changed nodes.
         pub changed: Vec<DirectoryEntry>,
         /// Names of removed nodes.
