Take targets that did not accept a connection as cold until a restart would be known

Callers saw: a process that ends and starts again under its name gets full load before its first announcement is known: 117 requests in one second where 35 are allowed after an outage of 0.3 s, 237 after 2.5 s, with three control and seven entry processes.

Cause: after a failed connection, entries avoided a target for a second and then sent by the announcement of the earlier process.

Such a target now gets its cold rate until it has answered for the time within which a later process would have announced itself. target_that_refused_a_connection_is_cold_until_a_restart_would_be_known guards it.

--- a/components/place/src/cold.rs
+++ b/components/place/src/cold.rs
@@ -52,6 +52,9 @@
     Announced,
     /// Its data centre was out. It may have become cold since its announcement.
     Returned,
+    /// It did not accept a connection. Another process may have started under its name since its
+    /// announcement.
+    Unreachable,
 }
 
 impl ColdCause {
@@ -60,6 +63,7 @@
         match self {
             Self::Announced => "announced",
             Self::Returned => "returned",
+            Self::Unreachable => "unreachable",
         }
     }
 }
@@ -86,6 +90,21 @@
     }
 }
 
+/// State of a target that did not accept a connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum RestartDoubt {
+    /// It has answered no request that was sent since.
+    Unanswered {
+        /// Time of the last failed connection.
+        failed_at: ClockTime,
+    },
+    /// It answers again. If another process has started, it is listed by then.
+    Answered {
+        /// End of the doubt.
+        ends_at: ClockTime,
+    },
+}
+
 /// Time in which an entry sends a target only its part of a rate.
 ///
 /// It ends when the target announces that it is warm, not when the announced time has passed: until that
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -31,6 +31,8 @@
     pub region: Option<RegionName>,
     /// Time for which a target is avoided after a failed connection.
     pub avoid_duration: Duration,
+    /// Time within which entries hear of a target that has started.
+    pub announcement_time: Duration,
 }
 
 /// Requirements of a request for its target.
@@ -199,6 +201,7 @@
         match existing {
             Some(record) if record.info.incarnation == target.incarnation => {
                 record.info = target;
+                record.expire_restart_doubt(now);
                 let change = record.update_cold_period(self.position, now);
                 self.cold_changes.extend(change);
             }
@@ -341,6 +344,7 @@
         }
         let latency = now.since(record.sent_at);
         if let Some(target) = self.targets.get_mut(record.target) {
+            target.record_answer(record.sent_at, self.settings.announcement_time, now);
             target.pending.remove(&(record.sent_at, run));
             target.pending_work = target.pending_work.saturating_sub(record.work);
         }
@@ -458,11 +462,14 @@
     }
 
     /// Avoids the target of a run for [`PlacementSettings::avoid_duration`] after a failed
-    /// connection.
+    /// connection. Until it has answered for long enough, it may be another process that is cold.
     pub fn record_failure(&mut self, run: RunKey, now: ClockTime) {
         let target = self.runs.get(run).map(|record| record.target);
         if let Some(target) = target.and_then(|key| self.targets.get_mut(key)) {
             target.avoid_until = now + self.settings.avoid_duration;
+            target.record_failed_connection(now);
+            let change = target.update_cold_period(self.position, now);
+            self.cold_changes.extend(change);
         }
     }
 
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -10,7 +10,7 @@
     SlotCount, SoftwareVersion,
 };
 
-use crate::cold::{ColdCause, ColdChange, ColdEnd, ColdPeriod, ColdStep};
+use crate::cold::{ColdCause, ColdChange, ColdEnd, ColdPeriod, ColdStep, RestartDoubt};
 use crate::intake::StatedIntake;
 use crate::limit::EntryPosition;
 
@@ -69,6 +69,7 @@
     pub(crate) memory: MemoryLedger,
     /// Set while the latest announcement says that the target is cold, if it then takes a limited rate.
     cold_period: Option<ColdPeriod>,
+    restart_doubt: Option<RestartDoubt>,
     /// What the process has stated in its responses.
     pub(crate) stated: StatedIntake,
     /// Time until which the target is avoided after a failed connection.
@@ -85,6 +86,7 @@
             pending_work: 0,
             pending: BTreeSet::new(),
             cold_period: None,
+            restart_doubt: None,
             stated: StatedIntake::default(),
             avoid_until: now,
         }
@@ -159,7 +161,32 @@
     fn cold_cause(&self) -> Option<ColdCause> {
         let announced = (self.info.cold_ms > 0).then_some(ColdCause::Announced);
         let returned = self.info.is_unconfirmed.then_some(ColdCause::Returned);
-        announced.or(returned)
+        let unreachable = self.restart_doubt.map(|_| ColdCause::Unreachable);
+        announced.or(returned).or(unreachable)
+    }
+
+    /// Records a connection that the target did not accept.
+    pub(crate) fn record_failed_connection(&mut self, now: ClockTime) {
+        self.restart_doubt = Some(RestartDoubt::Unanswered { failed_at: now });
+    }
+
+    /// Records the first byte of an answer to a request.
+    pub(crate) fn record_answer(&mut self, sent_at: ClockTime, notice: Duration, now: ClockTime) {
+        if let Some(RestartDoubt::Unanswered { failed_at }) = self.restart_doubt
+            && sent_at >= failed_at
+        {
+            let ends_at = now + notice;
+            self.restart_doubt = Some(RestartDoubt::Answered { ends_at });
+        }
+    }
+
+    /// Ends the doubt about a process that has answered for long enough.
+    pub(crate) fn expire_restart_doubt(&mut self, now: ClockTime) {
+        if let Some(RestartDoubt::Answered { ends_at }) = self.restart_doubt
+            && now >= ends_at
+        {
+            self.restart_doubt = None;
+        }
     }
 
     /// Whether the target may carry only a little load.
--- a/components/place/tests/cold.rs
+++ b/components/place/tests/cold.rs
@@ -81,6 +81,33 @@
     assert_eq!(confirmed, 1_000);
 }
 
+/// Guards against full load at a process that has started under the name of an earlier one, before its
+/// announcement is heard.
+#[test]
+fn target_that_refused_a_connection_is_cold_until_a_restart_would_be_known() {
+    let mut table = table(vec![listed(1, 0)], EntryPosition::SINGLE);
+    let PlacementOutcome::Run(refused) = table.place(&request(None), ClockTime(0)) else {
+        panic!("the target takes no request");
+    };
+    table.record_failure(refused, ClockTime(10));
+    table.end_run(refused);
+
+    let without_answer = sent_in_a_second(&mut table, 5_000);
+    let PlacementOutcome::Run(answered) = table.place(&request(None), ClockTime(6_050)) else {
+        panic!("the target takes no request");
+    };
+    table.record_first_byte(answered, ClockTime(6_100));
+    table.end_run(answered);
+    list(&mut table, listed(1, 0), 7_000);
+    let after_answer = sent_in_a_second(&mut table, 7_000);
+    list(&mut table, listed(1, 0), 8_100);
+    let known = sent_in_a_second(&mut table, 8_100);
+
+    assert!(without_answer <= MAX_PACED, "{without_answer}");
+    assert!(after_answer <= MAX_PACED, "{after_answer}");
+    assert_eq!(known, 1_000);
+}
+
 /// Guards against logs that do not tell when an entry limited its requests, by which announcement and
 /// as one of how many entries.
 #[test]
--- a/components/place/tests/common/mod.rs
+++ b/components/place/tests/common/mod.rs
@@ -47,6 +47,7 @@
     let mut table = PlacementTable::new(PlacementSettings {
         region: Some("bohemia".into()),
         avoid_duration: Duration::from_secs(1),
+        announcement_time: Duration::from_secs(2),
     });
     table.sync(targets, position, ClockTime(0));
     table
--- a/components/relay/src/daemon.rs
+++ b/components/relay/src/daemon.rs
@@ -87,6 +87,7 @@
     let table = PlacementTable::new(PlacementSettings {
         region: settings.region().cloned(),
         avoid_duration: FAILED_TARGET_BACKOFF,
+        announcement_time: settings.announcement_time,
     });
     let clock = Arc::new(SystemClock::start());
     let gate_seed = stable_hash(&[settings.name.as_str().as_bytes()]);
--- a/components/relay/src/settings.rs
+++ b/components/relay/src/settings.rs
@@ -32,6 +32,8 @@
     /// plan for good (unknown route, unknown key, body too large). A change must be in force within
     /// this time, so a plan that is older may lack one.
     pub plan_time: Duration,
+    /// Time within which the entry hears of a target that has started.
+    pub announcement_time: Duration,
     /// Bound on retries at other targets, over all entries.
     pub retries: WindowBound,
     /// Maximum share of a service's requests that a bad version gets during its roll-out, in
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -549,6 +549,7 @@
         keys,
         lease_time: Duration::from_millis(2_500),
         plan_time: Duration::from_millis(2_500),
+        announcement_time: Duration::from_millis(2_500),
         retries: WindowBound {
             retries_per_thousand: 200,
             slack: 50,
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -59,8 +59,9 @@
     COLD_STARTED = 1523, Info, "cold-started",
         "This entry sends a target only its part of the rate of a cold target, in thousandths of a \
          request per second, as one of so many entries. The field cause is announced (by the \
-         announcement with this sequence number) or returned (its data centre was out, and it has not \
-         announced itself since). source and revision name the control node, by its start time, and the \
+         announcement with this sequence number), returned (its data centre was out, and it has not \
+         announced itself since) or unreachable (it did not accept a connection, so another process may \
+         have started under its name). source and revision name the control node, by its start time, and the \
          directory that told so, and age_ms when a quorum confirmed that node last.";
     COLD_ENDED = 1524, Info, "cold-ended",
         "A target gets full load from this entry again, or is not listed any more. The field reason is \
