--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -25,8 +25,8 @@
 use crate::state::ControlContext;
 use crate::versions::check_version;
 
-/// Time for which a call of a target may be under way. The sender gives up after it.
-const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which an announcement may be under way.
+const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Reason why a request of an adapter failed.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -162,7 +162,7 @@
         // `ClockTime` saturates at zero, where no version is in force.
         let sent_after = ClockTime(
             now.0
-                .saturating_sub(ANNOUNCEMENT_TIMEOUT.as_millis() as u64),
+                .saturating_sub(MAX_ANNOUNCEMENT_DELAY.as_millis() as u64),
         );
         if let NodeKind::Target(target) = &mut entry.kind {
             target.accepted_at = self.context.view.read(|view| view.version_at(sent_after));
--- a/components/directory/src/directory.rs
+++ b/components/directory/src/directory.rs
@@ -47,7 +47,9 @@
 #[derive(Debug, Clone)]
 pub struct NodeDirectory {
     source: Incarnation,
-    started_at: Option<ClockTime>,
+    /// Time since which entries have been heard of without a gap.
+    listening_since: Option<ClockTime>,
+    /// Whether that is long enough to have heard of all live nodes.
     is_settled: bool,
     revision: u64,
     nodes: BTreeMap<NodeName, NodeRecord>,
@@ -72,7 +74,7 @@
     pub fn new(source: Incarnation) -> Self {
         Self {
             source,
-            started_at: None,
+            listening_since: None,
             is_settled: false,
             revision: 0,
             nodes: BTreeMap::new(),
@@ -192,14 +194,14 @@
     /// Removes the nodes whose announcements have timed out, and discards removals older than
     /// [`REMOVAL_RETENTION`].
     pub fn tick(&mut self, now: ClockTime) {
-        let started_at = *self.started_at.get_or_insert(now);
-        self.is_settled |= now.since(started_at) >= SILENCE_TIMEOUT;
         while let Some((expiry, name)) = self.by_expiry.first().cloned() {
             if now < expiry {
                 break;
             }
             self.remove(&name, now);
         }
+        let listening_since = self.listening_since;
+        self.is_settled = listening_since.is_some_and(|since| now.since(since) >= SILENCE_TIMEOUT);
         while let Some((time, name)) = self.by_removal_time.first().cloned() {
             if now.since(time) < REMOVAL_RETENTION {
                 break;
@@ -302,18 +304,24 @@
         is_accepted
     }
 
-    fn replace(&mut self, entry: DirectoryEntry, source: AnnouncementSource, now: ClockTime) {
+    fn replace(&mut self, mut entry: DirectoryEntry, source: AnnouncementSource, now: ClockTime) {
         let name = entry.name.clone();
         self.discard_removed(&name);
+        if entry.kind == NodeKind::Entry {
+            self.listening_since.get_or_insert(now);
+        }
         let old = self.nodes.remove(&name);
+        let is_same_process = old
+            .as_ref()
+            .is_some_and(|old| old.entry.incarnation == entry.incarnation);
+        if let (true, Some(old)) = (is_same_process, &old) {
+            keep_version(&old.entry, &mut entry);
+        }
         let is_changed = old.as_ref().is_none_or(|old| {
             is_significant_change(&old.entry, &entry)
                 || self.is_announced_since_return(&entry)
                     != self.is_announced_since_return(&old.entry)
         });
-        let is_same_process = old
-            .as_ref()
-            .is_some_and(|old| old.entry.incarnation == entry.incarnation);
         let mut direct_at = match &old {
             Some(old) if is_same_process => old.direct_at,
             _ => None,
@@ -358,6 +366,10 @@
         let Some(record) = self.nodes.remove(name) else {
             return;
         };
+        if !self.entries().any(|entry| entry.kind == NodeKind::Entry) {
+            // Entries are recorded only while a quorum confirms this node.
+            self.listening_since = None;
+        }
         let expiry = self.expiry(&record.entry, record.announced_at);
         self.by_expiry.remove(&(expiry, name.clone()));
         self.by_revision.remove(&record.revision);
@@ -386,3 +398,11 @@
         self.revision
     }
 }
+
+/// Keeps the version at which an earlier announcement of the process was accepted, if it is newer: the
+/// control node that has accepted this one may lag behind.
+fn keep_version(old: &DirectoryEntry, new: &mut DirectoryEntry) {
+    if let (NodeKind::Target(old), NodeKind::Target(new)) = (&old.kind, &mut new.kind) {
+        new.accepted_at = new.accepted_at.max(old.accepted_at);
+    }
+}
--- a/components/place/src/pace.rs
+++ b/components/place/src/pace.rs
@@ -18,14 +18,10 @@
 impl ColdPacer {
     /// Pacer of a target that is cold from `now` on.
     ///
-    /// Entries that send less than a request a second each spread the first one, like later ones:
-    /// they often learn of the target together.
+    /// Entries often learn of the target together, so the first requests are spread like later ones.
     pub fn starting(rate: MilliRate, position: EntryPosition, now: ClockTime) -> Self {
         let interval = send_interval(rate, position.count);
-        let delay = match interval > Duration::from_secs(1) {
-            true => interval * position.rank.min(position.count) / position.count.max(1),
-            false => Duration::ZERO,
-        };
+        let delay = interval * position.rank.min(position.count) / position.count.max(1);
         Self {
             next_send: now + delay,
         }
--- a/components/place/src/roster.rs
+++ b/components/place/src/roster.rs
@@ -7,6 +7,10 @@
 
 use crate::limit::EntryPosition;
 
+/// Time for which lists must come from settled control nodes before they are taken as complete. Entries that
+/// start at the same moment list each other after two renewals of 500 ms and a forward between control nodes.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// Entries among which rates are divided.
 ///
 /// An entry that is no longer listed may still send requests: until its lease ends, until its planned
@@ -18,6 +22,8 @@
     retention: Duration,
     /// Other entries, with the time at which each was last listed.
     listed_at: BTreeMap<NodeName, ClockTime>,
+    /// Time of the first of the lists of settled control nodes.
+    settling_since: Option<ClockTime>,
     is_settled: bool,
 }
 
@@ -28,6 +34,7 @@
             own,
             retention,
             listed_at: BTreeMap::new(),
+            settling_since: None,
             is_settled: false,
         }
     }
@@ -48,10 +55,15 @@
                 }
             }
         }
+        if !is_settled {
+            self.settling_since = None;
+            return;
+        }
         let retention = self.retention;
         self.listed_at
             .retain(|_, listed_at| now.since(*listed_at) < retention);
-        self.is_settled |= is_settled;
+        let settling_since = *self.settling_since.get_or_insert(now);
+        self.is_settled |= now.since(settling_since) >= SETTLE_TIME;
     }
 
     /// Position of this entry among all that may send requests.
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -462,12 +462,21 @@
     }
 
     /// Avoids the target of a run for [`PlacementSettings::avoid_duration`] after a failed
-    /// connection. Until it has answered for long enough, it may be another process that is cold.
+    /// connection.
     pub fn record_failure(&mut self, run: RunKey, now: ClockTime) {
         let target = self.runs.get(run).map(|record| record.target);
         if let Some(target) = target.and_then(|key| self.targets.get_mut(key)) {
             target.avoid_until = now + self.settings.avoid_duration;
-            target.record_failed_connection(now);
+        }
+    }
+
+    /// Takes the target of a run as cold until it has answered for
+    /// [`PlacementSettings::announcement_time`]: it did not accept a connection, and may be another
+    /// process when it does.
+    pub fn record_possible_end(&mut self, run: RunKey, now: ClockTime) {
+        let target = self.runs.get(run).map(|record| record.target);
+        if let Some(target) = target.and_then(|key| self.targets.get_mut(key)) {
+            target.record_possible_end(now);
             let change = target.update_cold_period(self.position, now);
             self.cold_changes.extend(change);
         }
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -165,8 +165,8 @@
         announced.or(returned).or(unreachable)
     }
 
-    /// Records a connection that the target did not accept.
-    pub(crate) fn record_failed_connection(&mut self, now: ClockTime) {
+    /// Records that the process may have ended.
+    pub(crate) fn record_possible_end(&mut self, now: ClockTime) {
         self.restart_doubt = Some(RestartDoubt::Unanswered { failed_at: now });
     }
 
--- a/components/relay/src/forward/attempt.rs
+++ b/components/relay/src/forward/attempt.rs
@@ -61,7 +61,10 @@
         let connection = match self.shared.pool.connect(target.address).await {
             Ok(connection) => connection,
             Err(error) => {
-                run_guard.record_failure();
+                // Other errors are local and tell nothing of the target.
+                let may_have_ended =
+                    matches!(error, ExchangeError::Refused(_) | ExchangeError::Silent(_));
+                run_guard.record_failure(may_have_ended);
                 if matches!(error, ExchangeError::Refused(_)) {
                     record_refusal(&self.shared, target);
                 }
@@ -120,7 +123,11 @@
                 sent.record_bad_answer();
                 SendResult::Unknown(reason)
             }
-            Err(ExchangeError::NotSent(reason) | ExchangeError::Refused(reason)) => {
+            Err(
+                ExchangeError::NotSent(reason)
+                | ExchangeError::Refused(reason)
+                | ExchangeError::Silent(reason),
+            ) => {
                 sent.record_not_run();
                 SendResult::NotSent(reason)
             }
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -108,12 +108,16 @@
         }
     }
 
-    /// Records a failed connection, after which the target is avoided for a while.
-    pub(crate) fn record_failure(&self) {
+    /// Records a failed connection, after which the target is avoided for a while. `may_have_ended` tells
+    /// whether its process may have ended.
+    pub(crate) fn record_failure(&self, may_have_ended: bool) {
         let now = self.shared.now();
-        self.shared
-            .board
-            .write_quietly(|state| state.table.record_failure(self.run, now));
+        self.shared.board.write_quietly(|state| {
+            state.table.record_failure(self.run, now);
+            if may_have_ended {
+                state.table.record_possible_end(self.run, now);
+            }
+        });
     }
 }
 
--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -79,6 +79,9 @@
     /// The address refuses connections: no process listens there.
     #[error("nothing was sent: {0}")]
     Refused(String),
+    /// The address did not answer in time.
+    #[error("nothing was sent: {0}")]
+    Silent(String),
     /// The request may have reached the target.
     #[error("the connection broke: {0}")]
     Broken(String),
@@ -102,7 +105,7 @@
             Ok(Err(error)) => Err(ExchangeError::NotSent(error.to_string())),
             Err(_) => {
                 let message = format!("no connection within {CONNECT_TIMEOUT:?}");
-                Err(ExchangeError::NotSent(message))
+                Err(ExchangeError::Silent(message))
             }
         }
     }
