Keep the newest known state of a process when the control node changes

What callers would see: a cold target gets full load, a leaving one gets new requests, or a request goes to an earlier process, for up to the interval of announcements after an entry has turned to another control node.

Cause: an entry took the complete directory of another control node over as a whole. That node may have heard less: an earlier announcement, none since its restart, or it has not applied a departure yet.

An entry now compares states by incarnation and, for targets, by sequence number, and a leaving process does not serve again. It remembers processes that are no longer listed for 60 s, as control does, so that a gap in the listing does not reset them. While the control node lists an older announcement, the entry requests complete directories: the node reports a newer one only if that changes its own directory. A target that is missing from a directory stays dropped, also while its control node has not settled: that directory does not tell silence from a committed departure.

A target whose clock was set back is listed again after 60 s.

--- a/components/client/src/lease.rs
+++ b/components/client/src/lease.rs
@@ -77,7 +77,7 @@
     ) -> Result<bool, ConfigError> {
         self.config.install(&reply.changes)?;
         if let Some(delta) = reply.directory {
-            self.update_directory(delta);
+            self.update_directory(delta, sent);
         }
         let mut lease = LeaseState::ending_at(self.lease_end, self.lease_time);
         let age = Duration::from_millis(reply.age_ms);
@@ -168,7 +168,7 @@
     mut node: DirectoryEntry,
     wants_directory: bool,
 ) -> Result<(), RenewError> {
-    let (config, revision) = board.read(|view| (view.config.version, view.revision));
+    let (config, revision) = board.read(|view| (view.config.version, view.requested_revision()));
     node.config = config;
     // No control node has incarnation 0, so this revision requests the complete directory.
     let directory = wants_directory.then(|| revision.unwrap_or((Incarnation(0), 0)));
--- a/components/client/src/view.rs
+++ b/components/client/src/view.rs
@@ -7,6 +7,7 @@
 use units::{ClockTime, Incarnation, NodeName, PlanNumber};
 use wire::{DirectoryDelta, DirectoryEntry};
 
+use crate::history::ProcessHistory;
 use crate::lease::LEASE_TIME;
 
 /// Revision of a directory: the incarnation of the control node that numbers it, and the number.
@@ -27,6 +28,8 @@
     pub revision: Option<DirectoryRevision>,
     /// Whether the control node of `revision` had heard of all live nodes.
     pub is_settled: bool,
+    /// Processes that `directory` lacks or that the control node lists with an older state.
+    pub history: ProcessHistory,
 }
 
 impl Default for FleetView {
@@ -45,6 +48,7 @@
             directory: BTreeMap::new(),
             revision: None,
             is_settled: false,
+            history: ProcessHistory::default(),
         }
     }
 
@@ -68,23 +72,40 @@
         (now + self.lease_time).since(self.lease_end)
     }
 
+    /// Revision since which the node requests changes of the directory; `None` if it needs the complete
+    /// one.
+    pub fn requested_revision(&self) -> Option<DirectoryRevision> {
+        self.revision
+            .filter(|_| !self.history.has_older_announcements())
+    }
+
     /// Applies a change of the directory. An incomplete delta is ignored if it comes from another
-    /// control node or has an older revision.
-    pub fn update_directory(&mut self, delta: DirectoryDelta) {
+    /// control node or has an older revision. Nodes keep their state if the control node has only heard
+    /// of an older one.
+    pub fn update_directory(&mut self, delta: DirectoryDelta, now: ClockTime) {
         let is_applicable = self
             .revision
             .is_some_and(|(source, revision)| source == delta.source && revision <= delta.revision);
+        let mut unlisted = BTreeMap::new();
         if delta.is_complete {
-            self.directory.clear();
+            unlisted = std::mem::take(&mut self.directory);
         } else if !is_applicable {
             return;
         }
         for name in &delta.removed {
-            self.directory.remove(name);
+            unlisted.extend(self.directory.remove_entry(name));
         }
         for entry in delta.changed {
-            self.directory.insert(entry.name.clone(), entry);
+            let known = self.directory.remove(&entry.name);
+            let known = known.or_else(|| unlisted.remove(&entry.name));
+            if let Some(newest) = self.history.newest(known, entry, now) {
+                self.directory.insert(newest.name.clone(), newest);
+            }
+        }
+        for entry in unlisted.into_values() {
+            self.history.record_unlisted(entry, now);
         }
+        self.history.discard_expired(&self.directory, now);
         self.revision = Some((delta.source, delta.revision));
         self.is_settled = delta.is_settled;
     }
--- a/components/client/tests/requests.rs
+++ b/components/client/tests/requests.rs
@@ -5,7 +5,7 @@
 
 use client::{ClientError, ControlClient, ControlTransport, FleetView, ReplyFuture};
 use rstest::rstest;
-use units::{ConfigVersion, Incarnation, NodeName};
+use units::{ClockTime, ConfigVersion, Incarnation, NodeName};
 use wire::{
     ControlReply, ControlRequest, DirectoryDelta, DirectoryEntry, NodeKind, NodeState, RenewReply,
 };
@@ -155,14 +155,16 @@
 #[test]
 fn deltas_of_another_source_are_ignored() {
     let mut view = FleetView::default();
-    view.update_directory(delta(1, 4, true, &["a", "b"]));
+    let now = ClockTime(1);
+    view.update_directory(delta(1, 4, true, &["a", "b"]), now);
 
-    view.update_directory(delta(2, 9, false, &["c"]));
-    view.update_directory(delta(1, 3, false, &["d"]));
-    view.update_directory(DirectoryDelta {
+    view.update_directory(delta(2, 9, false, &["c"]), now);
+    view.update_directory(delta(1, 3, false, &["d"]), now);
+    let newer = DirectoryDelta {
         removed: vec!["a".into()],
         ..delta(1, 6, false, &["e"])
-    });
+    };
+    view.update_directory(newer, now);
 
     let names: Vec<_> = view.directory.keys().map(NodeName::as_str).collect();
     assert_eq!(names, ["b", "e"]);
