Keep the pace of a cold target across a gap in its listing

What callers would see: a cold target is flooded while the control node that entries follow lists it on and off, for example after a restart of control.

Cause: the table drops the record of a target that is not listed, with the time of the next request that its rate allows. Each time the target is listed again, each entry sends a first request at once.

The table keeps that time for the process, beside its statements, until it has passed.

--- a/components/place/src/cold.rs
+++ b/components/place/src/cold.rs
@@ -112,6 +112,10 @@
         self.pacer = ColdPacer::starting(self.rate, position, now);
     }
 
+    pub(crate) fn resume_pace(&mut self, earlier: &Self) {
+        self.pacer = earlier.pacer;
+    }
+
     pub(crate) fn is_open(&self, now: ClockTime) -> bool {
         self.pacer.is_open(now)
     }
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -11,7 +11,7 @@
     SoftwareVersion,
 };
 
-use crate::cold::{ColdChange, ColdEnd};
+use crate::cold::{ColdChange, ColdEnd, ColdPeriod};
 use crate::even::{LoadBook, LoadMove};
 use crate::intake::{StatedIntake, StatementChange, TargetStatement};
 use crate::limit::{EntryPosition, LimitChange, StatedLimit};
@@ -98,6 +98,21 @@
     load_move: Option<LoadMove>,
 }
 
+/// What holds for a process when it is listed again.
+#[derive(Debug, Clone, Copy)]
+struct UnlistedProcess {
+    since: ClockTime,
+    stated: StatedIntake,
+    cold_period: Option<ColdPeriod>,
+}
+
+impl UnlistedProcess {
+    fn is_in_force(&self, now: ClockTime) -> bool {
+        let is_paced = self.cold_period.is_some_and(|period| !period.is_open(now));
+        self.stated.is_in_force(now) || is_paced
+    }
+}
+
 /// Targets listed by the directory, and the runs of one entry at them.
 #[derive(Debug)]
 pub struct PlacementTable {
@@ -108,9 +123,9 @@
     position: EntryPosition,
     /// Whether the position is that among all entries. Cold targets get nothing before.
     is_settled: bool,
-    /// Statements of processes that are not listed, and the time since which they are not. An
-    /// announcement from before a statement may list the process again.
-    unlisted: HashMap<(NodeName, Incarnation), (StatedIntake, ClockTime)>,
+    /// Processes that are not listed at present. They may be listed again, for example by another control
+    /// node.
+    unlisted: HashMap<(NodeName, Incarnation), UnlistedProcess>,
     /// Moving average of the work of requests to each service.
     mean_work: HashMap<ServiceName, u64>,
     /// Cold periods that have begun or ended and were not reported.
@@ -157,15 +172,20 @@
         self.keys.retain(|name, key| {
             let is_listed = listed.contains(name);
             if !is_listed && let Some(mut record) = self.targets.remove(*key) {
+                let unlisted = UnlistedProcess {
+                    since: now,
+                    stated: record.stated,
+                    cold_period: record.cold_period(),
+                };
                 let change = record.end_cold_period(ColdEnd::Unlisted, position, now);
                 self.cold_changes.extend(change);
                 let process = (record.info.name, record.info.incarnation);
-                self.unlisted.insert(process, (record.stated, now));
+                self.unlisted.insert(process, unlisted);
             }
             is_listed
         });
-        self.unlisted.retain(|_, (stated, since)| {
-            stated.is_in_force(now) && now.since(*since) < STATEMENT_RETENTION
+        self.unlisted.retain(|_, process| {
+            process.is_in_force(now) && now.since(process.since) < STATEMENT_RETENTION
         });
         for target in newest.into_values() {
             self.upsert_target(target, now);
@@ -209,8 +229,11 @@
                 let mut record = TargetRecord::new(target, now);
                 let change = record.update_cold_period(self.position, now);
                 self.cold_changes.extend(change);
-                if let Some((stated, _)) = self.unlisted.remove(&process) {
-                    record.stated = stated;
+                if let Some(unlisted) = self.unlisted.remove(&process) {
+                    record.stated = unlisted.stated;
+                    if let Some(period) = &unlisted.cold_period {
+                        record.resume_pace(period);
+                    }
                 }
                 let key = self.targets.insert(record);
                 let replaced = self.keys.insert(name, key);
@@ -394,11 +417,12 @@
             }
             _ => {
                 let process = (process.name.clone(), process.incarnation);
-                let (stated, _) = self
-                    .unlisted
-                    .entry(process)
-                    .or_insert((StatedIntake::default(), now));
-                stated.record(statement, now)
+                let unlisted = self.unlisted.entry(process).or_insert(UnlistedProcess {
+                    since: now,
+                    stated: StatedIntake::default(),
+                    cold_period: None,
+                });
+                unlisted.stated.record(statement, now)
             }
         }
     }
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -130,6 +130,17 @@
         }
     }
 
+    pub(crate) fn cold_period(&self) -> Option<ColdPeriod> {
+        self.cold_period
+    }
+
+    /// Spaces the next request to a cold target from the last one of an earlier period.
+    pub(crate) fn resume_pace(&mut self, earlier: &ColdPeriod) {
+        if let Some(period) = &mut self.cold_period {
+            period.resume_pace(earlier);
+        }
+    }
+
     /// Whether the target gets only this entry's part of a rate.
     pub(crate) fn has_cold_period(&self) -> bool {
         self.cold_period.is_some()
--- a/components/place/tests/cold.rs
+++ b/components/place/tests/cold.rs
@@ -108,3 +108,24 @@
         ColdStep::Ended { reason: ColdEnd::Warm, sent: 5..=6, duration } if duration.as_millis() == 3_500
     ));
 }
+
+/// Guards against a full rate anew after each gap in which the control node that an entry follows does
+/// not list a cold target.
+#[test]
+fn pace_survives_gaps_in_the_listing() {
+    let mut table = table(vec![], EntryPosition::SINGLE);
+    let mut sent = 0;
+    for now in 0..1_000 {
+        match now % 5 {
+            0 => list(&mut table, listed(1, 3_000), now),
+            4 => table.sync(Vec::new(), EntryPosition::SINGLE, ClockTime(now)),
+            _ => {}
+        }
+        if let PlacementOutcome::Run(run) = table.place(&request(None), ClockTime(now)) {
+            table.end_run(run);
+            sent += 1;
+        }
+    }
+
+    assert!(sent <= MAX_PACED, "{sent}");
+}
