Send nothing to a target with a stated limit while the number of entries is unknown

What callers would see: a target in need gets several times the rate that it states, in the first seconds after all entries and control nodes have restarted.

Cause: an entry divides a stated limit by the number of entries that it knows. Until a settled control node has listed them, that is itself or a few. Cold targets wait for that already.

A target states its limit in an answer, so each entry still sends it one request before.

The new test failed and passes now.

--- a/components/place/src/limit.rs
+++ b/components/place/src/limit.rs
@@ -37,6 +37,13 @@
     pub const SINGLE: Self = Self { rank: 0, count: 1 };
 }
 
+/// Time of the first request of an entry, spread over the interval.
+fn first_send(rate: MilliRate, position: EntryPosition, now: ClockTime) -> ClockTime {
+    let count = position.count.max(1);
+    let interval = send_interval(rate, count);
+    now + interval * (position.rank.min(count - 1) + 1) / count
+}
+
 /// This entry's part of a limit for all entries.
 ///
 /// Each entry sends a request in each interval in which all together may send one for each of them.
@@ -53,15 +60,18 @@
 impl StatedLimit {
     pub(crate) fn new(rate: MilliRate, position: EntryPosition, now: ClockTime) -> Self {
         let rate = rate.max(MIN_RATE);
-        let interval = send_interval(rate, position.count);
-        let count = position.count.max(1);
         Self {
             rate,
             stated_at: now,
-            opens_at: now + interval * (position.rank.min(count - 1) + 1) / count,
+            opens_at: first_send(rate, position, now),
         }
     }
 
+    /// Spreads the next request by a new position.
+    pub(crate) fn restart(&mut self, position: EntryPosition, now: ClockTime) {
+        self.opens_at = first_send(self.rate, position, now);
+    }
+
     /// Updates the limit after a response that states it.
     pub(crate) fn update(&mut self, rate: MilliRate, now: ClockTime) {
         let rate = rate.max(MIN_RATE);
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -121,7 +121,8 @@
     keys: HashMap<NodeName, TargetKey>,
     pub(crate) runs: SlotMap<RunKey, RunRecord>,
     position: EntryPosition,
-    /// Whether the position is that among all entries. Cold targets get nothing before.
+    /// Whether the position is that among all entries. Targets with a rate for all entries get nothing
+    /// before.
     is_settled: bool,
     /// Processes that are not listed at present. They may be listed again, for example by another control
     /// node.
@@ -198,7 +199,7 @@
     }
 
     /// Sets whether the position is that among all entries. While it may be that among too few, a part of
-    /// a rate is unknown, and cold targets get nothing.
+    /// a rate is unknown, and targets that are cold or state a limit get nothing.
     pub fn set_settled(&mut self, is_settled: bool, now: ClockTime) {
         if std::mem::replace(&mut self.is_settled, is_settled) == is_settled {
             return;
@@ -510,7 +511,7 @@
         let record = &self.targets[key];
         record.running < record.info.slots.0
             && record.takes_paced_request(now)
-            && (self.is_settled || !record.has_cold_period())
+            && (self.is_settled || !record.has_shared_rate())
     }
 
     fn start_run(&mut self, key: TargetKey, request: &PlacementRequest, now: ClockTime) -> RunKey {
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -142,8 +142,8 @@
     }
 
     /// Whether the target gets only this entry's part of a rate.
-    pub(crate) fn has_cold_period(&self) -> bool {
-        self.cold_period.is_some()
+    pub(crate) fn has_shared_rate(&self) -> bool {
+        self.cold_period.is_some() || self.stated.limit.is_some()
     }
 
     /// Whether this entry's part of a cold target's rate allows a request now.
@@ -152,8 +152,11 @@
         period.is_none_or(|period| period.is_open(now))
     }
 
-    /// Spreads the next requests to a cold target by a new position.
+    /// Spreads the next requests to a target with a shared rate by a new position.
     pub(crate) fn restart_pace(&mut self, position: EntryPosition, now: ClockTime) {
+        if let Some(limit) = &mut self.stated.limit {
+            limit.restart(position, now);
+        }
         if let Some(period) = &mut self.cold_period {
             period.restart_pace(position, now);
         }
--- a/components/place/tests/roster.rs
+++ b/components/place/tests/roster.rs
@@ -139,3 +139,49 @@
     assert_eq!(before, (1, 3));
     assert_eq!(count(&roster), (0, 1));
 }
+
+/// Guards against entries that each send the whole rate that a target states, because they and all control
+/// nodes have just started and list no others.
+#[test]
+fn entries_that_know_no_others_do_not_use_the_whole_of_a_stated_limit() {
+    const STATED: u64 = 5;
+    let names = names(0..ENTRIES);
+    let mut fleet: Vec<(EntryRoster, PlacementTable)> = (0..ENTRIES)
+        .map(|number| {
+            let own = names[number].clone();
+            let table = table(vec![common::target(1)], EntryPosition::SINGLE);
+            (EntryRoster::new(own, RETENTION), table)
+        })
+        .collect();
+    for (roster, table) in &mut fleet {
+        roster.sync(std::iter::empty(), false, ClockTime(0));
+        table.set_settled(roster.is_settled(), ClockTime(0));
+    }
+
+    let mut sent = Vec::new();
+    for now in (0..12_000).step_by(10) {
+        let at = ClockTime(now);
+        for (roster, table) in &mut fleet {
+            if now == 2_000 {
+                roster.sync(names.iter(), true, at);
+                table.sync(vec![common::target(1)], roster.position(), at);
+                table.set_settled(roster.is_settled(), at);
+            }
+            if let PlacementOutcome::Run(run) = table.place(&request(None), at) {
+                table.record_stated_limit(run, Some(MilliRate(STATED * 1_000)), at);
+                table.end_run(run);
+                sent.push(now);
+            }
+        }
+    }
+
+    // Each entry has passed on a response with the limit by then.
+    sent.retain(|time| *time >= 500);
+    let in_window = |start: &u64| {
+        let window = *start..*start + 4_000;
+        sent.iter().filter(|time| window.contains(time)).count() as u64
+    };
+    let most = sent.iter().map(in_window).max().unwrap_or(0);
+    assert!(most <= STATED * 4 * 3 / 2 + 5, "{most}");
+    assert!(sent.len() as u64 >= STATED * 10 * 8 / 10, "{}", sent.len());
+}
