Await the result of a trial also after another control node takes the quarantine over

What callers would see: requests that crash targets reach several of them in trials within seconds, once for each control node that becomes the home of the reports meanwhile.

Cause: a home that takes a quarantine over learns when the next trial is due, but not that one has begun.

--- a/components/quarantine/src/home.rs
+++ b/components/quarantine/src/home.rs
@@ -98,11 +98,13 @@
             self.widen_quarantines(now);
             changes.extend(self.find_causes(now));
         }
+        // The quarantine in the reply tells of the trials that begin.
+        let trials = self.grant_trials(&report.refused, now);
         let reply = QuarantineReply {
             source: self.source,
             suspected: self.suspected.keys().cloned().collect(),
             quarantine: self.quarantine_at(now),
-            trials: self.grant_trials(&report.refused, now),
+            trials,
         };
         (reply, changes)
     }
--- a/components/quarantine/src/record.rs
+++ b/components/quarantine/src/record.rs
@@ -67,19 +67,23 @@
         QuarantinedTrait {
             subject: subject.clone(),
             flows: self.flows.iter().copied().collect(),
-            trial_ms: self.trial_at.since(now).as_millis() as u64,
+            trial_ms: self.next_trial().since(now).as_millis() as u64,
             interval_ms: self.interval.as_millis() as u64,
             crashes: self.crashes,
         }
     }
 
+    /// Time from which a trial is due. While one is awaited, it is the time at which that is repeated, so
+    /// that another home does not begin a second one.
+    fn next_trial(&self) -> ClockTime {
+        let repeated_at = self.last_trial.map(|last_trial| last_trial + TRIAL_TIMEOUT);
+        repeated_at.map_or(self.trial_at, |repeated_at| repeated_at.max(self.trial_at))
+    }
+
     /// Records a refusal. Returns whether a trial is due, which then begins.
     pub(crate) fn try_trial(&mut self, now: ClockTime) -> bool {
         self.last_seen = now;
-        let is_pending = self
-            .last_trial
-            .is_some_and(|last_trial| now.since(last_trial) < TRIAL_TIMEOUT);
-        let is_due = now >= self.trial_at && !is_pending;
+        let is_due = now >= self.next_trial();
         if is_due {
             self.last_trial = Some(now);
         }
