--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -132,9 +132,20 @@
         }
     }
 
+    pub(crate) fn cold_period(&self) -> Option<ColdPeriod> {
+        self.cold_period
+    }
+
+    /// Spaces the next request to a cold target from the last one of an earlier period.
+    pub(crate) fn resume_pace(&mut self, earlier: &ColdPeriod) {
+        if let Some(period) = &mut self.cold_period {
+            period.resume_pace(earlier);
+        }
+    }
+
     /// Whether the target gets only this entry's part of a rate.
-    pub(crate) fn has_cold_period(&self) -> bool {
-        self.cold_period.is_some()
+    pub(crate) fn has_shared_rate(&self) -> bool {
+        self.cold_period.is_some() || self.stated.limit.is_some()
     }
 
     /// Whether this entry's part of a cold target's rate allows a request now.
@@ -143,8 +154,11 @@
         period.is_none_or(|period| period.is_open(now))
     }
 
-    /// Spreads the next requests to a cold target by a new position.
+    /// Spreads the next requests to a target with a shared rate by a new position.
     pub(crate) fn restart_pace(&mut self, position: EntryPosition, now: ClockTime) {
+        if let Some(limit) = &mut self.stated.limit {
+            limit.restart(position, now);
+        }
         if let Some(period) = &mut self.cold_period {
             period.restart_pace(position, now);
         }
