--- a/components/place/src/roster.rs
+++ b/components/place/src/roster.rs
@@ -7,8 +7,8 @@
 
 use crate::limit::EntryPosition;
 
-/// Time for which lists must come from settled control nodes before they are taken as complete. Entries that
-/// start at the same moment list each other after two renewals of 500 ms and a forward between control nodes.
+/// Time after the first list before which none is taken as complete. Entries that start at the same moment
+/// list each other after two renewals of 500 ms and a forward between control nodes.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// Entries among which rates are divided.
@@ -22,8 +22,8 @@
     retention: Duration,
     /// Other entries, with the time at which each was last listed.
     listed_at: BTreeMap<NodeName, ClockTime>,
-    /// Time of the first of the lists of settled control nodes.
-    settling_since: Option<ClockTime>,
+    /// Time of the first list.
+    first_listed_at: Option<ClockTime>,
     is_settled: bool,
 }
 
@@ -34,7 +34,7 @@
             own,
             retention,
             listed_at: BTreeMap::new(),
-            settling_since: None,
+            first_listed_at: None,
             is_settled: false,
         }
     }
@@ -55,15 +55,14 @@
                 }
             }
         }
+        let first_listed_at = *self.first_listed_at.get_or_insert(now);
         if !is_settled {
-            self.settling_since = None;
             return;
         }
         let retention = self.retention;
         self.listed_at
             .retain(|_, listed_at| now.since(*listed_at) < retention);
-        let settling_since = *self.settling_since.get_or_insert(now);
-        self.is_settled |= now.since(settling_since) >= SETTLE_TIME;
+        self.is_settled |= now.since(first_listed_at) >= SETTLE_TIME;
     }
 
     /// Position of this entry among all that may send requests.
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -11,7 +11,7 @@
     SoftwareVersion,
 };
 
-use crate::cold::{ColdChange, ColdEnd, ColdPeriod};
+use crate::cold::{ColdChange, ColdEnd, ColdPeriod, RestartDoubt};
 use crate::even::{LoadBook, LoadMove};
 use crate::intake::{StatedIntake, StatementChange, TargetStatement};
 use crate::limit::{EntryPosition, LimitChange, StatedLimit};
@@ -106,12 +106,13 @@
     since: ClockTime,
     stated: StatedIntake,
     cold_period: Option<ColdPeriod>,
+    restart_doubt: Option<RestartDoubt>,
 }
 
 impl UnlistedProcess {
     fn is_in_force(&self, now: ClockTime) -> bool {
         let is_paced = self.cold_period.is_some_and(|period| !period.is_open(now));
-        self.stated.is_in_force(now) || is_paced
+        self.stated.is_in_force(now) || is_paced || self.restart_doubt.is_some()
     }
 }
 
@@ -179,6 +180,7 @@
                     since: now,
                     stated: record.stated,
                     cold_period: record.cold_period(),
+                    restart_doubt: record.restart_doubt,
                 };
                 let change = record.end_cold_period(ColdEnd::Unlisted, position, now);
                 self.cold_changes.extend(change);
@@ -231,13 +233,15 @@
                 let name = target.name.clone();
                 let process = (name.clone(), target.incarnation);
                 let mut record = TargetRecord::new(target, now);
+                let unlisted = self.unlisted.remove(&process);
+                if let Some(unlisted) = &unlisted {
+                    record.stated = unlisted.stated;
+                    record.restart_doubt = unlisted.restart_doubt;
+                }
                 let change = record.update_cold_period(self.position, now);
                 self.cold_changes.extend(change);
-                if let Some(unlisted) = self.unlisted.remove(&process) {
-                    record.stated = unlisted.stated;
-                    if let Some(period) = &unlisted.cold_period {
-                        record.resume_pace(period);
-                    }
+                if let Some(period) = unlisted.and_then(|unlisted| unlisted.cold_period) {
+                    record.resume_pace(&period);
                 }
                 let key = self.targets.insert(record);
                 let replaced = self.keys.insert(name, key);
@@ -426,6 +430,7 @@
                     since: now,
                     stated: StatedIntake::default(),
                     cold_period: None,
+                    restart_doubt: None,
                 });
                 unlisted.stated.record(statement, now)
             }
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -69,7 +69,7 @@
     pub(crate) memory: MemoryLedger,
     /// Set while the latest announcement says that the target is cold, if it then takes a limited rate.
     cold_period: Option<ColdPeriod>,
-    restart_doubt: Option<RestartDoubt>,
+    pub(crate) restart_doubt: Option<RestartDoubt>,
     /// What the process has stated in its responses.
     pub(crate) stated: StatedIntake,
     /// Time until which the target is avoided after a failed connection.
