--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -78,18 +78,14 @@
     }
 
     /// Returns the retry budget of a service. The slack of the fleet-wide bound is divided evenly
-    /// among the entries; there is none while their number is unknown.
+    /// among the entries.
     pub(crate) fn budget(
         &mut self,
         service: &ServiceName,
         settings: &RelaySettings,
     ) -> &mut WindowBudget {
-        let slack = match self.roster.is_settled() {
-            true => settings.retries.slack / u64::from(self.entry_count()),
-            false => 0,
-        };
         let bound = WindowBound {
-            slack,
+            slack: settings.retries.slack / u64::from(self.entry_count()),
             ..settings.retries
         };
         let budget = self
