--- a/components/place/tests/cold_fleet.rs
+++ b/components/place/tests/cold_fleet.rs
@@ -72,7 +72,7 @@
         let started = (now / START_INTERVAL_MS + 1).min(ENTRIES) as usize;
         for (index, (roster, table)) in fleet.iter_mut().enumerate().take(started) {
             let age = now - index as u64 * START_INTERVAL_MS;
-            if age % RENEW_INTERVAL_MS == 0 {
+            if age.is_multiple_of(RENEW_INTERVAL_MS) {
                 roster.sync(names[..started].iter(), true, ClockTime(now));
                 table.sync(vec![cold_target()], roster.position(), ClockTime(now));
                 table.set_settled(roster.is_settled(), ClockTime(now));
