Reset links to earlier processes at once after a restart

Cause: the keys of quinn's stateless resets and of its connection ids were random at each start. A restarted process therefore ignored the packets of earlier connections, and each renewal on an old link waited for its timeout of 1 s. An entry with old links to all three control nodes waited up to three times in a row.

Evidence: in the entries' logs, renewals fail with 'no reply within 1s' 2.3 s after the kill, and the plan is installed after up to 3.3 s.

The keys are now derived from the private key and the name of the node, so a restarted process resets earlier connections. The interval between resets is 1 ms, since quinn's 20 ms would delay large fleets; this was not measured.

--- a/components/link/src/endpoint.rs
+++ b/components/link/src/endpoint.rs
@@ -1,10 +1,14 @@
 //! QUIC endpoint that opens and accepts connections, and the streams of a connection.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
-use quinn::{Connection, Endpoint, IdleTimeout, TransportConfig, VarInt};
+use quinn::{
+    Connection, Endpoint, EndpointConfig, IdleTimeout, TokioRuntime, TransportConfig, VarInt,
+};
+use quinn_proto::HashedConnectionIdGenerator;
+use ring::hmac;
 use rustls::pki_types::CertificateDer;
 use units::{ByteSize, Incarnation, NodeName};
 use wire::{Hello, NodeRole, PROTOCOL_VERSION, StreamKind};
@@ -19,6 +23,10 @@
 /// Maximum duration of a handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Minimum interval between two stateless resets. With quinn's default of 20 ms, a restarted process with
+/// 200 peers would take 4 s to reset the earlier connections of all of them.
+const MIN_RESET_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Round trip that is assumed before the first reply. The first packet of a connection is repeated
 /// after three times this. With the default of 333 ms, nodes that started together lost a second
 /// whenever one sent its first packet before the other listened. Links between regions take 16 ms.
@@ -52,8 +60,11 @@
         server.transport_config(transport.clone());
         let mut client = quinn::ClientConfig::new(Arc::new(identity.client_config()?));
         client.transport_config(transport);
-        let mut endpoint = Endpoint::server(server, address)
-            .map_err(|source| LinkError::Bind { address, source })?;
+        let bind_error = |source| LinkError::Bind { address, source };
+        let socket = UdpSocket::bind(address).map_err(bind_error)?;
+        let config = endpoint_config(identity);
+        let mut endpoint = Endpoint::new(config, Some(server), socket, Arc::new(TokioRuntime))
+            .map_err(bind_error)?;
         endpoint.set_default_client_config(client);
         let hello = Hello {
             version: PROTOCOL_VERSION,
@@ -276,6 +287,19 @@
     }
 }
 
+/// Endpoint settings with which a restarted process answers packets of its earlier connections with a
+/// stateless reset, so that peers do not wait for a timeout on them.
+fn endpoint_config(identity: &LinkIdentity) -> EndpointConfig {
+    let reset_key = identity.reset_key();
+    let tag = hmac::sign(&reset_key, b"connection ids");
+    let bytes = tag.as_ref().first_chunk().expect("the tag has 32 bytes");
+    let id_key = u64::from_le_bytes(*bytes);
+    let mut config = EndpointConfig::new(Arc::new(reset_key));
+    config.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(id_key)));
+    config.min_reset_interval(MIN_RESET_INTERVAL);
+    config
+}
+
 fn transport_config(role: NodeRole) -> TransportConfig {
     let max_streams = match role {
         NodeRole::Agent => MAX_RUN_STREAMS,
--- a/components/link/src/identity.rs
+++ b/components/link/src/identity.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use ring::hmac;
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use rustls::server::{ParsedCertificate, WebPkiClientVerifier};
@@ -123,6 +124,15 @@
         QuicServerConfig::try_from(config).map_err(certificate_error)
     }
 
+    /// Key from which the process computes the tokens of stateless resets and the ids of connections. It
+    /// is the same after a restart and differs between the nodes of a role, which share a private key.
+    pub(crate) fn reset_key(&self) -> hmac::Key {
+        let key = hmac::Key::new(hmac::HMAC_SHA256, self.key.secret_der());
+        let context = format!("stateless reset of {}", self.name);
+        let tag = hmac::sign(&key, context.as_bytes());
+        hmac::Key::new(hmac::HMAC_SHA256, tag.as_ref())
+    }
+
     pub(crate) fn client_config(&self) -> Result<QuicClientConfig, LinkError> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let mut config = ClientConfig::builder_with_provider(provider)
