Tell the directories of control nodes apart that start in the same millisecond

Callers would see: entries divide rates by too few others, for good.

Cause: the start time alone was the source of a directory, so an entry that went over to the other node applied its changes to the directory of the first. The source is now a hash of the name and the start time.

control_nodes_that_start_together_have_different_sources guards it.

--- a/components/client/src/view.rs
+++ b/components/client/src/view.rs
@@ -10,7 +10,7 @@
 use crate::history::ProcessHistory;
 use crate::lease::LEASE_TIME;
 
-/// Revision of a directory: the incarnation of the control node that numbers it, and the number.
+/// Revision of a directory: the source that numbers it, and the number.
 pub type DirectoryRevision = (Incarnation, u64);
 
 /// Configuration, lease and directory that a node has received from control.
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -9,7 +9,7 @@
 use balance::LoadHome;
 use board::StateBoard;
 use cadence::StatsdClient;
-use directory::NodeDirectory;
+use directory::{NodeDirectory, directory_source};
 use eyre::{Result, WrapErr, eyre};
 use fair::{DemandHome, UsageHome};
 use link::{KeyFiles, LinkEndpoint, LinkError, LinkIdentity};
@@ -130,8 +130,11 @@
     let context = ControlContext {
         view: raft.view(),
         nodes: StateBoard::new(
-            NodeDirectory::new(Incarnation::starting_now())
-                .with_target_silence_timeout(settings.target_silence_timeout),
+            NodeDirectory::new(directory_source(
+                &settings.name,
+                Incarnation::starting_now(),
+            ))
+            .with_target_silence_timeout(settings.target_silence_timeout),
         ),
         usage: StateBoard::new(UsageHome::new()),
         demand: StateBoard::new(DemandHome::new()),
--- a/components/directory/src/directory.rs
+++ b/components/directory/src/directory.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use units::{ClockTime, ConfigVersion, DataCentreName, Incarnation, NodeName};
-use wire::{DirectoryDelta, DirectoryEntry, NodeKind, NodeState};
+use wire::{DirectoryDelta, DirectoryEntry, NodeKind, NodeState, stable_hash};
 
 use crate::departures::{DepartureRecord, DepartureTable};
 use crate::record::{AnnouncementSource, NodeRecord, is_significant_change};
@@ -69,8 +69,16 @@
     target_silence_timeout: Duration,
 }
 
+/// Source of the directory of a process of a control node. Control nodes may start in the same millisecond,
+/// so the incarnation alone does not tell their directories apart.
+pub fn directory_source(name: &NodeName, incarnation: Incarnation) -> Incarnation {
+    let hash = stable_hash(&[name.as_str().as_bytes(), &incarnation.0.to_le_bytes()]);
+    // Nodes that have no directory yet ask for changes since source 0.
+    Incarnation(hash.max(1))
+}
+
 impl NodeDirectory {
-    /// Creates an empty directory; `source` is the incarnation of the owning control node.
+    /// Creates an empty directory; `source` comes from [`directory_source`].
     pub fn new(source: Incarnation) -> Self {
         Self {
             source,
--- a/components/directory/src/lib.rs
+++ b/components/directory/src/lib.rs
@@ -9,4 +9,4 @@
 mod record;
 
 pub use departures::{DepartureNumber, DepartureRecord, DepartureTable};
-pub use directory::{NodeDirectory, REMOVAL_RETENTION, SILENCE_TIMEOUT};
+pub use directory::{NodeDirectory, REMOVAL_RETENTION, SILENCE_TIMEOUT, directory_source};
--- a/components/directory/tests/directory.rs
+++ b/components/directory/tests/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use directory::{NodeDirectory, SILENCE_TIMEOUT};
+use directory::{NodeDirectory, SILENCE_TIMEOUT, directory_source};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use units::{ClockTime, ConfigVersion, DataCentreName, Incarnation, NodeName, ServiceName};
@@ -273,3 +273,22 @@
         }
     }
 }
+
+/// Guards against an entry that applies the changes of one control node to the directory of another, which
+/// started in the same millisecond, and never hears of some nodes.
+#[test]
+fn control_nodes_that_start_together_have_different_sources() {
+    let started = Incarnation(1_796_555_120_218);
+    let sources = ["control-1", "control-2"].map(|name| directory_source(&name.into(), started));
+    let mut other = NodeDirectory::new(sources[1]);
+    other.announce(node(1, 1), time(0));
+
+    let delta = other.delta_since(sources[0], 0);
+
+    assert_ne!(sources[0], sources[1]);
+    assert_ne!(
+        sources[0],
+        directory_source(&"control-1".into(), Incarnation(started.0 + 1))
+    );
+    assert!(delta.is_complete);
+}
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -165,7 +165,7 @@
 }
 
 impl DirectoryOrigin {
-    /// Incarnation of the control node.
+    /// Source of the directory; 0 before the first one.
     fn source(&self) -> Incarnation {
         self.revision.map_or(Incarnation(0), |(source, _)| source)
     }
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -61,15 +61,15 @@
          request per second, as one of so many entries. The field cause is announced (by the \
          announcement with this sequence number), returned (its data centre was out, and it has not \
          announced itself since) or unreachable (it did not accept a connection, so another process may \
-         have started under its name). source and revision name the control node, by its start time, and the \
-         directory that told so, and age_ms when a quorum confirmed that node last.";
+         have started under its name). source and revision name the directory of a control node that told \
+         so, and age_ms when a quorum confirmed that node last.";
     COLD_ENDED = 1524, Info, "cold-ended",
         "A target gets full load from this entry again, or is not listed any more. The field reason is \
          warm (by the announcement with this sequence number), unlisted or replaced (a later process has \
          its name). The field sent is the number of requests that this entry sent in the period.";
     ENTRY_COUNT_CHANGED = 1525, Info, "entry-count-changed",
-        "The number of entries that this one divides rates by has changed, by the directory of the \
-         control node with this start time.";
+        "The number of entries that this one divides rates by has changed, by the directory of a \
+         control node with this source.";
     DATA_CENTRE_CHANGED = 1526, Info, "data-centre-changed",
         "The entry has learned that a data centre was taken out, so that its targets get no new \
          requests, or brought back.";
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -91,7 +91,7 @@
     /// Each control node numbers the revisions of its own directory. A receiver whose revision
     /// comes from another control node than `source` needs a complete directory.
     pub struct DirectoryDelta {
-        /// Incarnation of the control node that numbers the revisions.
+        /// Identifies the process of the control node that numbers the revisions.
         pub source: Incarnation,
         /// Revision after the change.
         pub revision: u64,
