Keep the pace of a name when a later process is announced

Callers would see: up to one further request of each entry at a target that restarts under its name: 26 to 28 in one second with seven entries, where 21 keep the rate. With 33 entries that may exceed the bound.

Cause: the announcement of the later process began a new pace, though entries had sent to that process by the pace of the earlier one.

announced_process_keeps_the_pace_of_the_name guards it.

--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -240,7 +240,11 @@
                 }
                 let change = record.update_cold_period(self.position, now);
                 self.cold_changes.extend(change);
-                if let Some(period) = unlisted.and_then(|unlisted| unlisted.cold_period) {
+                // Requests to an earlier process count: this one may have answered them.
+                let replaced = key.and_then(|key| self.targets.get(key));
+                let period = replaced.and_then(TargetRecord::cold_period);
+                let period = period.or(unlisted.and_then(|unlisted| unlisted.cold_period));
+                if let Some(period) = period {
                     record.resume_pace(&period);
                 }
                 let key = self.targets.insert(record);
--- a/components/place/tests/cold.rs
+++ b/components/place/tests/cold.rs
@@ -6,7 +6,7 @@
 use place::{
     ColdCause, ColdEnd, ColdStep, EntryPosition, ListedTarget, PlacementOutcome, PlacementTable,
 };
-use units::{ClockTime, MilliRate};
+use units::{ClockTime, Incarnation, MilliRate};
 
 /// Rate that a cold target takes from all entries together, and the interval between two requests.
 const RATE: MilliRate = MilliRate(20_000);
@@ -108,6 +108,27 @@
     assert_eq!(known, 1_000);
 }
 
+/// Guards against a further first request of each entry when a process is announced that has answered before
+/// under the name of an earlier one.
+#[test]
+fn announced_process_keeps_the_pace_of_the_name() {
+    let mut table = table(vec![listed(9, 3_000)], EntryPosition::SINGLE);
+    let before = matches!(
+        table.place(&request(None), ClockTime(0)),
+        PlacementOutcome::Run(_)
+    );
+    let later = ListedTarget {
+        incarnation: Incarnation(2),
+        ..listed(1, 3_000)
+    };
+
+    list(&mut table, later, INTERVAL_MS / 2);
+    let early = table.place(&request(None), ClockTime(INTERVAL_MS - 1));
+
+    assert!(before);
+    assert_eq!(early, PlacementOutcome::NoCapacity);
+}
+
 /// Guards against logs that do not tell when an entry limited its requests, by which announcement and
 /// as one of how many entries.
 #[test]
