--- a/components/place/src/cold.rs
+++ b/components/place/src/cold.rs
@@ -71,7 +71,7 @@
 /// Why an entry no longer limits its requests to a cold target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ColdEnd {
-    /// The target has announced that it is warm.
+    /// Nothing indicates any longer that the target is cold.
     Warm,
     /// The directory no longer lists the target.
     Unlisted,
@@ -90,9 +90,9 @@
     }
 }
 
-/// State of a target that did not accept a connection.
+/// State of a target that did not accept a connection, so that its process may have been replaced.
 #[derive(Debug, Clone, Copy)]
-pub(crate) enum RestartDoubt {
+pub(crate) enum PossibleRestart {
     /// It has answered no request that was sent since.
     Unanswered {
         /// Time of the last failed connection.
@@ -100,15 +100,15 @@
     },
     /// It answers again. If another process has started, it is listed by then.
     Answered {
-        /// End of the doubt.
+        /// Time from which it counts as the process that is listed.
         ends_at: ClockTime,
     },
 }
 
 /// Time in which an entry sends a target only its part of a rate.
 ///
-/// It ends when the target announces that it is warm, not when the announced time has passed: until that
-/// announcement arrives, another cold period may have begun.
+/// An announced one ends when the target announces that it is warm, not when the announced time has passed:
+/// until that announcement arrives, another cold period may have begun.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ColdPeriod {
     started_at: ClockTime,
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -11,7 +11,7 @@
     SoftwareVersion,
 };
 
-use crate::cold::{ColdChange, ColdEnd, ColdPeriod, RestartDoubt};
+use crate::cold::{ColdChange, ColdEnd, ColdPeriod, PossibleRestart};
 use crate::even::{LoadBook, LoadMove};
 use crate::intake::{StatedIntake, StatementChange, TargetStatement};
 use crate::limit::{EntryPosition, LimitChange, StatedLimit};
@@ -106,13 +106,13 @@
     since: ClockTime,
     stated: StatedIntake,
     cold_period: Option<ColdPeriod>,
-    restart_doubt: Option<RestartDoubt>,
+    possible_restart: Option<PossibleRestart>,
 }
 
 impl UnlistedProcess {
     fn is_in_force(&self, now: ClockTime) -> bool {
         let is_paced = self.cold_period.is_some_and(|period| !period.is_open(now));
-        self.stated.is_in_force(now) || is_paced || self.restart_doubt.is_some()
+        self.stated.is_in_force(now) || is_paced || self.possible_restart.is_some()
     }
 }
 
@@ -180,7 +180,7 @@
                     since: now,
                     stated: record.stated,
                     cold_period: record.cold_period(),
-                    restart_doubt: record.restart_doubt,
+                    possible_restart: record.possible_restart,
                 };
                 let change = record.end_cold_period(ColdEnd::Unlisted, position, now);
                 self.cold_changes.extend(change);
@@ -224,7 +224,7 @@
         match existing {
             Some(record) if record.info.incarnation == target.incarnation => {
                 record.info = target;
-                record.expire_restart_doubt(now);
+                record.expire_possible_restart(now);
                 let change = record.update_cold_period(self.position, now);
                 self.cold_changes.extend(change);
             }
@@ -236,7 +236,7 @@
                 let unlisted = self.unlisted.remove(&process);
                 if let Some(unlisted) = &unlisted {
                     record.stated = unlisted.stated;
-                    record.restart_doubt = unlisted.restart_doubt;
+                    record.possible_restart = unlisted.possible_restart;
                 }
                 let change = record.update_cold_period(self.position, now);
                 self.cold_changes.extend(change);
@@ -434,7 +434,7 @@
                     since: now,
                     stated: StatedIntake::default(),
                     cold_period: None,
-                    restart_doubt: None,
+                    possible_restart: None,
                 });
                 unlisted.stated.record(statement, now)
             }
--- a/components/place/src/target.rs
+++ b/components/place/src/target.rs
@@ -10,7 +10,7 @@
     SlotCount, SoftwareVersion,
 };
 
-use crate::cold::{ColdCause, ColdChange, ColdEnd, ColdPeriod, ColdStep, RestartDoubt};
+use crate::cold::{ColdCause, ColdChange, ColdEnd, ColdPeriod, ColdStep, PossibleRestart};
 use crate::intake::StatedIntake;
 use crate::limit::EntryPosition;
 
@@ -67,9 +67,9 @@
     pub(crate) hash: u64,
     /// Memory that the running requests need, as far as it is stated.
     pub(crate) memory: MemoryLedger,
-    /// Set while the latest announcement says that the target is cold, if it then takes a limited rate.
+    /// Set while the target is taken as cold, if its service limits the rate of cold targets.
     cold_period: Option<ColdPeriod>,
-    pub(crate) restart_doubt: Option<RestartDoubt>,
+    pub(crate) possible_restart: Option<PossibleRestart>,
     /// What the process has stated in its responses.
     pub(crate) stated: StatedIntake,
     /// Time until which the target is avoided after a failed connection.
@@ -86,13 +86,13 @@
             pending_work: 0,
             pending: BTreeSet::new(),
             cold_period: None,
-            restart_doubt: None,
+            possible_restart: None,
             stated: StatedIntake::default(),
             avoid_until: now,
         }
     }
 
-    /// Begins or ends the cold period as the latest listing says. Returns what has changed.
+    /// Begins or ends the cold period as the latest state says. Returns what has changed.
     pub(crate) fn update_cold_period(
         &mut self,
         position: EntryPosition,
@@ -175,31 +175,31 @@
     fn cold_cause(&self) -> Option<ColdCause> {
         let announced = (self.info.cold_ms > 0).then_some(ColdCause::Announced);
         let returned = self.info.is_unconfirmed.then_some(ColdCause::Returned);
-        let unreachable = self.restart_doubt.map(|_| ColdCause::Unreachable);
+        let unreachable = self.possible_restart.map(|_| ColdCause::Unreachable);
         announced.or(returned).or(unreachable)
     }
 
     /// Records that the process may have ended.
     pub(crate) fn record_possible_end(&mut self, now: ClockTime) {
-        self.restart_doubt = Some(RestartDoubt::Unanswered { failed_at: now });
+        self.possible_restart = Some(PossibleRestart::Unanswered { failed_at: now });
     }
 
     /// Records the first byte of an answer to a request.
     pub(crate) fn record_answer(&mut self, sent_at: ClockTime, notice: Duration, now: ClockTime) {
-        if let Some(RestartDoubt::Unanswered { failed_at }) = self.restart_doubt
+        if let Some(PossibleRestart::Unanswered { failed_at }) = self.possible_restart
             && sent_at >= failed_at
         {
             let ends_at = now + notice;
-            self.restart_doubt = Some(RestartDoubt::Answered { ends_at });
+            self.possible_restart = Some(PossibleRestart::Answered { ends_at });
         }
     }
 
-    /// Ends the doubt about a process that has answered for long enough.
-    pub(crate) fn expire_restart_doubt(&mut self, now: ClockTime) {
-        if let Some(RestartDoubt::Answered { ends_at }) = self.restart_doubt
+    /// Takes a process that has answered for long enough for the one that is listed.
+    pub(crate) fn expire_possible_restart(&mut self, now: ClockTime) {
+        if let Some(PossibleRestart::Answered { ends_at }) = self.possible_restart
             && now >= ends_at
         {
-            self.restart_doubt = None;
+            self.possible_restart = None;
         }
     }
 
--- a/components/place/tests/cold_fleet.rs
+++ b/components/place/tests/cold_fleet.rs
@@ -88,7 +88,7 @@
 /// Guards against full load at a process that has started under the name of an earlier one, when a control
 /// node that has just started does not list the target for a moment.
 #[test]
-fn gap_of_the_directory_does_not_end_the_doubt_about_a_restart() {
+fn gap_of_the_directory_does_not_hide_a_possible_restart() {
     let mut table = table(vec![warm_target()], EntryPosition::SINGLE);
     let PlacementOutcome::Run(refused) = table.place(&request(None), ClockTime(0)) else {
         panic!("the target takes no request");
