Log why a control node falls behind, and what its log holds

The logs of the incident could not tell a learner that is never promoted from a leader that is not heard and from a disk that the log itself has filled. New: the end of a stream between control nodes with its reason and traffic (3051 to 3053), members that are behind with the missing bytes and the mode of replication (3054, 3055), a leader that steps down with the silence of each member (3056), the silence of the leader at each change of role, and the bytes of the log with a refused write.

--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -5,6 +5,7 @@
 
 mod disk;
 mod group;
+mod report;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -25,6 +26,7 @@
 
 use self::disk::WriteFault;
 pub(crate) use self::disk::{WRITE_RETRY_DELAY, is_refused_write};
+use self::report::MemberLags;
 use crate::driver_event::{DriverEvent, ProposeFailure};
 use crate::formation::{PeerAnnouncement, SeenPeer};
 use crate::members::{ListeningTime, PromotionThresholds};
@@ -75,6 +77,7 @@
     /// Whether a change of the members may be due at the next tick.
     are_members_due: bool,
     listening_time: ListeningTime,
+    member_lags: MemberLags,
 }
 
 /// Initial members of the group if the log still starts with its first entry.
@@ -141,6 +144,7 @@
             is_transferring: false,
             are_members_due: false,
             listening_time: ListeningTime::starting_at(now),
+            member_lags: MemberLags::default(),
         })
     }
 
@@ -201,7 +205,9 @@
 
     fn handle_tick(&mut self, now: ClockTime) -> Result<()> {
         self.listening_time.tick(now);
+        let members = self.node.member_progress();
         let actions = self.node.tick(now);
+        self.log_lost_leadership(&members);
         self.run_actions(actions)?;
         if self.view.read(|view| view.announcement.is_empty) {
             self.try_form_group(now)?;
@@ -210,6 +216,8 @@
             self.last_barrier_at = now;
             self.start_barrier(None, now)?;
             self.are_members_due = true;
+            self.log_lagging_members(now);
+            self.publish_log_size();
         }
         if std::mem::take(&mut self.are_members_due) {
             self.change_members(now)?;
@@ -459,7 +467,12 @@
         }
         if self.view.read(|view| view.status.role != status.role) {
             let (role, term) = (status.role, status.term);
-            event!(events::ROLE_CHANGED, role = ?role, term = term);
+            event!(
+                events::ROLE_CHANGED,
+                role = ?role,
+                term = term,
+                leader_silence_ms = ?self.node.leader_silence().map(|silence| silence.as_millis())
+            );
         }
         self.view.write(|view| {
             view.status = status;
--- a/components/control/src/driver/disk.rs
+++ b/components/control/src/driver/disk.rs
@@ -98,6 +98,7 @@
                 events::DISK_REFUSED,
                 error = error,
                 refused_ms = refused_ms,
+                log_bytes = self.store.log_bytes(),
                 role = ?self.node.status().role
             );
         }
--- a/components/control/src/driver/group.rs
+++ b/components/control/src/driver/group.rs
@@ -185,7 +185,7 @@
     }
 
     /// Recorded name of a member, or the id of its data folder.
-    fn member_text(&self, id: DiskId) -> String {
+    pub(super) fn member_text(&self, id: DiskId) -> String {
         let name = self
             .view
             .read(|view| view.registry.controls().get(&id).cloned());
--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -6,12 +6,14 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use link::{FrameReader, FrameWriter, LinkEndpoint, LinkError};
 use raft::RaftMessage;
+use telemetry::{event, events};
 use tokio::sync::mpsc;
-use units::{DiskId, NodeName};
+use units::{ClockTime, DiskId, NodeName, error_chain};
 use wire::{DirectoryEntry, NodeRole, StreamKind};
 
 use crate::driver_event::DriverEvent;
@@ -77,12 +79,13 @@
 pub(crate) async fn maintain_stream(
     context: ControlContext,
     endpoint: LinkEndpoint,
+    name: NodeName,
     address: SocketAddr,
     mut queue: mpsc::Receiver<PeerFrame>,
 ) {
     loop {
         // All errors are treated as transient: the stream is reopened after the delay.
-        let _ = run_stream(&context, &endpoint, address, &mut queue).await;
+        let _ = run_stream(&context, &endpoint, (&name, address), &mut queue).await;
         tokio::time::sleep(RECONNECT_DELAY).await;
     }
 }
@@ -90,16 +93,38 @@
 async fn run_stream(
     context: &ControlContext,
     endpoint: &LinkEndpoint,
-    address: SocketAddr,
+    (name, address): (&NodeName, SocketAddr),
     queue: &mut mpsc::Receiver<PeerFrame>,
 ) -> Result<(), LinkError> {
+    let connecting_at = context.clock.now();
     let link = endpoint.connect(address, NodeRole::Control).await?;
     let (writer, reader) = link.open(StreamKind::Raft).await?;
+    let opened_at = context.clock.now();
+    event!(
+        events::PEER_STREAM_OPENED,
+        name = name,
+        connect_ms = opened_at.since(connecting_at).as_millis()
+    );
+    let acknowledged_at = AtomicU64::new(opened_at.0);
     let result = tokio::select! {
         result = send_frames(context, writer, queue) => result,
-        result = read_replies(context, reader) => result,
+        result = read_replies(context, reader, &acknowledged_at) => result,
     };
     link.close("stream ended");
+    let now = context.clock.now();
+    let acknowledged_at = ClockTime(acknowledged_at.into_inner());
+    let traffic = link.traffic();
+    event!(
+        events::PEER_STREAM_CLOSED,
+        name = name,
+        reason = ?result.as_ref().err().map(|error| error_chain(error)),
+        open_ms = now.since(opened_at).as_millis(),
+        sent_bytes = traffic.sent,
+        lost_packets = traffic.lost_packets,
+        round_trip_ms = traffic.round_trip.as_millis(),
+        queued = queue.len(),
+        unacknowledged_ms = now.since(acknowledged_at).as_millis()
+    );
     result
 }
 
@@ -139,10 +164,17 @@
 }
 
 /// Reads acknowledgements until the stream ends or none arrives in time.
-async fn read_replies(context: &ControlContext, mut reader: FrameReader) -> Result<(), LinkError> {
+async fn read_replies(
+    context: &ControlContext,
+    mut reader: FrameReader,
+    acknowledged_at: &AtomicU64,
+) -> Result<(), LinkError> {
     loop {
         let reply =
             tokio::time::timeout(ACKNOWLEDGEMENT_TIMEOUT, reader.receive::<PeerFrame>()).await;
+        if reply.is_ok() {
+            acknowledged_at.store(context.clock.now().0, Ordering::Relaxed);
+        }
         match reply {
             Ok(Ok(Some(PeerFrame::Removed(id)))) => {
                 // The send fails if the driver has already ended.
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -6,7 +6,9 @@
 
 use client::ControlClient;
 use link::LinkEndpoint;
+use telemetry::{event, events};
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::AbortHandle;
 use units::NodeName;
 use wire::DirectoryEntry;
@@ -22,12 +24,24 @@
 struct PeerRecord {
     address: SocketAddr,
     queue: mpsc::Sender<PeerFrame>,
+    /// Whether the last frame did not fit into the queue.
+    is_dropping: bool,
     /// Client that forwards requests to the peer.
     client: ControlClient,
     /// Task that maintains the stream to the peer.
     stream_task: AbortHandle,
 }
 
+impl PeerRecord {
+    fn send(&mut self, name: &NodeName, frame: PeerFrame) {
+        let is_full = matches!(self.queue.try_send(frame), Err(TrySendError::Full(_)));
+        if is_full && !self.is_dropping {
+            event!(events::PEER_FRAMES_DROPPED, name = name);
+        }
+        self.is_dropping = is_full;
+    }
+}
+
 /// Table of the known control nodes other than this one.
 #[derive(Clone, Default)]
 pub(crate) struct PeerTable {
@@ -55,10 +69,17 @@
             return;
         }
         let (queue, frames) = mpsc::channel(MAX_QUEUED_FRAMES);
-        let maintenance = maintain_stream(context.clone(), endpoint.clone(), address, frames);
+        let maintenance = maintain_stream(
+            context.clone(),
+            endpoint.clone(),
+            name.clone(),
+            address,
+            frames,
+        );
         let record = PeerRecord {
             address,
             queue,
+            is_dropping: false,
             client: ControlClient::new(endpoint.clone(), vec![address]),
             stream_task: tokio::spawn(maintenance).abort_handle(),
         };
@@ -76,15 +97,15 @@
 
     /// Queues a frame for a peer. The frame is dropped if the peer is unknown or its queue is full.
     pub(crate) fn send(&self, name: &NodeName, frame: PeerFrame) {
-        if let Some(peer) = self.lock().get(name) {
-            let _ = peer.queue.try_send(frame);
+        if let Some(peer) = self.lock().get_mut(name) {
+            peer.send(name, frame);
         }
     }
 
     /// Queues a frame for every peer. The frame is dropped for peers whose queue is full.
     pub(crate) fn broadcast(&self, frame: &PeerFrame) {
-        for peer in self.lock().values() {
-            let _ = peer.queue.try_send(frame.clone());
+        for (name, peer) in self.lock().iter_mut() {
+            peer.send(name, frame.clone());
         }
     }
 
--- a/components/control/src/quorum.rs
+++ b/components/control/src/quorum.rs
@@ -193,7 +193,7 @@
     loop {
         interval.tick().await;
         let report = report(&context);
-        let confirmed_at = context.view.read(|view| view.confirmed_at);
+        let (confirmed_at, log_size) = context.view.read(|view| (view.confirmed_at, view.log_size));
         let age = context
             .clock
             .now()
@@ -203,6 +203,9 @@
         let _ = metrics.gauge("voters", voters);
         let _ = metrics.gauge("voters.present", voters - report.absent().count() as u64);
         let _ = metrics.gauge("confirmation.age.ms", age.as_millis() as u64);
+        let _ = metrics.gauge("log.memory.bytes", log_size.entry_bytes);
+        let _ = metrics.gauge("log.snapshot.bytes", log_size.snapshot_bytes);
+        let _ = metrics.gauge("log.disk.bytes", log_size.disk_bytes);
         rollouts::record_gauges(&context, &metrics);
     }
 }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -26,6 +26,17 @@
 /// show for how long a node's configuration has been out of date.
 const MAX_VERSION_TIMES: usize = 1_024;
 
+/// Size of a node's log, in bytes, for its metrics.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LogSize {
+    /// Entries in memory.
+    pub(crate) entry_bytes: u64,
+    /// Newest snapshot.
+    pub(crate) snapshot_bytes: u64,
+    /// Log segments on disk.
+    pub(crate) disk_bytes: u64,
+}
+
 /// State that the driver publishes.
 #[derive(Debug)]
 pub(crate) struct DriverView {
@@ -41,6 +52,8 @@
     pub(crate) has_left: bool,
     /// Newest announcement of each other control node.
     pub(crate) peers: SeenPeers,
+    /// Size of the replicated log.
+    pub(crate) log_size: LogSize,
     /// Newest configuration versions, oldest first, with the time at which this node applied them.
     pub(crate) version_times: VecDeque<(ConfigVersion, ClockTime)>,
 }
@@ -55,6 +68,7 @@
             announcement,
             has_left: false,
             peers: SeenPeers::new(),
+            log_size: LogSize::default(),
             version_times: VecDeque::new(),
         }
     }
--- a/components/link/src/endpoint.rs
+++ b/components/link/src/endpoint.rs
@@ -159,6 +159,10 @@
     pub received: ByteSize,
     /// Number of received datagrams.
     pub received_datagrams: u64,
+    /// Number of packets that were sent and lost.
+    pub lost_packets: u64,
+    /// Estimated round trip.
+    pub round_trip: Duration,
 }
 
 /// Stream opened by a peer.
@@ -247,6 +251,8 @@
             sent_datagrams: stats.udp_tx.datagrams,
             received: ByteSize(stats.udp_rx.bytes),
             received_datagrams: stats.udp_rx.datagrams,
+            lost_packets: stats.path.lost_packets,
+            round_trip: stats.path.rtt,
         }
     }
 
--- a/components/raft/src/lib.rs
+++ b/components/raft/src/lib.rs
@@ -36,6 +36,7 @@
 mod node;
 mod persist;
 mod progress;
+mod report;
 mod settings;
 mod state;
 
@@ -43,6 +44,7 @@
 pub use membership::{MemberChange, Membership};
 pub use message::{AppendOutcome, RaftAction, RaftMessage, SnapshotChunk};
 pub use node::{NodeRole, NodeStatus, RaftNode};
+pub use report::{LogUsage, MemberProgress, ReplicationMode};
 pub use settings::{MAX_COMMAND_BYTES, RaftSettings};
 pub use state::{
     EntryId, EntryPayload, HardState, LogEntry, LogIndex, PersistBatch, PersistedState, Snapshot,
--- a/components/raft/src/log.rs
+++ b/components/raft/src/log.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::{
-    EntryId, EntryPayload, LogEntry, LogIndex, Membership, PersistedState, Snapshot, Term,
+    EntryId, EntryPayload, LogEntry, LogIndex, LogUsage, Membership, PersistedState, Snapshot, Term,
 };
 
 /// Log entries of a node, without gaps, starting after `base`.
@@ -12,6 +12,8 @@
     /// Entry that precedes the first one in memory.
     base: EntryId,
     entries: VecDeque<LogEntry>,
+    /// Upper bound of the encoded size of `entries`.
+    entry_bytes: usize,
     snapshot: Option<Snapshot>,
     /// Each membership with the index from which it is in effect, in log order; never empty.
     memberships: Vec<(LogIndex, Membership)>,
@@ -28,6 +30,7 @@
         let mut log = Self {
             base,
             entries: VecDeque::new(),
+            entry_bytes: 0,
             snapshot,
             memberships: vec![(base.index, first)],
         };
@@ -54,6 +57,18 @@
         self.snapshot.as_ref()
     }
 
+    /// Number of entries in memory, and upper bounds of their encoded size and of the snapshot's.
+    pub(crate) fn usage(&self) -> LogUsage {
+        LogUsage {
+            entries: self.entries.len(),
+            entry_bytes: self.entry_bytes,
+            snapshot_bytes: self
+                .snapshot
+                .as_ref()
+                .map_or(0, |snapshot| snapshot.data.len()),
+        }
+    }
+
     pub(crate) fn snapshot_index(&self) -> LogIndex {
         self.snapshot
             .as_ref()
@@ -118,13 +133,18 @@
         if let EntryPayload::Members(members) = &entry.payload {
             self.memberships.push((entry.id.index, members.clone()));
         }
+        self.entry_bytes += entry.max_encoded_bytes();
         self.entries.push_back(entry);
     }
 
     /// Removes the entries from an index on.
     pub(crate) fn truncate(&mut self, from: LogIndex) {
         let kept_count = from.0.saturating_sub(self.base.index.0 + 1) as usize;
-        self.entries.truncate(kept_count);
+        while self.entries.len() > kept_count
+            && let Some(entry) = self.entries.pop_back()
+        {
+            self.entry_bytes -= entry.max_encoded_bytes();
+        }
         self.memberships
             .retain(|(index, _)| *index < from || *index <= self.base.index);
     }
@@ -195,6 +215,7 @@
                 .entries
                 .pop_front()
                 .expect("only entries in memory are dropped");
+            self.entry_bytes -= entry.max_encoded_bytes();
             self.base = entry.id;
         }
         let newer_position = self
--- a/components/raft/src/node/leader.rs
+++ b/components/raft/src/node/leader.rs
@@ -214,7 +214,8 @@
     }
 
     pub(super) fn handle_append_reply(&mut self, from: DiskId, round: u64, outcome: AppendOutcome) {
-        let (first_index, timeout) = (self.log.first_index(), self.settings.max_election_timeout);
+        let (first_index, last) = (self.log.first_index(), self.log.last().index);
+        let timeout = self.settings.max_election_timeout;
         let RoleState::Leader(state) = &mut self.role else {
             return;
         };
@@ -224,7 +225,7 @@
         peer.record_reply(round, self.now);
         match outcome {
             AppendOutcome::Accepted { match_index } => {
-                peer.record_accept(match_index, first_index, self.now);
+                peer.record_accept(match_index, first_index, last, self.now);
                 self.resend_snapshot_chunk(from);
                 self.send_entries(from);
                 self.advance_commit();
--- a/components/raft/src/node/mod.rs
+++ b/components/raft/src/node/mod.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeSet;
 use std::mem;
+use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -18,9 +19,10 @@
 use crate::barrier::LocalBarriers;
 use crate::log::RaftLog;
 use crate::persist::PersistQueue;
+use crate::progress::{PeerProgress, SendMode};
 use crate::{
-    EntryPayload, HardState, LogIndex, Membership, PersistBatch, PersistedState, RaftAction,
-    RaftMessage, RaftSettings, Term,
+    EntryPayload, HardState, LogIndex, LogUsage, MemberProgress, Membership, PersistBatch,
+    PersistedState, RaftAction, RaftMessage, RaftSettings, ReplicationMode, Term,
 };
 
 /// Role of a node in the current term.
@@ -263,6 +265,37 @@
         }
     }
 
+    /// Progress of the other members, if this node leads.
+    pub fn member_progress(&self) -> Vec<MemberProgress> {
+        let RoleState::Leader(state) = &self.role else {
+            return Vec::new();
+        };
+        let report = |(id, peer): (&DiskId, &PeerProgress)| MemberProgress {
+            id: *id,
+            match_index: peer.match_index,
+            mode: match peer.mode {
+                SendMode::Probe => ReplicationMode::Probe,
+                SendMode::Replicate { .. } => ReplicationMode::Entries,
+                SendMode::Snapshot { .. } => ReplicationMode::Snapshot,
+            },
+            missing_bytes: self.log.bytes_after(peer.match_index),
+            lag: peer.lag(self.now),
+            silence: self.now.since(peer.reply_at),
+        };
+        state.peers.iter().map(report).collect()
+    }
+
+    /// Time since the last message of a leader that this node accepted, if there was one.
+    pub fn leader_silence(&self) -> Option<Duration> {
+        let contact = self.last_leader_contact?;
+        Some(self.now.since(contact))
+    }
+
+    /// Size of the log in memory.
+    pub fn log_usage(&self) -> LogUsage {
+        self.log.usage()
+    }
+
     fn role(&self) -> NodeRole {
         match self.role {
             RoleState::Follower => NodeRole::Follower,
--- a/components/raft/src/progress.rs
+++ b/components/raft/src/progress.rs
@@ -31,6 +31,7 @@
     /// Next index to send.
     pub(crate) next_index: LogIndex,
     pub(crate) mode: SendMode,
+    tracked_since: ClockTime,
     /// Time of the last reply, or of the start of the leadership if there is none.
     pub(crate) reply_at: ClockTime,
     /// Time of the last reply to this leader.
@@ -41,6 +42,17 @@
     pub(crate) last_round: u64,
     /// Newest commit index that was sent to the peer.
     pub(crate) sent_commit_index: LogIndex,
+    /// Newest time known at which the peer held the whole log that the leader had then.
+    pub(crate) caught_up_at: Option<ClockTime>,
+    catch_up: CatchUpRound,
+}
+
+/// Last index of the leader's log at one time. The next round starts once the peer has acknowledged it,
+/// so that entries which are appended meanwhile do not keep a peer behind for ever.
+#[derive(Debug)]
+struct CatchUpRound {
+    target: LogIndex,
+    started_at: ClockTime,
 }
 
 impl PeerProgress {
@@ -49,11 +61,32 @@
             match_index: LogIndex(0),
             next_index: LogIndex(last.0 + 1),
             mode: SendMode::Probe,
+            tracked_since: now,
             reply_at: now,
             replied_at: None,
             accept_at: now,
             last_round: 0,
             sent_commit_index: LogIndex(0),
+            caught_up_at: None,
+            catch_up: CatchUpRound {
+                target: last,
+                started_at: now,
+            },
+        }
+    }
+
+    /// Time since the peer last held the whole log that the leader had then.
+    pub(crate) fn lag(&self, now: ClockTime) -> Duration {
+        now.since(self.caught_up_at.unwrap_or(self.tracked_since))
+    }
+
+    fn advance_catch_up(&mut self, last: LogIndex, now: ClockTime) {
+        if self.match_index >= self.catch_up.target {
+            self.caught_up_at = Some(self.catch_up.started_at);
+            self.catch_up = CatchUpRound {
+                target: last,
+                started_at: now,
+            };
         }
     }
 
@@ -68,16 +101,18 @@
         self.last_round = self.last_round.max(round);
     }
 
-    /// Records that the log of the peer matches that of the leader up to `match_index`. The leader
-    /// has the entries from `first_index` on in memory.
+    /// Records that the log of the peer matches that of the leader up to `match_index`. The leader's
+    /// log ends at `last`, and it has the entries from `first_index` on in memory.
     pub(crate) fn record_accept(
         &mut self,
         match_index: LogIndex,
         first_index: LogIndex,
+        last: LogIndex,
         now: ClockTime,
     ) {
         self.accept_at = now;
         self.match_index = self.match_index.max(match_index);
+        self.advance_catch_up(last, now);
         let after = LogIndex(self.match_index.0 + 1);
         match &mut self.mode {
             SendMode::Probe => {
@@ -128,6 +163,7 @@
     /// Resets the match index, so that no entry counts as durable on the peer.
     pub(crate) fn reset_match_index(&mut self) {
         self.match_index = LogIndex(0);
+        self.caught_up_at = None;
     }
 
     /// Continues the search for a matching entry at `candidate`.
--- a/components/store/src/log_store.rs
+++ b/components/store/src/log_store.rs
@@ -134,6 +134,11 @@
         self.state.id
     }
 
+    /// Size of the log segments, which a snapshot makes smaller. Other files of the disk are not counted.
+    pub fn log_bytes(&self) -> u64 {
+        self.log.bytes()
+    }
+
     /// Path of the folder.
     pub fn folder(&self) -> &Path {
         self.folder.path()
--- a/components/store/src/segments.rs
+++ b/components/store/src/segments.rs
@@ -125,6 +125,11 @@
         Ok(())
     }
 
+    /// Size of all segments.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.segments.iter().map(|segment| segment.bytes).sum()
+    }
+
     /// Whether the log has an entry with this index and term.
     pub(crate) fn contains(&self, id: EntryId) -> bool {
         let Some(first) = self.ids.front() else {
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -8,7 +8,8 @@
         "All configured control nodes were present with empty data folders and have formed a \
          group.";
     ROLE_CHANGED = 3011, Info, "role-changed",
-        "The control node became leader, follower or candidate.";
+        "The control node became leader, follower or candidate. leader_silence_ms is the time since it last \
+         accepted a message of a leader.";
     MEMBER_CHANGED = 3012, Info, "member-changed",
         "The leader has proposed a change of the group's members. The field name is the node of the \
          changed member, voters and learners are the members after the change, and absent the \
@@ -28,8 +29,9 @@
         "A change of the group's members is committed, as far as this node knows.";
     DISK_REFUSED = 3018, Warn, "disk-refused",
         "The disk refuses to write the data folder, for refused_ms so far; error names the file and \
-         the reason. The node goes on trying, and takes no part in the group until then; a leader \
-         hands over. Logged again every 10 s. Make room on the disk; nothing needs to be restarted.";
+         the reason, and log_bytes is what the log itself takes. The node goes on trying, and takes no \
+         part in the group until then; a leader hands over. Logged again every 10 s. Make room on the \
+         disk; nothing needs to be restarted.";
     DISK_WRITABLE = 3019, Info, "disk-writable",
         "The disk takes writes of the data folder again, after refused_ms.";
     PEER_REFUSED = 3020, Warn, "peer-refused",
@@ -37,6 +39,25 @@
          peer.";
     STREAM_REFUSED = 3021, Warn, "stream-refused",
         "A peer opened a stream of a kind that its role may not open.";
+    PEER_STREAM_OPENED = 3051, Info, "peer-stream-opened",
+        "A stream to another control node is open, after connect_ms.";
+    PEER_STREAM_CLOSED = 3052, Warn, "peer-stream-closed",
+        "A stream to another control node has ended after open_ms, and is opened again. sent_bytes were \
+         handed to it, queued frames wait for the next one, and the last acknowledgement is \
+         unacknowledged_ms old.";
+    PEER_FRAMES_DROPPED = 3053, Warn, "peer-frames-dropped",
+        "The queue to another control node is full, so that messages to it are lost. Logged once until a \
+         message fits again.";
+    MEMBER_BEHIND = 3054, Warn, "member-behind",
+        "A member has not held the whole log for lag_ms. It lacks missing_bytes of the entries in the \
+         leader's memory; mode tells whether the leader searches for the last common entry (Probe), sends \
+         entries, or a snapshot; silence_ms is the time since the member's last reply. Logged again every \
+         2 s. A learner that is behind is not promoted.";
+    MEMBER_CAUGHT_UP = 3055, Info, "member-caught-up",
+        "A member that was behind holds the whole log again, after lag_ms.";
+    LEADERSHIP_LOST = 3056, Warn, "leadership-lost",
+        "The leader stepped down because no majority has replied in time; silence lists the time since the \
+         last reply of each member.";
     CAPACITY_CHANGED = 3035, Info, "capacity-changed",
         "The control node that divides the capacity of a service has raised or lowered its \
          estimate of that capacity, based on the lateness of responses; the shares of \
