Send heartbeats apart from entries, and bound what is in flight by bytes

Cause: announcements, their acknowledgements, votes, heartbeats and replies shared one stream with log entries, of which 16 messages of 496 KB could be in flight. A member that lacked some megabytes got them all at once: heartbeats arrived seconds later, the leader stepped down without replies, and the link was closed as hung after 1,500 ms without an acknowledgement, with all that was in flight. The class of fault: a limit that counts messages where cost is in bytes, and a timeout that measures a queue rather than the peer.

Evidence: 14 links closed in 22 s, each after 565 to 849 KB, while the learner lacked 2.7 to 4.9 MB,.

Each link between control nodes has a stream for urgent frames, one for directory entries and one for log entries, in this order of priority. A heartbeat follows the last acknowledged entry, since it may overtake those in flight, and a follower keeps the commit index until the entries arrive. Lost entries are found by a message behind them in their lane, once nothing was acknowledged for 100 ms, and rejections of messages that were sent before the search began are ignored, so that entries are not sent several times.

--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -16,7 +16,7 @@
 use eyre::{Result, WrapErr};
 use raft::{
     EntryPayload, LogEntry, LogIndex, PersistBatch, PersistedState, ProposeError, RaftAction,
-    RaftMessage, RaftNode, Snapshot, Term,
+    RaftMessage, RaftNode, SendLane, Snapshot, Term,
 };
 use registry::{RegistryAction, RegistryCommand, RegistryOutcome, RegistryState, WallTime};
 use store::{DiskFiles, LogStore};
@@ -352,7 +352,7 @@
     fn run_actions(&mut self, actions: Vec<RaftAction>) -> Result<()> {
         for action in actions {
             match action {
-                RaftAction::Send { to, message } => self.send_message(to, message),
+                RaftAction::Send { to, message, lane } => self.send_message(to, message, lane),
                 RaftAction::Persist { id, batch } => self.enqueue_batch(id, batch),
                 RaftAction::Apply { entry } => self.apply_entry(entry)?,
                 RaftAction::Restore { snapshot } => self.restore_snapshot(&snapshot)?,
@@ -367,7 +367,7 @@
         Ok(())
     }
 
-    fn send_message(&self, to: DiskId, message: RaftMessage) {
+    fn send_message(&self, to: DiskId, message: RaftMessage, lane: SendLane) {
         let name = self.view.read(|view| {
             let mut peers = view.peers.iter();
             peers
@@ -376,8 +376,8 @@
         });
         if let Some(name) = name {
             let from = self.store.id();
-            self.peers
-                .send(&name, PeerFrame::Raft { from, to, message });
+            let frame = PeerFrame::Raft { from, to, message };
+            self.peers.send(&name, lane.into(), frame);
         }
     }
 
--- a/components/control/src/handle.rs
+++ b/components/control/src/handle.rs
@@ -27,6 +27,7 @@
 use crate::driver_event::DriverEvent;
 use crate::health::{bind_health, serve_health};
 use crate::origins::{JournalThread, OriginStore};
+use crate::peer_lanes::FrameLane;
 use crate::peer_link::{PeerFrame, build_announcement, replicate_directory};
 use crate::peers::PeerTable;
 use crate::quorum::{record_gauges, watch_quorum};
@@ -304,7 +305,9 @@
             while !view.read(|view| view.has_left) {
                 interval.tick().await;
                 let announcement = PeerFrame::Announce(build_announcement(&self.context));
-                self.context.peers.broadcast(&announcement);
+                self.context
+                    .peers
+                    .broadcast(FrameLane::Urgent, &announcement);
             }
         };
         // Without a learner that catches up in time, the node stops as before a restart.
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod members;
 mod orders;
 mod origins;
+mod peer_lanes;
 mod peer_link;
 mod peers;
 mod quorum;
--- a/components/control/src/peer_link.rs
+++ b/components/control/src/peer_link.rs
@@ -1,15 +1,15 @@
-//! Streams to the other control nodes.
+//! Links to the other control nodes.
 //!
-//! Each node maintains one stream to each other node and sends frames only on the streams that it
-//! has opened. The receiver acknowledges announcements, so that the sender detects and replaces a
-//! connection that no longer delivers frames.
+//! Each node maintains one link to each other node and sends frames only on the links that it has
+//! opened, with a stream for each lane. The receiver acknowledges announcements, so that the sender
+//! detects and replaces a connection that no longer delivers frames.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use link::{FrameReader, FrameWriter, LinkEndpoint, LinkError};
+use link::{FrameReader, FrameWriter, LinkEndpoint, LinkError, PeerLink};
 use raft::RaftMessage;
 use telemetry::{event, events};
 use tokio::sync::mpsc;
@@ -18,6 +18,7 @@
 
 use crate::driver_event::DriverEvent;
 use crate::formation::PeerAnnouncement;
+use crate::peer_lanes::{FrameLane, LaneReceivers};
 use crate::state::ControlContext;
 
 /// Interval between announcements, and between batches of directory entries.
@@ -75,60 +76,76 @@
     }
 }
 
-/// Maintains a stream to one peer and reopens it after failures. Runs until the task is aborted.
-pub(crate) async fn maintain_stream(
+/// Maintains a link to one peer and reopens it after failures. Runs until the task is aborted.
+pub(crate) async fn maintain_link(
     context: ControlContext,
     endpoint: LinkEndpoint,
     name: NodeName,
     address: SocketAddr,
-    mut queue: mpsc::Receiver<PeerFrame>,
+    mut queues: LaneReceivers,
 ) {
     loop {
-        // All errors are treated as transient: the stream is reopened after the delay.
-        let _ = run_stream(&context, &endpoint, (&name, address), &mut queue).await;
+        // All errors are treated as transient: the link is reopened after the delay.
+        let _ = run_link(&context, &endpoint, (&name, address), &mut queues).await;
         tokio::time::sleep(RECONNECT_DELAY).await;
     }
 }
 
-async fn run_stream(
+async fn run_link(
     context: &ControlContext,
     endpoint: &LinkEndpoint,
     (name, address): (&NodeName, SocketAddr),
-    queue: &mut mpsc::Receiver<PeerFrame>,
+    queues: &mut LaneReceivers,
 ) -> Result<(), LinkError> {
     let connecting_at = context.clock.now();
     let link = endpoint.connect(address, NodeRole::Control).await?;
-    let (writer, reader) = link.open(StreamKind::Raft).await?;
+    let (urgent_writer, urgent_reader) = open_lane(&link, FrameLane::Urgent).await?;
+    let (directory_writer, _directory_reader) = open_lane(&link, FrameLane::Directory).await?;
+    let (log_writer, _log_reader) = open_lane(&link, FrameLane::Log).await?;
     let opened_at = context.clock.now();
     event!(
-        events::PEER_STREAM_OPENED,
+        events::PEER_LINK_OPENED,
         name = name,
         connect_ms = opened_at.since(connecting_at).as_millis()
     );
     let acknowledged_at = AtomicU64::new(opened_at.0);
+    let [urgent, directory, log] = queues;
     let result = tokio::select! {
-        result = send_frames(context, writer, queue) => result,
-        result = read_replies(context, reader, &acknowledged_at) => result,
+        result = send_urgent_frames(context, urgent_writer, urgent) => result,
+        result = send_frames(directory_writer, directory) => result,
+        result = send_frames(log_writer, log) => result,
+        result = read_replies(context, urgent_reader, &acknowledged_at) => result,
     };
-    link.close("stream ended");
+    link.close("link ended");
     let now = context.clock.now();
     let acknowledged_at = ClockTime(acknowledged_at.into_inner());
     let traffic = link.traffic();
+    let queued: usize = queues.iter().map(mpsc::Receiver::len).sum();
     event!(
-        events::PEER_STREAM_CLOSED,
+        events::PEER_LINK_CLOSED,
         name = name,
         reason = ?result.as_ref().err().map(|error| error_chain(error)),
         open_ms = now.since(opened_at).as_millis(),
         sent_bytes = traffic.sent,
         lost_packets = traffic.lost_packets,
         round_trip_ms = traffic.round_trip.as_millis(),
-        queued = queue.len(),
+        queued = queued,
         unacknowledged_ms = now.since(acknowledged_at).as_millis()
     );
     result
 }
 
-async fn send_frames(
+async fn open_lane(
+    link: &PeerLink,
+    lane: FrameLane,
+) -> Result<(FrameWriter, FrameReader), LinkError> {
+    let (mut writer, reader) = link.open(StreamKind::Raft).await?;
+    writer.set_priority(lane.priority());
+    Ok((writer, reader))
+}
+
+/// Sends the frames of the urgent lane, and announcements at their interval.
+async fn send_urgent_frames(
     context: &ControlContext,
     mut writer: FrameWriter,
     queue: &mut mpsc::Receiver<PeerFrame>,
@@ -148,6 +165,16 @@
     }
 }
 
+async fn send_frames(
+    mut writer: FrameWriter,
+    queue: &mut mpsc::Receiver<PeerFrame>,
+) -> Result<(), LinkError> {
+    while let Some(frame) = queue.recv().await {
+        writer.send(&frame).await?;
+    }
+    Ok(())
+}
+
 /// This node's announcement, with the addresses of the peers that are present.
 pub(crate) fn build_announcement(context: &ControlContext) -> PeerAnnouncement {
     let now = context.clock.now();
--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -7,34 +7,35 @@
 use client::ControlClient;
 use link::LinkEndpoint;
 use telemetry::{event, events};
-use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::AbortHandle;
 use units::NodeName;
 use wire::DirectoryEntry;
 
-use crate::peer_link::{PeerFrame, maintain_stream};
+use crate::peer_lanes::{FrameLane, LaneSenders, lane_queues};
+use crate::peer_link::{PeerFrame, maintain_link};
 use crate::state::ControlContext;
 
-/// Maximum number of frames queued for one peer. Further frames are dropped; Raft retransmits its
-/// messages.
+/// Maximum number of frames queued in each lane to one peer. Further frames are dropped; Raft
+/// retransmits its messages.
 const MAX_QUEUED_FRAMES: usize = 1_024;
 
 /// Another control node.
 struct PeerRecord {
     address: SocketAddr,
-    queue: mpsc::Sender<PeerFrame>,
+    lanes: LaneSenders,
     /// Whether the last frame did not fit into the queue.
     is_dropping: bool,
     /// Client that forwards requests to the peer.
     client: ControlClient,
-    /// Task that maintains the stream to the peer.
-    stream_task: AbortHandle,
+    /// Task that maintains the link to the peer.
+    link_task: AbortHandle,
 }
 
 impl PeerRecord {
-    fn send(&mut self, name: &NodeName, frame: PeerFrame) {
-        let is_full = matches!(self.queue.try_send(frame), Err(TrySendError::Full(_)));
+    fn send(&mut self, name: &NodeName, lane: FrameLane, frame: PeerFrame) {
+        let sent = self.lanes.get(lane).try_send(frame);
+        let is_full = matches!(sent, Err(TrySendError::Full(_)));
         if is_full && !self.is_dropping {
             event!(events::PEER_FRAMES_DROPPED, name = name);
         }
@@ -55,7 +56,7 @@
             .expect("no thread panics while it holds the lock on the peer table")
     }
 
-    /// Adds a peer or updates its address, and starts a task that maintains a stream to it.
+    /// Adds a peer or updates its address, and starts a task that maintains a link to it.
     pub(crate) fn add(
         &self,
         context: &ControlContext,
@@ -68,8 +69,8 @@
         if is_own || peers.get(name).is_some_and(|peer| peer.address == address) {
             return;
         }
-        let (queue, frames) = mpsc::channel(MAX_QUEUED_FRAMES);
-        let maintenance = maintain_stream(
+        let (lanes, frames) = lane_queues(MAX_QUEUED_FRAMES);
+        let maintenance = maintain_link(
             context.clone(),
             endpoint.clone(),
             name.clone(),
@@ -78,40 +79,40 @@
         );
         let record = PeerRecord {
             address,
-            queue,
+            lanes,
             is_dropping: false,
             client: ControlClient::new(endpoint.clone(), vec![address]),
-            stream_task: tokio::spawn(maintenance).abort_handle(),
+            link_task: tokio::spawn(maintenance).abort_handle(),
         };
         if let Some(old) = peers.insert(name.clone(), record) {
-            old.stream_task.abort();
+            old.link_task.abort();
         }
     }
 
-    /// Removes all peers and aborts the tasks that maintain their streams.
+    /// Removes all peers and aborts the tasks that maintain their links.
     pub(crate) fn close(&self) {
         for (_, peer) in std::mem::take(&mut *self.lock()) {
-            peer.stream_task.abort();
+            peer.link_task.abort();
         }
     }
 
-    /// Queues a frame for a peer. The frame is dropped if the peer is unknown or its queue is full.
-    pub(crate) fn send(&self, name: &NodeName, frame: PeerFrame) {
+    /// Queues a frame in a lane to a peer. The frame is dropped if the peer is unknown or its queue is full.
+    pub(crate) fn send(&self, name: &NodeName, lane: FrameLane, frame: PeerFrame) {
         if let Some(peer) = self.lock().get_mut(name) {
-            peer.send(name, frame);
+            peer.send(name, lane, frame);
         }
     }
 
     /// Queues a frame for every peer. The frame is dropped for peers whose queue is full.
-    pub(crate) fn broadcast(&self, frame: &PeerFrame) {
+    pub(crate) fn broadcast(&self, lane: FrameLane, frame: &PeerFrame) {
         for (name, peer) in self.lock().iter_mut() {
-            peer.send(name, frame.clone());
+            peer.send(name, lane, frame.clone());
         }
     }
 
     /// Queues directory entries for every peer.
     pub(crate) fn broadcast_directory(&self, entries: Vec<DirectoryEntry>) {
-        self.broadcast(&PeerFrame::Directory(entries));
+        self.broadcast(FrameLane::Directory, &PeerFrame::Directory(entries));
     }
 
     /// Client that forwards requests to a peer, if the peer is known.
--- a/components/link/src/frames.rs
+++ b/components/link/src/frames.rs
@@ -19,6 +19,12 @@
         Self { stream }
     }
 
+    /// Sets the priority among the streams of a connection; those with a higher one are sent first.
+    pub fn set_priority(&mut self, priority: i32) {
+        // An error means that the stream is already closed.
+        let _ = self.stream.set_priority(priority);
+    }
+
     /// Sends one message; fails if it exceeds [`MAX_FRAME`] or the stream is closed.
     pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), LinkError> {
         let frame = wire::encode(message)?;
--- a/components/raft/examples/three_nodes.rs
+++ b/components/raft/examples/three_nodes.rs
@@ -37,7 +37,7 @@
         }
         while let Some((id, action)) = actions.pop_front() {
             let (id, follow_up_actions) = match action {
-                RaftAction::Send { to, message } => match nodes.get_mut(&to) {
+                RaftAction::Send { to, message, .. } => match nodes.get_mut(&to) {
                     Some(node) => (to, node.handle_message(id, message, time)),
                     None => continue,
                 },
--- a/components/raft/src/lib.rs
+++ b/components/raft/src/lib.rs
@@ -11,6 +11,9 @@
 //!   joined with [`PersistBatch::merge`] and acknowledged with the id of the last one.
 //! - [`Send`](RaftAction::Send): send the message to the node with this disk id. Messages may be
 //!   lost, duplicated and reordered, but must never be delivered to a node with another disk id.
+//!   Those of the urgent lane must not wait behind those of the bulk lane: if heartbeats or votes
+//!   wait behind megabytes of entries, the members take each other for lost. Within a lane, messages
+//!   should arrive in order, because a gap in the entries makes the leader send them again.
 //! - [`Apply`](RaftAction::Apply): the entry is committed. Entries arrive in log order, each once
 //!   since the start of the process or the last `Restore`.
 //! - [`Restore`](RaftAction::Restore): replace the state with the snapshot; `Apply` continues after
@@ -42,7 +45,7 @@
 
 pub use error::ProposeError;
 pub use membership::{MemberChange, Membership};
-pub use message::{AppendOutcome, RaftAction, RaftMessage, SnapshotChunk};
+pub use message::{AppendOutcome, RaftAction, RaftMessage, SendLane, SnapshotChunk};
 pub use node::{NodeRole, NodeStatus, RaftNode};
 pub use report::{LogUsage, MemberProgress, ReplicationMode};
 pub use settings::{MAX_COMMAND_BYTES, RaftSettings};
--- a/components/raft/src/message.rs
+++ b/components/raft/src/message.rs
@@ -134,6 +134,15 @@
     }
 }
 
+/// Queue in which a message waits to be sent. The messages of one lane should arrive in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SendLane {
+    /// Small messages on which timeouts depend. They must not wait behind those of the other lane.
+    Urgent,
+    /// Entries and snapshot chunks, and the messages that check whether they have arrived.
+    Bulk,
+}
+
 /// Operation that a daemon must carry out for a node, in the order returned.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RaftAction {
@@ -143,6 +152,8 @@
         to: DiskId,
         /// Message.
         message: RaftMessage,
+        /// Queue for the message.
+        lane: SendLane,
     },
     /// Write durably, then call [`RaftNode::handle_persisted`](crate::RaftNode::handle_persisted).
     Persist {
--- a/components/raft/src/node/barrier.rs
+++ b/components/raft/src/node/barrier.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    fn start_heartbeat_round(&mut self) {
+    pub(super) fn start_heartbeat_round(&mut self) {
         if let RoleState::Leader(state) = &mut self.role {
             state.round += 1;
             self.send_heartbeats();
--- a/components/raft/src/node/follower.rs
+++ b/components/raft/src/node/follower.rs
@@ -20,6 +20,31 @@
     data: Vec<u8>,
 }
 
+/// What a follower knows of the log of a term's leader. The commit index may arrive before the entries.
+#[derive(Debug, Default)]
+pub(super) struct LeaderLog {
+    term: Term,
+    /// Last index up to which this node's log is known to match.
+    matched: LogIndex,
+    /// Newest commit index.
+    committed: LogIndex,
+}
+
+impl LeaderLog {
+    /// Records a part of the log, and returns the index up to which this node may commit.
+    fn record(&mut self, term: Term, matched: LogIndex, committed: LogIndex) -> LogIndex {
+        if self.term != term {
+            *self = Self {
+                term,
+                ..Self::default()
+            };
+        }
+        self.matched = self.matched.max(matched);
+        self.committed = self.committed.max(committed);
+        self.matched.min(self.committed)
+    }
+}
+
 impl RaftNode {
     /// Accepts the sender as leader of its term, or rejects a message of an old term. Returns
     /// whether the sender was accepted.
@@ -79,7 +104,9 @@
         entries.retain(|entry| entry.id.index > self.commit_index);
         self.append_entries(entries);
         let match_index = end_index.max(self.commit_index);
-        self.commit_up_to(commit_index.min(match_index));
+        let term = self.hard_state.term;
+        let committed = self.leader_log.record(term, match_index, commit_index);
+        self.commit_up_to(committed);
         self.send_append_reply(from, round, AppendOutcome::Accepted { match_index });
     }
 
--- a/components/raft/src/node/leader.rs
+++ b/components/raft/src/node/leader.rs
@@ -6,10 +6,10 @@
 
 use super::{RaftNode, RoleState};
 use crate::barrier::WaitingBarrier;
-use crate::progress::{PeerProgress, SendMode};
+use crate::progress::{PeerProgress, SendMode, SentBatch};
 use crate::{
     AppendOutcome, EntryId, EntryPayload, LogEntry, LogIndex, Membership, PersistBatch,
-    RaftMessage, SnapshotChunk, Term,
+    RaftMessage, SendLane, SnapshotChunk, Term,
 };
 
 /// State that exists only while a node leads.
@@ -107,6 +107,7 @@
         state.transfer.take_if(|transfer| now >= transfer.deadline);
         if now >= state.next_heartbeat {
             self.send_heartbeats();
+            self.send_checks();
             self.try_finish_transfer();
         }
     }
@@ -136,8 +137,8 @@
         }
     }
 
-    /// Sends a message without entries. It also detects lost entries, because the peer rejects it
-    /// if it lacks the entry before the next one to send.
+    /// Sends a message without entries. It follows the last acknowledged entry, since those in flight
+    /// may arrive later. A peer that has lost durable entries rejects it.
     pub(super) fn send_heartbeat(&mut self, to: DiskId) {
         let RoleState::Leader(state) = &mut self.role else {
             return;
@@ -147,7 +148,8 @@
         };
         let prev = match peer.mode {
             SendMode::Snapshot { .. } => Some(EntryId::default()),
-            _ => entry_id_at(&self.log, peer.prev_index()),
+            SendMode::Replicate { .. } => entry_id_at(&self.log, peer.match_index),
+            SendMode::Probe => entry_id_at(&self.log, peer.prev_index()),
         };
         let Some(prev) = prev else {
             self.start_snapshot(to);
@@ -164,6 +166,34 @@
         self.send_now(to, message);
     }
 
+    /// Checks whether the entries in flight to stalled peers were lost: a peer that lacks one of them
+    /// rejects a message that follows them in the same lane.
+    fn send_checks(&mut self) {
+        let RoleState::Leader(state) = &self.role else {
+            return;
+        };
+        let timeout = self.settings.heartbeat_interval;
+        let stalled = state
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.is_stalled(self.now, timeout));
+        let checks: Vec<(DiskId, RaftMessage)> = stalled
+            .filter_map(|(id, peer)| {
+                let check = RaftMessage::Append {
+                    term: self.hard_state.term,
+                    prev: entry_id_at(&self.log, peer.prev_index())?,
+                    entries: Vec::new(),
+                    commit_index: self.commit_index,
+                    round: state.round,
+                };
+                Some((*id, check))
+            })
+            .collect();
+        for (id, check) in checks {
+            self.send_in(SendLane::Bulk, id, check);
+        }
+    }
+
     fn send_entries_to_all(&mut self) {
         let RoleState::Leader(state) = &self.role else {
             return;
@@ -177,7 +207,7 @@
     /// Sends entries until the limit of unacknowledged messages of the peer is reached.
     fn send_entries(&mut self, to: DiskId) {
         while let Some(message) = self.next_append(to) {
-            self.send_now(to, message);
+            self.send_in(SendLane::Bulk, to, message);
         }
     }
 
@@ -187,7 +217,7 @@
         };
         let peer = state.peers.get_mut(&to)?;
         let prev = entry_id_at(&self.log, peer.prev_index());
-        let SendMode::Replicate { in_flight } = &mut peer.mode else {
+        let SendMode::Replicate { in_flight } = &peer.mode else {
             return None;
         };
         let Some(prev) = prev else {
@@ -197,12 +227,19 @@
         if in_flight.len() >= self.settings.max_in_flight_messages {
             return None;
         }
-        let entries = self
-            .log
-            .entries_from(peer.next_index, self.settings.max_batch_bytes);
+        let in_flight_bytes = in_flight.iter().map(|sent| sent.bytes).sum();
+        let free_bytes = self
+            .settings
+            .max_in_flight_bytes
+            .saturating_sub(in_flight_bytes);
+        let max_bytes = self.settings.max_batch_bytes.min(free_bytes);
+        let entries = self.log.entries_from(peer.next_index, max_bytes);
         let last = entries.last()?.id.index;
-        in_flight.push_back(last);
-        peer.next_index = LogIndex(last.0 + 1);
+        let bytes = entries.iter().map(LogEntry::max_encoded_bytes).sum();
+        if bytes > free_bytes && !in_flight.is_empty() {
+            return None;
+        }
+        peer.record_sent(SentBatch { last, bytes }, self.now);
         peer.sent_commit_index = self.commit_index;
         Some(RaftMessage::Append {
             term: self.hard_state.term,
@@ -223,6 +260,7 @@
             return;
         };
         peer.record_reply(round, self.now);
+        let next_round = state.round + 1;
         match outcome {
             AppendOutcome::Accepted { match_index } => {
                 peer.record_accept(match_index, first_index, last, self.now);
@@ -232,15 +270,18 @@
                 self.try_finish_transfer();
             }
             AppendOutcome::Rejected { prev, hint }
-                if peer.is_new_rejection(prev)
+                if peer.is_new_rejection(prev, round)
                     || peer.has_lost_entries(prev, self.now, timeout) =>
             {
                 if prev <= peer.match_index {
                     peer.reset_match_index();
                 }
                 let candidate = self.log.find_conflict_by_term(hint.index, hint.term).index;
-                peer.probe_from(candidate.min(LogIndex(prev.0.saturating_sub(1))));
-                self.send_heartbeat(from);
+                peer.probe_from(
+                    candidate.min(LogIndex(prev.0.saturating_sub(1))),
+                    next_round,
+                );
+                self.start_heartbeat_round();
             }
             AppendOutcome::Rejected { .. } => {}
         }
@@ -284,7 +325,7 @@
         let max_chunk_bytes = self.settings.max_chunk_bytes;
         let (term, now) = (self.hard_state.term, self.now);
         if let Some(message) = self.next_snapshot_chunk(to, term, now, max_chunk_bytes) {
-            self.send_now(to, message);
+            self.send_in(SendLane::Bulk, to, message);
         }
     }
 
@@ -328,7 +369,7 @@
         };
         let mode = state.peers.get(&to).map(|peer| &peer.mode);
         if let Some(SendMode::Snapshot { sent_at, .. }) = mode
-            && self.now.since(*sent_at) >= self.settings.min_election_timeout
+            && self.now.since(*sent_at) >= self.settings.max_election_timeout
         {
             self.send_snapshot_chunk(to);
         }
--- a/components/raft/src/node/mod.rs
+++ b/components/raft/src/node/mod.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 use units::{ClockTime, DiskId};
 
-use self::follower::IncomingSnapshot;
+use self::follower::{IncomingSnapshot, LeaderLog};
 use self::leader::LeaderState;
 use crate::barrier::LocalBarriers;
 use crate::log::RaftLog;
@@ -22,7 +22,7 @@
 use crate::progress::{PeerProgress, SendMode};
 use crate::{
     EntryPayload, HardState, LogIndex, LogUsage, MemberProgress, Membership, PersistBatch,
-    PersistedState, RaftAction, RaftMessage, RaftSettings, ReplicationMode, Term,
+    PersistedState, RaftAction, RaftMessage, RaftSettings, ReplicationMode, SendLane, Term,
 };
 
 /// Role of a node in the current term.
@@ -98,6 +98,7 @@
     is_removed: bool,
     persist_queue: PersistQueue,
     incoming_snapshot: Option<IncomingSnapshot>,
+    leader_log: LeaderLog,
     local_barriers: LocalBarriers,
     actions: Vec<RaftAction>,
 }
@@ -129,6 +130,7 @@
             election_deadline: now,
             is_removed: false,
             incoming_snapshot: None,
+            leader_log: LeaderLog::default(),
             local_barriers: LocalBarriers::new(),
             actions: Vec::new(),
         };
@@ -226,7 +228,7 @@
     pub fn handle_persisted(&mut self, id: u64, now: ClockTime) -> Vec<RaftAction> {
         self.advance_clock(now);
         for (to, message) in self.persist_queue.acknowledge(id) {
-            self.actions.push(RaftAction::Send { to, message });
+            self.send_now(to, message);
         }
         self.grant_own_vote(id);
         self.advance_commit();
@@ -323,13 +325,17 @@
     /// Sends a message once all batches so far are durable.
     fn send(&mut self, to: DiskId, message: RaftMessage) {
         if let Some(message) = self.persist_queue.hold(to, message) {
-            self.actions.push(RaftAction::Send { to, message });
+            self.send_now(to, message);
         }
     }
 
     /// Sends a message that does not depend on what is durable on this node.
     fn send_now(&mut self, to: DiskId, message: RaftMessage) {
-        self.actions.push(RaftAction::Send { to, message });
+        self.send_in(SendLane::Urgent, to, message);
+    }
+
+    fn send_in(&mut self, lane: SendLane, to: DiskId, message: RaftMessage) {
+        self.actions.push(RaftAction::Send { to, message, lane });
     }
 
     fn persist(&mut self, batch: PersistBatch) {
--- a/components/raft/src/progress.rs
+++ b/components/raft/src/progress.rs
@@ -13,8 +13,7 @@
     /// Messages without entries are sent to find the last index at which the logs match.
     Probe,
     /// Entries are sent without waiting for replies, up to a limit of unacknowledged messages.
-    /// `in_flight` holds the last index of each of these messages.
-    Replicate { in_flight: VecDeque<LogIndex> },
+    Replicate { in_flight: VecDeque<SentBatch> },
     /// The peer needs a snapshot, which is sent one chunk at a time.
     Snapshot {
         snapshot: Snapshot,
@@ -23,6 +22,13 @@
     },
 }
 
+/// Unacknowledged message with entries.
+#[derive(Debug)]
+pub(crate) struct SentBatch {
+    pub(crate) last: LogIndex,
+    pub(crate) bytes: usize,
+}
+
 /// Replication progress of one peer, as tracked by the leader.
 #[derive(Debug)]
 pub(crate) struct PeerProgress {
@@ -40,6 +46,11 @@
     pub(crate) accept_at: ClockTime,
     /// Newest heartbeat round that the peer has replied to.
     pub(crate) last_round: u64,
+    /// Round in which the search for a matching entry began. Rejections of earlier rounds are of
+    /// messages that were on their way then.
+    probe_round: u64,
+    /// Time at which the peer last acknowledged entries, or the first ones in flight were sent.
+    progress_at: ClockTime,
     /// Newest commit index that was sent to the peer.
     pub(crate) sent_commit_index: LogIndex,
     /// Newest time known at which the peer held the whole log that the leader had then.
@@ -66,6 +77,8 @@
             replied_at: None,
             accept_at: now,
             last_round: 0,
+            probe_round: 0,
+            progress_at: now,
             sent_commit_index: LogIndex(0),
             caught_up_at: None,
             catch_up: CatchUpRound {
@@ -111,7 +124,10 @@
         now: ClockTime,
     ) {
         self.accept_at = now;
-        self.match_index = self.match_index.max(match_index);
+        if match_index > self.match_index {
+            self.match_index = match_index;
+            self.progress_at = now;
+        }
         self.advance_catch_up(last, now);
         let after = LogIndex(self.match_index.0 + 1);
         match &mut self.mode {
@@ -122,7 +138,7 @@
             SendMode::Replicate { in_flight } => {
                 self.next_index = self.next_index.max(after);
                 let match_index = self.match_index;
-                in_flight.retain(|last| *last > match_index);
+                in_flight.retain(|sent| sent.last > match_index);
             }
             // The entries after the snapshot may have been compacted during the transfer. In that
             // case the attempt to send them starts the transfer of the newer snapshot.
@@ -136,8 +152,30 @@
         }
     }
 
-    /// Whether a rejection of `prev` is neither delayed nor duplicated.
-    pub(crate) fn is_new_rejection(&self, prev: LogIndex) -> bool {
+    /// Records a message with entries.
+    pub(crate) fn record_sent(&mut self, sent: SentBatch, now: ClockTime) {
+        let SendMode::Replicate { in_flight } = &mut self.mode else {
+            return;
+        };
+        if in_flight.is_empty() {
+            self.progress_at = now;
+        }
+        self.next_index = LogIndex(sent.last.0 + 1);
+        in_flight.push_back(sent);
+    }
+
+    /// Whether entries are in flight and none of them was acknowledged for `timeout`.
+    pub(crate) fn is_stalled(&self, now: ClockTime, timeout: Duration) -> bool {
+        let has_in_flight =
+            matches!(&self.mode, SendMode::Replicate { in_flight } if !in_flight.is_empty());
+        has_in_flight && now.since(self.progress_at) >= timeout
+    }
+
+    /// Whether a rejection of `prev` in a heartbeat round is neither delayed nor duplicated.
+    pub(crate) fn is_new_rejection(&self, prev: LogIndex, round: u64) -> bool {
+        if round < self.probe_round {
+            return false;
+        }
         match self.mode {
             SendMode::Probe => prev == self.prev_index() && prev > self.match_index,
             SendMode::Replicate { .. } => prev > self.match_index,
@@ -166,8 +204,9 @@
         self.caught_up_at = None;
     }
 
-    /// Continues the search for a matching entry at `candidate`.
-    pub(crate) fn probe_from(&mut self, candidate: LogIndex) {
+    /// Continues the search for a matching entry at `candidate`, in a new heartbeat round.
+    pub(crate) fn probe_from(&mut self, candidate: LogIndex, round: u64) {
+        self.probe_round = round;
         self.next_index = LogIndex(candidate.max(self.match_index).0 + 1);
         self.mode = SendMode::Probe;
     }
--- a/components/raft/tests/support/mod.rs
+++ b/components/raft/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use raft::{
     EntryPayload, LogEntry, LogIndex, NodeRole, PersistBatch, PersistedState, RaftAction,
-    RaftMessage, RaftNode, RaftSettings, Snapshot, Term,
+    RaftMessage, RaftNode, RaftSettings, SendLane, Snapshot, Term,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -70,6 +70,10 @@
     pub(crate) rng: StdRng,
     pub(crate) hosts: BTreeMap<DiskId, FakeHost>,
     pub(crate) fault_rates: FaultRates,
+    /// Bytes that a lane of a link carries in one millisecond, in order; unlimited if `None`.
+    pub(crate) link_rate: Option<u64>,
+    /// Time until which each lane of a link is busy.
+    busy_until: BTreeMap<(DiskId, DiskId, SendLane), u64>,
     /// Sender and receiver of each interrupted connection.
     pub(crate) blocked_links: BTreeSet<(DiskId, DiskId)>,
     /// All committed entries, from index 1 on.
@@ -94,6 +98,8 @@
             rng: StdRng::seed_from_u64(seed),
             hosts: BTreeMap::new(),
             fault_rates: FaultRates::default(),
+            link_rate: None,
+            busy_until: BTreeMap::new(),
             blocked_links: BTreeSet::new(),
             history: Vec::new(),
             restore_count: 0,
@@ -183,6 +189,26 @@
             .map(|(id, _)| id)
     }
 
+    pub(crate) fn term(&self, id: DiskId) -> Option<Term> {
+        let node = self.hosts[&id].node.as_ref()?;
+        Some(node.status().term)
+    }
+
+    /// Time for which a running node has not heard a leader.
+    pub(crate) fn leader_silence_ms(&self, id: DiskId) -> u64 {
+        let node = self.hosts[&id].node.as_ref();
+        let silence = node.and_then(RaftNode::leader_silence);
+        silence.map_or(0, |silence| silence.as_millis() as u64)
+    }
+
+    /// Time for which the busiest lane to a host is occupied.
+    pub(crate) fn queued_ms(&self, to: DiskId) -> u64 {
+        let lanes = self.busy_until.iter();
+        let ends = lanes.filter(|((_, receiver, _), _)| *receiver == to);
+        let last = ends.map(|(_, busy_until)| *busy_until).max();
+        last.unwrap_or(0).saturating_sub(self.now_ms)
+    }
+
     /// Calls a method of a node, if it is running, and carries out the actions.
     pub(crate) fn call(
         &mut self,
@@ -205,15 +231,20 @@
     }
 
     pub(crate) fn propose(&mut self, id: DiskId, value: u64) -> bool {
+        self.propose_padded(id, value, 0)
+    }
+
+    /// Proposes a value in a command that is larger by this many bytes.
+    pub(crate) fn propose_padded(&mut self, id: DiskId, value: u64, padding: usize) -> bool {
+        let mut command = value.to_le_bytes().to_vec();
+        command.resize(command.len() + padding, 0);
         let mut accepted = false;
-        self.call(id, |node, now| {
-            match node.propose(value.to_le_bytes().to_vec(), now) {
-                Ok((_, actions)) => {
-                    accepted = true;
-                    actions
-                }
-                Err(_) => Vec::new(),
+        self.call(id, |node, now| match node.propose(command, now) {
+            Ok((_, actions)) => {
+                accepted = true;
+                actions
             }
+            Err(_) => Vec::new(),
         });
         accepted
     }
@@ -241,7 +272,7 @@
 
     fn carry_out(&mut self, id: DiskId, action: RaftAction) {
         match action {
-            RaftAction::Send { to, message } => self.send_message(id, to, message),
+            RaftAction::Send { to, message, lane } => self.send_message(id, to, message, lane),
             RaftAction::Persist {
                 id: write_id,
                 batch,
@@ -339,7 +370,7 @@
         entries.filter_map(command_value).next().unwrap_or(0)
     }
 
-    fn send_message(&mut self, from: DiskId, to: DiskId, message: RaftMessage) {
+    fn send_message(&mut self, from: DiskId, to: DiskId, message: RaftMessage, lane: SendLane) {
         // A frame starts with a length field of 4 bytes.
         let size = postcard::to_allocvec(&message)
             .expect("messages can be encoded")
@@ -360,7 +391,10 @@
         for _ in 0..copy_count {
             let is_slow = self.rng.random_range(0..100) < fault_rates.late_percent;
             let max_delay_ms = if is_slow { 1500 } else { 10 };
-            let delay_ms = self.rng.random_range(1..=max_delay_ms);
+            let random_ms = self.rng.random_range(1..=max_delay_ms);
+            let delay_ms = self
+                .queue_delay_ms(from, to, lane, size)
+                .unwrap_or(random_ms);
             self.schedule(
                 delay_ms,
                 Event::Deliver {
@@ -372,6 +406,21 @@
         }
     }
 
+    /// Time until a message of this size has passed its lane, if the links have a rate.
+    fn queue_delay_ms(
+        &mut self,
+        from: DiskId,
+        to: DiskId,
+        lane: SendLane,
+        size: usize,
+    ) -> Option<u64> {
+        const PROPAGATION_MS: u64 = 8;
+        let rate = self.link_rate?;
+        let busy_until = self.busy_until.entry((from, to, lane)).or_default();
+        *busy_until = self.now_ms.max(*busy_until) + size as u64 / rate;
+        Some(*busy_until - self.now_ms + PROPAGATION_MS)
+    }
+
     fn schedule(&mut self, delay_ms: u64, event: Event) {
         self.next_event_id += 1;
         self.event_queue
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -39,11 +39,11 @@
          peer.";
     STREAM_REFUSED = 3021, Warn, "stream-refused",
         "A peer opened a stream of a kind that its role may not open.";
-    PEER_STREAM_OPENED = 3051, Info, "peer-stream-opened",
-        "A stream to another control node is open, after connect_ms.";
-    PEER_STREAM_CLOSED = 3052, Warn, "peer-stream-closed",
-        "A stream to another control node has ended after open_ms, and is opened again. sent_bytes were \
-         handed to it, queued frames wait for the next one, and the last acknowledgement is \
+    PEER_LINK_OPENED = 3051, Info, "peer-link-opened",
+        "A link to another control node is open, after connect_ms.";
+    PEER_LINK_CLOSED = 3052, Warn, "peer-link-closed",
+        "A link to another control node has ended after open_ms, and is opened again. sent_bytes were \
+         sent on it, queued frames wait for the next one, and the last acknowledgement is \
          unacknowledged_ms old.";
     PEER_FRAMES_DROPPED = 3053, Warn, "peer-frames-dropped",
         "The queue to another control node is full, so that messages to it are lost. Logged once until a \
