Compact the log by its bytes

Cause: SNAPSHOT_INTERVAL_ENTRIES counts entries, while the log costs bytes.

Evidence: large_changes_do_not_fill_the_disk failed before, with 100 changes of 100 KB: "the log of node 0 takes bytes".

--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -3,6 +3,7 @@
 //! The driver handles all queued events and runs the resulting Raft actions. It then writes
 //! everything that must be durable with one sync, so concurrent proposals share the cost of a sync.
 
+mod compact;
 mod disk;
 mod group;
 mod report;
@@ -24,6 +25,7 @@
 use tokio::sync::{mpsc, oneshot};
 use units::{ClockSource, ClockTime, DiskId, NodeName};
 
+use self::compact::UncompactedEntries;
 use self::disk::WriteFault;
 pub(crate) use self::disk::{WRITE_RETRY_DELAY, is_refused_write};
 use self::report::MemberLags;
@@ -39,9 +41,6 @@
 /// a renewal reply stays small compared with the lease time.
 const BARRIER_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Number of applied log entries between snapshots.
-const SNAPSHOT_INTERVAL_ENTRIES: u64 = 1_000;
-
 /// Maximum number of events handled before a sync.
 const MAX_EVENTS_PER_SYNC: usize = 256;
 
@@ -72,7 +71,7 @@
     last_barrier_id: u64,
     last_barrier_at: ClockTime,
     applied_index: LogIndex,
-    compacted_index: LogIndex,
+    uncompacted_entries: UncompactedEntries,
     is_transferring: bool,
     /// Whether a change of the members may be due at the next tick.
     are_members_due: bool,
@@ -140,7 +139,7 @@
             last_barrier_id: 0,
             last_barrier_at: now,
             applied_index: LogIndex(0),
-            compacted_index: LogIndex(0),
+            uncompacted_entries: UncompactedEntries::default(),
             is_transferring: false,
             are_members_due: false,
             listening_time: ListeningTime::starting_at(now),
@@ -364,6 +363,7 @@
                 RaftAction::BarrierFailed { id } => self.finish_barrier(id, false),
             }
         }
+        self.compact_if_due();
         Ok(())
     }
 
@@ -421,23 +421,10 @@
             self.are_members_due = true;
         }
         self.applied_index = index;
-        self.compact();
+        self.uncompacted_entries.record(&entry);
         Ok(())
     }
 
-    fn compact(&mut self) {
-        if self.applied_index.0 >= self.compacted_index.0 + SNAPSHOT_INTERVAL_ENTRIES {
-            let snapshot = self.view.read(|view| view.registry.snapshot());
-            event!(
-                events::SNAPSHOT_WRITTEN,
-                index = self.applied_index,
-                bytes = snapshot.len()
-            );
-            self.node.compact(self.applied_index, snapshot);
-            self.compacted_index = self.applied_index;
-        }
-    }
-
     fn restore_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
         let registry = RegistryState::restore(&snapshot.data)
             .wrap_err_with(|| format!("Failed to restore snapshot {}", snapshot.last.index))?;
@@ -447,7 +434,7 @@
             view.record_version_time(now);
         });
         self.applied_index = snapshot.last.index;
-        self.compacted_index = self.applied_index;
+        self.uncompacted_entries = UncompactedEntries::after(self.applied_index);
         let later = self
             .waiting_proposals
             .split_off(&LogIndex(self.applied_index.0 + 1));
--- a/components/control/tests/support/changes.rs
+++ b/components/control/tests/support/changes.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use client::ControlClient;
+use control::ApiError;
+use rand::distr::{Alphanumeric, SampleString};
+use routes::{CallerBounds, PublishedPlan, RoutePlan};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
-use units::ConfigVersion;
+use units::{ByteSize, ConfigVersion, PlanNumber};
 use wire::{ControlReply, ControlRequest, OrderReply};
 
-use super::{SERVICES_TEXT, apply};
+use super::{SERVICES_TEXT, TestGroup, WAIT_TIMEOUT, apply};
 
 /// Time within which a change must be accepted while a majority of the nodes is well.
 pub(crate) const ACK_TIMEOUT: Duration = Duration::from_secs(4);
@@ -37,6 +40,38 @@
     }
 }
 
+/// Publishes a plan with a text of this size until a node accepts it. The text cannot be compressed.
+pub(crate) async fn publish_text(group: &TestGroup, number: u64, text_bytes: usize) {
+    let plan = PublishedPlan {
+        number: PlanNumber(number),
+        plan: RoutePlan {
+            routes: Vec::new(),
+            pools: Default::default(),
+            organisations: Default::default(),
+            bounds: CallerBounds {
+                max_headers: ByteSize(1),
+                max_body: ByteSize(1),
+                header_timeout_ms: 1,
+                idle_timeout_ms: 1,
+                tokens_per_second: None,
+            },
+        },
+    };
+    let text = Alphanumeric.sample_string(&mut rand::rng(), text_bytes);
+    let publishing = async {
+        for index in group.running().into_iter().cycle() {
+            let api = group.nodes[index].as_ref().unwrap().api();
+            match api.publish(&plan, text.clone()).await {
+                Ok(()) => return,
+                Err(ApiError::NoQuorum(_)) => sleep(Duration::from_millis(20)).await,
+                Err(error) => panic!("{error}"),
+            }
+        }
+    };
+    let published = timeout(WAIT_TIMEOUT, publishing).await;
+    assert!(published.is_ok(), "no node accepts plan {number}");
+}
+
 /// Changes that are sent one after another until the sender is told to stop.
 pub(crate) struct ChangeSender {
     is_stopping: Arc<AtomicBool>,
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -15,7 +15,8 @@
          changed member, voters and learners are the members after the change, and absent the \
          voters that the leader does not hear from.";
     SNAPSHOT_WRITTEN = 3013, Info, "snapshot-written",
-        "The log up to this index was replaced by a snapshot.";
+        "The log up to this index was replaced by a snapshot of this many bytes; entry_bytes is the size of \
+         the entries since the one before.";
     FOLDER_REPLACED = 3014, Warn, "folder-replaced",
         "Another node has replaced this one in the group; this node joins again with an empty \
          data folder and a new id.";
