--- a/components/raft/src/log.rs
+++ b/components/raft/src/log.rs
@@ -189,13 +189,14 @@
             .sum()
     }
 
-    /// Creates a snapshot at an index and drops the entries up to it except for the last
-    /// `retained`. Returns `None` if the term at the index is not known.
+    /// Creates a snapshot at an index and drops the entries up to it except for the last ones, within
+    /// both limits. Returns `None` if the term at the index is not known.
     pub(crate) fn compact(
         &mut self,
         index: LogIndex,
         data: Vec<u8>,
-        retained: usize,
+        max_retained_entries: usize,
+        max_retained_bytes: usize,
     ) -> Option<Snapshot> {
         let term = self.term_at(index)?;
         let snapshot = Snapshot {
@@ -205,7 +206,16 @@
         };
         self.snapshot = Some(snapshot.clone());
         let covered = (index.0 - self.base.index.0) as usize;
-        self.drop_front(covered.saturating_sub(retained));
+        let mut retained_bytes = 0;
+        let newest = self.entries.range(..covered).rev();
+        let retained = newest
+            .take(max_retained_entries)
+            .take_while(|entry| {
+                retained_bytes += entry.max_encoded_bytes();
+                retained_bytes <= max_retained_bytes
+            })
+            .count();
+        self.drop_front(covered - retained);
         Some(snapshot)
     }
 
--- a/components/raft/src/node/mod.rs
+++ b/components/raft/src/node/mod.rs
@@ -240,8 +240,11 @@
         if index > self.commit_index || index <= self.log.snapshot_index() {
             return;
         }
-        let retained = self.settings.retained_entries;
-        if let Some(snapshot) = self.log.compact(index, snapshot, retained) {
+        let max_entries = self.settings.retained_entries;
+        // A peer that lacks more than the size of the snapshot costs less with the snapshot, unless one
+        // message brings it all that it lacks.
+        let max_bytes = snapshot.len().max(self.settings.max_batch_bytes);
+        if let Some(snapshot) = self.log.compact(index, snapshot, max_entries, max_bytes) {
             self.persist(PersistBatch {
                 snapshot: Some(snapshot),
                 ..PersistBatch::default()
--- a/components/raft/src/settings.rs
+++ b/components/raft/src/settings.rs
@@ -30,8 +30,9 @@
     pub max_pending_bytes: usize,
     /// Maximum number of barriers that wait on one node.
     pub max_pending_barriers: usize,
-    /// Number of entries kept in memory after a compaction, so that a peer that is slightly behind
-    /// does not need a snapshot.
+    /// Maximum number of entries kept in memory after a compaction, so that a peer that is slightly
+    /// behind does not need a snapshot. Their bytes are limited by the size of the snapshot or
+    /// `max_batch_bytes`, whichever is larger.
     pub retained_entries: usize,
 }
 
--- a/components/raft/tests/support/mod.rs
+++ b/components/raft/tests/support/mod.rs
@@ -205,15 +205,20 @@
     }
 
     pub(crate) fn propose(&mut self, id: DiskId, value: u64) -> bool {
+        self.propose_padded(id, value, 0)
+    }
+
+    /// Proposes a value with this number of bytes after it, which are not part of the state.
+    pub(crate) fn propose_padded(&mut self, id: DiskId, value: u64, padding_bytes: usize) -> bool {
+        let mut command = value.to_le_bytes().to_vec();
+        command.resize(command.len() + padding_bytes, 0);
         let mut accepted = false;
-        self.call(id, |node, now| {
-            match node.propose(value.to_le_bytes().to_vec(), now) {
-                Ok((_, actions)) => {
-                    accepted = true;
-                    actions
-                }
-                Err(_) => Vec::new(),
+        self.call(id, |node, now| match node.propose(command, now) {
+            Ok((_, actions)) => {
+                accepted = true;
+                actions
             }
+            Err(_) => Vec::new(),
         });
         accepted
     }
