Let a log without room for a segment free its disk

Evidence: node_whose_log_fills_its_disk_keeps_up (a disk of 2.5 MB, 50 changes of 100 KB) failed before: the version was not in force after 30 s. It passes now.

--- a/components/control/tests/large_changes.rs
+++ b/components/control/tests/large_changes.rs
@@ -44,3 +44,19 @@
         );
     }
 }
+
+/// Guards against a node that stays away from its group because its own log fills its disk: while the disk
+/// is full, nothing is applied or compacted that could free room.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_whose_log_fills_its_disk_keeps_up() {
+    let group = TestGroup::start().await;
+    group.wait_ready().await;
+    let index = (group.leader().await + 1) % 3;
+    group.disks[index].set_capacity(2_500_000);
+
+    for number in 1..=50 {
+        publish_text(&group, number, TEXT_BYTES).await;
+    }
+
+    group.wait_version(50).await;
+}
--- a/components/store/src/log_store.rs
+++ b/components/store/src/log_store.rs
@@ -11,8 +11,9 @@
 use crate::segments::{self, SegmentedLog};
 use crate::{DiskFiles, StoreError, SystemFiles};
 
-/// Size of a log segment, in bytes, at which the next batch starts a new segment.
-pub const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
+/// Size of a log segment, in bytes, at which the next batch starts a new segment. A snapshot frees no
+/// segment with newer entries, so this is the size up to which superseded entries remain.
+pub const SEGMENT_BYTES: u64 = 512 * 1024;
 
 const STATE_FILE: &str = "state";
 const SNAPSHOT_FILE: &str = "snapshot";
