--- a/components/raft/src/node/leader.rs
+++ b/components/raft/src/node/leader.rs
@@ -148,7 +148,13 @@
         };
         let prev = match peer.mode {
             SendMode::Snapshot { .. } => Some(EntryId::default()),
-            SendMode::Replicate { .. } => entry_id_at(&self.log, peer.match_index),
+            // The acknowledgement of entries in flight may be on its way when they are compacted.
+            SendMode::Replicate { .. } => {
+                let timeout = self.settings.min_election_timeout;
+                let is_stalled = peer.is_stalled(self.now, timeout);
+                entry_id_at(&self.log, peer.match_index)
+                    .or_else(|| (!is_stalled).then(EntryId::default))
+            }
             SendMode::Probe => entry_id_at(&self.log, peer.prev_index()),
         };
         let Some(prev) = prev else {
