--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use link::LinkEndpoint;
+use registry::PackedPlan;
 use rollout::{RolloutOrder, RolloutRecord};
 use routes::PublishedPlan;
 use telemetry::{event, events};
@@ -85,9 +86,11 @@
             let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
             return Err(ApiError::Invalid(lines.join("; ")));
         }
-        let plan =
-            postcard::to_stdvec(plan).map_err(|error| ApiError::Invalid(error.to_string()))?;
-        self.order(OperatorOrder::Publish { plan, text }).await
+        // Packed here, so that forwarding the order to the leader is cheap, too.
+        let packed = PackedPlan::pack(plan, &text)
+            .map_err(|error| ApiError::Invalid(error.to_string()))?
+            .into_bytes();
+        self.order(OperatorOrder::Publish { packed }).await
     }
 
     /// Returns the published plan in force, as confirmed by a quorum, or `None` if no plan has been
--- a/components/control/src/orders.rs
+++ b/components/control/src/orders.rs
@@ -65,15 +65,7 @@
             target,
             out,
         }]),
-        OperatorOrder::Publish { plan, text } => {
-            let size = plan.len();
-            let plan = postcard::from_bytes(&plan)
-                .map_err(|error| format!("Failed to decode a plan of {size} bytes: {error}"))?;
-            Ok(vec![RegistryAction::Publish {
-                plan: Box::new(plan),
-                text,
-            }])
-        }
+        OperatorOrder::Publish { packed } => Ok(vec![RegistryAction::PublishPacked(packed.into())]),
         OperatorOrder::Evacuate { data_centre, out } => {
             Ok(vec![RegistryAction::Evacuate { data_centre, out }])
         }
--- /dev/null
+++ b/components/control/tests/large_plans.rs
@@ -0,0 +1,73 @@
+//! Published plans with hundreds of routes, at a group of control nodes.
+
+mod support;
+
+use std::fs;
+use std::time::{Duration, Instant};
+
+use control::ApiError;
+use support::TestGroup;
+use support::plans::plan_of;
+
+/// Time within which a plan must be accepted or refused for good; operators wait for 5 s.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Maximum size of a change of 350 routes, so that three a second take a sixth of a link of 500 KB/s.
+const MAX_CHANGE_BYTES: u64 = 28_000;
+
+/// Publishes a plan and repeats the call while there is no quorum.
+async fn publish(
+    group: &TestGroup,
+    number: u64,
+    routes: usize,
+    keys: usize,
+) -> Result<(), ApiError> {
+    let (plan, text) = plan_of(number, routes, keys);
+    let api = group.nodes[0].as_ref().unwrap().api();
+    let started_at = Instant::now();
+    loop {
+        match api.publish(&plan, text.clone()).await {
+            Err(ApiError::NoQuorum(_)) if started_at.elapsed() < ANSWER_TIMEOUT => {}
+            result => return result,
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Size of all files in the folder of a node's log.
+fn log_bytes(group: &TestGroup, index: usize) -> u64 {
+    let mut folders = vec![group.data_folder(index)];
+    let mut bytes = 0;
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(folder).unwrap() {
+            let entry = entry.unwrap();
+            let metadata = entry.metadata().unwrap();
+            match metadata.is_dir() {
+                true => folders.push(entry.path()),
+                false => bytes += metadata.len(),
+            }
+        }
+    }
+    bytes
+}
+
+/// Guards against changes of a large plan that fill the links between control nodes and their disks.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_of_350_routes_takes_little_of_log_and_link() {
+    let group = TestGroup::start().await;
+    group.wait_ready().await;
+    publish(&group, 1, 350, 60).await.unwrap();
+    let before = log_bytes(&group, 0);
+
+    for number in 2..=11 {
+        publish(&group, number, 350, 60).await.unwrap();
+    }
+
+    let change_bytes = (log_bytes(&group, 0) - before) / 10;
+    assert!(
+        change_bytes <= MAX_CHANGE_BYTES,
+        "a change takes {change_bytes} bytes"
+    );
+    let text = group.nodes[2].as_ref().unwrap().api().published().await;
+    assert_eq!(text.unwrap().unwrap().text, plan_of(11, 350, 60).1);
+}
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod changes;
+pub(crate) mod plans;
 
 use std::collections::BTreeMap;
 use std::fs::File;
--- a/components/registry/src/command.rs
+++ b/components/registry/src/command.rs
@@ -10,6 +10,8 @@
 };
 use wire::{BeginCall, BeginOutcome, EndCall, OrderReply, StreamOrigin};
 
+use crate::packed::PackedPlan;
+
 units::number!(
     /// Wall-clock time of a leader, in milliseconds since the Unix epoch.
     WallTime(u64)
@@ -82,8 +84,8 @@
             /// Target that the fencing number applies to.
             target: TargetName,
         },
-        /// Publishes a plan of routes. Has no effect if a plan with the same or a higher number is
-        /// in force.
+        /// Publishes a plan of routes. Only logs of older processes contain it; it is replaced by
+        /// `PublishPacked`.
         Publish {
             /// Published plan.
             plan: Box<PublishedPlan>,
@@ -135,6 +137,9 @@
         /// Puts the next phase of a roll-out in force. Has no effect on another roll-out, or if the
         /// phase may not follow the current one.
         AdvanceRollout(RolloutStep),
+        /// Publishes a plan of routes. Has no effect if a plan with the same or a higher number is
+        /// in force.
+        PublishPacked(PackedPlan),
     }
 
     /// Outcome of a command.
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -11,14 +11,18 @@
 
 mod calls;
 mod command;
+mod compression;
 mod config;
 mod history;
 mod orders;
+mod packed;
 mod state;
 mod versions;
 
 pub use calls::{CallRecord, MAX_STORED_BODY_BYTES, MAX_STORED_TOTAL_BYTES};
 pub use command::{RegistryAction, RegistryCommand, RegistryOutcome, StageId, WallTime};
+pub use compression::CompressionError;
 pub use config::{ConfigChange, ConfigError, ConfigUpdate, FleetConfig, ReturnVersions};
+pub use packed::{PackError, PackedPlan};
 pub use state::{MAX_OUT_TARGETS, MAX_ROLLOUTS, RegistryError, RegistryLimits, RegistryState};
 pub use versions::VersionTable;
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -1,13 +1,13 @@
 //! State machine of the replicated log.
 
 mod rollouts;
+mod snapshot;
 
 use std::collections::{BTreeMap, VecDeque};
 
 use directory::DepartureTable;
 use manifest::ManifestChange;
 use routes::PublishedPlan;
-use thiserror::Error;
 use units::{ConfigVersion, DataCentreName, DiskId, FencingNumber, NodeName, OrderId, TargetName};
 use wire::{CallKey, OrderReply};
 
@@ -19,6 +19,7 @@
 use crate::versions::VersionTable;
 
 pub use self::rollouts::MAX_ROLLOUTS;
+pub use self::snapshot::RegistryError;
 
 /// Maximum number of targets that are out at the same time.
 pub const MAX_OUT_TARGETS: usize = 10_000;
@@ -80,19 +81,6 @@
     }
 }
 
-/// Reason why a snapshot could not be restored.
-#[derive(Debug, Error)]
-pub enum RegistryError {
-    /// The snapshot cannot be decoded.
-    #[error("Failed to restore a snapshot of {size} bytes")]
-    Malformed {
-        /// Size of the snapshot in bytes.
-        size: usize,
-        /// Error of the decoder.
-        source: postcard::Error,
-    },
-}
-
 impl RegistryState {
     /// Creates an empty state with the given limits on the call records.
     pub fn with_limits(limits: RegistryLimits) -> Self {
@@ -126,6 +114,12 @@
             RegistryAction::Publish { plan, text } => {
                 RegistryOutcome::Order(self.publish_plan(plan, text))
             }
+            RegistryAction::PublishPacked(packed) => {
+                RegistryOutcome::Order(match packed.unpack() {
+                    Ok((plan, text)) => self.publish_plan(&plan, &text),
+                    Err(error) => OrderReply::Invalid(error.to_string()),
+                })
+            }
             RegistryAction::Evacuate { data_centre, out } => {
                 RegistryOutcome::Order(self.set_evacuated(data_centre, *out))
             }
@@ -412,40 +406,4 @@
         };
         postcard::to_stdvec(&update).expect("an update encodes into memory")
     }
-
-    /// Encodes the complete state.
-    pub fn snapshot(&self) -> Vec<u8> {
-        let mut bytes = postcard::to_stdvec(self).expect("the state encodes into memory");
-        let versions = postcard::to_stdvec(&self.versions);
-        bytes.extend(versions.expect("the versions encode into memory"));
-        let departures = postcard::to_stdvec(&self.departures);
-        bytes.extend(departures.expect("the departures encode into memory"));
-        let rollouts = postcard::to_stdvec(&self.config.rollouts);
-        bytes.extend(rollouts.expect("the roll-outs encode into memory"));
-        let returns = postcard::to_stdvec(&self.config.returns);
-        bytes.extend(returns.expect("the versions encode into memory"));
-        bytes
-    }
-
-    /// Decodes a state from a snapshot.
-    pub fn restore(snapshot: &[u8]) -> Result<Self, RegistryError> {
-        let size = snapshot.len();
-        let to_error = |source| RegistryError::Malformed { size, source };
-        let (mut state, rest): (Self, _) = postcard::take_from_bytes(snapshot).map_err(to_error)?;
-        let mut rest: &[u8] = rest;
-        if !rest.is_empty() {
-            (state.versions, rest) = postcard::take_from_bytes(rest).map_err(to_error)?;
-        }
-        if !rest.is_empty() {
-            (state.departures, rest) = postcard::take_from_bytes(rest).map_err(to_error)?;
-        }
-        if !rest.is_empty() {
-            (state.config.rollouts, rest) = postcard::take_from_bytes(rest).map_err(to_error)?;
-        }
-        if !rest.is_empty() {
-            state.config.returns = postcard::from_bytes(rest).map_err(to_error)?;
-        }
-        state.calls.rebuild();
-        Ok(state)
-    }
 }
--- a/components/registry/tests/departures.rs
+++ b/components/registry/tests/departures.rs
@@ -38,7 +38,7 @@
 #[test]
 fn snapshot_keeps_the_departures() {
     let mut state = RegistryState::default();
-    let older = state.snapshot();
+    let older = state.encode();
     depart(&mut state, "target", 5);
 
     let restored = RegistryState::restore(&state.snapshot()).unwrap();
--- a/components/registry/tests/plans.rs
+++ b/components/registry/tests/plans.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use registry::{
-    FleetConfig, RegistryAction, RegistryCommand, RegistryOutcome, RegistryState, WallTime,
+    FleetConfig, PackedPlan, RegistryAction, RegistryCommand, RegistryOutcome, RegistryState,
+    WallTime,
 };
 use routes::{CallerBounds, PublishedPlan, RoutePlan};
 use units::{ByteSize, ConfigVersion, PlanNumber};
@@ -22,15 +23,13 @@
             tokens_per_second: None,
         },
     };
+    let published = PublishedPlan {
+        number: PlanNumber(number),
+        plan,
+    };
     state.apply(&RegistryCommand {
         at: WallTime(1),
-        action: RegistryAction::Publish {
-            plan: Box::new(PublishedPlan {
-                number: PlanNumber(number),
-                plan,
-            }),
-            text: text.into(),
-        },
+        action: RegistryAction::PublishPacked(PackedPlan::pack(&published, text).unwrap()),
     })
 }
 
@@ -112,7 +111,7 @@
     evacuate(&mut state, false);
     evacuate(&mut state, false);
     publish(&mut state, 1, "one");
-    let older = state.snapshot();
+    let older = state.encode();
 
     let mut full = FleetConfig::default();
     full.install(&state.changes_since(full.version)).unwrap();
--- a/components/registry/tests/rollouts.rs
+++ b/components/registry/tests/rollouts.rs
@@ -186,7 +186,7 @@
 #[test]
 fn updates_and_snapshots_contain_the_rollouts() {
     let mut state = state_with("advice");
-    let older = state.snapshot();
+    let older = state.encode();
     let mut incremental = FleetConfig::default();
     incremental
         .install(&state.changes_since(incremental.version))
--- a/components/registry/tests/versions.rs
+++ b/components/registry/tests/versions.rs
@@ -85,7 +85,7 @@
 #[test]
 fn snapshot_keeps_the_versions() {
     let mut state = RegistryState::default();
-    let older = state.snapshot();
+    let older = state.encode();
     register(&mut state, "v1");
 
     let restored = RegistryState::restore(&state.snapshot()).unwrap();
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -249,10 +249,9 @@
         /// Publishes a plan of routes. The plan with the highest number is in force, so repetitions
         /// of the order are idempotent.
         Publish {
-            /// Encoded `PublishedPlan` of the `routes` crate.
-            plan: Vec<u8>,
-            /// Source text of the plan, returned to operators who read the plan.
-            text: String,
+            /// `PackedPlan` of the `registry` crate: the plan, and its source text, which is returned
+            /// to operators who read the plan.
+            packed: Vec<u8>,
         },
         /// Takes a data centre out or brings it back, regardless of the configuration version.
         Evacuate {
