Refuse a configuration that never fits as too large

Callers who sent a valid configuration whose log entry is over 480 KiB got 503 "Failed to reach a quorum" for ever, although all voters were present.

Cause: the proposal is refused with `ProposeFailure::Refused`, which became `BadRequest`, and the API took each reply that it did not expect for a missing quorum.

Now the node that takes the call compares the compressed plan with the limit (480 KiB less 4 KiB of overhead) and answers 413 with both sizes; a plan over 16 MiB before compression gets the same. `BadRequest` is a final refusal of other orders, too.

All pass now.

--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use link::LinkEndpoint;
-use registry::PackedPlan;
+use registry::{PackError, PackedPlan};
 use rollout::{RolloutOrder, RolloutRecord};
 use routes::PublishedPlan;
 use telemetry::{event, events};
@@ -20,7 +20,7 @@
 
 use crate::announced::{check_announcement, check_departure};
 use crate::departures::commit_departure;
-use crate::orders::check_rollout;
+use crate::orders::{MAX_PACKED_PLAN_BYTES, check_rollout};
 use crate::quorum;
 use crate::requests::{commit_or_forward, confirm_newest};
 use crate::state::ControlContext;
@@ -35,6 +35,9 @@
     /// The order is invalid; repeating it cannot succeed.
     #[error("{0}")]
     Invalid(String),
+    /// The order is larger than an entry of the replicated log may be; repeating it cannot succeed.
+    #[error("{0}")]
+    TooLarge(String),
     /// No quorum has confirmed the request. An order may nevertheless have come into force. The text
     /// names the leader and the voters that the node waits for.
     #[error("Failed to reach a quorum of the control nodes: {0}")]
@@ -79,7 +82,8 @@
 
     /// Publishes a plan, unless one with the same or a higher number is in force.
     ///
-    /// Returns [`ApiError::Invalid`] with all faults of the plan if it is invalid.
+    /// Returns [`ApiError::Invalid`] with all faults of the plan if it is invalid, and
+    /// [`ApiError::TooLarge`] if it does not fit into an entry of the log.
     pub async fn publish(&self, plan: &PublishedPlan, text: String) -> Result<(), ApiError> {
         let faults = plan.plan.faults();
         if !faults.is_empty() {
@@ -87,9 +91,19 @@
             return Err(ApiError::Invalid(lines.join("; ")));
         }
         // Packed here, so that forwarding the order to the leader is cheap, too.
-        let packed = PackedPlan::pack(plan, &text)
-            .map_err(|error| ApiError::Invalid(error.to_string()))?
-            .into_bytes();
+        let packed = match PackedPlan::pack(plan, &text) {
+            Ok(packed) => packed.into_bytes(),
+            Err(error @ PackError::TooLarge { .. }) => {
+                return Err(ApiError::TooLarge(error.to_string()));
+            }
+            Err(error) => return Err(ApiError::Invalid(error.to_string())),
+        };
+        if packed.len() > MAX_PACKED_PLAN_BYTES {
+            let size = packed.len();
+            return Err(ApiError::TooLarge(format!(
+                "the plan has {size} bytes when compressed, and the limit is {MAX_PACKED_PLAN_BYTES}"
+            )));
+        }
         self.order(OperatorOrder::Publish { packed }).await
     }
 
@@ -252,7 +266,9 @@
     async fn order(&self, order: OperatorOrder) -> Result<(), ApiError> {
         match commit_or_forward(&self.context, false, ControlRequest::Order(order)).await {
             ControlReply::Order(OrderReply::Accepted(_)) => Ok(()),
-            ControlReply::Order(OrderReply::Invalid(reason)) => Err(ApiError::Invalid(reason)),
+            ControlReply::Order(OrderReply::Invalid(reason)) | ControlReply::BadRequest(reason) => {
+                Err(ApiError::Invalid(reason))
+            }
             ControlReply::Order(OrderReply::NoPlan) => Err(ApiError::NoPlan),
             ControlReply::Order(OrderReply::RolloutInProgress { to }) => Err(ApiError::Conflict(
                 format!("a roll-out of the service to version {to} is in progress"),
--- a/components/control/src/orders.rs
+++ b/components/control/src/orders.rs
@@ -12,6 +12,9 @@
 /// Upper bound of the encoded size of a command without its changes.
 const COMMAND_OVERHEAD_BYTES: usize = 4 << 10;
 
+/// Maximum size of a compressed plan, in bytes, which must fit into one log entry.
+pub(crate) const MAX_PACKED_PLAN_BYTES: usize = MAX_COMMAND_BYTES - COMMAND_OVERHEAD_BYTES;
+
 /// Maximum number of faults of a services text that a reply lists.
 const MAX_REPORTED_FAULTS: usize = 100;
 
--- a/components/control/tests/large_plans.rs
+++ b/components/control/tests/large_plans.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use control::ApiError;
+use rstest::rstest;
 use support::TestGroup;
 use support::plans::plan_of;
 
@@ -71,3 +72,26 @@
     let text = group.nodes[2].as_ref().unwrap().api().published().await;
     assert_eq!(text.unwrap().unwrap().text, plan_of(11, 350, 60).1);
 }
+
+/// Guards against a valid plan that is refused for ever as if there were no quorum, because its log
+/// entry is too large. Keys do not compress, so that many of them never fit.
+#[rstest]
+#[case::many_routes(2_500, 60, true)]
+#[case::too_many_keys(10, 20_000, false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn large_plan_is_accepted_or_refused_for_good(
+    #[case] routes: usize,
+    #[case] keys: usize,
+    #[case] is_accepted: bool,
+) {
+    let group = TestGroup::start().await;
+    group.wait_ready().await;
+
+    let result = publish(&group, 1, routes, keys).await;
+
+    match result {
+        Ok(()) => assert!(is_accepted),
+        Err(ApiError::NoQuorum(reason)) => panic!("no final answer: {reason}"),
+        Err(error) => assert!(!is_accepted, "{error}"),
+    }
+}
--- a/components/registry/src/packed.rs
+++ b/components/registry/src/packed.rs
@@ -18,7 +18,17 @@
 /// Reason why a plan could not be packed or unpacked.
 #[derive(Debug, Error)]
 pub enum PackError {
-    /// The plan is too large, or its compressed form is damaged.
+    /// The plan with its source text is too large.
+    #[error(
+        "Failed to pack a plan of {size} bytes with its source text: the limit is {limit} bytes"
+    )]
+    TooLarge {
+        /// Size before compression in bytes.
+        size: usize,
+        /// Maximum size in bytes.
+        limit: usize,
+    },
+    /// The compressed form is damaged, or that of a plan that is too large.
     #[error(transparent)]
     Compression(#[from] CompressionError),
     /// The plan cannot be encoded or decoded.
@@ -32,7 +42,7 @@
         let data = postcard::to_stdvec(&(plan, text))?;
         let (size, limit) = (data.len(), MAX_PLAN_BYTES);
         if size > limit {
-            return Err(CompressionError::TooLarge { size, limit }.into());
+            return Err(PackError::TooLarge { size, limit });
         }
         Ok(Self(compress(&data)))
     }
