--- a/components/registry/src/config.rs
+++ b/components/registry/src/config.rs
@@ -8,6 +8,11 @@
 use thiserror::Error;
 use units::{ConfigVersion, DataCentreName, ServiceName, TargetName};
 
+use crate::compression::{CompressionError, decompress};
+
+/// Maximum size of a decompressed update, in bytes. The services text alone may have 16 MiB.
+const MAX_UPDATE_BYTES: usize = 64 << 20;
+
 /// Version at which each data centre was last brought back; those that are out are left out.
 ///
 /// While a data centre was out, its targets may have become cold without any load that would show it.
@@ -100,6 +105,14 @@
         /// Error of the decoder.
         source: postcard::Error,
     },
+    /// The update cannot be decompressed.
+    #[error("Failed to decompress a configuration update of {size} bytes")]
+    Compressed {
+        /// Size of the update in bytes.
+        size: usize,
+        /// Error of the decompression.
+        source: CompressionError,
+    },
     /// Bytes follow the end of the update.
     #[error("Failed to decode a configuration update: {extra} trailing bytes")]
     Trailing {
@@ -126,7 +139,9 @@
             return Ok(());
         }
         let size = changes.len();
-        let (update, rest) = postcard::take_from_bytes(changes)
+        let changes = decompress(changes, MAX_UPDATE_BYTES)
+            .map_err(|source| ConfigError::Compressed { size, source })?;
+        let (update, rest) = postcard::take_from_bytes(&changes)
             .map_err(|source| ConfigError::Malformed { size, source })?;
         if !rest.is_empty() {
             return Err(ConfigError::Trailing { extra: rest.len() });
