Await a reply from control while its parts arrive

Callers would see an entry that never gets a configuration although there are no further changes: on a link that needs more than 1 s for it, each attempt to renew ends after 1 s, discards what was transferred, and the next one begins from nothing.

Cause: the timeout of an attempt (1 s) does not depend on what has arrived, and parts of a reply have 512 KB.

Now control nodes send parts of 32 KB, and an attempt goes on while parts arrive within 1 s of each other, up to 3 s in total. A node that falls silent is left after 1 s to 2 s.

--- a/components/client/src/failover.rs
+++ b/components/client/src/failover.rs
@@ -8,17 +8,23 @@
 
 use link::{LinkEndpoint, LinkError};
 use thiserror::Error;
+use tokio::time::Instant;
 use wire::{ControlReply, ControlRequest, OperatorOrder, stable_hash};
 
-use crate::transport::{ControlTransport, LinkTransport};
+use crate::transport::{ControlTransport, LinkTransport, ReplyProgress};
 
-/// Timeout of an attempt at one control node.
+/// Timeout of an attempt at one control node, and of each further part of a reply.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Timeout of an attempt to apply a services text, since checking and committing a large one takes
 /// seconds.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum duration of an attempt whose reply arrives in parts. A plan of 240 KB, about the largest that
+/// fits a log entry with its text, takes 2.4 s at 100 KB/s. A longer bound would delay the failover to a
+/// node with a faster link.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Maximum number of rounds over all control nodes before a request fails.
 const MAX_ROUNDS: usize = 2;
 
@@ -238,10 +244,21 @@
             ControlRequest::Order(OperatorOrder::Apply { .. }) => APPLY_TIMEOUT,
             _ => ATTEMPT_TIMEOUT,
         };
-        let exchange = self.transport.exchange(control, request);
-        let result = tokio::time::timeout(timeout, exchange)
-            .await
-            .unwrap_or_else(|_| Err(LinkError::Stream(format!("no reply within {timeout:?}"))));
+        let started_at = Instant::now();
+        let progress = ReplyProgress::default();
+        let mut exchange = self.transport.exchange(control, request, &progress);
+        let result = loop {
+            let received = progress.part_count();
+            match tokio::time::timeout(timeout, &mut exchange).await {
+                Ok(result) => break result,
+                // A transfer that is ended begins again from nothing, and would never succeed on a
+                // link that is too slow for one timeout.
+                Err(_)
+                    if progress.part_count() > received
+                        && started_at.elapsed() < TRANSFER_TIMEOUT => {}
+                Err(_) => break Err(timeout_error(timeout, progress.part_count())),
+            }
+        };
         self.list().record(control, &result);
         result
     }
@@ -256,3 +273,10 @@
         });
     }
 }
+
+fn timeout_error(timeout: Duration, part_count: usize) -> LinkError {
+    LinkError::Stream(match part_count {
+        0 => format!("no reply within {timeout:?}"),
+        _ => format!("the reply ended after {part_count} parts, none within {timeout:?}"),
+    })
+}
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -9,5 +9,5 @@
 pub use failover::{ClientError, ControlClient};
 pub use history::ProcessHistory;
 pub use lease::{LEASE_TIME, LeaseState, RENEW_INTERVAL, keep_lease};
-pub use transport::{ControlTransport, ReplyFuture};
+pub use transport::{ControlTransport, ReplyFuture, ReplyProgress};
 pub use view::{DirectoryRevision, FleetView};
--- a/components/client/src/transport.rs
+++ b/components/client/src/transport.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use link::{FrameReader, FrameWriter, LinkEndpoint, LinkError, PeerLink};
@@ -17,10 +18,33 @@
 pub type ReplyFuture<'a> =
     Pin<Box<dyn Future<Output = Result<ControlReply, LinkError>> + Send + 'a>>;
 
+/// Number of parts of a reply that have arrived, by which a slow transfer is told from a node that does
+/// not answer.
+#[derive(Debug, Default)]
+pub struct ReplyProgress(AtomicUsize);
+
+impl ReplyProgress {
+    /// Records the arrival of a part.
+    pub fn record_part(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of parts that have arrived.
+    pub fn part_count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Transport of requests to control nodes.
 pub trait ControlTransport: Send + Sync {
-    /// Sends a request to one control node and waits for the reply, without a timeout.
-    fn exchange<'a>(&'a self, address: SocketAddr, request: &'a ControlRequest) -> ReplyFuture<'a>;
+    /// Sends a request to one control node and waits for the reply, without a timeout. Records each part
+    /// of the reply that arrives.
+    fn exchange<'a>(
+        &'a self,
+        address: SocketAddr,
+        request: &'a ControlRequest,
+        progress: &'a ReplyProgress,
+    ) -> ReplyFuture<'a>;
 }
 
 /// Transport over one QUIC link to each control node.
@@ -54,6 +78,7 @@
         &self,
         address: SocketAddr,
         request: &ControlRequest,
+        progress: &ReplyProgress,
     ) -> Result<ControlReply, LinkError> {
         let opened = match self.open_stream(address).await {
             // A link that had no traffic has been closed. Nothing of the request was sent on it.
@@ -63,7 +88,7 @@
         let (guard, mut writer, mut reader) = opened?;
         send_request(&mut writer, request).await?;
         writer.finish();
-        let reply = receive_reply(&mut reader).await?;
+        let reply = receive_reply(&mut reader, progress).await?;
         guard.retain_link();
         Ok(reply)
     }
@@ -115,8 +140,13 @@
 }
 
 impl ControlTransport for LinkTransport {
-    fn exchange<'a>(&'a self, address: SocketAddr, request: &'a ControlRequest) -> ReplyFuture<'a> {
-        Box::pin(self.send(address, request))
+    fn exchange<'a>(
+        &'a self,
+        address: SocketAddr,
+        request: &'a ControlRequest,
+        progress: &'a ReplyProgress,
+    ) -> ReplyFuture<'a> {
+        Box::pin(self.send(address, request, progress))
     }
 }
 
@@ -149,9 +179,13 @@
 }
 
 /// Receives all frames of a reply, up to the end of the stream, and joins their parts.
-async fn receive_reply(reader: &mut FrameReader) -> Result<ControlReply, LinkError> {
+async fn receive_reply(
+    reader: &mut FrameReader,
+    progress: &ReplyProgress,
+) -> Result<ControlReply, LinkError> {
     let mut joined: Option<ControlReply> = None;
     while let Some(part) = reader.receive::<ControlReply>().await? {
+        progress.record_part();
         joined = Some(match (joined, part) {
             (Some(ControlReply::Renewed(mut first)), ControlReply::Renewed(next)) => {
                 first.changes.extend(next.changes);
--- a/components/client/tests/large_plans.rs
+++ b/components/client/tests/large_plans.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use board::StateBoard;
-use client::{ControlClient, ControlTransport, FleetView, ReplyFuture, keep_lease};
+use client::{ControlClient, ControlTransport, FleetView, ReplyFuture, ReplyProgress, keep_lease};
 use manifest::KeyHash;
 use registry::{PackedPlan, RegistryAction, RegistryCommand, RegistryState, WallTime};
 use routes::{
@@ -20,6 +20,9 @@
 /// Interval between two changes of the plan.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(333);
 
+/// Size of a part of a reply, as control nodes send it.
+const PART_BYTES: usize = 32 << 10;
+
 /// Round trip of the link.
 const ROUND_TRIP: Duration = Duration::from_millis(17);
 
@@ -42,6 +45,8 @@
     started_at: Instant,
     bytes_per_second: usize,
     routes: usize,
+    /// Number of plans, after which there are no further changes.
+    plans: u64,
     state: Mutex<RegistryState>,
     largest_update: Mutex<usize>,
 }
@@ -50,7 +55,7 @@
     /// Publishes the plans that are due.
     fn publish(&self, state: &mut RegistryState) {
         let due = 1 + self.started_at.elapsed().as_millis() / CHANGE_INTERVAL.as_millis();
-        while state.config().version < ConfigVersion(due as u64) {
+        while state.config().version < ConfigVersion(self.plans.min(due as u64)) {
             let plan = plan(state.config().version.0 + 1, self.routes);
             state.apply(&RegistryCommand {
                 at: WallTime(1),
@@ -80,6 +85,7 @@
         &'a self,
         _address: SocketAddr,
         request: &'a ControlRequest,
+        progress: &'a ReplyProgress,
     ) -> ReplyFuture<'a> {
         Box::pin(async move {
             let ControlRequest::Renew(renewal) = request else {
@@ -87,8 +93,11 @@
             };
             sleep(ROUND_TRIP).await;
             let reply = self.renew(renewal.config);
-            let seconds = reply.changes.len() as f64 / self.bytes_per_second as f64;
-            sleep(Duration::from_secs_f64(seconds)).await;
+            for part in reply.changes.chunks(PART_BYTES) {
+                let seconds = part.len() as f64 / self.bytes_per_second as f64;
+                sleep(Duration::from_secs_f64(seconds)).await;
+                progress.record_part();
+            }
             Ok(ControlReply::Renewed(reply))
         })
     }
@@ -169,31 +178,42 @@
     }
 }
 
-/// Guards against an entry that loses its lease because each attempt to renew it ends before the newest
-/// plan has been transferred.
-#[rstest]
-#[case::quiet_link(350, 500_000)]
-#[case::quiet_link_large_plan(8_000, 500_000)]
-#[case::busy_link(1_050, 100_000)]
-#[tokio::test(start_paused = true)]
-async fn entry_behind_a_narrow_link_keeps_its_lease(
-    #[case] routes: usize,
-    #[case] bytes_per_second: usize,
-) {
+/// Starts the renewals of an entry behind a narrow link.
+fn start(
+    routes: usize,
+    bytes_per_second: usize,
+    plans: u64,
+) -> (Arc<NarrowLink>, StateBoard<FleetView>, Arc<TestClock>) {
     let clock = Arc::new(TestClock(Instant::now()));
     let link = Arc::new(NarrowLink {
         started_at: Instant::now(),
         bytes_per_second,
         routes,
+        plans,
         state: Mutex::default(),
         largest_update: Mutex::default(),
     });
     let controls = vec![SocketAddr::from(([127, 0, 0, 1], 1))];
     let client = ControlClient::with_transport(link.clone(), controls);
     let board = StateBoard::new(FleetView::default());
-
     let renewals = keep_lease(client, board.clone(), clock.clone(), node, false);
-    let task = tokio::spawn(renewals);
+    tokio::spawn(renewals);
+    (link, board, clock)
+}
+
+/// Guards against an entry that loses its lease because each attempt to renew it ends before the newest
+/// plan has been transferred.
+#[rstest]
+#[case::quiet_link(350, 500_000)]
+#[case::quiet_link_large_plan(8_000, 500_000)]
+#[case::busy_link(1_050, 100_000)]
+#[tokio::test(start_paused = true)]
+async fn entry_behind_a_narrow_link_keeps_its_lease(
+    #[case] routes: usize,
+    #[case] bytes_per_second: usize,
+) {
+    let (link, board, clock) = start(routes, bytes_per_second, u64::MAX);
+
     sleep(Duration::from_secs(3)).await;
     let mut samples_without_lease = 0;
     for _ in 0..200 {
@@ -201,7 +221,6 @@
         let (lease_end, now) = (board.read(|view| view.lease_end), clock.now());
         samples_without_lease += u32::from(lease_end <= now);
     }
-    task.abort();
 
     let largest = *link.largest_update.lock().unwrap();
     assert_eq!(
@@ -209,3 +228,21 @@
         "without a lease for {samples_without_lease} of 200 samples; updates have {largest} bytes"
     );
 }
+
+/// Guards against an entry that never gets a plan, although there are no further changes, because its
+/// transfer takes longer than the timeout of an attempt.
+#[tokio::test(start_paused = true)]
+async fn large_plan_arrives_over_a_slow_link() {
+    let (link, board, clock) = start(8_000, 100_000, 1);
+
+    sleep(Duration::from_secs(5)).await;
+
+    let largest = *link.largest_update.lock().unwrap();
+    let (version, has_lease) =
+        board.read(|view| (view.config.version, view.has_lease(clock.now())));
+    assert_eq!(
+        (version, has_lease),
+        (ConfigVersion(1), true),
+        "the update has {largest} bytes"
+    );
+}
--- a/components/client/tests/lease.rs
+++ b/components/client/tests/lease.rs
@@ -7,7 +7,8 @@
 
 use board::StateBoard;
 use client::{
-    ControlClient, ControlTransport, FleetView, LEASE_TIME, LeaseState, ReplyFuture, keep_lease,
+    ControlClient, ControlTransport, FleetView, LEASE_TIME, LeaseState, ReplyFuture, ReplyProgress,
+    keep_lease,
 };
 use link::LinkError;
 use proptest::prelude::*;
@@ -252,6 +253,7 @@
         &'a self,
         address: SocketAddr,
         _request: &'a ControlRequest,
+        _progress: &'a ReplyProgress,
     ) -> ReplyFuture<'a> {
         Box::pin(async move {
             let answer = self.answers.lock().unwrap().pop_front();
@@ -276,6 +278,7 @@
         &'a self,
         _address: SocketAddr,
         request: &'a ControlRequest,
+        _progress: &'a ReplyProgress,
     ) -> ReplyFuture<'a> {
         Box::pin(async move {
             let ControlRequest::Renew(renewal) = request else {
--- a/components/client/tests/requests.rs
+++ b/components/client/tests/requests.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use client::{ClientError, ControlClient, ControlTransport, FleetView, ReplyFuture};
+use client::{ClientError, ControlClient, ControlTransport, FleetView, ReplyFuture, ReplyProgress};
 use rstest::rstest;
 use units::{ClockTime, ConfigVersion, Incarnation, NodeName};
 use wire::{
@@ -29,6 +29,7 @@
         &'a self,
         address: SocketAddr,
         _request: &'a ControlRequest,
+        _progress: &'a ReplyProgress,
     ) -> ReplyFuture<'a> {
         let port = address.port();
         self.attempted_ports.lock().unwrap().push(port);
--- a/components/control/src/server.rs
+++ b/components/control/src/server.rs
@@ -18,8 +18,9 @@
 /// Maximum size of a services text: four times the size for 38,000 organisations.
 const MAX_TEXT_BYTES: usize = 16 << 20;
 
-/// Maximum size of the part of a reply that is sent in one frame.
-const MAX_REPLY_PART_BYTES: usize = 512 << 10;
+/// Maximum size of the part of a reply that is sent in one frame. The receiver waits for up to 1 s for each
+/// part, also on a link with 50 KB/s.
+const MAX_REPLY_PART_BYTES: usize = 32 << 10;
 
 /// Maximum number of concurrent handshakes. Further ones wait without any state but their first
 /// datagrams; a whole fleet that connects at once would need more memory than a small host has.
