Log why a lease is not renewed

Operators who looked for the cause of `no-lease` saw in `lease-lost` only the version, and in `renewal-failed` the error of the second of two attempts: a plan that is too large for the link, a group without a quorum and control nodes that are not reached looked alike.

Now both name a cause, the time since the last answer and the compressed size of the last update, and `lease-lost` the number of failures of each kind since that answer. `transfer-incomplete` means that a part of a reply arrived and the rest did not, `reply-late` that the reply came after the end of its lease.

--- a/components/client/src/failover.rs
+++ b/components/client/src/failover.rs
@@ -42,6 +42,8 @@
     Unanswered {
         /// Number of failed attempts.
         attempts: usize,
+        /// Number of parts of the reply that the last attempt received.
+        parts: usize,
         /// Control node of the last attempt.
         address: SocketAddr,
         /// Error of the last attempt.
@@ -57,6 +59,24 @@
     },
 }
 
+/// Failed attempt at one control node.
+struct FailedAttempt {
+    error: LinkError,
+    /// Number of parts of the reply that arrived.
+    parts: usize,
+}
+
+impl FailedAttempt {
+    fn into_error(self, attempts: usize, address: SocketAddr) -> ClientError {
+        ClientError::Unanswered {
+            attempts,
+            parts: self.parts,
+            address,
+            reason: self.error.to_string(),
+        }
+    }
+}
+
 /// Client of all control nodes, which prefers the node that last answered. Clones share their
 /// state.
 #[derive(Clone)]
@@ -179,11 +199,7 @@
                     changes,
                 },
                 Ok(reply) => return Ok(reply),
-                Err(error) => ClientError::Unanswered {
-                    attempts: attempt,
-                    address: controls[index],
-                    reason: error.to_string(),
-                },
+                Err(failed) => failed.into_error(attempt, controls[index]),
             };
             self.advance_from(index, controls.len());
         }
@@ -209,13 +225,9 @@
                 })
             }
             Ok(reply) => Ok(reply),
-            Err(error) => {
+            Err(failed) => {
                 self.advance_from(index, controls.len());
-                Err(ClientError::Unanswered {
-                    attempts: 1,
-                    address: controls[index],
-                    reason: error.to_string(),
-                })
+                Err(failed.into_error(1, controls[index]))
             }
         }
     }
@@ -228,18 +240,14 @@
     ) -> Result<ControlReply, ClientError> {
         self.attempt(control, request)
             .await
-            .map_err(|error| ClientError::Unanswered {
-                attempts: 1,
-                address: control,
-                reason: error.to_string(),
-            })
+            .map_err(|failed| failed.into_error(1, control))
     }
 
     async fn attempt(
         &self,
         control: SocketAddr,
         request: &ControlRequest,
-    ) -> Result<ControlReply, LinkError> {
+    ) -> Result<ControlReply, FailedAttempt> {
         let timeout = match request {
             ControlRequest::Order(OperatorOrder::Apply { .. }) => APPLY_TIMEOUT,
             _ => ATTEMPT_TIMEOUT,
@@ -260,7 +268,10 @@
             }
         };
         self.list().record(control, &result);
-        result
+        result.map_err(|error| FailedAttempt {
+            error,
+            parts: progress.part_count(),
+        })
     }
 
     /// Prefers the next node, unless another request has changed the preferred node meanwhile.
--- a/components/client/src/lease.rs
+++ b/components/client/src/lease.rs
@@ -5,12 +5,12 @@
 
 use board::StateBoard;
 use registry::ConfigError;
-use telemetry::{event, events};
 use thiserror::Error;
 use units::{ClockSource, ClockTime, ConfigVersion, Incarnation};
 use wire::{ControlReply, ControlRequest, DirectoryEntry, RenewReply, RenewRequest};
 
 use crate::failover::{ClientError, ControlClient};
+use crate::lease_log::LeaseLogger;
 use crate::view::FleetView;
 
 /// Time from the confirmation by a quorum to the end of the lease. It ensures that a node stops its
@@ -106,47 +106,19 @@
         // A failed renewal is retried once, immediately, at the next control node. A second failure
         // is only logged: the node's tasks stop new work when the lease ends.
         let mut result = renew(&client, &board, &clock, node(), wants_directory).await;
+        logger.record(&result, clock.now());
         if result.is_err() {
             result = renew(&client, &board, &clock, node(), wants_directory).await;
+            logger.record(&result, clock.now());
         }
-        logger.log_first_failure(&result);
+        logger.log_first_failure(&result, clock.now());
         logger.log_lease_change(&board, clock.now());
     }
 }
 
-/// Logs changes of the lease and the first of consecutive renewal failures.
-#[derive(Debug, Default)]
-struct LeaseLogger {
-    had_lease: bool,
-    has_failed: bool,
-}
-
-impl LeaseLogger {
-    /// Logs a lease that was gained or lost since the last call.
-    fn log_lease_change(&mut self, board: &StateBoard<FleetView>, now: ClockTime) {
-        let (has_lease, version) = board.read(|view| (view.has_lease(now), view.config.version));
-        match (self.had_lease, has_lease) {
-            (false, true) => event!(events::LEASE_HELD, version = version),
-            (true, false) => event!(events::LEASE_LOST, version = version),
-            _ => {}
-        }
-        self.had_lease = has_lease;
-    }
-
-    /// Logs a failed renewal, unless the previous one failed too.
-    fn log_first_failure(&mut self, result: &Result<(), RenewError>) {
-        if let Err(error) = result
-            && !self.has_failed
-        {
-            event!(events::RENEWAL_FAILED, error = error);
-        }
-        self.has_failed = result.is_err();
-    }
-}
-
 /// Error of a renewal.
 #[derive(Debug, Error)]
-enum RenewError {
+pub(crate) enum RenewError {
     /// No control node answered the request with a quorum.
     #[error(transparent)]
     Client(#[from] ClientError),
@@ -160,14 +132,14 @@
 }
 
 /// Sends one renewal and installs its reply. A reply without a quorum extends no lease, but its
-/// changes are committed and are installed too.
+/// changes are committed and are installed too. Returns the size of the installed changes.
 async fn renew(
     client: &ControlClient,
     board: &StateBoard<FleetView>,
     clock: &Arc<dyn ClockSource>,
     mut node: DirectoryEntry,
     wants_directory: bool,
-) -> Result<(), RenewError> {
+) -> Result<usize, RenewError> {
     let (config, revision) = board.read(|view| (view.config.version, view.requested_revision()));
     node.config = config;
     // No control node has incarnation 0, so this revision requests the complete directory.
@@ -187,8 +159,9 @@
     match reply? {
         ControlReply::Renewed(mut reply) => {
             client.set_learned_controls(std::mem::take(&mut reply.controls));
+            let update_bytes = reply.changes.len();
             board.write(|view| view.apply_renewal(sent, reply))?;
-            Ok(())
+            Ok(update_bytes)
         }
         reply => Err(RenewError::Refused(format!("{reply:?}"))),
     }
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -3,6 +3,7 @@
 mod failover;
 mod history;
 mod lease;
+mod lease_log;
 mod transport;
 mod view;
 
