--- a/components/client/src/failover.rs
+++ b/components/client/src/failover.rs
@@ -8,17 +8,23 @@
 
 use link::{LinkEndpoint, LinkError};
 use thiserror::Error;
+use tokio::time::Instant;
 use wire::{ControlReply, ControlRequest, OperatorOrder, stable_hash};
 
-use crate::transport::{ControlTransport, LinkTransport};
+use crate::transport::{ControlTransport, LinkTransport, ReplyProgress};
 
-/// Timeout of an attempt at one control node.
+/// Timeout of an attempt at one control node, and of each further part of a reply.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Timeout of an attempt to apply a services text, since checking and committing a large one takes
 /// seconds.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum duration of an attempt whose reply arrives in parts. A plan of 240 KB, about the largest that
+/// fits a log entry with its text, takes 2.4 s at 100 KB/s. A longer bound would delay the failover to a
+/// node with a faster link.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Maximum number of rounds over all control nodes before a request fails.
 const MAX_ROUNDS: usize = 2;
 
@@ -36,6 +42,8 @@
     Unanswered {
         /// Number of failed attempts.
         attempts: usize,
+        /// Number of parts of the reply that the last attempt received.
+        parts: usize,
         /// Control node of the last attempt.
         address: SocketAddr,
         /// Error of the last attempt.
@@ -51,6 +59,24 @@
     },
 }
 
+/// Failed attempt at one control node.
+struct FailedAttempt {
+    error: LinkError,
+    /// Number of parts of the reply that arrived.
+    parts: usize,
+}
+
+impl FailedAttempt {
+    fn into_error(self, attempts: usize, address: SocketAddr) -> ClientError {
+        ClientError::Unanswered {
+            attempts,
+            parts: self.parts,
+            address,
+            reason: self.error.to_string(),
+        }
+    }
+}
+
 /// Client of all control nodes, which prefers the node that last answered. Clones share their
 /// state.
 #[derive(Clone)]
@@ -173,11 +199,7 @@
                     changes,
                 },
                 Ok(reply) => return Ok(reply),
-                Err(error) => ClientError::Unanswered {
-                    attempts: attempt,
-                    address: controls[index],
-                    reason: error.to_string(),
-                },
+                Err(failed) => failed.into_error(attempt, controls[index]),
             };
             self.advance_from(index, controls.len());
         }
@@ -203,13 +225,9 @@
                 })
             }
             Ok(reply) => Ok(reply),
-            Err(error) => {
+            Err(failed) => {
                 self.advance_from(index, controls.len());
-                Err(ClientError::Unanswered {
-                    attempts: 1,
-                    address: controls[index],
-                    reason: error.to_string(),
-                })
+                Err(failed.into_error(1, controls[index]))
             }
         }
     }
@@ -222,28 +240,38 @@
     ) -> Result<ControlReply, ClientError> {
         self.attempt(control, request)
             .await
-            .map_err(|error| ClientError::Unanswered {
-                attempts: 1,
-                address: control,
-                reason: error.to_string(),
-            })
+            .map_err(|failed| failed.into_error(1, control))
     }
 
     async fn attempt(
         &self,
         control: SocketAddr,
         request: &ControlRequest,
-    ) -> Result<ControlReply, LinkError> {
+    ) -> Result<ControlReply, FailedAttempt> {
         let timeout = match request {
             ControlRequest::Order(OperatorOrder::Apply { .. }) => APPLY_TIMEOUT,
             _ => ATTEMPT_TIMEOUT,
         };
-        let exchange = self.transport.exchange(control, request);
-        let result = tokio::time::timeout(timeout, exchange)
-            .await
-            .unwrap_or_else(|_| Err(LinkError::Stream(format!("no reply within {timeout:?}"))));
+        let started_at = Instant::now();
+        let progress = ReplyProgress::default();
+        let mut exchange = self.transport.exchange(control, request, &progress);
+        let result = loop {
+            let received = progress.part_count();
+            match tokio::time::timeout(timeout, &mut exchange).await {
+                Ok(result) => break result,
+                // A transfer that is ended begins again from nothing, and would never succeed on a
+                // link that is too slow for one timeout.
+                Err(_)
+                    if progress.part_count() > received
+                        && started_at.elapsed() < TRANSFER_TIMEOUT => {}
+                Err(_) => break Err(timeout_error(timeout, progress.part_count())),
+            }
+        };
         self.list().record(control, &result);
-        result
+        result.map_err(|error| FailedAttempt {
+            error,
+            parts: progress.part_count(),
+        })
     }
 
     /// Prefers the next node, unless another request has changed the preferred node meanwhile.
@@ -256,3 +284,10 @@
         });
     }
 }
+
+fn timeout_error(timeout: Duration, part_count: usize) -> LinkError {
+    LinkError::Stream(match part_count {
+        0 => format!("no reply within {timeout:?}"),
+        _ => format!("the reply ended after {part_count} parts, none within {timeout:?}"),
+    })
+}
--- a/components/control/src/orders.rs
+++ b/components/control/src/orders.rs
@@ -12,6 +12,9 @@
 /// Upper bound of the encoded size of a command without its changes.
 const COMMAND_OVERHEAD_BYTES: usize = 4 << 10;
 
+/// Maximum size of a compressed plan, in bytes, which must fit into one log entry.
+pub(crate) const MAX_PACKED_PLAN_BYTES: usize = MAX_COMMAND_BYTES - COMMAND_OVERHEAD_BYTES;
+
 /// Maximum number of faults of a services text that a reply lists.
 const MAX_REPORTED_FAULTS: usize = 100;
 
@@ -65,15 +68,7 @@
             target,
             out,
         }]),
-        OperatorOrder::Publish { plan, text } => {
-            let size = plan.len();
-            let plan = postcard::from_bytes(&plan)
-                .map_err(|error| format!("Failed to decode a plan of {size} bytes: {error}"))?;
-            Ok(vec![RegistryAction::Publish {
-                plan: Box::new(plan),
-                text,
-            }])
-        }
+        OperatorOrder::Publish { packed } => Ok(vec![RegistryAction::PublishPacked(packed.into())]),
         OperatorOrder::Evacuate { data_centre, out } => {
             Ok(vec![RegistryAction::Evacuate { data_centre, out }])
         }
