--- a/components/control/src/driver/compact.rs
+++ b/components/control/src/driver/compact.rs
@@ -3,7 +3,7 @@
 //! The cost of a log is in bytes: on the disk, in memory, and for a member that lacks it. It therefore
 //! stays within a multiple of the state that it leads to, whatever the size of its entries.
 
-use raft::{LogEntry, LogIndex};
+use raft::{LogEntry, LogIndex, RaftAction};
 use telemetry::{event, events};
 
 use super::RaftDriver;
@@ -60,6 +60,19 @@
         }
     }
 
+    /// Replaces the applied entries by a snapshot, on a disk without room, unless one waits to be written
+    /// or would free little compared with its size.
+    pub(super) fn compact_for_room(&mut self) {
+        let mut batches = self.pending_batches.iter();
+        let is_snapshot_pending = batches.any(|(_, batch)| batch.snapshot.is_some());
+        let snapshot_bytes = self.node.log_usage().snapshot_bytes as u64;
+        let is_log_small =
+            self.store.log_bytes() * (SNAPSHOT_INTERVAL_MULTIPLE as u64) < snapshot_bytes;
+        if !is_snapshot_pending && !is_log_small {
+            self.compact();
+        }
+    }
+
     fn compact(&mut self) {
         let snapshot = self.view.read(|view| view.registry.snapshot());
         event!(
@@ -68,7 +81,11 @@
             bytes = snapshot.len(),
             entry_bytes = self.uncompacted_entries.bytes
         );
-        self.node.compact(self.applied_index, snapshot);
+        for action in self.node.compact(self.applied_index, snapshot) {
+            if let RaftAction::Persist { id, batch } = action {
+                self.enqueue_batch(id, batch);
+            }
+        }
         self.uncompacted_entries = UncompactedEntries::after(self.applied_index);
     }
 }
--- a/components/control/src/driver/disk.rs
+++ b/components/control/src/driver/disk.rs
@@ -2,8 +2,9 @@
 //!
 //! A disk that is full takes no write for a while and has lost nothing, so the process keeps running
 //! and writes the same batch again until the disk takes it. Nothing that depends on the batch is sent
-//! before. A leader hands over meanwhile, and can still commit entries that a majority of the others
-//! has written. Any other node takes no part in the group: what it received would only pile up.
+//! before. If the log has applied entries, they are replaced by a snapshot first, for which the store keeps
+//! room, so that a log cannot keep a disk full. A leader hands over meanwhile, and can still commit entries
+//! that a majority of the others has written. Any other node takes no part in the group: what it received would only pile up.
 
 use std::time::Duration;
 
@@ -43,13 +44,17 @@
         if !self.is_write_due(self.clock.now()) {
             return Ok(());
         }
-        while let Some((id, batch)) = self.pending_batches.front() {
-            let id = *id;
-            let written = self.store.persist(batch);
+        while let Some((_, batch)) = self.pending_batches.front() {
+            let written = match self.store.persist(batch) {
+                Err(refusal) if refusal.is_out_of_room() => self.write_snapshot_first(refusal),
+                written => written,
+            };
             if !self.check_written(written, "Failed to write a batch to the log")? {
                 return self.hand_over_leadership();
             }
-            self.pending_batches.pop_front();
+            let Some((id, _)) = self.pending_batches.pop_front() else {
+                return Ok(());
+            };
             let now = self.clock.now();
             let actions = self.node.handle_persisted(id, now);
             self.run_actions(actions)?;
@@ -57,6 +62,33 @@
         Ok(())
     }
 
+    /// Writes all pending batches with a snapshot before their entries, so that it frees the room of the
+    /// log that it replaces. Returns the refusal if there is nothing to replace.
+    fn write_snapshot_first(&mut self, refusal: StoreError) -> Result<(), StoreError> {
+        self.compact_for_room();
+        let batches = self.pending_batches.iter().map(|(_, batch)| batch);
+        let (Some((id, _)), Some(merged)) =
+            (self.pending_batches.back(), self.store.merge(batches))
+        else {
+            return Err(refusal);
+        };
+        let id = *id;
+        let written = self.store.persist(&merged);
+        // Once the snapshot is written, the entries that it contains can no longer be.
+        let snapshot = merged.snapshot.as_ref().map(|snapshot| snapshot.last);
+        if written.is_ok() || snapshot == Some(self.store.snapshot()) {
+            self.pending_batches = [(id, merged)].into();
+        }
+        if written.is_ok() {
+            event!(
+                events::LOG_SHRUNK,
+                log_bytes = self.store.log_bytes(),
+                reserve_bytes = self.store.reserve_bytes()
+            );
+        }
+        written
+    }
+
     /// Whether a write may be attempted.
     pub(super) fn is_write_due(&self, now: ClockTime) -> bool {
         let fault = self.write_fault.as_ref();
--- a/components/control/tests/large_changes.rs
+++ b/components/control/tests/large_changes.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::path::Path;
 
+use rstest::rstest;
 use store::SEGMENT_BYTES;
 use support::TestGroup;
 use support::changes::publish_text;
@@ -60,3 +61,28 @@
 
     group.wait_version(50).await;
 }
+
+/// Guards against a node that stays away from its group because the disk has no room for a second copy of
+/// the snapshot, so that its log can never be replaced.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn node_keeps_up_on_a_disk_that_others_have_filled(#[values(true, false)] is_leader: bool) {
+    let mut group = TestGroup::start().await;
+    group.wait_ready().await;
+    let index = (group.leader().await + usize::from(!is_leader)) % 3;
+    for number in 1..=8 {
+        publish_text(&group, number, TEXT_BYTES).await;
+    }
+    group.wait_version(8).await;
+
+    group.disks[index].set_capacity(group.disks[index].used_bytes());
+    for number in 9..=30 {
+        publish_text(&group, number, TEXT_BYTES).await;
+    }
+    group.wait_version(30).await;
+    group.kill(index).await;
+    group.restart(index, false).await;
+    publish_text(&group, 31, TEXT_BYTES).await;
+
+    group.wait_version(31).await;
+}
--- a/components/raft/src/node/mod.rs
+++ b/components/raft/src/node/mod.rs
@@ -234,11 +234,10 @@
     }
 
     /// Replaces the log up to an applied index with a snapshot of the state at that index. The call
-    /// is ignored if the index is not yet applied or the newest snapshot covers it. The batch to
-    /// persist is returned by the next call that returns actions.
-    pub fn compact(&mut self, index: LogIndex, snapshot: Vec<u8>) {
+    /// is ignored if the index is not yet applied or the newest snapshot covers it.
+    pub fn compact(&mut self, index: LogIndex, snapshot: Vec<u8>) -> Vec<RaftAction> {
         if index > self.commit_index || index <= self.log.snapshot_index() {
-            return;
+            return Vec::new();
         }
         let max_entries = self.settings.retained_entries;
         // A peer that lacks more than the size of the snapshot costs less with the snapshot, unless one
@@ -250,6 +249,7 @@
                 ..PersistBatch::default()
             });
         }
+        self.take_actions()
     }
 
     /// State of the node and its view of the group.
--- a/components/raft/tests/support/mod.rs
+++ b/components/raft/tests/support/mod.rs
@@ -238,10 +238,7 @@
         let host = self.host(id);
         let index = LogIndex(host.applied_index);
         let data = encode_state(host.value);
-        self.call(id, |node, now| {
-            node.compact(index, data);
-            node.tick(now)
-        });
+        self.call(id, |node, _| node.compact(index, data));
     }
 
     fn carry_out(&mut self, id: DiskId, action: RaftAction) {
--- a/components/store/src/error.rs
+++ b/components/store/src/error.rs
@@ -56,6 +56,15 @@
         matches!(self, Self::Io { .. })
     }
 
+    /// Whether the disk, or a quota on it, has no room for a write.
+    pub fn is_out_of_room(&self) -> bool {
+        let Self::Io { source, .. } = self else {
+            return false;
+        };
+        let kind = source.kind();
+        matches!(kind, ErrorKind::StorageFull | ErrorKind::QuotaExceeded)
+    }
+
     /// Whether the disk refused a write, and may take it later: it is full, over a quota, read-only or
     /// reports an input or output error.
     pub fn is_refused_write(&self) -> bool {
--- a/components/store/src/folder.rs
+++ b/components/store/src/folder.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Length of a file; 0 if it does not exist.
+    pub(crate) fn length(&self, name: &str) -> Result<u64, StoreError> {
+        let path = self.file(name);
+        match fs::metadata(&path) {
+            Ok(metadata) => Ok(metadata.len()),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(0),
+            Err(error) => Err(io_error("read", &path)(error)),
+        }
+    }
+
     /// Reads and decodes a file that holds one record; `None` if it does not exist.
     pub(crate) fn read_value<T: DeserializeOwned>(
         &self,
@@ -124,9 +134,12 @@
         let bytes = encode(&path, value)?;
         let files = self.files.as_ref();
         let mut file = files.create(&new).map_err(io_error("create", &new))?;
-        files
-            .write(&mut file, &bytes)
-            .map_err(io_error("write", &new))?;
+        if let Err(error) = files.write(&mut file, &bytes) {
+            // A part of the new version takes room on a full disk. The next attempt replaces it if it
+            // cannot be deleted.
+            let _ = files.remove(&new);
+            return Err(io_error("write", &new)(error));
+        }
         files.sync(&file).map_err(io_error("sync", &new))?;
         files
             .rename(&new, &path)
@@ -146,6 +159,20 @@
         Ok(file)
     }
 
+    /// Creates a file of `length` bytes with room for them on the disk, in place of one with this name.
+    pub(crate) fn create_filled(&self, name: &str, length: u64) -> Result<(), StoreError> {
+        const BLOCK_BYTES: u64 = 64 * 1024;
+        let path = self.file(name);
+        let mut file = self.create(name)?;
+        let block = [0; BLOCK_BYTES as usize];
+        for start in (0..length).step_by(BLOCK_BYTES as usize) {
+            let bytes = &block[..BLOCK_BYTES.min(length - start) as usize];
+            let written = self.files.write(&mut file, bytes);
+            written.map_err(io_error("write", &path))?;
+        }
+        self.files.sync(&file).map_err(io_error("sync", &path))
+    }
+
     /// Opens a file for appending, after truncating it to `length` bytes.
     pub(crate) fn open_truncated(&self, name: &str, length: u64) -> Result<File, StoreError> {
         let path = self.file(name);
--- a/components/store/src/log_store.rs
+++ b/components/store/src/log_store.rs
@@ -17,6 +17,11 @@
 
 const STATE_FILE: &str = "state";
 const SNAPSHOT_FILE: &str = "snapshot";
+const RESERVE_FILE: &str = "reserve";
+
+/// Minimum size of the reserve, in bytes. A small state can grow by two of the largest commands (480 KiB)
+/// until the next snapshot.
+const MIN_RESERVE_BYTES: u64 = 1024 * 1024;
 
 /// Content of the `state` file.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
@@ -31,7 +36,10 @@
     folder: StoreFolder,
     state: StateFile,
     snapshot: EntryId,
+    snapshot_bytes: u64,
     log: SegmentedLog,
+    /// Size of the file that keeps room for the next snapshot, 0 if the disk has none for it.
+    reserve_bytes: u64,
     has_failed: bool,
 }
 
@@ -74,10 +82,16 @@
             snapshot: snapshot
                 .as_ref()
                 .map_or(EntryId::default(), |snapshot| snapshot.last),
+            snapshot_bytes: snapshot
+                .as_ref()
+                .map_or(0, |snapshot| snapshot.data.len() as u64),
             log,
+            reserve_bytes: 0,
             has_failed: false,
         };
         let entries = store.align_with_snapshot(entries)?;
+        store.reserve_bytes = store.folder.length(RESERVE_FILE)?;
+        store.fill_reserve();
         let persisted = PersistedState {
             hard_state: state.hard_state,
             snapshot,
@@ -140,6 +154,21 @@
         self.log.bytes()
     }
 
+    /// Whether the log has an entry with this index and term.
+    pub(crate) fn contains(&self, id: EntryId) -> bool {
+        self.log.contains(id)
+    }
+
+    /// Size of the file that keeps room for the next snapshot; 0 if the disk has none for it.
+    pub fn reserve_bytes(&self) -> u64 {
+        self.reserve_bytes
+    }
+
+    /// Last entry of the snapshot.
+    pub fn snapshot(&self) -> EntryId {
+        self.snapshot
+    }
+
     /// Path of the folder.
     pub fn folder(&self) -> &Path {
         self.folder.path()
@@ -158,28 +187,67 @@
     }
 
     fn write(&mut self, batch: &PersistBatch) -> Result<(), StoreError> {
+        let had_reserve = self.reserve_bytes > 0;
         if let Some(hard_state) = batch.hard_state {
             self.state.hard_state = hard_state;
-            self.folder.replace(STATE_FILE, &self.state)?;
+            let state = self.state;
+            self.replace(STATE_FILE, &state)?;
         }
         if let Some(snapshot) = &batch.snapshot {
             self.write_snapshot(snapshot)?;
         }
+        // The reserve comes before the entries: without it, they could fill the disk for good.
+        if batch.snapshot.is_some() || (had_reserve && self.reserve_bytes == 0) {
+            self.fill_reserve();
+        }
         self.append(&batch.entries)
     }
 
+    /// Replaces a file by one record. If the disk has no room for a second copy, that of the reserve
+    /// is used.
+    fn replace<T: Serialize>(&mut self, name: &str, value: &T) -> Result<(), StoreError> {
+        match self.folder.replace(name, value) {
+            Err(error) if error.is_out_of_room() && self.reserve_bytes > 0 => {
+                self.folder.remove(RESERVE_FILE)?;
+                self.reserve_bytes = 0;
+                self.folder.replace(name, value)
+            }
+            result => result,
+        }
+    }
+
+    /// Keeps room for twice the size of the snapshot, since the next one may be larger. A disk that
+    /// refuses it is asked again with the next snapshot.
+    fn fill_reserve(&mut self) {
+        let unit = MIN_RESERVE_BYTES;
+        let bytes = (2 * self.snapshot_bytes).next_multiple_of(unit).max(unit);
+        if (bytes..=2 * bytes).contains(&self.reserve_bytes) {
+            return;
+        }
+        self.reserve_bytes = match self.folder.create_filled(RESERVE_FILE, bytes) {
+            Ok(()) => bytes,
+            Err(_) => {
+                // What was written takes room that entries need. If it cannot be deleted, the next
+                // attempt empties it.
+                let _ = self.folder.remove(RESERVE_FILE);
+                0
+            }
+        };
+    }
+
     fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
-        self.folder.replace(SNAPSHOT_FILE, snapshot)?;
+        self.replace(SNAPSHOT_FILE, snapshot)?;
         // An earlier attempt may have replaced the snapshot and removed the entries that it contains.
         let continues = match self.snapshot == snapshot.last {
             true => self.continues(snapshot.last),
             false => self.log.contains(snapshot.last),
         };
         self.snapshot = snapshot.last;
-        if continues {
-            self.log.remove_through(&self.folder, snapshot.last)
-        } else {
-            self.log.clear(&self.folder)
+        self.snapshot_bytes = snapshot.data.len() as u64;
+        match (continues, self.reserve_bytes) {
+            (true, 0) => self.log.shrink_through(&self.folder, snapshot.last),
+            (true, _) => self.log.remove_through(&self.folder, snapshot.last),
+            (false, _) => self.log.clear(&self.folder),
         }
     }
 
--- a/components/store/src/segments.rs
+++ b/components/store/src/segments.rs
@@ -231,6 +231,59 @@
         Ok(())
     }
 
+    /// Removes the entries that a snapshot contains like [`remove_through`](Self::remove_through), and
+    /// frees all of their room: writes the entries after the snapshot to a new segment, and deletes all
+    /// others. Both hold the same log in between.
+    pub(crate) fn shrink_through(
+        &mut self,
+        folder: &StoreFolder,
+        snapshot: EntryId,
+    ) -> Result<(), StoreError> {
+        let mut entries = self.read_entries(folder)?;
+        entries.retain(|entry| entry.id.index > snapshot.index);
+        let superseded_count = self.segments.len();
+        if !entries.is_empty() {
+            self.cut_partial_record(folder)?;
+            self.start_segment(folder)?;
+            self.append(folder, &entries)?;
+        }
+        for _ in 0..superseded_count {
+            if let Some(oldest) = self.segments.front() {
+                folder.remove(&oldest.name())?;
+                self.segments.pop_front();
+            }
+        }
+        if self.segments.is_empty() {
+            self.file = None;
+        }
+        self.ids = entries.iter().map(|entry| entry.id).collect();
+        Ok(())
+    }
+
+    /// Reads the entries of all segments.
+    fn read_entries(&self, folder: &StoreFolder) -> Result<Vec<LogEntry>, StoreError> {
+        let mut entries = Vec::new();
+        for segment in &self.segments {
+            let name = segment.name();
+            let bytes = folder.read(&name)?.unwrap_or_default();
+            // A failed write may have left a part of a record after the others.
+            let length = bytes.len().min(segment.bytes as usize);
+            let mut rest = &bytes[..length];
+            while !rest.is_empty() {
+                let offset = (length - rest.len()) as u64;
+                let corrupt = |reason| folder.corrupt(&name, offset, reason);
+                let RecordRead::Complete { body, rest: after } = record::read(rest) else {
+                    return Err(corrupt("the record is damaged"));
+                };
+                let batch = record::decode(body)
+                    .ok_or_else(|| corrupt("the record body cannot be decoded"))?;
+                replace_tail(&mut entries, batch).map_err(corrupt)?;
+                rest = after;
+            }
+        }
+        Ok(entries)
+    }
+
     /// Deletes all segments, the newest one first. After a crash in between, the remaining log
     /// still lacks the last entry of the snapshot, so that opening the folder deletes it too.
     pub(crate) fn clear(&mut self, folder: &StoreFolder) -> Result<(), StoreError> {
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -59,6 +59,10 @@
     LEADERSHIP_LOST = 3056, Warn, "leadership-lost",
         "The leader stepped down because no majority has replied in time; silence lists the time since the \
          last reply of each member.";
+    LOG_SHRUNK = 3060, Warn, "log-shrunk",
+        "The disk had no room for the log, so that the applied entries were replaced by a snapshot, written \
+         to the room that is kept for it. log_bytes is what the log takes now, and reserve_bytes the room \
+         for the next snapshot; 0 if the disk is too full to keep any.";
     CAPACITY_CHANGED = 3035, Info, "capacity-changed",
         "The control node that divides the capacity of a service has raised or lowered its \
          estimate of that capacity, based on the lateness of responses; the shares of \
