Give the forwarding of a plan time by its size

Callers who sent a large configuration to a control node that does not lead got 503 after 1 s, although the leader had received most of it, and sent it again from nothing.

Cause: the timeout of an attempt counts the request, while the time that it takes depends on its bytes: a plan of 476 KiB takes 1 s on a link of 500 KB/s alone, and the commit up to 0.9 s.

Now an order with a plan gets 1 s per 200 KB more, and 2 s at most. Operators wait for 5 s. A silent leader is left after 1.13 s with 350 routes (25 KB) and after 3 s with the largest plan.

Evidence: plan_gets_time_by_its_size (250 KB/s and a commit within 0.9 s) failed before for 66 KB and 480 KB with "no reply within 1s", and passes now. The timeout of the commit at the leader (0.9 s) does not depend on the size yet.

--- a/components/client/src/failover.rs
+++ b/components/client/src/failover.rs
@@ -20,6 +20,13 @@
 /// seconds.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Rate at which a plan is assumed to reach a control node, in bytes per second: less than half of what a
+/// link between regions carries.
+const PLAN_BYTES_PER_SECOND: u32 = 200_000;
+
+/// Maximum time that a plan is given beyond the timeout of an attempt. Operators wait for 5 s.
+const MAX_PLAN_TIME: Duration = Duration::from_secs(2);
+
 /// Maximum duration of an attempt whose reply arrives in parts. A plan of 240 KB, about the largest that
 /// fits a log entry with its text, takes 2.4 s at 100 KB/s. A longer bound would delay the failover to a
 /// node with a faster link.
@@ -248,10 +255,7 @@
         control: SocketAddr,
         request: &ControlRequest,
     ) -> Result<ControlReply, FailedAttempt> {
-        let timeout = match request {
-            ControlRequest::Order(OperatorOrder::Apply { .. }) => APPLY_TIMEOUT,
-            _ => ATTEMPT_TIMEOUT,
-        };
+        let timeout = attempt_timeout(request);
         let started_at = Instant::now();
         let progress = ReplyProgress::default();
         let mut exchange = self.transport.exchange(control, request, &progress);
@@ -285,6 +289,19 @@
     }
 }
 
+/// Timeout of an attempt. An order that contains a plan gets additional time for its transfer.
+fn attempt_timeout(request: &ControlRequest) -> Duration {
+    match request {
+        ControlRequest::Order(OperatorOrder::Apply { .. }) => APPLY_TIMEOUT,
+        ControlRequest::Order(OperatorOrder::Publish { packed }) => {
+            let plan_time =
+                Duration::from_secs_f64(packed.len() as f64 / f64::from(PLAN_BYTES_PER_SECOND));
+            ATTEMPT_TIMEOUT + plan_time.min(MAX_PLAN_TIME)
+        }
+        _ => ATTEMPT_TIMEOUT,
+    }
+}
+
 fn timeout_error(timeout: Duration, part_count: usize) -> LinkError {
     LinkError::Stream(match part_count {
         0 => format!("no reply within {timeout:?}"),
