Answer a repeated plan that is in force without another log entry

Callers who repeat a change after a late or lost answer (503 after 0.9 s) made it slower still: each repetition was forwarded, replicated and stored as the whole plan, on a link that was full already.

Cause: whether the plan is in force was only decided when its log entry was applied.

Now the node that takes the call answers when it has applied a plan with the same or a higher number. What it has applied is committed, and numbers never decrease, so that no quorum needs to confirm it; the answer is the one that the log entry would have had. A node that has not applied it yet forwards it as before.

Evidence: repeated_plan_in_force_takes_nothing_of_log_and_link failed before with "repeated calls take 177361 bytes" (nine repetitions and three older plans of 350 routes, compressed) and passes now.

--- a/components/control/src/api.rs
+++ b/components/control/src/api.rs
@@ -90,6 +90,15 @@
             let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
             return Err(ApiError::Invalid(lines.join("; ")));
         }
+        // What this node has applied is committed and numbers do not decrease, so that a repeated call
+        // needs no further copy of the plan in the log.
+        let applied = self.context.view.read(|view| {
+            let published = view.registry.config().published.as_ref();
+            published.map(|published| published.number)
+        });
+        if applied >= Some(plan.number) {
+            return Ok(());
+        }
         // Packed here, so that forwarding the order to the leader is cheap, too.
         let packed = match PackedPlan::pack(plan, &text) {
             Ok(packed) => packed.into_bytes(),
--- a/components/control/tests/large_plans.rs
+++ b/components/control/tests/large_plans.rs
@@ -74,6 +74,29 @@
     assert_eq!(text.unwrap().unwrap().text, plan_of(11, 350, 60).1);
 }
 
+/// Guards against calls that are repeated, after an answer was late or lost, and each take as much of log
+/// and link as the change itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_plan_in_force_takes_nothing_of_log_and_link() {
+    let group = TestGroup::start().await;
+    group.wait_ready().await;
+    let (plan, text) = plan_of(2, 350, 60);
+    publish(&group, 2, 350, 60).await.unwrap();
+    group.wait_version(1).await;
+    let before = log_bytes(&group, 0);
+
+    for node in group.nodes.iter().flatten() {
+        for _ in 0..3 {
+            node.api().publish(&plan, text.clone()).await.unwrap();
+        }
+        let (older, text) = plan_of(1, 350, 60);
+        node.api().publish(&older, text).await.unwrap();
+    }
+
+    let added = log_bytes(&group, 0) - before;
+    assert!(added < 1_000, "repeated calls take {added} bytes");
+}
+
 /// Guards against leases that end because each renewal transfers a large plan.
 #[tokio::test(flavor = "multi_thread")]
 async fn renewal_with_350_routes_is_small() {
