Reproduce stalls of control nodes over narrow links

The changes are plans with 110 KB of random key hashes, two a second, so that the link has half of its rate left for the rest. UdpProxy gets the bounds, and a cut of one client. Files are not synced in these groups: builds beside a test delay that by up to 1.9 s (a group without any fault lost its leader for that reason, and none did on a memory file system).

--- a/components/control/tests/support/changes.rs
+++ b/components/control/tests/support/changes.rs
@@ -1,14 +1,16 @@
-//! Changes of the services text that are sent one after another.
+//! Changes of the configuration that are sent one after another.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use client::ControlClient;
+use manifest::KeyHash;
+use routes::{CallerBounds, OrganisationAccess, PublishedPlan, RoutePlan};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
-use units::ConfigVersion;
-use wire::{ControlReply, ControlRequest, OrderReply};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use units::{ByteSize, ConfigVersion, PlanNumber};
+use wire::{ControlReply, ControlRequest, OperatorOrder, OrderReply};
 
 use super::{SERVICES_TEXT, apply};
 
@@ -21,9 +23,53 @@
     format!("{SERVICES_TEXT}{data_centre}")
 }
 
+/// Interval between large changes, unless one of them takes longer.
+const LARGE_CHANGE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of keys in a large change. Their hashes take 110 KB, as a plan with 350 routes does, and
+/// cannot be compressed.
+const LARGE_CHANGE_KEYS: usize = 3_400;
+
+fn small_change(version: u64) -> OperatorOrder {
+    apply(&format!("order-{version}"), version - 1, &text_of(version))
+}
+
+/// Plan with random keys, under the number of the version that it makes.
+pub(crate) fn large_change(version: u64) -> OperatorOrder {
+    let access = OrganisationAccess {
+        keys: (0..LARGE_CHANGE_KEYS)
+            .map(|_| KeyHash(rand::random()))
+            .collect(),
+        priority: None,
+        regions: Default::default(),
+    };
+    let plan = PublishedPlan {
+        number: PlanNumber(version),
+        plan: RoutePlan {
+            routes: Vec::new(),
+            pools: Default::default(),
+            organisations: [("mlyn-hora".into(), access)].into(),
+            bounds: CallerBounds {
+                max_headers: ByteSize(1),
+                max_body: ByteSize(1),
+                header_timeout_ms: 1,
+                idle_timeout_ms: 1,
+                tokens_per_second: None,
+            },
+        },
+    };
+    OperatorOrder::Publish {
+        plan: postcard::to_stdvec(&plan).unwrap(),
+        text: String::new(),
+    }
+}
+
 /// Sends the change that makes a version until it is answered.
 pub(crate) async fn accept(client: &ControlClient, version: u64) {
-    let change = apply(&format!("order-{version}"), version - 1, &text_of(version));
+    accept_change(client, version, small_change(version)).await;
+}
+
+async fn accept_change(client: &ControlClient, version: u64, change: OperatorOrder) {
     let request = ControlRequest::Order(change);
     loop {
         match client.request(&request).await {
@@ -46,20 +92,35 @@
 
 impl ChangeSender {
     pub(crate) fn start(client: ControlClient) -> Self {
+        Self::start_with(client, Duration::from_millis(2), small_change)
+    }
+
+    /// Sends large changes, two a second.
+    pub(crate) fn start_large(client: ControlClient) -> Self {
+        Self::start_with(client, LARGE_CHANGE_INTERVAL, large_change)
+    }
+
+    fn start_with(
+        client: ControlClient,
+        change_interval: Duration,
+        change: fn(u64) -> OperatorOrder,
+    ) -> Self {
         let is_stopping = Arc::new(AtomicBool::new(false));
         let accepted = Arc::new(AtomicU64::new(0));
         let (stopping, counter) = (is_stopping.clone(), accepted.clone());
         let task = tokio::spawn(async move {
             let mut longest = Duration::ZERO;
+            let mut ticks = interval(change_interval);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
             for version in 1.. {
+                ticks.tick().await;
                 let started_at = Instant::now();
-                accept(&client, version).await;
+                accept_change(&client, version, change(version)).await;
                 longest = longest.max(started_at.elapsed());
                 counter.store(version, Ordering::SeqCst);
                 if stopping.load(Ordering::SeqCst) {
                     break;
                 }
-                sleep(Duration::from_millis(2)).await;
             }
             longest
         });
@@ -70,6 +131,11 @@
         }
     }
 
+    /// Newest accepted version.
+    pub(crate) fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::SeqCst)
+    }
+
     /// Stops the sender. Returns the newest accepted version, and the longest time that a change took.
     pub(crate) async fn stop(self) -> (u64, Duration) {
         self.is_stopping.store(true, Ordering::SeqCst);
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -3,6 +3,9 @@
 #![allow(dead_code)]
 
 pub(crate) mod changes;
+#[path = "../../../entry/tests/common/relay.rs"]
+#[allow(unreachable_pub, missing_docs)]
+pub(crate) mod relay;
 
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -17,6 +20,7 @@
 use control::{ControlHandle, ControlSettings, FleetStatus, start_on_files, start_with_files};
 use link::{KeyAuthority, KeyFiles, LinkEndpoint, LinkIdentity};
 use raft::RaftSettings;
+use relay::{BOTH, LinkBounds, UdpProxy};
 use store::{DiskFiles, SystemFiles};
 use tempfile::TempDir;
 use units::{
@@ -52,6 +56,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct TestDisk {
     is_full: AtomicBool,
+    /// Whether written bytes stay in the cache of the operating system. Builds beside a test delay
+    /// its writes to the disk by seconds, which would hide what the links cost.
+    is_cached: bool,
 }
 
 impl TestDisk {
@@ -86,6 +93,13 @@
         SystemFiles.set_length(file, length)
     }
 
+    fn sync(&self, file: &File) -> io::Result<()> {
+        match self.is_cached {
+            true => Ok(()),
+            false => SystemFiles.sync(file),
+        }
+    }
+
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
         self.check()?;
         SystemFiles.rename(from, to)
@@ -95,6 +109,9 @@
 pub(crate) struct TestGroup {
     folder: TempDir,
     settings: Vec<ControlSettings>,
+    bounds: Option<LinkBounds>,
+    /// Proxy through which the other nodes reach each node, if the links between nodes have bounds.
+    proxies: Vec<UdpProxy>,
     pub(crate) disks: Vec<Arc<TestDisk>>,
     pub(crate) nodes: Vec<Option<ControlHandle>>,
 }
@@ -129,21 +146,30 @@
 impl TestGroup {
     /// Starts three nodes with empty data folders.
     pub(crate) async fn start() -> Self {
-        Self::start_in([None; 3], None).await
+        Self::start_in([None; 3], None, None).await
+    }
+
+    /// Starts three nodes in three data centres that reach each other through links with bounds.
+    pub(crate) async fn start_bounded(bounds: LinkBounds) -> Self {
+        Self::start_in(DATA_CENTRES.map(Some), None, Some(bounds)).await
     }
 
     /// Starts three nodes. The disk of one of them is full once its data folder has been created.
     pub(crate) async fn start_with_full_disk(index: usize) -> Self {
-        Self::start_in([None; 3], Some(index)).await
+        Self::start_in([None; 3], Some(index), None).await
     }
 
     /// Starts three nodes with empty data folders in three data centres. Control nodes that are added
     /// later are discovered.
     pub(crate) async fn start_discovering() -> Self {
-        Self::start_in(DATA_CENTRES.map(Some), None).await
+        Self::start_in(DATA_CENTRES.map(Some), None, None).await
     }
 
-    async fn start_in(data_centres: [Option<&str>; 3], full_disk: Option<usize>) -> Self {
+    async fn start_in(
+        data_centres: [Option<&str>; 3],
+        full_disk: Option<usize>,
+        bounds: Option<LinkBounds>,
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let keys = folder.path().join("keys");
         let address = group_address();
@@ -151,13 +177,20 @@
             .iter()
             .map(|name| bind_endpoint(&keys, NodeRole::Control, name, address))
             .collect();
-        let addresses: BTreeMap<NodeName, SocketAddr> = NODE_NAMES
-            .iter()
-            .zip(&endpoints)
-            .map(|(name, endpoint)| (NodeName::from(*name), endpoint.address()))
-            .collect();
+        let mut proxies = Vec::new();
+        let mut addresses: BTreeMap<NodeName, SocketAddr> = BTreeMap::new();
+        for (name, endpoint) in NODE_NAMES.iter().zip(&endpoints) {
+            let mut address = endpoint.address();
+            if let Some(bounds) = bounds {
+                proxies.push(UdpProxy::start_bounded(address, bounds).await);
+                address = proxies[proxies.len() - 1].address;
+            }
+            addresses.insert((*name).into(), address);
+        }
         let mut group = Self {
             settings: Vec::new(),
+            bounds,
+            proxies,
             disks: Vec::new(),
             nodes: Vec::new(),
             folder,
@@ -181,9 +214,9 @@
                 plan_time: control::DEFAULT_PLAN_TIME,
                 target_silence_timeout: directory::SILENCE_TIMEOUT,
                 is_join_only: false,
-                has_peer_discovery: data_centre.is_some(),
+                has_peer_discovery: data_centre.is_some() && bounds.is_none(),
             };
-            let disk = Arc::new(TestDisk::default());
+            let disk = group.new_disk();
             let handle = start_on_files(settings.clone(), endpoint, disk.clone())
                 .await
                 .unwrap();
@@ -201,28 +234,74 @@
         let name = format!("control-{}", index + 1);
         let first = &self.settings[0];
         let endpoint = bind_endpoint(&first.keys, NodeRole::Control, &name, first.listen.ip());
-        let known = self.settings[..NODE_NAMES.len()].iter();
+        if let Some(bounds) = self.bounds {
+            let proxy = UdpProxy::start_bounded(endpoint.address(), bounds).await;
+            self.proxies.push(proxy);
+        }
+        let known = self.settings[..NODE_NAMES.len()].iter().enumerate();
         let settings = ControlSettings {
             name: name.as_str().into(),
             listen: endpoint.address(),
             data: self.folder.path().join(format!("{name}-1")),
             peers: known
-                .map(|known| (known.name.clone(), known.listen))
+                .map(|(known, settings)| (settings.name.clone(), self.peer_address(known)))
                 .collect(),
             data_centre: Some(data_centre.into()),
             is_join_only: true,
             ..first.clone()
         };
-        let disk = Arc::new(TestDisk::default());
+        let disk = self.new_disk();
         let handle = start_on_files(settings.clone(), endpoint, disk.clone())
             .await
             .unwrap();
         self.settings.push(settings);
         self.disks.push(disk);
         self.nodes.push(Some(handle));
+        self.add_peers();
         index
     }
 
+    fn new_disk(&self) -> Arc<TestDisk> {
+        Arc::new(TestDisk {
+            is_full: AtomicBool::new(false),
+            is_cached: self.bounds.is_some(),
+        })
+    }
+
+    /// Address at which the other nodes reach a node.
+    fn peer_address(&self, index: usize) -> SocketAddr {
+        let proxy = self.proxies.get(index);
+        proxy.map_or(self.settings[index].listen, |proxy| proxy.address)
+    }
+
+    /// Adds all nodes to the peers of each running one, if they cannot discover each other because
+    /// the announced address is not that of the proxy.
+    fn add_peers(&self) {
+        if self.bounds.is_none() {
+            return;
+        }
+        let nodes = self.settings.iter().enumerate();
+        let addresses = nodes
+            .map(|(index, settings)| (settings.name.clone(), self.peer_address(index)))
+            .collect();
+        for node in self.nodes.iter().flatten() {
+            node.api().add_peers(&addresses);
+        }
+    }
+
+    /// Cuts a node off from all others.
+    pub(crate) fn isolate(&self, index: usize) {
+        self.proxies[index].cut(&BOTH);
+        for proxy in &self.proxies {
+            proxy.cut_client(self.settings[index].listen);
+        }
+    }
+
+    /// Connects all nodes again.
+    pub(crate) fn heal(&self) {
+        self.proxies.iter().for_each(UdpProxy::heal);
+    }
+
     /// Stops a node without a transfer of leadership.
     pub(crate) async fn kill(&mut self, index: usize) {
         self.nodes[index].take().unwrap().kill().await;
@@ -242,6 +321,7 @@
         let (settings, disk) = (self.settings[index].clone(), self.disks[index].clone());
         let handle = start_with_files(settings, disk).await.unwrap();
         self.nodes[index] = Some(handle);
+        self.add_peers();
     }
 
     /// Waits until the status of a running node passes `check`. `condition` describes it in the
--- a/components/entry/tests/common/relay.rs
+++ b/components/entry/tests/common/relay.rs
@@ -1,5 +1,6 @@
 //! UDP proxy on the loopback interface. It can drop all packets or only those of the connections
-//! that are open, in one or both directions, and deliver packets late and twice.
+//! that are open, in one or both directions, deliver packets late and twice, and bound the rate of
+//! each client.
 
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
@@ -31,8 +32,22 @@
 /// Both directions, for [`UdpProxy::cut`].
 pub const BOTH: [Direction; 2] = [Direction::Upstream, Direction::Downstream];
 
+/// Bounds of the link of each client, in each direction.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkBounds {
+    pub bytes_per_second: u32,
+    /// One-way delay.
+    pub delay: Duration,
+    /// Time that a packet may wait for those before it. Packets that would wait longer are dropped.
+    pub max_queue_time: Duration,
+}
+
 #[derive(Default)]
 struct ProxyState {
+    bounds: Option<LinkBounds>,
+    /// Time at which the link of a client has sent all packets that it holds.
+    free_at: HashMap<(Direction, SocketAddr), Instant>,
+    cut_clients: HashSet<SocketAddr>,
     cut_directions: HashSet<Direction>,
     seen_connections: HashSet<(Direction, Vec<u8>)>,
     blocked_connections: HashSet<(Direction, Vec<u8>)>,
@@ -68,6 +83,18 @@
         }
     }
 
+    /// Starts a proxy with bounds on the link of each client.
+    pub async fn start_bounded(upstream: SocketAddr, bounds: LinkBounds) -> Self {
+        let proxy = Self::start(upstream).await;
+        proxy.state.lock().unwrap().bounds = Some(bounds);
+        proxy
+    }
+
+    /// Drops all packets to and from a client until [`heal`](Self::heal).
+    pub fn cut_client(&self, client: SocketAddr) {
+        self.state.lock().unwrap().cut_clients.insert(client);
+    }
+
     /// Drops all further packets of the current connections.
     pub fn block_connections(&self) {
         self.block_connections_in(&BOTH);
@@ -97,9 +124,10 @@
         state.cut_directions = directions.iter().copied().collect();
     }
 
-    /// Forwards all packets again, without delay.
+    /// Forwards all packets again, without delay but for that of the bounds.
     pub fn heal(&self) {
         let mut state = self.state.lock().unwrap();
+        state.cut_clients.clear();
         state.cut_directions.clear();
         state.blocked_connections.clear();
         state.delay = Duration::ZERO;
@@ -116,16 +144,40 @@
 
 impl ProxyState {
     /// Returns how a packet is delivered, or `None` if it is dropped.
-    fn delivery(&mut self, direction: Direction, packet: &[u8]) -> Option<PacketDelivery> {
-        if self.cut_directions.contains(&direction) || !self.is_forwarded(direction, packet) {
+    fn delivery(&mut self, path: (Direction, SocketAddr), packet: &[u8]) -> Option<PacketDelivery> {
+        let (direction, client) = path;
+        let is_cut = self.cut_directions.contains(&direction) || self.cut_clients.contains(&client);
+        if is_cut || !self.is_forwarded(direction, packet) {
             return None;
         }
+        let link_delay = match self.bounds {
+            Some(bounds) => self.link_delay(bounds, path, packet.len())?,
+            None => Duration::ZERO,
+        };
         Some(PacketDelivery {
-            delay: self.delay,
+            delay: link_delay + self.delay,
             is_repeated: self.is_repeated,
         })
     }
 
+    /// Returns the delay of a packet in the link of its client, or `None` if the queue is full.
+    fn link_delay(
+        &mut self,
+        bounds: LinkBounds,
+        path: (Direction, SocketAddr),
+        bytes: usize,
+    ) -> Option<Duration> {
+        let now = Instant::now();
+        let free_at = self.free_at.entry(path).or_insert(now);
+        let start_at = (*free_at).max(now);
+        if start_at - now > bounds.max_queue_time {
+            return None;
+        }
+        let send_time = Duration::from_secs(bytes as u64) / bounds.bytes_per_second;
+        *free_at = start_at + send_time;
+        Some(*free_at - now + bounds.delay)
+    }
+
     fn is_forwarded(&mut self, direction: Direction, packet: &[u8]) -> bool {
         if packet[0] & LONG_HEADER != 0 {
             if let Some(blocked_at) = self.blocked_at {
@@ -173,7 +225,7 @@
         };
         deliver(
             &state,
-            Direction::Upstream,
+            (Direction::Upstream, source),
             &packet[..size],
             &upstream_socket,
             upstream,
@@ -195,7 +247,7 @@
         };
         deliver(
             &state,
-            Direction::Downstream,
+            (Direction::Downstream, source),
             &packet[..size],
             &client_socket,
             source,
@@ -206,12 +258,12 @@
 
 async fn deliver(
     state: &Mutex<ProxyState>,
-    direction: Direction,
+    path: (Direction, SocketAddr),
     packet: &[u8],
     socket: &Arc<UdpSocket>,
     destination: SocketAddr,
 ) {
-    let delivery = state.lock().unwrap().delivery(direction, packet);
+    let delivery = state.lock().unwrap().delivery(path, packet);
     let Some(PacketDelivery { delay, is_repeated }) = delivery else {
         return;
     };
