--- a/components/control/tests/support/changes.rs
+++ b/components/control/tests/support/changes.rs
@@ -5,14 +5,18 @@
 use std::time::Duration;
 
 use client::ControlClient;
+use control::ApiError;
 use manifest::KeyHash;
+use rand::distr::{Alphanumeric, SampleString};
+use registry::PackedPlan;
 use routes::{CallerBounds, OrganisationAccess, PublishedPlan, RoutePlan};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 use units::{ByteSize, ConfigVersion, PlanNumber};
 use wire::{ControlReply, ControlRequest, OperatorOrder, OrderReply};
 
-use super::{SERVICES_TEXT, apply};
+use super::plans::plan_of;
+use super::{SERVICES_TEXT, TestGroup, WAIT_TIMEOUT, apply};
 
 /// Time within which a change must be accepted while a majority of the nodes is well.
 pub(crate) const ACK_TIMEOUT: Duration = Duration::from_secs(4);
@@ -43,25 +47,10 @@
         priority: None,
         regions: Default::default(),
     };
-    let plan = PublishedPlan {
-        number: PlanNumber(version),
-        plan: RoutePlan {
-            routes: Vec::new(),
-            pools: Default::default(),
-            organisations: [("mlyn-hora".into(), access)].into(),
-            bounds: CallerBounds {
-                max_headers: ByteSize(1),
-                max_body: ByteSize(1),
-                header_timeout_ms: 1,
-                idle_timeout_ms: 1,
-                tokens_per_second: None,
-            },
-        },
-    };
-    OperatorOrder::Publish {
-        plan: postcard::to_stdvec(&plan).unwrap(),
-        text: String::new(),
-    }
+    let (mut plan, text) = plan_of(version, 0, 0);
+    plan.plan.organisations.insert("mlyn-hora".into(), access);
+    let packed = PackedPlan::pack(&plan, &text).unwrap().into_bytes();
+    OperatorOrder::Publish { packed }
 }
 
 /// Sends the change that makes a version until it is answered.
@@ -83,6 +72,38 @@
     }
 }
 
+/// Publishes a plan with a text of this size until a node accepts it. The text cannot be compressed.
+pub(crate) async fn publish_text(group: &TestGroup, number: u64, text_bytes: usize) {
+    let plan = PublishedPlan {
+        number: PlanNumber(number),
+        plan: RoutePlan {
+            routes: Vec::new(),
+            pools: Default::default(),
+            organisations: Default::default(),
+            bounds: CallerBounds {
+                max_headers: ByteSize(1),
+                max_body: ByteSize(1),
+                header_timeout_ms: 1,
+                idle_timeout_ms: 1,
+                tokens_per_second: None,
+            },
+        },
+    };
+    let text = Alphanumeric.sample_string(&mut rand::rng(), text_bytes);
+    let publishing = async {
+        for index in group.running().into_iter().cycle() {
+            let api = group.nodes[index].as_ref().unwrap().api();
+            match api.publish(&plan, text.clone()).await {
+                Ok(()) => return,
+                Err(ApiError::NoQuorum(_)) => sleep(Duration::from_millis(20)).await,
+                Err(error) => panic!("{error}"),
+            }
+        }
+    };
+    let published = timeout(WAIT_TIMEOUT, publishing).await;
+    assert!(published.is_ok(), "no node accepts plan {number}");
+}
+
 /// Changes that are sent one after another until the sender is told to stop.
 pub(crate) struct ChangeSender {
     is_stopping: Arc<AtomicBool>,
--- a/components/control/tests/support/mod.rs
+++ b/components/control/tests/support/mod.rs
@@ -3,25 +3,25 @@
 #![allow(dead_code)]
 
 pub(crate) mod changes;
+mod disk;
+pub(crate) mod plans;
 #[path = "../../../entry/tests/common/relay.rs"]
 #[allow(unreachable_pub, missing_docs)]
 pub(crate) mod relay;
 
 use std::collections::BTreeMap;
-use std::fs::File;
-use std::io::{self, Write};
 use std::net::{IpAddr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use client::ControlClient;
 use control::{ControlHandle, ControlSettings, FleetStatus, start_on_files, start_with_files};
+use disk::TestDisk;
 use link::{KeyAuthority, KeyFiles, LinkEndpoint, LinkIdentity};
 use raft::RaftSettings;
 use relay::{BOTH, LinkBounds, UdpProxy};
-use store::{DiskFiles, SystemFiles};
 use tempfile::TempDir;
 use units::{
     ConfigVersion, DataCentreName, Incarnation, NodeName, OrderId, ServiceName, SlotCount,
@@ -51,61 +51,6 @@
 kind = "model"
 "#;
 
-/// Disk of a node, which refuses every write while it is full. A refused write has written half of
-/// its bytes.
-#[derive(Debug, Default)]
-pub(crate) struct TestDisk {
-    is_full: AtomicBool,
-    /// Whether written bytes stay in the cache of the operating system. Builds beside a test delay
-    /// its writes to the disk by seconds, which would hide what the links cost.
-    is_cached: bool,
-}
-
-impl TestDisk {
-    pub(crate) fn set_full(&self, is_full: bool) {
-        self.is_full.store(is_full, Ordering::SeqCst);
-    }
-
-    fn check(&self) -> io::Result<()> {
-        match self.is_full.load(Ordering::SeqCst) {
-            true => Err(io::ErrorKind::StorageFull.into()),
-            false => Ok(()),
-        }
-    }
-}
-
-impl DiskFiles for TestDisk {
-    fn create(&self, path: &Path) -> io::Result<File> {
-        self.check()?;
-        SystemFiles.create(path)
-    }
-
-    fn write(&self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
-        if let Err(error) = self.check() {
-            file.write_all(&bytes[..bytes.len() / 2])?;
-            return Err(error);
-        }
-        file.write_all(bytes)
-    }
-
-    fn set_length(&self, file: &File, length: u64) -> io::Result<()> {
-        self.check()?;
-        SystemFiles.set_length(file, length)
-    }
-
-    fn sync(&self, file: &File) -> io::Result<()> {
-        match self.is_cached {
-            true => Ok(()),
-            false => SystemFiles.sync(file),
-        }
-    }
-
-    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
-        self.check()?;
-        SystemFiles.rename(from, to)
-    }
-}
-
 pub(crate) struct TestGroup {
     folder: TempDir,
     settings: Vec<ControlSettings>,
@@ -262,9 +207,9 @@
     }
 
     fn new_disk(&self) -> Arc<TestDisk> {
-        Arc::new(TestDisk {
-            is_full: AtomicBool::new(false),
-            is_cached: self.bounds.is_some(),
+        Arc::new(match self.bounds {
+            Some(_) => TestDisk::cached(),
+            None => TestDisk::default(),
         })
     }
 
