Promote a learner that caught up recently, though entries are committed all the time

Cause: a learner was promoted only if it had acknowledged the commit index of the very moment of the call. While entries are committed in each round trip, no moment fits when the learner acknowledges later than the voters. The class of fault: a threshold that moves with the log.

A learner is promoted if it replies and held the whole log of the leader within the last second, the maximum election timeout. The end of the log is fixed in rounds (PeerProgress), so that new entries do not keep it out. A learner that falls behind again is refused after that second, and one that a new leader has not seen with its log is refused, too.

--- a/components/raft/src/error.rs
+++ b/components/raft/src/error.rs
@@ -68,9 +68,9 @@
         /// Id of the removed node.
         id: DiskId,
     },
-    /// The learner lacks committed entries.
+    /// The learner has not recently held the whole log, or does not reply.
     #[error(
-        "Failed to promote {id}: it has only {match_index} of {commit_index} committed entries"
+        "Failed to promote {id}: it has not caught up; it has {match_index} of {commit_index} committed entries"
     )]
     LearnerBehind {
         /// Id of the learner.
--- a/components/raft/src/membership.rs
+++ b/components/raft/src/membership.rs
@@ -22,7 +22,7 @@
     pub enum MemberChange {
         /// Adds a node as learner.
         AddLearner(DiskId),
-        /// Turns a learner that holds the committed log into a voter.
+        /// Turns a learner that has caught up with the log into a voter.
         Promote(DiskId),
         /// Removes a voter or learner permanently.
         Remove(DiskId),
--- a/components/raft/src/node/change.rs
+++ b/components/raft/src/node/change.rs
@@ -113,13 +113,17 @@
         }
     }
 
-    /// Refuses to promote a learner that lacks committed entries or does not reply: it could be needed
-    /// for a majority before it can acknowledge new entries.
+    /// Refuses to promote a learner that has not caught up or does not reply: it could be needed for a
+    /// majority before it can acknowledge new entries. While entries are committed in each round trip,
+    /// no learner holds all of them at the time of the call. It is sufficient that it held the whole
+    /// log of the leader within the maximum election timeout, so that a majority which needs it
+    /// acknowledges an entry before the leader steps down.
     fn check_promotion(&self, state: &LeaderState, id: DiskId) -> Result<(), ProposeError> {
         let Some(peer) = state.peers.get(&id) else {
             return Err(ProposeError::NotMember { id });
         };
-        if peer.match_index < self.commit_index || !self.is_replying(peer) {
+        let max_lag = self.settings.max_election_timeout;
+        if !peer.is_caught_up(max_lag, self.now) || !self.is_replying(peer) {
             return Err(ProposeError::LearnerBehind {
                 id,
                 match_index: peer.match_index,
--- a/components/raft/src/progress.rs
+++ b/components/raft/src/progress.rs
@@ -93,7 +93,15 @@
         now.since(self.caught_up_at.unwrap_or(self.tracked_since))
     }
 
+    /// Whether the peer held the whole log of the leader within the last `max_lag`.
+    pub(crate) fn is_caught_up(&self, max_lag: Duration, now: ClockTime) -> bool {
+        self.caught_up_at.is_some() && self.lag(now) < max_lag
+    }
+
     fn advance_catch_up(&mut self, last: LogIndex, now: ClockTime) {
+        if self.match_index >= last {
+            self.catch_up.started_at = now;
+        }
         if self.match_index >= self.catch_up.target {
             self.caught_up_at = Some(self.catch_up.started_at);
             self.catch_up = CatchUpRound {
