Halve the syncs of segments for large entries

A segment costs three syncs: file and folder when it is created, and the folder when it is deleted. The time of a sync was not measured.

--- a/components/store/src/log_store.rs
+++ b/components/store/src/log_store.rs
@@ -12,8 +12,10 @@
 use crate::{DiskFiles, StoreError, SystemFiles};
 
 /// Size of a log segment, in bytes, at which the next batch starts a new segment. A snapshot frees no
-/// segment with newer entries, so this is the size up to which superseded entries remain.
-pub const SEGMENT_BYTES: u64 = 512 * 1024;
+/// segment with newer entries, so this is the size up to which superseded entries remain. To create and
+/// delete a segment takes three syncs, as many as a snapshot, so it is not made smaller than two of the
+/// largest entries.
+pub const SEGMENT_BYTES: u64 = 1024 * 1024;
 
 const STATE_FILE: &str = "state";
 const SNAPSHOT_FILE: &str = "snapshot";
@@ -175,8 +177,8 @@
     }
 
     /// Writes a batch durably. After a failed file operation, any part of the batch may be in the
-    /// files, and the batch must be written again before any other. After another error, all further
-    /// writes fail until the folder is opened again.
+    /// files, and the batch must be written again before any other, or [merged](Self::merge) with the ones
+    /// that follow. After another error, all further writes fail until the folder is opened again.
     pub fn persist(&mut self, batch: &PersistBatch) -> Result<(), StoreError> {
         if self.has_failed {
             return Err(StoreError::EarlierWriteFailed);
