Check for lost entries at an interval of their own

A follower that lost its entries with a closed link could lack them for as long as callers read the configuration often.

Cause: the checks were sent with heartbeats that are due, and each round of heartbeats that a read starts moves the next one 100 ms on. Heartbeats follow the last acknowledged entry since, so nothing else finds the loss once the window is full.

Test lost_entries_are_found_beside_frequent_barriers: before, the follower had none of 40 values after 2 s with a read each 50 ms; it has all now.

--- a/components/raft/src/node/leader.rs
+++ b/components/raft/src/node/leader.rs
@@ -21,6 +21,9 @@
     /// Newest heartbeat round.
     pub(super) round: u64,
     next_heartbeat: ClockTime,
+    /// Time of the next checks. Each round of heartbeats moves the time of the next one, so that the
+    /// checks need a time of their own.
+    next_check: ClockTime,
     /// Upper bound of the encoded size of the uncommitted entries.
     pub(super) pending_bytes: usize,
     pub(super) waiting_barriers: Vec<WaitingBarrier>,
@@ -59,6 +62,7 @@
             term_start_index: LogIndex(last.0 + 1),
             round: 0,
             next_heartbeat: self.now,
+            next_check: self.now,
             pending_bytes: self.log.bytes_after(self.commit_index),
             waiting_barriers: Vec::new(),
             transfer: None,
@@ -105,8 +109,11 @@
             .waiting_barriers
             .retain(|barrier| now.since(barrier.requested_at) < timeout);
         state.transfer.take_if(|transfer| now >= transfer.deadline);
+        let is_check_due = now >= state.next_check;
         if now >= state.next_heartbeat {
             self.send_heartbeats();
+        }
+        if is_check_due {
             self.send_checks();
             self.try_finish_transfer();
         }
@@ -138,7 +145,8 @@
     }
 
     /// Sends a message without entries. It follows the last acknowledged entry, since those in flight
-    /// may arrive later. A peer that has lost durable entries rejects it.
+    /// may arrive later, so that a peer that has lost durable entries rejects it. Entries in flight
+    /// that are lost are found by the checks only.
     pub(super) fn send_heartbeat(&mut self, to: DiskId) {
         let RoleState::Leader(state) = &mut self.role else {
             return;
@@ -175,10 +183,11 @@
     /// Checks whether the entries in flight to stalled peers were lost: a peer that lacks one of them
     /// rejects a message that follows them in the same lane.
     fn send_checks(&mut self) {
-        let RoleState::Leader(state) = &self.role else {
+        let RoleState::Leader(state) = &mut self.role else {
             return;
         };
         let timeout = self.settings.heartbeat_interval;
+        state.next_check = self.now + timeout;
         let stalled = state
             .peers
             .iter()
--- a/components/raft/tests/slow_links.rs
+++ b/components/raft/tests/slow_links.rs
@@ -101,3 +101,26 @@
         "{sent_bytes} bytes sent, {max_bytes} allowed"
     );
 }
+
+/// Guards against lost entries that are never sent again, because frequent reads start a round of heartbeats
+/// before each check is due.
+#[test]
+fn lost_entries_are_found_beside_frequent_barriers() {
+    let mut net = FakeNet::new(3, RaftSettings::default(), 6);
+    let leader = net.await_leader();
+    let others = ids(3).into_iter().filter(|id| *id != leader);
+    let followers: Vec<DiskId> = others.collect();
+    net.bulk_blocks.insert(followers[0]);
+    for value in 1..=MISSING_ENTRIES {
+        net.propose(leader, value);
+        net.run_for(10);
+    }
+    net.bulk_blocks.clear();
+
+    for _ in 0..40 {
+        net.request_barrier(leader);
+        net.run_for(50);
+    }
+
+    assert_eq!(net.hosts[&followers[0]].value, MISSING_ENTRIES);
+}
