Let a learner that lags not hide one that could be promoted

A lost voter keeps its seat, so that the next loss costs the quorum, although a learner with the whole log stands by.

Cause: the leader chooses one learner by its data centre, and its promotion is refused while it lags, for example because its disk is full. The other learner is not tried.

Test learner_that_lags_does_not_hide_another_one: failed before with Promote(4) in place of Promote(5).

--- a/components/control/src/driver/group.rs
+++ b/components/control/src/driver/group.rs
@@ -113,7 +113,11 @@
         let configured_names = self.settings.configured_names();
         let listening_since = self.listening_time.since();
         let replace_timeout = replace_timeout(self.settings.catch_up_time);
+        let max_lag = self.settings.raft.max_election_timeout;
+        let members = self.node.member_progress().into_iter();
+        let lagging = members.filter(|member| member.lag >= max_lag);
         let thresholds = &mut self.promotion_thresholds;
+        thresholds.set_lagging(lagging.map(|member| member.id));
         let step = self.view.read(|view| {
             let recorded_names = view.registry.controls();
             let members = &status.membership;
--- a/components/control/src/members.rs
+++ b/components/control/src/members.rs
@@ -51,17 +51,24 @@
 #[derive(Debug, Default)]
 pub struct PromotionThresholds {
     thresholds: BTreeMap<DiskId, LogIndex>,
+    lagging: BTreeSet<DiskId>,
 }
 
 impl PromotionThresholds {
-    /// Returns whether the learner has applied the log up to its threshold. The threshold is the
-    /// commit index at the first call for this learner.
+    /// Sets the members that have not held the whole log recently. A promotion of them would be refused,
+    /// and a learner that could be promoted must not wait for it.
+    pub fn set_lagging(&mut self, lagging: impl IntoIterator<Item = DiskId>) {
+        self.lagging = lagging.into_iter().collect();
+    }
+
+    /// Returns whether the learner does not lag and has applied the log up to its threshold. The
+    /// threshold is the commit index at the first call for this learner.
     fn has_reached(&mut self, announcement: &PeerAnnouncement, commit_index: LogIndex) -> bool {
         let threshold = *self
             .thresholds
             .entry(announcement.id)
             .or_insert(commit_index);
-        announcement.applied_index >= threshold
+        announcement.applied_index >= threshold && !self.lagging.contains(&announcement.id)
     }
 }
 
--- a/components/control/tests/decisions.rs
+++ b/components/control/tests/decisions.rs
@@ -408,6 +408,7 @@
     peers: SeenPeers,
     recorded_names: BTreeMap<DiskId, NodeName>,
     replace_timeout: Duration,
+    lagging: Option<DiskId>,
 }
 
 impl SeatedGroup {
@@ -428,6 +429,7 @@
             peers: announced(&[&voters[..], learners].concat()),
             recorded_names: known.into_iter().chain(joined).collect(),
             replace_timeout: REPLACE_TIMEOUT,
+            lagging: None,
         }
     }
 
@@ -448,7 +450,9 @@
             replace_timeout: self.replace_timeout,
             now: NOW,
         };
-        next_step(&view, &mut PromotionThresholds::default())
+        let mut thresholds = PromotionThresholds::default();
+        thresholds.set_lagging(self.lagging);
+        next_step(&view, &mut thresholds)
     }
 }
 
@@ -597,6 +601,22 @@
     assert!(ids(&[2, 3]).contains(&removed), "{removed}");
 }
 
+/// Guards against a lost voter that keeps its seat, because a learner that lags hides the one that could
+/// take it.
+#[test]
+fn learner_that_lags_does_not_hide_another_one() {
+    let learners = [
+        ("d", node_in(4, "ostrava-1")),
+        ("e", node_in(5, "ostrava-1")),
+    ];
+    let mut group = SeatedGroup::new(&learners);
+    group.peer("c").received_at = NOW - REPLACE_TIMEOUT;
+
+    group.lagging = Some(DiskId(4));
+
+    assert_eq!(group.next_step(), change(MemberChange::Promote(DiskId(5))));
+}
+
 /// Guards against ten seconds without tolerance: one of an even number of voters is lost.
 #[test]
 fn lost_voter_of_four_is_removed_after_the_replacement_timeout() {
