--- a/components/store/src/log_store.rs
+++ b/components/store/src/log_store.rs
@@ -189,6 +189,11 @@
     }
 
     fn write(&mut self, batch: &PersistBatch) -> Result<(), StoreError> {
+        if batch.snapshot.is_some() {
+            // A part of a record may take the room that the snapshot needs. If it cannot be cut off, the
+            // append of the entries tries again.
+            let _ = self.log.cut_partial_record(&self.folder);
+        }
         let had_reserve = self.reserve_bytes > 0;
         if let Some(hard_state) = batch.hard_state {
             self.state.hard_state = hard_state;
--- a/components/store/src/segments.rs
+++ b/components/store/src/segments.rs
@@ -182,7 +182,7 @@
 
     /// Removes what a failed write has left, which may be a whole record. It was not synced, so
     /// records after it could be durable without it.
-    fn cut_partial_record(&mut self, folder: &StoreFolder) -> Result<(), StoreError> {
+    pub(crate) fn cut_partial_record(&mut self, folder: &StoreFolder) -> Result<(), StoreError> {
         if let Some(newest) = self.segments.back().filter(|_| self.has_partial_record) {
             self.file = Some(folder.open_truncated(&newest.name(), newest.bytes)?);
         }
@@ -239,6 +239,8 @@
         folder: &StoreFolder,
         snapshot: EntryId,
     ) -> Result<(), StoreError> {
+        // What is certainly superseded goes first: on a full disk, the new segment needs its room.
+        self.remove_through(folder, snapshot)?;
         let mut entries = self.read_entries(folder)?;
         entries.retain(|entry| entry.id.index > snapshot.index);
         let superseded_count = self.segments.len();
