--- a/components/control/src/driver/compact.rs
+++ b/components/control/src/driver/compact.rs
@@ -68,21 +68,23 @@
         let snapshot_bytes = self.node.log_usage().snapshot_bytes as u64;
         let is_log_small =
             self.store.log_bytes() * (SNAPSHOT_INTERVAL_MULTIPLE as u64) < snapshot_bytes;
-        if !is_snapshot_pending && !is_log_small {
+        let has_applied = self.applied_index > self.node.status().snapshot_index;
+        if has_applied && !is_snapshot_pending && !is_log_small {
             self.compact();
         }
     }
 
     fn compact(&mut self) {
         let snapshot = self.view.read(|view| view.registry.snapshot());
-        event!(
-            events::SNAPSHOT_WRITTEN,
-            index = self.applied_index,
-            bytes = snapshot.len(),
-            entry_bytes = self.uncompacted_entries.bytes
-        );
+        let bytes = snapshot.len();
         for action in self.node.compact(self.applied_index, snapshot) {
             if let RaftAction::Persist { id, batch } = action {
+                event!(
+                    events::SNAPSHOT_WRITTEN,
+                    index = self.applied_index,
+                    bytes = bytes,
+                    entry_bytes = self.uncompacted_entries.bytes
+                );
                 self.enqueue_batch(id, batch);
             }
         }
--- a/components/control/src/driver/disk.rs
+++ b/components/control/src/driver/disk.rs
@@ -2,9 +2,10 @@
 //!
 //! A disk that is full takes no write for a while and has lost nothing, so the process keeps running
 //! and writes the same batch again until the disk takes it. Nothing that depends on the batch is sent
-//! before. If the log has applied entries, they are replaced by a snapshot first, for which the store keeps
-//! room, so that a log cannot keep a disk full. A leader hands over meanwhile, and can still commit entries
-//! that a majority of the others has written. Any other node takes no part in the group: what it received would only pile up.
+//! before. If the log has applied entries, they are replaced by a snapshot first, for which the store
+//! keeps room, so that the log itself does not keep the disk full. A leader hands over meanwhile; until
+//! then, it can still commit entries that a majority of the others has written. Any other node takes no
+//! part in the group, since what it received would only accumulate.
 
 use std::time::Duration;
 
