Report dropped frames once for each lane

Found by the review, by reading: one flag for three lanes was reset by each frame of a lane that was not full, so that peer-frames-dropped was logged about twice a second for each lost peer. No test of its own.

--- a/components/control/src/peers.rs
+++ b/components/control/src/peers.rs
@@ -24,8 +24,8 @@
 struct PeerRecord {
     address: SocketAddr,
     lanes: LaneSenders,
-    /// Whether the last frame did not fit into the queue.
-    is_dropping: bool,
+    /// Whether the last frame of each lane did not fit into its queue.
+    is_dropping: [bool; FrameLane::ALL.len()],
     /// Client that forwards requests to the peer.
     client: ControlClient,
     /// Task that maintains the link to the peer.
@@ -36,10 +36,11 @@
     fn send(&mut self, name: &NodeName, lane: FrameLane, frame: PeerFrame) {
         let sent = self.lanes.get(lane).try_send(frame);
         let is_full = matches!(sent, Err(TrySendError::Full(_)));
-        if is_full && !self.is_dropping {
-            event!(events::PEER_FRAMES_DROPPED, name = name);
+        let is_dropping = &mut self.is_dropping[lane as usize];
+        if is_full && !*is_dropping {
+            event!(events::PEER_FRAMES_DROPPED, name = name, lane = ?lane);
         }
-        self.is_dropping = is_full;
+        *is_dropping = is_full;
     }
 }
 
@@ -80,7 +81,7 @@
         let record = PeerRecord {
             address,
             lanes,
-            is_dropping: false,
+            is_dropping: [false; FrameLane::ALL.len()],
             client: ControlClient::new(endpoint.clone(), vec![address]),
             link_task: tokio::spawn(maintenance).abort_handle(),
         };
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -47,8 +47,8 @@
          sent on it, queued frames wait for the next one, and the last acknowledgement is \
          unacknowledged_ms old.";
     PEER_FRAMES_DROPPED = 3053, Warn, "peer-frames-dropped",
-        "The queue to another control node is full, so that messages to it are lost. Logged once until a \
-         message fits again.";
+        "The queue of a lane to another control node is full, so that messages to it are lost. Logged once \
+         until a message of the lane fits again.";
     MEMBER_BEHIND = 3054, Warn, "member-behind",
         "A member has not held the whole log for lag_ms. It lacks missing_bytes of the entries in the \
          leader's memory; mode tells whether the leader searches for the last common entry (Probe), sends \
