Read the records of a segment in one function

The rewrite of a log on a disk without a reserve decoded segments with a copy of the loop that reads them at a start. Both call read_records now; a damaged record found by the rewrite gets the reason that a start gives.

--- a/components/store/src/segments.rs
+++ b/components/store/src/segments.rs
@@ -95,31 +95,19 @@
     ) -> Result<(), StoreError> {
         let name = segment_name(number);
         let bytes = folder.read(&name)?.unwrap_or_default();
-        let mut rest = &bytes[..];
-        let mut max_index = 0;
-        while !rest.is_empty() {
-            let offset = (bytes.len() - rest.len()) as u64;
-            let corrupt = |reason| folder.corrupt(&name, offset, reason);
-            match record::read(rest) {
-                RecordRead::Complete { body, rest: after } => {
-                    let batch: Vec<LogEntry> = record::decode(body)
-                        .ok_or_else(|| corrupt("the record body cannot be decoded"))?;
-                    max_index = max_index.max(replace_tail(entries, batch).map_err(corrupt)?);
-                    rest = after;
-                }
-                RecordRead::Torn if is_newest => break,
-                RecordRead::Torn => return Err(corrupt("the record is incomplete")),
-                RecordRead::Corrupt { reason } => return Err(corrupt(reason)),
-            }
+        let records = read_records(folder, &name, &bytes, entries)?;
+        if records.valid_bytes < bytes.len() && !is_newest {
+            let offset = records.valid_bytes as u64;
+            return Err(folder.corrupt(&name, offset, "the record is incomplete"));
         }
-        let valid_bytes = (bytes.len() - rest.len()) as u64;
+        let valid_bytes = records.valid_bytes as u64;
         if is_newest {
             self.file = Some(folder.open_truncated(&name, valid_bytes)?);
         }
         self.last_number = number;
         self.segments.push_back(LogSegment {
             number,
-            max_index,
+            max_index: records.max_index,
             bytes: valid_bytes,
         });
         Ok(())
@@ -270,17 +258,10 @@
             let bytes = folder.read(&name)?.unwrap_or_default();
             // A failed write may have left a part of a record after the others.
             let length = bytes.len().min(segment.bytes as usize);
-            let mut rest = &bytes[..length];
-            while !rest.is_empty() {
-                let offset = (length - rest.len()) as u64;
-                let corrupt = |reason| folder.corrupt(&name, offset, reason);
-                let RecordRead::Complete { body, rest: after } = record::read(rest) else {
-                    return Err(corrupt("the record is damaged"));
-                };
-                let batch = record::decode(body)
-                    .ok_or_else(|| corrupt("the record body cannot be decoded"))?;
-                replace_tail(&mut entries, batch).map_err(corrupt)?;
-                rest = after;
+            let records = read_records(folder, &name, &bytes[..length], &mut entries)?;
+            if records.valid_bytes < length {
+                let offset = records.valid_bytes as u64;
+                return Err(folder.corrupt(&name, offset, "the record is incomplete"));
             }
         }
         Ok(entries)
@@ -299,6 +280,43 @@
     }
 }
 
+/// Complete records of a segment.
+struct SegmentRecords {
+    /// Largest entry index in the records; 0 if there are none.
+    max_index: u64,
+    /// Size of the records. An incomplete one may follow them.
+    valid_bytes: usize,
+}
+
+/// Adds the entries of all complete records in the content of a segment.
+fn read_records(
+    folder: &StoreFolder,
+    name: &str,
+    bytes: &[u8],
+    entries: &mut Vec<LogEntry>,
+) -> Result<SegmentRecords, StoreError> {
+    let mut rest = bytes;
+    let mut max_index = 0;
+    while !rest.is_empty() {
+        let offset = (bytes.len() - rest.len()) as u64;
+        let corrupt = |reason| folder.corrupt(name, offset, reason);
+        match record::read(rest) {
+            RecordRead::Complete { body, rest: after } => {
+                let batch: Vec<LogEntry> = record::decode(body)
+                    .ok_or_else(|| corrupt("the record body cannot be decoded"))?;
+                max_index = max_index.max(replace_tail(entries, batch).map_err(corrupt)?);
+                rest = after;
+            }
+            RecordRead::Torn => break,
+            RecordRead::Corrupt { reason } => return Err(corrupt(reason)),
+        }
+    }
+    Ok(SegmentRecords {
+        max_index,
+        valid_bytes: bytes.len() - rest.len(),
+    })
+}
+
 /// Replaces the tail of `entries` by a batch, from the first index of the batch on, and returns the
 /// last index of the batch.
 fn replace_tail(entries: &mut Vec<LogEntry>, batch: Vec<LogEntry>) -> Result<u64, &'static str> {
