Count the bytes that a member lacks without a pass over the whole log

A leader takes the progress of its members before each tick, 50 times a second, for the log line of a lost leadership. Each time, all entries in memory were visited for each member, and after the tick once more to learn the role. The sum begins at the first missing entry now, and the role is asked for directly. The tests of raft, store, and full_disk, group, large_changes, narrow_links and replacements of control pass.

--- a/components/control/src/driver/report.rs
+++ b/components/control/src/driver/report.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use raft::MemberProgress;
+use raft::{MemberProgress, NodeRole};
 use telemetry::{event, events};
 use units::{ClockTime, DiskId};
 
@@ -73,8 +73,7 @@
 
     /// Logs that this node stepped down; `members` is the progress before.
     pub(super) fn log_lost_leadership(&self, members: &[MemberProgress]) {
-        let has_lost = !members.is_empty() && self.node.member_progress().is_empty();
-        if !has_lost {
+        if members.is_empty() || self.node.role() == NodeRole::Leader {
             return;
         }
         let texts = members.iter().map(|member| {
--- a/components/raft/src/log.rs
+++ b/components/raft/src/log.rs
@@ -182,11 +182,9 @@
 
     /// Upper bound of the encoded size of all entries after an index.
     pub(crate) fn bytes_after(&self, index: LogIndex) -> usize {
-        self.entries
-            .iter()
-            .filter(|entry| entry.id.index > index)
-            .map(LogEntry::max_encoded_bytes)
-            .sum()
+        let skipped = index.0.saturating_sub(self.base.index.0) as usize;
+        let newer = self.entries.range(skipped.min(self.entries.len())..);
+        newer.map(LogEntry::max_encoded_bytes).sum()
     }
 
     /// Creates a snapshot at an index and drops the entries up to it except for the last ones, within
--- a/components/raft/src/node/mod.rs
+++ b/components/raft/src/node/mod.rs
@@ -301,7 +301,8 @@
         self.log.usage()
     }
 
-    fn role(&self) -> NodeRole {
+    /// Current role, as in the status.
+    pub fn role(&self) -> NodeRole {
         match self.role {
             RoleState::Follower => NodeRole::Follower,
             RoleState::PreCandidate { .. } => NodeRole::PreCandidate,
