--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,5 +1,5 @@
-//! Workers state a very long idle time-out in `Keep-Alive`. Their answers do not reach the clients, and
-//! the clients' channels are closed.
+//! On a route that also takes requests without a key, requests with a key that was taken away, or that
+//! no configuration ever held, are run.
 
 #[path = "../harness-2/common.rs"]
 mod common;
@@ -10,7 +10,24 @@
 
 use common::*;
 
-const BOOKINGS: usize = 12;
+/// `revocationMs` of the settings, after which the key must not be accepted by any machine.
+const REVOCATION_MS: u64 = 5_000;
+const OTHER_KEY: &str = "k7b2ex5wa5xwyhks8nbk";
+
+/// Configuration in which `/read/` is anonymous, with a tenant that stays and, unless `is_revoked`, the
+/// tenant that holds [`KEY`].
+fn anonymous_configuration(version: u64, is_revoked: bool) -> String {
+    let text = configuration(version);
+    let (head, read) = text.split_once("\"name\":\"r-read\"").expect("the route is there");
+    let read = read.replacen("\"allowAnonymous\":false", "\"allowAnonymous\":true", 1);
+    let text = format!("{head}\"name\":\"r-read\"{read}");
+    let start = text.find("\"tenants\":[").expect("there are tenants") + "\"tenants\":[".len();
+    let other = format!("{{\"name\":\"mavo118\",\"apiKeys\":[\"{OTHER_KEY}\"],\"allowedRegions\":[]}}");
+    match is_revoked {
+        true => format!("{}{other}]}}", &text[..start]),
+        false => format!("{}{other},{}", &text[..start], &text[start..]),
+    }
+}
 
 fn main() {
     let folder = std::env::args().nth(1).expect("the folder of the case is given");
@@ -19,77 +36,58 @@
     start_watchdog(&record, &fleet.folder, Duration::from_secs(90));
     fleet.start_all();
     sleep_ms(1_500);
-    fleet.publish(&configuration(7));
-    // The largest signed number of 64 bits, by a worker that closes no idle channel.
-    let timeout = if has_trouble() { i64::MAX } else { 15 };
+    fleet.publish(&anonymous_configuration(7, false));
     let runs: Arc<Mutex<Vec<String>>> = Arc::default();
     let (seen, log) = (runs.clone(), record.clone());
-    let booking: Answer = Arc::new(move |worker, request, stream| {
-        log.line(format!("worker {} runs {}", worker.id, request.attempt()));
+    let answer: Answer = Arc::new(move |worker, request, stream| {
+        let tenant = request.header("x-tenant").unwrap_or("none").to_string();
+        log.line(format!("worker {} runs {}, tenant {tenant}", worker.id, request.attempt()));
         seen.lock().unwrap().push(request.attempt());
-        let keep_alive = format!("Keep-Alive: timeout={timeout}\r\n");
-        plain_answer(request, stream, &keep_alive, "booked")
+        plain_answer(request, stream, "", "record")
     });
-    let generation: Answer =
-        Arc::new(|worker, request, stream| stream_events(worker, request, stream, 3, ms(10)));
     for index in 0..3 {
-        Worker::new(&fleet, index, "app", "v1", 6).start(Duration::ZERO, booking.clone());
-    }
-    for index in 3..6 {
-        Worker::new(&fleet, index, "pool", "v1", 48).start(Duration::ZERO, generation.clone());
+        Worker::new(&fleet, index, "app", "v1", 6).start(Duration::ZERO, answer.clone());
     }
     fleet.wait_ready();
-    // `contactWindowMs` without any change, so that all machines are in touch.
-    sleep_ms(4_500);
-
-    let (mut answered, mut closed, mut first_failed) = (0, 0, 0);
-    for number in 0..BOOKINGS {
-        let front = fleet.front(number % 3);
-        let Ok(mut channel) = Channel::open(front) else {
-            continue;
-        };
-        // The channel is kept after a first request.
-        let mut headers = client_headers(&attempt_id(), 3_000);
-        headers.push(("X-Model", "m".into()));
-        headers.push(("X-Token-Usage", "10,12".into()));
-        headers.push(("X-Prompt-Prefix", format!("{number:x}:10")));
-        let first = channel.send("POST", "/gen/7a", &headers, b"{}").and_then(|()| {
-            let mut reply = channel.read_head(ms(3_000))?;
-            channel.read_body(&mut reply, |_| {});
-            Ok(reply)
-        });
-        let is_kept = first.is_ok_and(|reply| reply.status == 200 && reply.is_complete);
-        if !is_kept {
-            first_failed += 1;
-            continue;
-        }
-        let attempt = attempt_id();
-        let headers = client_headers(&attempt, 2_000);
-        let reply = channel.send("POST", "/book/4", &headers, b"{}").and_then(|()| {
-            let mut reply = channel.read_head(ms(3_000))?;
-            channel.read_body(&mut reply, |_| {});
-            Ok(reply)
-        });
-        let has_run = runs.lock().unwrap().contains(&attempt);
-        match &reply {
-            Ok(reply) => {
-                answered += 1;
-                record.line(format!("booking {attempt} at {front}: {}, run: {has_run}", reply.status));
-            }
-            Err(error) => {
-                closed += usize::from(has_run);
-                record.line(format!(
-                    "booking {attempt} at {front}: channel closed without an answer ({error}), run: {has_run}"
-                ));
+    sleep_ms(3_000);
+    let send = |what: &str, key: Option<&str>| -> usize {
+        let mut run_count = 0;
+        for index in 0..3 {
+            let attempt = attempt_id();
+            let mut headers = client_headers(&attempt, 2_000);
+            headers.retain(|(name, _)| *name != "Authorization");
+            if let Some(key) = key {
+                headers.push(("Authorization", format!("Token {key}")));
             }
+            let front = fleet.front(index);
+            let reply = call(front, "GET", "/read/4", &headers, b"", ms(3_000));
+            let status = reply.map_or(0, |reply| reply.status);
+            let has_run = runs.lock().unwrap().contains(&attempt);
+            run_count += usize::from(has_run);
+            record.line(format!("{what} {attempt} at {front}: {status}, run: {has_run}"));
         }
-        sleep_ms(100);
+        run_count
+    };
+    let (held, none) = (send("key in force", Some(KEY)), send("no key", None));
+    if held + none != 6 {
+        record.say(format!("before the change {held} and {none} of 3 run"));
+        finish(&record, &fleet.folder, 2);
     }
+    fleet.publish(&anonymous_configuration(8, has_trouble()));
+    sleep_ms(REVOCATION_MS + 1_500);
+    let none = send("no key", None);
+    let other = send("key that stays", Some(OTHER_KEY));
+    let first = send("first key", Some(KEY));
+    let unknown = match has_trouble() {
+        true => send("key never held", Some("0000never0held00000")),
+        false => 0,
+    };
     record.say(format!(
-        "{BOOKINGS} bookings on kept channels: {answered} answered, {closed} run and closed without an answer"
+        "of 3 each, run after the change: {none} without a key, {other} with a key that stays, {first} with \
+         the first key, {unknown} with a key never held"
     ));
-    if first_failed > 3 {
+    if none + other != 6 {
         finish(&record, &fleet.folder, 2);
     }
-    finish(&record, &fleet.folder, i32::from(closed > 3))
+    finish(&record, &fleet.folder, i32::from(has_trouble() && first + unknown > 0))
 }
