--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -1,18 +1,19 @@
 //! Handles requests from nodes, operators and other control nodes.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fair::PoolBounds;
+use fair::{FlowSummary, PoolBounds};
 use quarantine::QuarantineChange;
 use registry::{RegistryAction, RegistryOutcome};
 use telemetry::{event, events};
 use tokio::sync::oneshot;
-use units::{ConfigVersion, NodeName};
+use units::{ConfigVersion, NodeName, ServiceName};
 use wire::{
     ControlReply, ControlRequest, CrashReport, DemandReport, DirectoryEntry, EntryReply,
-    EntryReport, Hello, LoadReply, LoadReport, NodeKind, NodeRole, NodeState, OperatorOrder,
-    OrderReply, QuarantineReply, RenewReply, RenewRequest, ShareReply, UsageReport,
+    EntryReport, FlowId, FlowKey, Hello, LoadReply, LoadReport, NodeKind, NodeRole, NodeState,
+    OperatorOrder, OrderReply, QuarantineReply, RenewReply, RenewRequest, ShareReply, UsageReport,
 };
 
 use crate::driver_event::{DriverEvent, ProposeFailure};
@@ -263,9 +264,44 @@
             lateness_permille = sample.total_permille / sample.count.max(1)
         );
     }
+    log_summaries(context, &report.service);
     reply
 }
 
+/// Logs what the organisations that are held back have asked for and got.
+fn log_summaries(context: &ControlContext, service: &ServiceName) {
+    let now = context.clock.now();
+    let summaries = context
+        .demand
+        .write_quietly(|home| home.take_summaries(service, now));
+    if summaries.is_empty() {
+        return;
+    }
+    let organisations = context.view.read(|view| {
+        let published = view.registry.config().published.as_ref();
+        published.map_or_else(Vec::new, |published| {
+            published.plan.organisations.keys().cloned().collect()
+        })
+    });
+    let summaries: BTreeMap<FlowId, FlowSummary> = summaries.into_iter().collect();
+    for organisation in organisations {
+        let flow = FlowId::of(&FlowKey {
+            organisation: organisation.clone(),
+            service: service.clone(),
+        });
+        if let Some(summary) = summaries.get(&flow) {
+            event!(
+                events::FLOW_HELD_BACK,
+                service = service,
+                organisation = organisation,
+                asked = summary.asked,
+                overdue = summary.overdue,
+                granted = summary.granted
+            );
+        }
+    }
+}
+
 /// Commits a request if this node is the leader, else forwards it to the leader.
 ///
 /// A request that another control node has forwarded is not forwarded again: the nodes briefly
--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -53,6 +53,10 @@
     demand: u64,
     /// Cost of those of them that are not overdue.
     timely_demand: u64,
+    /// Cost of those of them that are overdue.
+    overdue_demand: u64,
+    /// Cost of the requests that were sent to targets since the last report.
+    granted: u64,
     /// Moving average of the demand by requests that are not overdue, in cost units per second; `None`
     /// before the first report.
     timely_rate: Option<u64>,
@@ -121,6 +125,8 @@
             weight,
             demand: 0,
             timely_demand: 0,
+            overdue_demand: 0,
+            granted: 0,
             timely_rate: None,
             allowed_rate: None,
             credit: 0,
@@ -131,8 +137,9 @@
         });
         share.weight = weight;
         share.demand += cost.0;
-        if !is_overdue {
-            share.timely_demand += cost.0;
+        match is_overdue {
+            true => share.overdue_demand += cost.0,
+            false => share.timely_demand += cost.0,
         }
         share.last_request = now;
         share.last_cost = cost;
@@ -155,8 +162,11 @@
     }
 
     /// Records a request that is sent to a target.
-    pub fn record_grant(&mut self, cost: CostUnits) {
+    pub fn record_grant(&mut self, flow: FlowId, cost: CostUnits) {
         self.granted += cost.0;
+        if let Some(share) = self.flows.get_mut(&flow) {
+            share.granted += cost.0;
+        }
     }
 
     /// Records the first byte of an answer: the cost of its request, and its lateness.
@@ -194,6 +204,8 @@
             flow: *flow,
             weight: share.weight,
             requested: CostUnits(std::mem::take(&mut share.demand)),
+            overdue: CostUnits(std::mem::take(&mut share.overdue_demand)),
+            granted: CostUnits(std::mem::take(&mut share.granted)),
         });
         DemandReport {
             reporter,
--- a/components/fair/src/lib.rs
+++ b/components/fair/src/lib.rs
@@ -22,6 +22,7 @@
 mod pacer;
 mod rendezvous;
 mod share;
+mod summary;
 
 pub use capacity::{CapacityEstimate, LatenessSample};
 pub use gate::{DEMAND_INTERVAL, SHARE_TTL, ShareGate};
@@ -30,6 +31,7 @@
 pub use pacer::{MAX_REPORT_BYTES_PER_S, REPORT_INTERVAL, ReportPacer};
 pub use rendezvous::{AVOID_DURATION, HomeList, home_of};
 pub use share::{CapacityChange, DEMAND_TTL, DemandHome, PoolBounds, share_level};
+pub use summary::FlowSummary;
 
 use units::{CostUnits, FlowWeight};
 
--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -17,6 +17,7 @@
 use wire::{DemandReport, FlowAllowance, FlowDemand, FlowId, KnownCapacity, ShareReply};
 
 use crate::capacity::{CapacityEstimate, LatenessSample};
+use crate::summary::{FlowSummary, SummaryRecord};
 
 /// Time after which the report of an entry expires. It tolerates the loss of two rounds.
 pub const DEMAND_TTL: Duration = Duration::from_millis(1_600);
@@ -84,6 +85,7 @@
     entries: BTreeMap<NodeName, EntryDemand>,
     capacity: CapacityEstimate,
     known: Option<ReportedCapacity>,
+    summary: SummaryRecord,
 }
 
 /// New estimate of the capacity of a service, and the sample that caused it.
@@ -164,10 +166,22 @@
         });
         (reply, change)
     }
+
+    /// What the flows of a service that are held back have asked for and got since the last call that
+    /// returned any; empty if that is too recent.
+    pub fn take_summaries(
+        &mut self,
+        service: &ServiceName,
+        now: ClockTime,
+    ) -> Vec<(FlowId, FlowSummary)> {
+        let demand = self.services.get_mut(service);
+        demand.map_or_else(Vec::new, |demand| demand.summary.take_due(now))
+    }
 }
 
 impl ServiceDemand {
     fn apply_report(&mut self, report: &DemandReport, now: ClockTime) {
+        self.summary.add_report(report);
         if let Some(capacity) = report.known_capacity {
             self.known = Some(ReportedCapacity {
                 capacity,
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -142,7 +142,7 @@
                     Duration::from_millis(now - oldest.arrived_ms) > LATENCY_OBJECTIVE * 6 / 10
                 });
                 if (is_admitted && !is_holding) || !self.is_gated {
-                    gate.record_grant(cost);
+                    gate.record_grant(flow(organisation), cost);
                     queue.push(QueuedRequest {
                         organisation,
                         entry,
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -19,7 +19,7 @@
 use entry::Refusal;
 
 use self::admission::admit_by_share;
-pub(crate) use self::admission::{RequestAdmission, admit, final_refusal};
+pub(crate) use self::admission::{RequestAdmission, admit, final_refusal, share_flow};
 use crate::backend::{CallerRequest, OpenResponse};
 use crate::crash::SentRequest;
 use crate::dialect::{ModelUsage, RequestMetadata};
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -88,6 +88,14 @@
     Refusal::not_run(401, "unauthorised", message)
 }
 
+/// Flow whose share an organisation's requests to the model engines use.
+pub(crate) fn share_flow(organisation: &OrganisationName) -> FlowId {
+    FlowId::of(&FlowKey {
+        organisation: organisation.clone(),
+        service: model_pool(),
+    })
+}
+
 /// Records an organisation's demand for the model engines, and returns whether the request is
 /// within its share.
 pub(super) fn admit_by_share(
@@ -99,10 +107,7 @@
     let (Some(organisation), Some(cost)) = (organisation, cost) else {
         return true;
     };
-    let flow = FlowId::of(&FlowKey {
-        organisation: organisation.clone(),
-        service: model_pool(),
-    });
+    let flow = share_flow(organisation);
     let now = shared.now();
     shared
         .board
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -10,6 +10,7 @@
 use telemetry::{event, events};
 use tokio::time::Instant;
 use tracing::{Instrument, info_span};
+use units::OrganisationName;
 
 use entry::Refusal;
 
@@ -32,6 +33,13 @@
 /// seconds, and a retry may reach another entry.
 const BUDGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// What the log line of a refusal says of its request, as far as it is known by then.
+#[derive(Default)]
+struct RequestLabels {
+    attempt_id: String,
+    organisation: Option<OrganisationName>,
+}
+
 /// Forwards callers' requests to targets.
 pub(crate) struct RelayHandler {
     shared: RelayShared,
@@ -45,14 +53,14 @@
     async fn serve(
         &self,
         req: &mut Request,
-        attempt_id: &mut String,
+        labels: &mut RequestLabels,
     ) -> Result<ForwardedResponse, Refusal> {
         let (forwarded, request) = tokio::select! {
             biased;
-            prepared = self.prepare(req, attempt_id) => prepared?,
+            prepared = self.prepare(req, labels) => prepared?,
             () = wait_for_stop(&self.shared) => return Err(leaving_refusal(ENTRY_STOPS)),
         };
-        let span = info_span!("relay.request", request = attempt_id.as_str());
+        let span = info_span!("relay.request", request = labels.attempt_id.as_str());
         forwarded.run(request).instrument(span).await
     }
 
@@ -60,7 +68,7 @@
     async fn prepare(
         &self,
         req: &mut Request,
-        attempt_id: &mut String,
+        labels: &mut RequestLabels,
     ) -> Result<(ForwardedRequest, CallerRequest), Refusal> {
         let arrived_at = Instant::now();
         let head = request_head(req);
@@ -70,7 +78,7 @@
             .dialect
             .parse_request(&head)
             .map_err(|error| Refusal::not_run(400, "bad-request", error))?;
-        attempt_id.clone_from(&metadata.attempt_id);
+        labels.attempt_id.clone_from(&metadata.attempt_id);
         let Some(route_index) = self.shared.current_index().await else {
             let message = "Failed to find a route: no plan is known yet";
             let refusal = Refusal::not_run(503, "no-plan", message);
@@ -79,6 +87,10 @@
         check_headers(&head.headers, route_index.plan.bounds.max_headers.0)
             .map_err(|refusal| final_refusal(&self.shared, route_index.number, refusal))?;
         let admission = admit(&self.shared, &route_index, &metadata, head.uri.path())?;
+        labels.organisation = admission
+            .holder
+            .as_ref()
+            .map(|holder| holder.organisation.clone());
         let route = &admission.route;
         let remaining = metadata.remaining.unwrap_or(route.timeout());
         check_stop(&self.shared, route, max_duration(route, remaining))?;
@@ -91,7 +103,7 @@
         }
         let origin = match &metadata.continuation {
             Some(stream) if admission.route.repeat == RepeatRule::ResumableStream => {
-                Some(find_origin(&self.shared, stream, &admission, attempt_id).await?)
+                Some(find_origin(&self.shared, stream, &admission, &labels.attempt_id).await?)
             }
             _ => None,
         };
@@ -179,8 +191,8 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let _ = self.shared.metrics.incr("requests");
-        let mut attempt_id = String::new();
-        match self.serve(req, &mut attempt_id).await {
+        let mut labels = RequestLabels::default();
+        match self.serve(req, &mut labels).await {
             Ok(response) => respond::write_response(&self.shared, res, response),
             Err(refusal) => {
                 let _ = self
@@ -193,7 +205,11 @@
                 }
                 event!(
                     events::RELAY_REFUSED,
-                    request = attempt_id,
+                    request = labels.attempt_id,
+                    organisation = labels
+                        .organisation
+                        .as_ref()
+                        .map_or("", OrganisationName::as_str),
                     status = refusal.status,
                     code = refusal.code,
                     outcome = refusal.outcome.as_str(),
--- a/components/relay/src/places.rs
+++ b/components/relay/src/places.rs
@@ -13,6 +13,7 @@
 use units::{CostUnits, MilliRate, NodeName};
 use wire::FlowKey;
 
+use crate::forward::share_flow;
 use crate::rollouts::VersionSample;
 use crate::state::RelayShared;
 
@@ -26,12 +27,13 @@
 
 impl RunGuard {
     /// Guards a run, and charges its cost to the organisation's share.
-    fn new(shared: &RelayShared, run: RunKey, cost: Option<CostUnits>) -> Self {
+    fn new(shared: &RelayShared, run: RunKey, flow: &FlowKey, cost: Option<CostUnits>) -> Self {
         record_load_move(shared, run);
         if let Some(cost) = cost {
+            let flow = share_flow(&flow.organisation);
             shared
                 .board
-                .write_quietly(|state| state.gate.record_grant(cost));
+                .write_quietly(|state| state.gate.record_grant(flow, cost));
         }
         Self {
             shared: shared.clone(),
@@ -157,7 +159,7 @@
         state.queue.charge(flow, request.work, now);
         Some(run)
     })?;
-    Some(RunGuard::new(shared, run, request.cost))
+    Some(RunGuard::new(shared, run, flow, request.cost))
 }
 
 /// Starts a run of a request; waits until `deadline` if no target has capacity.
@@ -170,7 +172,7 @@
     let now = shared.now();
     let work = request.work;
     let cost = request.cost;
-    let run_guard = |run| RunGuard::new(shared, run, cost);
+    let run_guard = |run| RunGuard::new(shared, run, flow, cost);
     let (run_sender, run_receiver) = oneshot::channel();
     let placement = shared.board.write_quietly(|state| {
         // Waiting requests of the same flow are served before a request without precedence.
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -67,6 +67,10 @@
         "The control node that divides the capacity of a service has raised or lowered its \
          estimate of that capacity, based on the lateness of responses; the shares of \
          organisations are adjusted.";
+    FLOW_HELD_BACK = 3061, Info, "flow-held-back",
+        "An organisation got less of a service in the last second than its callers asked for. asked, overdue \
+         and granted are cost units over all entries: what callers asked for, repeated requests each time, \
+         the part of it whose callers have already missed their objective, and what was sent to targets.";
     QUARANTINE_STARTED = 3036, Warn, "quarantine-started",
         "Requests with this trait were at each of several targets that crashed one after the \
          other, and none of them got a complete response; entries refuse further ones. The field \
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -18,7 +18,8 @@
          any, how long it waited for admission, how long ago a quorum confirmed the list of targets, \
          and the time to the first byte.";
     RELAY_REFUSED = 1510, Info, "relay-refused",
-        "A request was refused or failed; the field outcome states whether it may have run.";
+        "A request was refused or failed; the field outcome states whether it may have run, and organisation \
+         whose it is, if its key was checked before.";
     RELAY_SEND_FAILED = 1511, Info, "relay-send-failed",
         "A target did not answer a request; the field may_have_run states whether the request may \
          have run there.";
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -17,6 +17,10 @@
         pub weight: FlowWeight,
         /// Total cost of the requests that callers made.
         pub requested: CostUnits,
+        /// Part of `requested` whose callers were refused before and have missed their objective.
+        pub overdue: CostUnits,
+        /// Total cost of the requests that were sent to targets.
+        pub granted: CostUnits,
     }
 
     /// Demand for one service at one entry, sent to the control node that computes its shares.
