Take a caller with less time than its route gives for a new one

What callers saw: organisations got a part of their share while targets were idle, and new requests were refused although their organisation had credit.

Cause: a request counted as repeated, and so got only what others leave of the share, if its caller had less time left than the timeout of the route by more than the latency objective. Callers may give themselves less time from the start. Class: a state inferred from a value that has another cause.

--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -3,11 +3,13 @@
 mod alarms;
 mod duration;
 mod latency;
+mod patience;
 mod retry;
 mod target;
 mod window;
 
 pub use duration::DurationHistory;
+pub use patience::CallerPatience;
 pub use retry::{RETRY_RETENTION, RetryBudget};
 pub use target::{RunSample, TargetLimit};
 pub use window::{WindowBound, WindowBudget};
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -7,6 +7,7 @@
 
 use http::{StatusCode, response};
 use hyper::body::Bytes;
+use limits::CallerPatience;
 use place::{PlacementRequest, RequiredVersion};
 use routes::{RepeatRule, RouteMatch, RouteSpec, WeightedService};
 use telemetry::{event, events};
@@ -45,10 +46,6 @@
 /// Divisor of the latency objective that gives the maximum wait for capacity.
 const MAX_WAIT_DIVISOR: u32 = 2;
 
-/// Divisor of the caller's remaining time that gives the `Retry-After` of a request beyond its
-/// organisation's share. Callers wait at most a third of that time before a retry.
-const RETRY_AFTER_DIVISOR: u32 = 4;
-
 /// Bound on the time that a caller states, within the range of the clock.
 const MAX_REMAINING: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -149,9 +146,11 @@
         let cost = metadata.model_usage.as_ref().map(model_cost);
         let remaining = metadata.remaining.unwrap_or(route.timeout());
         let remaining = remaining.min(MAX_REMAINING);
-        // A caller with less time left than the timeout of its route has already waited for the
-        // difference.
-        let is_late = route.timeout().saturating_sub(remaining) > route.objective();
+        let patience = CallerPatience {
+            timeout: route.timeout(),
+            remaining,
+        };
+        let is_late = patience.is_overdue(route.objective());
         let is_within_share = admit_by_share(&shared, organisation.as_ref(), cost, is_late);
         let regions = admission.holder.iter().map(|holder| holder.regions.clone());
         let is_even = shared
@@ -392,10 +391,13 @@
     fn share_refusal(&self) -> Refusal {
         let message = "Failed to accept the request: its organisation asks more than its share of \
                        what the targets can serve in time";
-        let remaining = self
-            .caller_deadline
-            .saturating_duration_since(Instant::now());
-        Refusal::not_run(429, "over-share", message).retry_after(remaining / RETRY_AFTER_DIVISOR)
+        let patience = CallerPatience {
+            timeout: self.route.timeout(),
+            remaining: self
+                .caller_deadline
+                .saturating_duration_since(Instant::now()),
+        };
+        Refusal::not_run(429, "over-share", message).retry_after(patience.retry_after())
     }
 
     /// Refusal of a stream that cannot be continued because the entry is cut off.
