Decrease the estimate of the capacity once for one overload, whatever the objective is

What callers saw: after an overload began, requests were refused for seconds while targets were idle.

Cause: the estimate decreased every 400 ms while answers were late. A decrease shows in the reports only after two of their rounds, and answers are late until the queues of before are worked off. So the estimate and its ceiling fell several times for one overload, and from a low ceiling they grow back by 6% a step. Only routes with objectives of 500 ms or more were exempt. Class: a controller that acts again before it can see its last action.

A decrease now waits until the one before it shows, and none follows while less is sent than is served, for all objectives. The test of the long objective is the third case.

--- a/components/fair/src/capacity.rs
+++ b/components/fair/src/capacity.rs
@@ -45,10 +45,13 @@
 const MIN_CONFIGURED_PERMILLE: u64 = 800;
 const MIN_CEILING_PERMILLE: u64 = 200;
 
-/// Latency objective from which the effect of a decrease shows in the latencies only after several
-/// steps: requests that were sent before it are still answered late for about the objective.
+/// Latency objective from which a home starts from the estimate of another one.
 const SLOW_FEEDBACK_OBJECTIVE: Duration = Duration::from_millis(500);
 
+/// Time until a decrease shows in the reports: entries learn of it with their next report, and state
+/// what they sent since in the one after it.
+const FEEDBACK_DELAY: Duration = Duration::from_millis(800);
+
 /// Rate of the requests sent to targets, in thousandths of the served rate, below which the targets
 /// work off their queues.
 const DRAINING_PERMILLE: u64 = 900;
@@ -84,7 +87,7 @@
     /// Whether the service gets less work than it serves, after an earlier decrease. It is late as
     /// long as its queues last, whatever the estimate is now.
     fn is_draining(&self) -> bool {
-        self.is_slow() && self.granted * 1000 < self.served * DRAINING_PERMILLE
+        self.granted * 1000 < self.served * DRAINING_PERMILLE
     }
 }
 
@@ -96,6 +99,7 @@
     /// previous ceiling if that is more.
     ceiling: u64,
     last_step: ClockTime,
+    last_decrease: ClockTime,
 }
 
 impl CapacityEstimate {
@@ -139,7 +143,9 @@
         let lateness = sample.total_permille / sample.count.max(1);
         if sample.count > 0 && lateness > HIGH_LATENESS_PERMILLE {
             // Another decrease would act on the same queues again.
-            if self.capacity.is_none() || !sample.is_draining() {
+            let is_answered = now.since(self.last_decrease) >= FEEDBACK_DELAY;
+            if self.capacity.is_none() || (is_answered && !sample.is_draining()) {
+                self.last_decrease = now;
                 self.decrease(lateness, sample);
             }
         } else if let Some(capacity) = self.capacity.filter(|_| lateness < LOW_LATENESS_PERMILLE) {
--- a/components/fair/tests/capacity.rs
+++ b/components/fair/tests/capacity.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fair::{CapacityEstimate, LatenessSample};
+use rstest::rstest;
 use units::ClockTime;
 
 /// Rate that the pool serves, in cost units per second.
@@ -89,12 +90,15 @@
     }
 }
 
-/// Load pattern: callers suddenly ask three times what the pool serves, with an objective above the
-/// interval of steps. Guards against further decreases while the pool works off what was sent before
-/// the first one, after which it stands idle for seconds.
-#[test]
-fn long_objective_does_not_decrease_the_estimate_again_for_the_same_queue() {
-    let mut replay = OverloadReplay::new(Duration::from_millis(800));
+/// Load pattern: callers suddenly ask three times what the pool serves. Guards against further
+/// decreases while the pool works off what was sent before the first one, after which it stands idle
+/// for seconds. With a short objective, the answers are further behind it.
+#[rstest]
+#[case::objective_of_one_step(400)]
+#[case::objective_below_a_step(300)]
+#[case::long_objective(800)]
+fn estimate_does_not_decrease_again_for_the_same_queue(#[case] objective_ms: u64) {
+    let mut replay = OverloadReplay::new(Duration::from_millis(objective_ms));
 
     let served: u64 = (1..=800).map(|step| replay.step(step * STEP_MS)).sum();
 
