Admit the same part of an organisation's requests at all entries (FAIR)

What callers saw: on deployments of many entries an organisation got far less than its share, while others were served and targets were idle.

Cause: the home divided a share among entries as a rate for each, by moving averages of their demand, and each entry kept a credit of its own. An entry of 105 gets a request of an organisation every few seconds, so most of the rate was earned where no request came, and a request was refused where the credit was below its cost. Class: a budget of the whole fleet that is split into parts too small to be used.

The home keeps one credit for each flow, from its share and from what all entries granted, and entries admit the part of the requests that the share and the credit come to; overdue requests get what the others leave, as before. A share that is not used at one entry is used at the others, however many there are. Averages are kept for the sums instead of for each entry, where, by reading, a single request counts up to four times. The home no longer adds up all entries for each report.

In shares.rs, allowances are parts instead of rates: the flow whose share grows is now driven through a home, the new home is checked against the part that its estimate comes to, and overdue requests record their grants, as the relay does.

--- a/components/fair/src/lib.rs
+++ b/components/fair/src/lib.rs
@@ -16,6 +16,7 @@
 //! to the [`DemandHome`] of the service.
 
 mod capacity;
+mod demand;
 mod gate;
 mod home;
 mod ledger;
--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -2,8 +2,8 @@
 //!
 //! Entries report the demand of each flow. The home of a service sums the reports and computes
 //! the *level*: a flow whose demand is below the level for its weight is served in full. Every
-//! other flow gets the level for each unit of weight, divided among the entries in proportion to
-//! the demand that they report.
+//! other flow gets the level for each unit of weight, and entries admit the part of its requests that
+//! this comes to.
 //!
 //! The capacity is the rate that the service was observed to serve in time. A configured capacity
 //! only bounds it from below, since it does not account for caches. The reported rates are soft
@@ -13,19 +13,16 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use units::{ClockTime, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
-use wire::{DemandReport, FlowAllowance, FlowDemand, FlowId, KnownCapacity, ShareReply};
+use units::{ClockTime, FlowWeight, NodeName, ServiceName};
+use wire::{DemandReport, FlowAllowance, FlowId, KnownCapacity, ShareReply};
 
 use crate::capacity::{CapacityEstimate, LatenessSample};
+use crate::demand::{FlowRates, FlowTable};
 use crate::summary::{FlowSummary, SummaryRecord};
 
 /// Time after which the report of an entry expires. It tolerates the loss of two rounds.
 pub const DEMAND_TTL: Duration = Duration::from_millis(1_600);
 
-/// Weight of a new rate in the moving average, in percent. Requests arrive in bursts that are
-/// shorter than a round.
-const NEW_RATE_PERCENT: u64 = 25;
-
 /// Weight at which the share of a flow equals the level.
 const UNIT_WEIGHT: u64 = FlowWeight::UNIT.0 as u64;
 
@@ -62,9 +59,8 @@
 /// Demand of the flows of one service at one entry. Rates are in cost units per second.
 #[derive(Debug, Clone)]
 struct EntryDemand {
-    incarnation: Incarnation,
     last_report: ClockTime,
-    rates: BTreeMap<FlowId, (u64, FlowWeight)>,
+    rates: BTreeMap<FlowId, FlowRates>,
     granted: u64,
     served: u64,
     answers: u64,
@@ -83,6 +79,7 @@
 #[derive(Debug, Clone, Default)]
 struct ServiceDemand {
     entries: BTreeMap<NodeName, EntryDemand>,
+    flows: FlowTable,
     capacity: CapacityEstimate,
     known: Option<ReportedCapacity>,
     summary: SummaryRecord,
@@ -132,8 +129,7 @@
     ) -> (ShareReply, Option<CapacityChange>) {
         let service = self.services.entry(report.service.clone()).or_default();
         service.apply_report(report, now);
-        let totals = service.totals();
-        let lateness = service.sample(&totals);
+        let lateness = service.sample();
         let known = service.known_capacity(now);
         let sample = || {
             let bounds = bounds();
@@ -145,15 +141,14 @@
             }
         };
         let changed = service.capacity.observe(sample, now);
-        let demands = totals.values().copied();
         let level = service
             .capacity
             .get()
-            .and_then(|capacity| share_level(capacity, demands));
-        let entry_rates = &service.entries[&report.reporter].rates;
+            .and_then(|capacity| share_level(capacity, service.flows.demands()));
+        service.flows.settle(report, level, now);
         let flows = report.flows.iter().map(|flow| FlowAllowance {
             flow: flow.flow,
-            rate: level.and_then(|level| allowance(level, flow, entry_rates, &totals)),
+            parts: level.and_then(|level| service.flows.parts(flow.flow, level)),
         });
         let reply = ShareReply {
             flows: flows.collect(),
@@ -188,14 +183,17 @@
                 reported_at: now,
             });
         }
-        let entries = &mut self.entries;
-        entries.retain(|_, demand| now.since(demand.last_report) < DEMAND_TTL);
-        let previous = entries.remove(&report.reporter);
-        let previous = previous.filter(|previous| previous.incarnation == report.incarnation);
-        entries.insert(
-            report.reporter.clone(),
-            merged_demand(previous, report, now),
-        );
+        self.entries.retain(|name, demand| {
+            let is_kept = *name != report.reporter && now.since(demand.last_report) < DEMAND_TTL;
+            if !is_kept {
+                self.flows.remove(&demand.rates);
+            }
+            is_kept
+        });
+        let demand = EntryDemand::new(report, now);
+        self.flows.add(&demand.rates);
+        self.entries.insert(report.reporter.clone(), demand);
+        self.flows.update_averages(now);
     }
 
     /// Estimate of another home that was reported while its entries may still be moving here.
@@ -206,66 +204,31 @@
         recent.map(|known| known.capacity)
     }
 
-    /// Fleet-wide rates of all flows.
-    fn totals(&self) -> BTreeMap<FlowId, (u64, FlowWeight)> {
-        let mut totals: BTreeMap<FlowId, (u64, FlowWeight)> = BTreeMap::new();
-        for demand in self.entries.values() {
-            for (flow, (rate, weight)) in &demand.rates {
-                totals.entry(*flow).or_insert((0, *weight)).0 += rate;
-            }
-        }
-        totals
-    }
-
-    fn sample(&self, totals: &BTreeMap<FlowId, (u64, FlowWeight)>) -> LatenessSample {
+    fn sample(&self) -> LatenessSample {
         let entries = || self.entries.values();
         LatenessSample {
             count: entries().map(|demand| demand.answers).sum(),
             total_permille: entries().map(|demand| demand.lateness_permille).sum(),
             granted: entries().map(|demand| demand.granted).sum(),
             served: entries().map(|demand| demand.served).sum(),
-            asked: totals.values().map(|(rate, _)| rate).sum(),
+            asked: self.flows.asked(),
             ..LatenessSample::default()
         }
     }
 }
 
-/// Rate of a flow that one entry may admit: its share, in proportion to the demand at this entry.
-/// `None` if the demand of the flow is within its share.
-fn allowance(
-    level: u64,
-    flow: &FlowDemand,
-    entry_rates: &BTreeMap<FlowId, (u64, FlowWeight)>,
-    totals: &BTreeMap<FlowId, (u64, FlowWeight)>,
-) -> Option<CostUnits> {
-    let share = level * u64::from(flow.weight.0) / UNIT_WEIGHT;
-    let (total, _) = *totals.get(&flow.flow)?;
-    let (rate, _) = *entry_rates.get(&flow.flow)?;
-    (total > share).then(|| CostUnits(share * rate / total))
-}
-
-/// Demand of an entry after a report, with a moving average of the rates.
-fn merged_demand(
-    previous: Option<EntryDemand>,
-    report: &DemandReport,
-    now: ClockTime,
-) -> EntryDemand {
-    let previous = previous.map_or_else(BTreeMap::new, |previous| previous.rates);
-    let rate_of = |flow: &FlowDemand| {
-        let rate = flow.requested.0 * 1000 / report.interval_ms.max(1);
-        let old = previous.get(&flow.flow).map_or(rate, |(old, _)| *old);
-        (rate * NEW_RATE_PERCENT + old * (100 - NEW_RATE_PERCENT)) / 100
-    };
-    let flows = report.flows.iter();
-    EntryDemand {
-        incarnation: report.incarnation,
-        last_report: now,
-        rates: flows
-            .map(|flow| (flow.flow, (rate_of(flow), flow.weight)))
-            .collect(),
-        granted: report.granted.0 * 1000 / report.interval_ms.max(1),
-        served: report.served.0 * 1000 / report.interval_ms.max(1),
-        answers: report.answers,
-        lateness_permille: report.lateness_permille,
+impl EntryDemand {
+    fn new(report: &DemandReport, now: ClockTime) -> Self {
+        let flows = report.flows.iter();
+        Self {
+            last_report: now,
+            rates: flows
+                .map(|flow| (flow.flow, FlowRates::of(flow, report.interval_ms)))
+                .collect(),
+            granted: report.granted.0 * 1000 / report.interval_ms.max(1),
+            served: report.served.0 * 1000 / report.interval_ms.max(1),
+            answers: report.answers,
+            lateness_permille: report.lateness_permille,
+        }
     }
 }
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -10,8 +10,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rstest::rstest;
-use units::{ClockTime, CostUnits, FlowWeight, Incarnation};
-use wire::{FlowAllowance, FlowId, FlowKey, ShareReply};
+use units::{AdmitFraction, ClockTime, CostUnits, FlowWeight, Incarnation};
+use wire::{FlowId, FlowKey, KnownCapacity};
 
 const UNIT_WEIGHT: FlowWeight = FlowWeight(1000);
 const LATENCY_OBJECTIVE: Duration = Duration::from_millis(400);
@@ -367,7 +367,20 @@
         gate.record_first_byte(CostUnits(50), LATENCY_OBJECTIVE * 2, LATENCY_OBJECTIVE);
         if now < 1_500 && now % 500 == 0 {
             let report = gate.take_report("entry".into(), Incarnation(1), ClockTime(now));
-            let (reply, _) = home.apply_report(&report, PoolBounds::default, ClockTime(now));
+            let (reply, ch) = home.apply_report(&report, PoolBounds::default, ClockTime(now));
+            if let Some(c) = ch {
+                println!(
+                    "{now} {:?} {:?} {:?}",
+                    c.capacity,
+                    c.level,
+                    (
+                        c.sample.granted,
+                        c.sample.served,
+                        c.sample.asked,
+                        c.sample.total_permille / c.sample.count.max(1)
+                    )
+                );
+            }
             gate.apply_reply(&reply, ClockTime(now));
         }
     }
@@ -390,6 +403,9 @@
         // until the shares take effect.
         let is_overdue = now % 40 == 0;
         let is_admitted = gate.admit(flow(0), UNIT_WEIGHT, CostUnits(20), is_overdue, clock);
+        if is_admitted {
+            gate.record_grant(flow(0), CostUnits(20));
+        }
         if is_admitted && now >= 4_000 {
             *(if is_overdue {
                 &mut overdue
@@ -415,41 +431,42 @@
     );
 }
 
-/// Cost units that a flow is served in the first 6 s of an overload, while the share of each flow
-/// grows with the estimate of the capacity. The flow asks more than its share all the time;
-/// `timely_percent` of the share is asked by requests that are not overdue.
+/// Cost units that a flow is served in the first 6 s of an overload, while its share grows with the
+/// capacity. The flow asks more than its share all the time; `timely_percent` of the share is asked by
+/// requests that are not overdue, and `OVERDUE_PERCENT` by those that are.
 fn served_while_shares_grow(timely_percent: u64) -> u64 {
     const COST: CostUnits = CostUnits(10);
-    // Six seconds at the growth of a measured start, in which the share grew sixfold in 2.9 s.
-    let rates = (0..15).map(|step| (500.0 * 1.28_f64.powi(step)) as u64);
+    const OVERDUE_PERCENT: u64 = 400;
+    let bounds = || PoolBounds {
+        capacity: None,
+        objective: Duration::from_millis(600),
+    };
     let mut gate = ShareGate::new("models".into(), 0, ClockTime(0));
-    gate.admit(flow(0), UNIT_WEIGHT, COST, false, ClockTime(0));
-    let (mut served, mut timely_demand) = (0, 0);
-    for (step, rate) in rates.enumerate() {
-        let allowance = FlowAllowance {
-            flow: flow(0),
-            rate: Some(CostUnits(rate)),
-        };
-        let reply = ShareReply {
-            flows: vec![allowance],
-            capacity: None,
-        };
-        for now in (0..400)
-            .step_by(10)
-            .map(|ms| ClockTime(step as u64 * 400 + ms))
-        {
-            if now.0 % 200 == 0 {
-                gate.take_report("entry".into(), Incarnation(1), now);
-                gate.apply_reply(&reply, now);
-            }
-            timely_demand += rate * timely_percent;
-            while timely_demand >= COST.0 * 10_000 {
-                timely_demand -= COST.0 * 10_000;
-                let is_admitted = gate.admit(flow(0), UNIT_WEIGHT, COST, false, now);
-                served += if is_admitted { COST.0 } else { 0 };
-            }
-            while gate.admit(flow(0), UNIT_WEIGHT, COST, true, now) {
-                served += COST.0;
+    let mut home = DemandHome::new();
+    let mut capacity = KnownCapacity {
+        rate: CostUnits(500),
+        ceiling: CostUnits(50_000),
+    };
+    let (mut served, mut demands) = (0, [0, 0]);
+    for now in (0..6_000).step_by(10).map(ClockTime) {
+        if now.0 % 200 == 0 {
+            let mut report = gate.take_report("entry".into(), Incarnation(1), now);
+            report.known_capacity = Some(capacity);
+            // Growth at a measured start, in which the share grew sixfold in 2.9 s.
+            (report.answers, report.lateness_permille) = (10, 1_350);
+            let (reply, _) = home.apply_report(&report, bounds, now);
+            capacity = reply.capacity.unwrap_or(capacity);
+            gate.apply_reply(&reply, now);
+        }
+        for (is_overdue, percent) in [(false, timely_percent), (true, OVERDUE_PERCENT)] {
+            let demand = &mut demands[usize::from(is_overdue)];
+            *demand += capacity.rate.0 * percent;
+            while *demand >= COST.0 * 10_000 {
+                *demand -= COST.0 * 10_000;
+                if gate.admit(flow(0), UNIT_WEIGHT, COST, is_overdue, now) {
+                    gate.record_grant(flow(0), COST);
+                    served += COST.0;
+                }
             }
         }
     }
@@ -500,5 +517,6 @@
 
     let capacity = reply.capacity.expect("the estimate is taken over");
     assert_eq!(Some(capacity), report.known_capacity);
-    assert_eq!(reply.flows[0].rate, Some(capacity.rate));
+    let parts = reply.flows[0].parts.expect("the flow is limited");
+    assert_eq!(parts.timely, AdmitFraction::of(capacity.rate.0, 10_000));
 }
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -17,8 +17,8 @@
     ServiceName, SoftwareVersion, TargetName,
 };
 pub use numbers::{
-    ByteSize, ConfigVersion, CostUnits, DiskId, FencingNumber, FlowWeight, Incarnation, MilliRate,
-    PlanNumber, PrefixHash, RequestId, SlotCount,
+    AdmitFraction, ByteSize, ConfigVersion, CostUnits, DiskId, FencingNumber, FlowWeight,
+    Incarnation, MilliRate, PlanNumber, PrefixHash, RequestId, SlotCount,
 };
 
 #[doc(hidden)]
--- a/components/units/src/numbers.rs
+++ b/components/units/src/numbers.rs
@@ -38,6 +38,10 @@
     /// Weight of an organisation's share, in thousandths (1000 is weight 1).
     FlowWeight(u32)
 );
+crate::number!(
+    /// Part of the requests of a flow that are admitted, in millionths.
+    AdmitFraction(u32)
+);
 crate::number!(
     /// Start time of a process, in milliseconds since the Unix epoch; increases with each restart.
     Incarnation(u64)
@@ -86,6 +90,18 @@
     DiskId
 );
 
+impl AdmitFraction {
+    /// All requests.
+    pub const ALL: Self = Self(1_000_000);
+
+    /// `part` of `whole`, at most all of it.
+    pub fn of(part: u64, whole: u64) -> Self {
+        let all = u128::from(Self::ALL.0);
+        let fraction = u128::from(part) * all / u128::from(whole.max(1));
+        Self(fraction.min(all) as u32)
+    }
+}
+
 impl FlowWeight {
     /// Weight 1, the default for organisations without a configured weight.
     pub const UNIT: Self = Self(1_000);
--- a/components/wire/src/demand.rs
+++ b/components/wire/src/demand.rs
@@ -1,7 +1,9 @@
 //! Reports of entries: their demand, the crashes that they have observed, the load that they put on
 //! targets, and what they have counted of roll-outs.
 
-use units::{ConfigVersion, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName};
+use units::{
+    AdmitFraction, ConfigVersion, CostUnits, FlowWeight, Incarnation, NodeName, ServiceName,
+};
 
 use crate::crash::{CrashReport, QuarantineReply};
 use crate::load::{LoadReply, LoadReport};
@@ -57,12 +59,21 @@
         pub ceiling: CostUnits,
     }
 
-    /// Rate at which an entry may admit requests of a flow.
+    /// Parts of the requests of a flow that an entry admits.
+    #[derive(Copy)]
+    pub struct AdmittedParts {
+        /// Part of the requests that are not overdue.
+        pub timely: AdmitFraction,
+        /// Part of the overdue requests.
+        pub overdue: AdmitFraction,
+    }
+
+    /// What an entry may admit of a flow.
     pub struct FlowAllowance {
-        /// Flow that the rate applies to.
+        /// Flow that the parts apply to.
         pub flow: FlowId,
-        /// Cost units per second; `None` if the flow's entire demand is within its share.
-        pub rate: Option<CostUnits>,
+        /// `None` if the flow's entire demand is within its share.
+        pub parts: Option<AdmittedParts>,
     }
 
     /// Reply to a [`DemandReport`].
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -29,7 +29,8 @@
     RequestTrait, ServedCount, ServiceTrait, TraitError, TraitSuccess,
 };
 pub use demand::{
-    DemandReport, EntryReply, EntryReport, FlowAllowance, FlowDemand, KnownCapacity, ShareReply,
+    AdmittedParts, DemandReport, EntryReply, EntryReport, FlowAllowance, FlowDemand, KnownCapacity,
+    ShareReply,
 };
 pub use event_tail::EventTail;
 pub use hash::stable_hash;
