Bound the demand that is admitted before answers are late

What callers saw: in the first second of an overload one organisation's requests filled the queues of the targets, and those of others waited behind them for seconds, or were refused while the queues were worked off (FAIR).

Cause: without an estimate of the capacity everything was admitted, and an overload shows in late answers only after the queues have formed. An entry's first report after a pause covered the pause as well, up to 1 s, so that a flood seemed small. Class: a limit that is found only by exceeding it.

Where the plan states a capacity, demand beyond twice of it, or beyond what was served when answers were late last, is now shared from the first report on. The estimate grows fast until answers are late for the first time, so that targets which serve more are used within seconds. A round without demand begins the interval of the next report. Moving averages have a time constant of 100 ms, since they are of sums.

Tests: first_overload_is_bounded_before_answers_are_late (a request waits for 660 ms before, objective 400 ms) and the case flood_of_twice_the_rate of the replay fail before.

--- a/components/fair/src/capacity.rs
+++ b/components/fair/src/capacity.rs
@@ -45,6 +45,11 @@
 const MIN_CONFIGURED_PERMILLE: u64 = 800;
 const MIN_CEILING_PERMILLE: u64 = 200;
 
+/// Fraction of the configured capacity, in thousandths, up to which all demand is admitted without an
+/// estimate. Late answers show an overload only after queues have formed; with caches, targets may
+/// serve a multiple of the configured capacity.
+const MAX_UNPROVEN_PERMILLE: u64 = 2_000;
+
 /// Latency objective from which a home starts from the estimate of another one.
 const SLOW_FEEDBACK_OBJECTIVE: Duration = Duration::from_millis(500);
 
@@ -80,6 +85,12 @@
 }
 
 impl LatenessSample {
+    /// Rate up to which all demand is admitted without an estimate, if a capacity is configured.
+    fn max_unproven(&self) -> Option<u64> {
+        let configured = self.configured?;
+        Some(configured * MAX_UNPROVEN_PERMILLE / 1000)
+    }
+
     fn is_slow(&self) -> bool {
         self.objective >= SLOW_FEEDBACK_OBJECTIVE
     }
@@ -96,14 +107,15 @@
 pub struct CapacityEstimate {
     capacity: Option<u64>,
     /// Rate served in the last step with late answers, or [`KEPT_CEILING_PERMILLE`] of the
-    /// previous ceiling if that is more.
+    /// previous ceiling if that is more; 0 before the first late answers.
     ceiling: u64,
     last_step: ClockTime,
     last_decrease: ClockTime,
 }
 
 impl CapacityEstimate {
-    /// Current estimate; `None` while all requests are answered in time.
+    /// Current estimate; `None` while all requests are answered in time and no more is asked than may be
+    /// admitted without an estimate.
     pub fn get(&self) -> Option<u64> {
         self.capacity
     }
@@ -116,22 +128,35 @@
         })
     }
 
-    /// Updates the estimate from the summed samples of all entries if `STEP_INTERVAL` has
-    /// passed. Returns the sample if the estimate has changed.
+    /// Updates the estimate from the summed samples of all entries if `STEP_INTERVAL` has passed or there
+    /// is none. Returns the sample if the estimate has changed.
     pub fn observe(
         &mut self,
         sample: impl FnOnce() -> LatenessSample,
         now: ClockTime,
     ) -> Option<LatenessSample> {
-        if now.since(self.last_step) < STEP_INTERVAL {
+        let is_due = now.since(self.last_step) >= STEP_INTERVAL;
+        if !is_due && self.capacity.is_some() {
             return None;
         }
         let previous = self.capacity;
         let sample = sample();
-        self.step(sample, now);
+        if is_due {
+            self.step(sample, now);
+        }
+        if self.capacity.is_none() && self.is_unproven(&sample) {
+            self.capacity = sample.max_unproven().map(|rate| rate.max(self.ceiling));
+            self.last_step = now;
+        }
         (previous != self.capacity).then_some(sample)
     }
 
+    /// Whether more is asked than what is known to be served in time.
+    fn is_unproven(&self, sample: &LatenessSample) -> bool {
+        let max_unproven = sample.max_unproven();
+        max_unproven.is_some_and(|rate| sample.asked > rate.max(self.ceiling))
+    }
+
     fn step(&mut self, sample: LatenessSample, now: ClockTime) {
         self.last_step = now;
         let known = sample.known.filter(|_| sample.is_slow());
@@ -153,12 +178,16 @@
                 MAX_GROWTH_PERMILLE * (LOW_LATENESS_PERMILLE - lateness) / LOW_LATENESS_PERMILLE;
             let fast = capacity * (1000 + growth) / 1000 + 1;
             let slow = capacity * (1000 + SLOW_GROWTH_PERMILLE) / 1000 + 1;
-            let increased = fast
-                .min(self.ceiling * FAST_GROWTH_END_PERMILLE / 1000)
-                .max(slow);
+            let increased = match self.ceiling {
+                0 => fast,
+                ceiling => fast
+                    .min(ceiling * FAST_GROWTH_END_PERMILLE / 1000)
+                    .max(slow),
+            };
             // The estimate is dropped, so that no request is held back, once it exceeds twice the
             // demand. While entries still move here from another home, most demand is not known.
-            let is_needed = increased <= sample.asked * 2 || known.is_some();
+            let is_needed =
+                increased <= sample.asked * 2 || known.is_some() || self.is_unproven(&sample);
             self.capacity = is_needed.then_some(increased);
         }
     }
--- a/components/fair/src/demand.rs
+++ b/components/fair/src/demand.rs
@@ -13,7 +13,7 @@
 
 /// Time constant of the moving average of a flow's demand. Requests arrive in bursts that are shorter
 /// than the interval of reports.
-const AVERAGE_TIME: Duration = Duration::from_millis(200);
+const AVERAGE_TIME: Duration = Duration::from_millis(100);
 
 /// Minimum time between two updates of the moving averages.
 const AVERAGE_STEP: Duration = Duration::from_millis(50);
@@ -55,11 +55,9 @@
 
 impl AveragedRate {
     fn update(&mut self, elapsed: Duration) {
-        let (elapsed_ms, average_ms) =
-            (elapsed.as_millis() as u64, AVERAGE_TIME.as_millis() as u64);
-        let old = self.average.unwrap_or(self.newest);
-        let sum = self.newest * elapsed_ms + old * average_ms;
-        self.average = Some(sum / (elapsed_ms + average_ms));
+        let (elapsed_ms, kept_ms) = (elapsed.as_millis() as u64, AVERAGE_TIME.as_millis() as u64);
+        let sum = self.newest * elapsed_ms + self.get() * kept_ms;
+        self.average = Some(sum / (elapsed_ms + kept_ms));
     }
 
     fn get(self) -> u64 {
--- a/components/fair/src/gate.rs
+++ b/components/fair/src/gate.rs
@@ -127,6 +127,12 @@
         self.answers == 0 && shares.all(|share| now.since(share.last_request) >= FLOW_REPORT_TIME)
     }
 
+    /// Begins the interval of the next report, instead of a report in a round without demand. The rates
+    /// of the next one would be too low otherwise.
+    pub fn skip_report(&mut self, now: ClockTime) {
+        self.last_report = now;
+    }
+
     /// Records a request that is sent to a target.
     pub fn record_grant(&mut self, flow: FlowId, cost: CostUnits) {
         self.granted += cost.0;
--- a/components/fair/tests/capacity.rs
+++ b/components/fair/tests/capacity.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Longest time for which what is first in the queue has waited.
+    fn wait_ms(&self, now_ms: u64) -> u64 {
+        self.queue.front().map_or(0, |first| now_ms - first.at_ms)
+    }
+
     /// Advances to `now_ms` and returns the cost that was served in the step.
     fn step(&mut self, now_ms: u64) -> u64 {
         let allowed = self.estimate.get().unwrap_or(ASKED_RATE).min(ASKED_RATE);
@@ -108,3 +113,23 @@
         "{served} of {could_be_served} were served"
     );
 }
+
+/// Load pattern: the same, with a stated capacity that is half of what the pool serves. Guards against
+/// queues that form before the first late answer, in which one caller's flood waits before all others.
+#[test]
+fn first_overload_is_bounded_before_answers_are_late() {
+    let objective = Duration::from_millis(400);
+    let mut replay = OverloadReplay::new(objective);
+
+    // The first second, in which no answer can have been late for longer than a report takes.
+    let waits = (1..=100).map(|step| {
+        replay.step(step * STEP_MS);
+        replay.wait_ms(step * STEP_MS)
+    });
+    let longest_ms = waits.max().unwrap();
+
+    assert!(
+        u128::from(longest_ms) <= objective.as_millis(),
+        "a request waited for {longest_ms} ms"
+    );
+}
--- a/components/fair/tests/fleet.rs
+++ b/components/fair/tests/fleet.rs
@@ -234,10 +234,10 @@
 
 /// Sixty organisations: one asks for more than the pool serves, another one joins a second later, some ask
 /// for more than their share, and most for little. Rates are those of a measured overload.
-fn large_fleet(entries: usize, flood_from_ms: u64) -> FleetSettings {
+fn large_fleet(entries: usize, flood_rate: u64, flood_from_ms: u64) -> FleetSettings {
     let constant = |rate, from_ms| OrganisationTraffic { rate, from_ms };
     let mut traffic = vec![
-        constant(5_500_000, flood_from_ms),
+        constant(flood_rate, flood_from_ms),
         constant(2_700_000, flood_from_ms + 1_000),
     ];
     let others = [800_000, 450_000, 270_000, 190_000, 110_000, 100_000];
@@ -256,15 +256,17 @@
 /// while targets are idle: a share that is divided among entries by a rate for each is used by nobody
 /// where no request comes.
 #[rstest]
-#[case::one_entry(1, 0)]
-#[case::few_entries(33, 0)]
-#[case::many_entries(105, 0)]
-#[case::overload_after_calm(105, 4_000)]
+#[case::one_entry(1, 5_500_000, 0)]
+#[case::few_entries(33, 5_500_000, 0)]
+#[case::many_entries(105, 5_500_000, 0)]
+#[case::overload_after_calm(105, 5_500_000, 4_000)]
+#[case::flood_of_twice_the_rate(105, 11_000_000, 4_000)]
 fn organisations_at_many_entries_get_half_of_the_best_served(
     #[case] entries: usize,
+    #[case] flood_rate: u64,
     #[case] flood_from_ms: u64,
 ) {
-    let replay = FleetReplay::new(large_fleet(entries, flood_from_ms));
+    let replay = FleetReplay::new(large_fleet(entries, flood_rate, flood_from_ms));
 
     let seconds = replay.run();
 
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -521,6 +521,25 @@
     assert_eq!(parts.timely, AdmitFraction::of(capacity.rate.0, 10_000));
 }
 
+/// Guards against a demand that seems small because the report covers a pause before it.
+#[test]
+fn report_after_a_pause_covers_only_its_round() {
+    let mut gate = ShareGate::new("models".into(), 0, ClockTime(0));
+    gate.skip_report(ClockTime(1_000));
+    gate.admit(
+        flow(0),
+        UNIT_WEIGHT,
+        CostUnits(500),
+        false,
+        ClockTime(1_100),
+    );
+
+    let report = gate.take_report("entry".into(), Incarnation(1), ClockTime(1_250));
+
+    assert_eq!(report.interval_ms, 250);
+    assert_eq!(report.flows[0].requested, CostUnits(500));
+}
+
 /// Guards against a few targets with long queues that hold back all others: answers that wait for
 /// several objectives there must not count for more than as many late ones.
 #[test]
--- a/components/relay/src/demand.rs
+++ b/components/relay/src/demand.rs
@@ -28,6 +28,9 @@
             state.gate.is_idle(now) && !state.crashes.is_urgent() && !state.rollouts.is_active()
         };
         if is_recent && shared.board.read(is_idle) {
+            shared
+                .board
+                .write_quietly(|state| state.gate.skip_report(now));
             continue;
         }
         last_report = Some(now);
