--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -118,9 +118,8 @@
         Self::default()
     }
 
-    /// Applies a report, and returns the allowed rates of its flows at the reporting entry. Also
-    /// returns a change of the estimated capacity, for the log. `bounds` is only read if the estimate
-    /// is due.
+    /// Applies a report, and returns what the reporting entry may admit of its flows. Also returns a
+    /// change of the estimated capacity, for the log. `bounds` is only read if the estimate is due.
     pub fn apply_report(
         &mut self,
         report: &DemandReport,
--- a/components/fair/src/summary.rs
+++ b/components/fair/src/summary.rs
@@ -37,7 +37,8 @@
         }
     }
 
-    /// Sums of the flows that did not get what they asked for, once in [`SUMMARY_INTERVAL`].
+    /// Sums of the flows that got under nine tenths of what they asked for, once in
+    /// [`SUMMARY_INTERVAL`]. Some requests of each interval are still being placed.
     pub(crate) fn take_due(&mut self, now: ClockTime) -> Vec<(FlowId, FlowSummary)> {
         if now.since(self.started_at) < SUMMARY_INTERVAL {
             return Vec::new();
@@ -45,7 +46,7 @@
         self.started_at = now;
         let flows = std::mem::take(&mut self.flows).into_iter();
         flows
-            .filter(|(_, summary)| summary.granted < summary.asked)
+            .filter(|(_, summary)| summary.granted.0 * 10 < summary.asked.0 * 9)
             .collect()
     }
 }
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fair::{DEMAND_INTERVAL, DemandHome, PoolBounds, ShareGate, share_level};
+use fair::{DEMAND_INTERVAL, DemandHome, FlowSummary, PoolBounds, ShareGate, share_level};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rstest::rstest;
@@ -571,3 +571,29 @@
     let last = capacities.last().expect("the first answers are late");
     assert!(last > first, "the estimate went from {first} to {last}");
 }
+
+/// Guards against a summary for operators that misses an entry, or names a flow that got what it asked.
+#[test]
+fn summary_names_the_flows_that_are_held_back() {
+    let mut home = DemandHome::new();
+    for (entry, now) in [("entry-1", 1_000), ("entry-2", 2_500)] {
+        let now = ClockTime(now);
+        let mut gate = ShareGate::new("models".into(), 0, ClockTime(0));
+        gate.admit(flow(0), UNIT_WEIGHT, CostUnits(700), false, now);
+        gate.admit(flow(0), UNIT_WEIGHT, CostUnits(300), true, now);
+        gate.record_grant(flow(0), CostUnits(100));
+        gate.admit(flow(1), UNIT_WEIGHT, CostUnits(500), false, now);
+        gate.record_grant(flow(1), CostUnits(500));
+        let report = gate.take_report(entry.into(), Incarnation(1), now);
+        home.apply_report(&report, PoolBounds::default, now);
+    }
+
+    let summaries = home.take_summaries(&"models".into(), ClockTime(2_500));
+
+    let expected = FlowSummary {
+        asked: CostUnits(2_000),
+        overdue: CostUnits(600),
+        granted: CostUnits(200),
+    };
+    assert_eq!(summaries, [(flow(0), expected)]);
+}
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -68,7 +68,7 @@
          estimate of that capacity, based on the lateness of responses; the shares of \
          organisations are adjusted.";
     FLOW_HELD_BACK = 3061, Info, "flow-held-back",
-        "An organisation got less of a service in the last second than its callers asked for. asked, overdue \
+        "An organisation got under nine tenths of what its callers asked of a service in the last second. asked, overdue \
          and granted are cost units over all entries: what callers asked for, repeated requests each time, \
          the part of it whose callers have already missed their objective, and what was sent to targets.";
     QUARANTINE_STARTED = 3036, Warn, "quarantine-started",
