--- a/components/fair/tests/fleet.rs
+++ b/components/fair/tests/fleet.rs
@@ -76,11 +76,11 @@
 }
 
 impl FleetReplay {
-    fn new(settings: FleetSettings) -> Self {
+    fn new(settings: FleetSettings, seed: u64) -> Self {
         let gate = |entry| ShareGate::new("models".into(), entry as u64, ClockTime(0));
         let seconds = settings.end_ms as usize / 1000 + 1;
         Self {
-            random: StdRng::seed_from_u64(56),
+            random: StdRng::seed_from_u64(seed),
             gates: (0..settings.entries).map(gate).collect(),
             home: DemandHome::new(),
             queue: VecDeque::new(),
@@ -256,17 +256,20 @@
 /// while targets are idle: a share that is divided among entries by a rate for each is used by nobody
 /// where no request comes.
 #[rstest]
-#[case::one_entry(1, 5_500_000, 0)]
-#[case::few_entries(33, 5_500_000, 0)]
-#[case::many_entries(105, 5_500_000, 0)]
-#[case::overload_after_calm(105, 5_500_000, 4_000)]
-#[case::flood_of_twice_the_rate(105, 11_000_000, 4_000)]
+#[case::one_entry(1, 5_500_000, 0, 56)]
+#[case::few_entries(33, 5_500_000, 0, 56)]
+#[case::many_entries(105, 5_500_000, 0, 56)]
+#[case::overload_after_calm(105, 5_500_000, 4_000, 56)]
+#[case::flood_of_twice_the_rate(105, 11_000_000, 4_000, 56)]
+#[case::flood_of_twice_the_rate_with_another_seed(105, 11_000_000, 4_000, 2)]
 fn organisations_at_many_entries_get_half_of_the_best_served(
     #[case] entries: usize,
     #[case] flood_rate: u64,
     #[case] flood_from_ms: u64,
+    #[case] seed: u64,
 ) {
-    let replay = FleetReplay::new(large_fleet(entries, flood_rate, flood_from_ms));
+    let settings = large_fleet(entries, flood_rate, flood_from_ms);
+    let replay = FleetReplay::new(settings, seed);
 
     let seconds = replay.run();
 
