--- a/components/agent/tests/target.rs
+++ b/components/agent/tests/target.rs
@@ -6,9 +6,16 @@
 use futures_util::StreamExt;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use wire::RequestHead;
 
+async fn read_head(stream: &mut TcpStream) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.unwrap());
+    }
+}
+
 /// Starts a target that answers one request with these bytes and closes the connection. Returns its
 /// URL.
 async fn start_target(response: String) -> String {
@@ -16,10 +23,7 @@
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            head.push(stream.read_u8().await.unwrap());
-        }
+        read_head(&mut stream).await;
         stream.write_all(response.as_bytes()).await.unwrap();
     });
     format!("http://{address}")
@@ -87,10 +91,7 @@
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            head.push(stream.read_u8().await.unwrap());
-        }
+        read_head(&mut stream).await;
         stream.write_all(response.as_bytes()).await.unwrap();
         tokio::time::sleep(reset_after).await;
         stream.set_zero_linger().unwrap();
--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -247,9 +247,10 @@
             })
         })
     };
-    let (reply, change) = context
-        .demand
-        .write_quietly(|home| home.apply_report(report, bounds, now));
+    let (reply, change, summaries) = context.demand.write_quietly(|home| {
+        let (reply, change) = home.apply_report(report, bounds, now);
+        (reply, change, home.take_summaries(&report.service, now))
+    });
     if let Some(change) = change {
         let sample = change.sample;
         event!(
@@ -264,26 +265,24 @@
             lateness_permille = sample.total_permille / sample.count.max(1)
         );
     }
-    log_summaries(context, &report.service);
+    if !summaries.is_empty() {
+        log_summaries(context, &report.service, summaries.into_iter().collect());
+    }
     reply
 }
 
 /// Logs what the organisations that are held back have asked for and got.
-fn log_summaries(context: &ControlContext, service: &ServiceName) {
-    let now = context.clock.now();
-    let summaries = context
-        .demand
-        .write_quietly(|home| home.take_summaries(service, now));
-    if summaries.is_empty() {
-        return;
-    }
+fn log_summaries(
+    context: &ControlContext,
+    service: &ServiceName,
+    summaries: BTreeMap<FlowId, FlowSummary>,
+) {
     let organisations = context.view.read(|view| {
         let published = view.registry.config().published.as_ref();
         published.map_or_else(Vec::new, |published| {
             published.plan.organisations.keys().cloned().collect()
         })
     });
-    let summaries: BTreeMap<FlowId, FlowSummary> = summaries.into_iter().collect();
     for organisation in organisations {
         let flow = FlowId::of(&FlowKey {
             organisation: organisation.clone(),
--- a/components/fair/src/capacity.rs
+++ b/components/fair/src/capacity.rs
@@ -85,12 +85,6 @@
 }
 
 impl LatenessSample {
-    /// Rate up to which all demand is admitted without an estimate, if a capacity is configured.
-    fn max_unproven(&self) -> Option<u64> {
-        let configured = self.configured?;
-        Some(configured * MAX_UNPROVEN_PERMILLE / 1000)
-    }
-
     fn is_slow(&self) -> bool {
         self.objective >= SLOW_FEEDBACK_OBJECTIVE
     }
@@ -144,17 +138,19 @@
         if is_due {
             self.step(sample, now);
         }
-        if self.capacity.is_none() && self.is_unproven(&sample) {
-            self.capacity = sample.max_unproven().map(|rate| rate.max(self.ceiling));
+        if let (None, Some(bound)) = (self.capacity, self.exceeded_bound(&sample)) {
+            self.capacity = Some(bound);
             self.last_step = now;
         }
         (previous != self.capacity).then_some(sample)
     }
 
-    /// Whether more is asked than what is known to be served in time.
-    fn is_unproven(&self, sample: &LatenessSample) -> bool {
-        let max_unproven = sample.max_unproven();
-        max_unproven.is_some_and(|rate| sample.asked > rate.max(self.ceiling))
+    /// Rate up to which all demand is admitted without an estimate, if more than that is asked and a
+    /// capacity is configured.
+    fn exceeded_bound(&self, sample: &LatenessSample) -> Option<u64> {
+        let max_unproven = sample.configured? * MAX_UNPROVEN_PERMILLE / 1000;
+        let bound = max_unproven.max(self.ceiling);
+        (sample.asked > bound).then_some(bound)
     }
 
     fn step(&mut self, sample: LatenessSample, now: ClockTime) {
@@ -186,8 +182,9 @@
             };
             // The estimate is dropped, so that no request is held back, once it exceeds twice the
             // demand. While entries still move here from another home, most demand is not known.
-            let is_needed =
-                increased <= sample.asked * 2 || known.is_some() || self.is_unproven(&sample);
+            let is_needed = increased <= sample.asked * 2
+                || known.is_some()
+                || self.exceeded_bound(&sample).is_some();
             self.capacity = is_needed.then_some(increased);
         }
     }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -291,18 +291,23 @@
 }
 
 /// Reads a request with an optional `content-length` body, and returns its head.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    while !bytes.ends_with(b"\r\n\r\n") {
-        bytes.push(stream.read_u8().await.ok()?);
-    }
-    let head = String::from_utf8(bytes).unwrap();
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let head = read_head(stream).await?;
     let length = header(&head, "content-length").and_then(|length| length.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).await.ok()?;
     Some(head)
 }
 
+/// Reads the head of a request; `None` if the connection ends before.
+pub(crate) async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        bytes.push(stream.read_u8().await.ok()?);
+    }
+    Some(String::from_utf8(bytes).unwrap())
+}
+
 /// Value of a header in the head of a message.
 pub(crate) fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     head.lines().find_map(|line| {
--- a/components/relay/tests/early_answers.rs
+++ b/components/relay/tests/early_answers.rs
@@ -7,10 +7,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use common::{TestFleet, TestTarget, header, ok_response, plan};
+use common::{TestFleet, TestTarget, header, ok_response, plan, read_head, read_request};
 use routes::RoutePlan;
 use rstest::rstest;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use units::ByteSize;
 
@@ -37,20 +37,10 @@
     socket.listen(16).unwrap()
 }
 
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    while !bytes.ends_with(b"\r\n\r\n") {
-        bytes.push(stream.read_u8().await.ok()?);
-    }
-    String::from_utf8(bytes).ok()
-}
-
 /// Serves short requests, and answers an upload before it has read its body.
 async fn serve(mut stream: TcpStream, answer: EarlyAnswer, uploads: &AtomicUsize) -> Option<()> {
     for _ in 0..answer.served_before {
-        let head = read_head(&mut stream).await?;
-        let mut body = vec![0; header(&head, "content-length")?.parse().ok()?];
-        stream.read_exact(&mut body).await.ok()?;
+        let head = read_request(&mut stream).await?;
         stream.write_all(&ok_response(&head, "done")).await.ok()?;
     }
     let head = read_head(&mut stream).await?;
