--- a/components/relay/src/pool.rs
+++ b/components/relay/src/pool.rs
@@ -36,6 +36,9 @@
 /// Idle timeout of a target that does not state one in `Keep-Alive`.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Bound on the idle timeout that a target states, within the range of the clock.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Percentage of a target's idle timeout after which a connection is no longer used. The rest
 /// covers the latency of a request and the inaccuracy of both sides' timers.
 const IDLE_TIMEOUT_PERCENT: u32 = 70;
@@ -223,5 +226,6 @@
         })
         .and_then(|seconds| seconds.trim().parse().ok())
         .map(Duration::from_secs);
-    stated_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT) * IDLE_TIMEOUT_PERCENT / 100
+    let timeout = stated_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT);
+    timeout.min(MAX_IDLE_TIMEOUT) * IDLE_TIMEOUT_PERCENT / 100
 }
