Answer a caller whose request makes the entry panic

Cause: a request is handled in the task of its connection, and a panic ends that task.

The handler catches the panic. A request that was not admitted yet gets 503 and the outcome not-run; one that may have been sent gets 502 and the outcome unknown, which promises nothing. `request-panicked` (1527) names the request. The guard of the run and the record of the send are dropped as in other failures.

The entry of the project's own protocol answers a panic after admission with 502 `no-response` already: the run is a task of its own there.

--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -1,8 +1,10 @@
 //! HTTP handlers for callers and for the load balancer.
 
+use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
 use cadence::prelude::*;
+use futures_util::FutureExt;
 use http::HeaderMap;
 use listener::{BodyError, discard_body};
 use routes::RepeatRule;
@@ -33,11 +35,16 @@
 /// seconds, and a retry may reach another entry.
 const BUDGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// What the log line of a refusal says of its request, as far as it is known by then.
+/// `Retry-After` of a request whose handling panicked. The same request may panic at each entry.
+const PANIC_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// What is known of a request when it is refused, for the log line and the outcome.
 #[derive(Default)]
 struct RequestLabels {
     attempt_id: String,
     organisation: Option<OrganisationName>,
+    /// Whether the request may have been sent to a target.
+    may_be_sent: bool,
 }
 
 /// Forwards callers' requests to targets.
@@ -60,10 +67,31 @@
             prepared = self.prepare(req, labels) => prepared?,
             () = wait_for_stop(&self.shared) => return Err(leaving_refusal(ENTRY_STOPS)),
         };
+        labels.may_be_sent = true;
         let span = info_span!("relay.request", request = labels.attempt_id.as_str());
         forwarded.run(request).instrument(span).await
     }
 
+    /// Like [`Self::serve`], and answers a request whose handling panics. Otherwise its connection would
+    /// be closed, which also tells nothing of whether it has run.
+    async fn serve_or_recover(
+        &self,
+        req: &mut Request,
+        labels: &mut RequestLabels,
+    ) -> Result<ForwardedResponse, Refusal> {
+        let served = AssertUnwindSafe(self.serve(req, labels))
+            .catch_unwind()
+            .await;
+        served.unwrap_or_else(|_| {
+            event!(
+                events::REQUEST_PANICKED,
+                request = labels.attempt_id,
+                may_be_sent = labels.may_be_sent
+            );
+            Err(panic_refusal(labels.may_be_sent))
+        })
+    }
+
     /// Admits a request and reads its body.
     async fn prepare(
         &self,
@@ -131,6 +159,15 @@
     }
 }
 
+/// Refusal of a request whose handling panicked.
+fn panic_refusal(may_be_sent: bool) -> Refusal {
+    let message = "Failed to handle the request: internal error";
+    match may_be_sent {
+        true => Refusal::unknown(502, "internal-error", message),
+        false => Refusal::not_run(503, "internal-error", message).retry_after(PANIC_RETRY_AFTER),
+    }
+}
+
 /// Refuses a request whose header names and values are larger than the plan allows.
 fn check_headers(headers: &HeaderMap, max_bytes: u64) -> Result<(), Refusal> {
     let sizes = headers
@@ -192,7 +229,7 @@
     ) {
         let _ = self.shared.metrics.incr("requests");
         let mut labels = RequestLabels::default();
-        match self.serve(req, &mut labels).await {
+        match self.serve_or_recover(req, &mut labels).await {
             Ok(response) => respond::write_response(&self.shared, res, response),
             Err(refusal) => {
                 let _ = self
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -41,6 +41,13 @@
 /// Maximum time that a test waits for an event.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Header that names the step at which the [`TestDialect`] panics: `request`, `send` or `response`.
+pub(crate) const PANIC_AT: &str = "panic-at";
+
+fn panic_if(stated: Option<&str>, step: &str) {
+    assert!(stated != Some(step), "the test asks for a panic");
+}
+
 /// Caller dialect of the tests, with short header names.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct TestDialect;
@@ -48,6 +55,7 @@
 impl CallerDialect for TestDialect {
     fn parse_request(&self, head: &request::Parts) -> Result<RequestMetadata, MetadataError> {
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        panic_if(text(PANIC_AT), "request");
         let millis = |text: &str| {
             let millis: f64 = text.parse().ok()?;
             Some(Duration::from_secs_f64(millis / 1_000.0))
@@ -65,6 +73,10 @@
     }
 
     fn target_headers(&self, headers: &HeaderMap, metadata: &ForwardMetadata<'_>) -> HeaderMap {
+        panic_if(
+            headers.get(PANIC_AT).map(|value| value.to_str().unwrap()),
+            "send",
+        );
         let mut headers = headers.clone();
         headers.remove("key");
         let instance = HeaderValue::from_str(metadata.target.as_str()).unwrap();
@@ -84,6 +96,12 @@
     }
 
     fn target_statement(&self, _: &str, head: &response::Parts) -> TargetStatement {
+        panic_if(
+            head.headers
+                .get(PANIC_AT)
+                .map(|value| value.to_str().unwrap()),
+            "response",
+        );
         let number =
             |name: &str| -> Option<f64> { head.headers.get(name)?.to_str().ok()?.parse().ok() };
         TargetStatement {
--- a/components/telemetry/src/events/relay.rs
+++ b/components/telemetry/src/events/relay.rs
@@ -23,6 +23,9 @@
     RELAY_SEND_FAILED = 1511, Info, "relay-send-failed",
         "A target did not answer a request; the field may_have_run states whether the request may \
          have run there.";
+    REQUEST_PANICKED = 1527, Warn, "request-panicked",
+        "The entry has a fault: its code panicked while it handled a request. The caller gets a refusal, \
+         whose outcome is unknown if may_be_sent is true. The panic itself is on standard error.";
     TARGET_CRASHED = 1513, Info, "target-crashed",
         "A target ended unexpectedly and left requests of this entry without a response. The field \
          sign states how it showed: its address refuses connections, or the directory lists a later \
