Bound the wait after a limit that a target raises and lowers

Callers saw: a target that states `Server-Limit:` (or any rate above a thousand a second) and later a low rate gets no request from an entry for minutes to ages, so that callers are refused while it has room.

Cause: the wait to the next request is scaled by the old rate over the new one, and waits are rounded up to a millisecond. One millisecond at a million a second is 200 s at five a second, and the product overflows at rates from 2^64.

A wait is at most one interval of the new rate.

--- a/components/place/src/limit.rs
+++ b/components/place/src/limit.rs
@@ -72,12 +72,13 @@
         self.opens_at = first_send(self.rate, position, now);
     }
 
-    /// Updates the limit after a response that states it.
-    pub(crate) fn update(&mut self, rate: MilliRate, now: ClockTime) {
+    /// Updates the limit after a response that states it. No wait is longer than an interval of the new
+    /// rate: after a rate that is no limit in effect, scaling the rounded wait would end far in the future.
+    pub(crate) fn update(&mut self, rate: MilliRate, entries: u32, now: ClockTime) {
         let rate = rate.max(MIN_RATE);
         let wait = self.opens_at.since(now).as_millis() as u64;
-        let new_wait = wait * self.rate.0 / rate.0;
-        self.opens_at = now + Duration::from_millis(new_wait);
+        let scaled = Duration::from_millis(wait.saturating_mul(self.rate.0) / rate.0);
+        self.opens_at = now + scaled.min(send_interval(rate, entries));
         self.rate = rate;
         self.stated_at = now;
     }
--- a/components/place/src/table.rs
+++ b/components/place/src/table.rs
@@ -399,7 +399,7 @@
         let target = self.targets.get_mut(record.target)?;
         match (rate, &mut target.stated.limit) {
             (Some(rate), Some(limit)) => {
-                limit.update(rate, now);
+                limit.update(rate, self.position.count, now);
                 None
             }
             (Some(rate), None) => {
--- a/components/place/tests/limits.rs
+++ b/components/place/tests/limits.rs
@@ -111,6 +111,32 @@
     assert!(sent <= rate * 3 / 2 + 5, "{sent} requests in one second");
 }
 
+/// Guards against a target that gets no requests any more after it has stated a rate that is far above
+/// what it can get.
+#[rstest]
+#[case::signed(i64::MAX as u64)]
+#[case::unsigned(u64::MAX)]
+#[case::one_a_microsecond(1_000_000_000)]
+fn limit_after_an_extreme_one_is_in_force(#[case] extreme: u64) {
+    let position = EntryPosition { rank: 0, count: 7 };
+    let mut table = table(&[1], position);
+    for (now, rate) in [(0, 5_000), (3_000, extreme), (6_000, 5_000)] {
+        let PlacementOutcome::Run(run) = table.place(&request(None), ClockTime(now)) else {
+            panic!("no capacity at {now} ms");
+        };
+        table.record_stated_limit(run, Some(MilliRate(rate)), ClockTime(now));
+        table.end_run(run);
+    }
+
+    let sent: Vec<u64> = (6_000..20_000)
+        .step_by(10)
+        .filter(|now| send(&mut table, Some(MilliRate(5_000)), *now).is_some())
+        .collect();
+
+    // A seventh of five a second, each reserved for a large request for a second.
+    assert!((5..=10).contains(&sent.len()), "{sent:?}");
+}
+
 /// Guards against requests that wait for limited targets while another one is free, and against
 /// sessions that do not move there.
 #[rstest]
