Bound the capacity that a plan states

In a debug build the control node panics.

Cause: the bound on demand that is admitted without an estimate is twice the stated capacity, computed as `stated * 2000 / 1000`, which overflows to 0.

Stated capacities above 10^12 a second, which no fleet has, count as that.

--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -23,6 +23,10 @@
 /// Time after which the report of an entry expires. It tolerates the loss of two rounds.
 pub const DEMAND_TTL: Duration = Duration::from_millis(1_600);
 
+/// Bound on the capacity that a plan states, in cost units per second, above that of any fleet. A larger
+/// number means that there is no bound.
+const MAX_STATED_CAPACITY: u64 = 1_000_000_000_000;
+
 /// Weight at which the share of a flow equals the level.
 const UNIT_WEIGHT: u64 = FlowWeight::UNIT.0 as u64;
 
@@ -133,7 +137,9 @@
         let sample = || {
             let bounds = bounds();
             LatenessSample {
-                configured: bounds.capacity,
+                configured: bounds
+                    .capacity
+                    .map(|capacity| capacity.min(MAX_STATED_CAPACITY)),
                 objective: bounds.objective,
                 known,
                 ..lateness
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -597,3 +597,32 @@
     };
     assert_eq!(summaries, [(flow(0), expected)]);
 }
+
+/// Guards against requests that are refused because the capacity that the plan states overflows.
+#[rstest]
+#[case::just_over_when_scaled(u64::MAX / 2_000 + 1)]
+#[case::signed(i64::MAX as u64)]
+#[case::unsigned(u64::MAX)]
+fn extreme_capacity_refuses_nothing(#[case] capacity: u64) {
+    let mut home = DemandHome::new();
+    let mut gate = ShareGate::new("models".into(), 1, ClockTime(0));
+    let bounds = || PoolBounds {
+        capacity: Some(capacity),
+        objective: LATENCY_OBJECTIVE,
+    };
+    let mut refused = 0;
+
+    for round in 1..=40 {
+        let now = ClockTime(round * DEMAND_INTERVAL.as_millis() as u64);
+        for _ in 0..10 {
+            let is_admitted = gate.admit(flow(1), UNIT_WEIGHT, CostUnits(1_000), false, now);
+            refused += u32::from(!is_admitted);
+            gate.record_wait(2 * LATENCY_OBJECTIVE, LATENCY_OBJECTIVE);
+        }
+        let report = gate.take_report("entry-1".into(), Incarnation(1), now);
+        let (reply, _) = home.apply_report(&report, bounds, now);
+        gate.apply_reply(&reply, now);
+    }
+
+    assert_eq!(refused, 0);
+}
