Bound the token counts that callers state

A debug build panics, and the caller gets no answer. A count that does not fit into 64 bits was dropped, and the request not charged at all.

Cause: sums and products of costs use the counts as stated.

The relay bounds the counts to 2^32 tokens, above the memory of any engine.

--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -56,7 +56,28 @@
     pub tokens: u64,
 }
 
+/// Bound on the token counts that a caller states, above the memory of any engine. Sums over the requests of
+/// a fleet, in thousandths of a token, stay within 64 bits.
+const MAX_STATED_TOKENS: u64 = 1 << 32;
+
 impl ModelUsage {
+    /// This usage with all counts bounded, so that sums of them cannot overflow.
+    pub(crate) fn bounded(self) -> Self {
+        let bound = |tokens: u64| tokens.min(MAX_STATED_TOKENS);
+        let parts = self.parts.into_iter();
+        Self {
+            prompt_tokens: bound(self.prompt_tokens),
+            max_output_tokens: bound(self.max_output_tokens),
+            output_hint: self.output_hint.map(bound),
+            parts: parts
+                .map(|part| PromptPart {
+                    tokens: bound(part.tokens),
+                    ..part
+                })
+                .collect(),
+        }
+    }
+
     /// Id of the last shared part, which is the same for all requests of a session; `None` if the
     /// prompt has fewer than two parts.
     pub fn session(&self) -> Option<u64> {
--- a/components/relay/src/http.rs
+++ b/components/relay/src/http.rs
@@ -17,6 +17,7 @@
 use entry::Refusal;
 
 use crate::backend::CallerRequest;
+use crate::dialect::ModelUsage;
 use crate::forward::{ForwardedRequest, ForwardedResponse, PLAN_RETRY_AFTER, admit, final_refusal};
 use crate::origins::find_origin;
 use crate::respond;
@@ -101,11 +102,12 @@
         let arrived_at = Instant::now();
         let head = request_head(req);
         Refusal::check_version(head.version)?;
-        let metadata = self
+        let mut metadata = self
             .shared
             .dialect
             .parse_request(&head)
             .map_err(|error| Refusal::not_run(400, "bad-request", error))?;
+        metadata.model_usage = metadata.model_usage.map(ModelUsage::bounded);
         labels.attempt_id.clone_from(&metadata.attempt_id);
         let Some(route_index) = self.shared.current_index().await else {
             let message = "Failed to find a route: no plan is known yet";
