--- a/components/client/tests/large_plans.rs
+++ b/components/client/tests/large_plans.rs
@@ -9,8 +9,8 @@
 use manifest::KeyHash;
 use registry::{PackedPlan, RegistryAction, RegistryCommand, RegistryState, WallTime};
 use routes::{
-    CallerBounds, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec, ServicePool,
-    WeightedService,
+    CallerBounds, KeyRule, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec,
+    ServicePool, WeightedService,
 };
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
@@ -136,7 +136,7 @@
             weight: 1,
         }],
         max_targets: 2,
-        anonymous: false,
+        key_rule: KeyRule::Required,
         affinity: false,
         regions: [["bohemia", "moravia", "silesia"][index % 3].into()].into(),
     };
--- a/components/control/tests/support/plans.rs
+++ b/components/control/tests/support/plans.rs
@@ -4,8 +4,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use routes::{
-    CallerBounds, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec, ServicePool,
-    WeightedService,
+    CallerBounds, KeyRule, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec,
+    ServicePool, WeightedService,
 };
 use units::{ByteSize, PlanNumber};
 
@@ -59,7 +59,7 @@
             weight: 1,
         }],
         max_targets: 2,
-        anonymous: true,
+        key_rule: KeyRule::Optional,
         affinity: false,
         regions: ["bohemia".into()].into(),
     }
--- a/components/registry/tests/packed_plans.rs
+++ b/components/registry/tests/packed_plans.rs
@@ -6,7 +6,8 @@
     FleetConfig, PackedPlan, RegistryAction, RegistryCommand, RegistryOutcome, RegistryState,
     WallTime,
 };
-use routes::{CallerBounds, PublishedPlan, RoutePlan};
+use routes::{CallerBounds, KeyRule, PublishedPlan, RouteIndex, RoutePlan};
+use rstest::rstest;
 use units::{ByteSize, ConfigVersion, PlanNumber};
 use wire::OrderReply;
 
@@ -15,6 +16,16 @@
     1, 5, 7, 0, 0, 0, 1, 1, 1, 1, 0, 5, b's', b'e', b'v', b'e', b'n',
 ];
 
+/// Command of an older process that publishes a plan with one route, of which this byte tells whether it was
+/// open to callers without a key.
+fn older_command_with_route(is_open: u8) -> Vec<u8> {
+    let route = [
+        1, b'r', 1, b'h', 1, b'/', 1, 10, 10, 0, 0, 0, 1, is_open, 0, 0,
+    ];
+    let plan = [0, 0, 1, 1, 1, 1, 0, 0];
+    [&[1, 5, 7, 1], &route[..], &plan].concat()
+}
+
 /// States a size of 4 GiB of compressed data.
 const HUGE: [u8; 9] = [1, 0xff, 0xff, 0xff, 0xff, 1, 2, 3, 4];
 
@@ -56,6 +67,31 @@
     assert_eq!(by_older.published_text(), Some("seven"));
 }
 
+/// Guards against a deployment without keys whose callers are refused after an update, because its stored
+/// plan does not tell whether it had a list of organisations. Also guards against a snapshot that loses the
+/// rule.
+#[rstest]
+#[case::keys_if_listed(0, KeyRule::RequiredIfListed, false)]
+#[case::open(1, KeyRule::Optional, false)]
+#[case::newer_plan(2, KeyRule::Required, true)]
+fn stored_plan_keeps_its_rule_on_keys(
+    #[case] byte: u8,
+    #[case] expected: KeyRule,
+    #[case] requires_key: bool,
+) {
+    let command: RegistryCommand = postcard::from_bytes(&older_command_with_route(byte)).unwrap();
+    let mut state = RegistryState::default();
+
+    state.apply(&command);
+    let restored = RegistryState::restore(&state.snapshot()).unwrap();
+
+    let published = restored.config().published.as_ref().unwrap();
+    let index = RouteIndex::new(published);
+    let route = index.find("h", "/").unwrap();
+    assert_eq!(route.key_rule, expected);
+    assert_eq!(index.requires_key(&route), requires_key);
+}
+
 /// Guards against an uncompressed snapshot of an older process that cannot be restored, and against a
 /// compressed one that loses a part.
 #[test]
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -39,7 +39,8 @@
     if !shared.may_run_by(plan_number) {
         return Err(unconfirmed_refusal());
     }
-    if !route_index.requires_keys() || (route.anonymous && metadata.key.is_none()) {
+    let needs_key = route_index.requires_key(&route);
+    if !needs_key && metadata.key.is_none() {
         return Ok(RequestAdmission {
             route,
             holder: None,
@@ -55,7 +56,7 @@
         .key
         .as_ref()
         .and_then(|key| route_index.holder(key));
-    if holder.is_none() && !route.anonymous {
+    if holder.is_none() && needs_key {
         return Err(final_refusal(shared, plan_number, unknown_key_refusal()));
     }
     Ok(RequestAdmission {
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -24,8 +24,8 @@
     WindowBound,
 };
 use routes::{
-    CallerBounds, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec, ServicePool,
-    WeightedService,
+    CallerBounds, KeyRule, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec,
+    ServicePool, WeightedService,
 };
 use telemetry::MetricTable;
 use tempfile::TempDir;
@@ -640,7 +640,7 @@
             weight: 1,
         }],
         max_targets,
-        anonymous: false,
+        key_rule: KeyRule::Required,
         affinity: false,
         regions: BTreeSet::new(),
     }
--- a/components/relay/tests/keys.rs
+++ b/components/relay/tests/keys.rs
@@ -1,4 +1,4 @@
-//! Keys that are taken away while an entry stands still.
+//! Keys that are taken away, also while an entry stands still.
 
 mod common;
 
@@ -10,6 +10,7 @@
 use common::{TargetStep, TestFleet, TestTarget, key, ok_response, plan};
 use routes::RouteSpec;
 use tokio::sync::oneshot;
+use units::PlanNumber;
 
 /// Time for which the entry stands still. Its lease ends in that time.
 const FREEZE_TIME: Duration = Duration::from_secs(4);
@@ -124,3 +125,41 @@
     );
     assert_eq!(late.count(), 0);
 }
+
+/// Status of a request that may not be repeated, with a key or without one.
+async fn status(fleet: &TestFleet, path: &str, key: Option<&str>) -> u16 {
+    let request = fleet.client.post(fleet.url(path));
+    let request = request
+        .header("request-id", "r1")
+        .header("deadline-ms", "1000");
+    let request = key
+        .iter()
+        .fold(request, |request, key| request.header("key", *key));
+    request.send().await.unwrap().status().as_u16()
+}
+
+/// Guards against routes that are open to everybody after the last organisation has left, also after all
+/// processes were restarted.
+#[tokio::test(flavor = "multi_thread")]
+async fn plan_without_organisations_opens_no_route() {
+    let script = Arc::new(|head: &str| TargetStep::Write(ok_response(head, "booked")));
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(plan()), &[&target]).await;
+    assert_eq!(status(&fleet, "/once/x", Some("secret")).await, 200);
+
+    let mut next = plan();
+    next.organisations.clear();
+    fleet.publish(2, next).await;
+    common::wait_until(|| fleet.relay.plan_number() == Some(PlanNumber(2))).await;
+    let mut statuses = Vec::new();
+    for key in [Some("secret"), Some("never"), None] {
+        statuses.push(status(&fleet, "/once/x", key).await);
+    }
+    let fleet = fleet.restart_all(&[&target]).await;
+    for key in [Some("secret"), Some("never"), None] {
+        statuses.push(status(&fleet, "/once/x", key).await);
+    }
+
+    assert_eq!(statuses, [401; 6]);
+    assert_eq!(target.arrivals(), 1);
+}
--- a/components/relay/tests/unconfirmed.rs
+++ b/components/relay/tests/unconfirmed.rs
@@ -14,7 +14,7 @@
 use raft::RaftSettings;
 use relay::{RelayHandle, RelaySettings};
 use reqwest::{RequestBuilder, Response};
-use routes::{PublishedPlan, RoutePlan, RouteSpec};
+use routes::{KeyRule, PublishedPlan, RoutePlan, RouteSpec};
 use rstest::rstest;
 use telemetry::MetricTable;
 use tempfile::TempDir;
@@ -156,7 +156,7 @@
     let open = RouteSpec {
         name: "open".into(),
         prefix: "/open/".into(),
-        anonymous: true,
+        key_rule: KeyRule::Optional,
         ..plan.routes[0].clone()
     };
     plan.routes.push(open);
--- a/components/routes/src/index.rs
+++ b/components/routes/src/index.rs
@@ -6,7 +6,7 @@
 use manifest::KeyHash;
 use units::{OrganisationName, PlanNumber, RegionName, ServiceName};
 
-use crate::plan::{PublishedPlan, RoutePlan, RouteSpec};
+use crate::plan::{KeyRule, PublishedPlan, RoutePlan, RouteSpec};
 
 /// Organisation that holds a key, and its settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -76,9 +76,13 @@
         self.holders.get(key).cloned()
     }
 
-    /// Whether requests on routes that are not anonymous require a key.
-    pub fn requires_keys(&self) -> bool {
-        !self.plan.organisations.is_empty()
+    /// Whether a request on a route needs a key.
+    pub fn requires_key(&self, route: &RouteSpec) -> bool {
+        match route.key_rule {
+            KeyRule::Required => true,
+            KeyRule::Optional => false,
+            KeyRule::RequiredIfListed => !self.plan.organisations.is_empty(),
+        }
     }
 }
 
--- a/components/routes/src/lib.rs
+++ b/components/routes/src/lib.rs
@@ -12,6 +12,6 @@
 pub use check::PlanFault;
 pub use index::{KeyHolder, RouteIndex, RouteMatch};
 pub use plan::{
-    CallerBounds, ColdBound, EngineSpec, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan,
-    RouteSpec, ServicePool, WeightedService,
+    CallerBounds, ColdBound, EngineSpec, KeyRule, OrganisationAccess, PublishedPlan, RepeatRule,
+    RoutePlan, RouteSpec, ServicePool, WeightedService,
 };
--- a/components/routes/src/plan.rs
+++ b/components/routes/src/plan.rs
@@ -30,6 +30,18 @@
         ResumableStream,
     }
 
+    /// Whether the requests of a route need a key. Stored plans contain the number of the variant.
+    #[derive(Copy)]
+    pub enum KeyRule {
+        /// A request needs a key if the plan lists any organisation. Only plans that earlier versions have
+        /// stored have this rule: they do not tell an empty list from a missing one.
+        RequiredIfListed,
+        /// A request may come without a key.
+        Optional,
+        /// A request needs a key.
+        Required,
+    }
+
     /// A service of a route and its relative weight.
     pub struct WeightedService {
         /// Name of the service.
@@ -60,8 +72,8 @@
         pub split: Vec<WeightedService>,
         /// Maximum number of targets to which one request may be sent.
         pub max_targets: u32,
-        /// Whether requests are accepted without a key.
-        pub anonymous: bool,
+        /// Whether the requests need a key.
+        pub key_rule: KeyRule,
         /// Whether the requests of a session should go to the same target.
         pub affinity: bool,
         /// Regions that may serve the route; empty for all.
@@ -131,7 +143,7 @@
         pub routes: Vec<RouteSpec>,
         /// Services to which routes may send requests.
         pub pools: BTreeMap<ServiceName, ServicePool>,
-        /// Organisations that may call; if empty, no route requires a key.
+        /// Organisations that may call, and their keys.
         pub organisations: BTreeMap<OrganisationName, OrganisationAccess>,
         /// Bounds on the requests of callers, and the total token rate.
         pub bounds: CallerBounds,
--- a/components/routes/tests/plan.rs
+++ b/components/routes/tests/plan.rs
@@ -5,8 +5,8 @@
 
 use manifest::KeyHash;
 use routes::{
-    CallerBounds, OrganisationAccess, PlanFault, PublishedPlan, RepeatRule, RouteIndex, RoutePlan,
-    RouteSpec, ServicePool, WeightedService,
+    CallerBounds, KeyRule, OrganisationAccess, PlanFault, PublishedPlan, RepeatRule, RouteIndex,
+    RoutePlan, RouteSpec, ServicePool, WeightedService,
 };
 use rstest::rstest;
 use units::{ByteSize, PlanNumber};
@@ -30,7 +30,7 @@
         priority: 1,
         split,
         max_targets: 1,
-        anonymous: false,
+        key_rule: KeyRule::Required,
         affinity: false,
         regions: BTreeSet::new(),
     }
--- a/components/wire/src/hello.rs
+++ b/components/wire/src/hello.rs
@@ -3,7 +3,7 @@
 use units::{Incarnation, NodeName};
 
 /// Protocol version, which must be equal at both ends of a stream.
-pub const PROTOCOL_VERSION: u16 = 10;
+pub const PROTOCOL_VERSION: u16 = 11;
 
 units::data! {
     /// Role of a process, stated in its certificate.
