--- a/components/registry/tests/packed_plans.rs
+++ b/components/registry/tests/packed_plans.rs
@@ -6,7 +6,7 @@
     FleetConfig, PackedPlan, RegistryAction, RegistryCommand, RegistryOutcome, RegistryState,
     WallTime,
 };
-use routes::{CallerBounds, KeyRule, PublishedPlan, RouteIndex, RoutePlan};
+use routes::{CallerBounds, KeyRule, PublishedPlan, RouteIndex, RoutePlan, StatedKey};
 use rstest::rstest;
 use units::{ByteSize, ConfigVersion, PlanNumber};
 use wire::OrderReply;
@@ -89,7 +89,8 @@
     let index = RouteIndex::new(published);
     let route = index.find("h", "/").unwrap();
     assert_eq!(route.key_rule, expected);
-    assert_eq!(index.requires_key(&route), requires_key);
+    let checked = index.check_key(&route, StatedKey::Missing);
+    assert_eq!(checked.is_err(), requires_key);
 }
 
 /// Guards against an uncompressed snapshot of an older process that cannot be restored, and against a
--- a/components/relay/src/dialect.rs
+++ b/components/relay/src/dialect.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, request, response};
-use manifest::KeyHash;
 use place::{RequestMemory, TargetStatement};
+use routes::StatedKey;
 use thiserror::Error;
 use units::{NodeName, OrganisationName};
 
@@ -15,8 +15,8 @@
     pub attempt_id: String,
     /// Host to which the request is addressed.
     pub host: String,
-    /// Hash of the caller's key, if the request has one.
-    pub key: Option<KeyHash>,
+    /// Key of the caller.
+    pub key: StatedKey,
     /// Time for which the caller will wait for the response, if stated.
     pub remaining: Option<Duration>,
     /// Expected usage of a model, if stated.
--- a/components/relay/src/forward.rs
+++ b/components/relay/src/forward.rs
@@ -239,7 +239,7 @@
             if self.continued.is_some() && !wait_for_current_view(&self.shared).await {
                 break self.outdated_refusal();
             }
-            if let Err(refusal) = self.check_key().and_then(|()| self.check_time()) {
+            if let Err(refusal) = self.check_key(&request).and_then(|()| self.check_time()) {
                 break refusal;
             }
             let result = self.send(&request, run_guard).await;
--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -4,7 +4,7 @@
 
 use entry::{Refusal, model_pool};
 use quarantine::QuarantineVerdict;
-use routes::{KeyHolder, RouteIndex, RouteMatch};
+use routes::{KeyHolder, RouteIndex, RouteMatch, UnknownKey};
 use telemetry::{event, events};
 use units::{CostUnits, FlowWeight, OrganisationName, PlanNumber};
 use wire::{FlowId, FlowKey, RequestTrait, stable_hash};
@@ -39,26 +39,14 @@
     if !shared.may_run_by(plan_number) {
         return Err(unconfirmed_refusal());
     }
-    let needs_key = route_index.requires_key(&route);
-    if !needs_key && metadata.key.is_none() {
-        return Ok(RequestAdmission {
-            route,
-            holder: None,
-            plan_number,
-        });
-    }
-    if !shared.has_lease_for(plan_number) {
+    let checked = route_index.check_key(&route, metadata.key);
+    // A request without a key needs no lease, which only vouches that no key was taken away since.
+    if checked != Ok(None) && !shared.has_lease_for(plan_number) {
         let message = "Failed to check the key: the newest keys are not confirmed";
         let refusal = Refusal::not_run(503, "no-lease", message);
         return Err(refusal.retry_after(PLAN_RETRY_AFTER));
     }
-    let holder = metadata
-        .key
-        .as_ref()
-        .and_then(|key| route_index.holder(key));
-    if holder.is_none() && needs_key {
-        return Err(final_refusal(shared, plan_number, unknown_key_refusal()));
-    }
+    let holder = checked.map_err(|error| final_refusal(shared, plan_number, key_refusal(error)))?;
     Ok(RequestAdmission {
         route,
         holder,
@@ -84,8 +72,8 @@
     Refusal::not_run(503, "no-lease", message).retry_after(PLAN_RETRY_AFTER)
 }
 
-fn unknown_key_refusal() -> Refusal {
-    let message = "Failed to identify the caller: unknown or missing key";
+fn key_refusal(error: UnknownKey) -> Refusal {
+    let message = format!("Failed to identify the caller: {error}");
     Refusal::not_run(401, "unauthorised", message)
 }
 
@@ -116,16 +104,21 @@
 }
 
 impl ForwardedRequest {
-    /// Checks the caller's key again if another plan was installed since the request was admitted.
-    pub(super) fn check_key(&self) -> Result<(), Refusal> {
+    /// Checks the caller's key again if another plan was installed since the request was admitted. The route
+    /// in that plan may need a key that the former one did not need.
+    pub(super) fn check_key(&self, request: &CallerRequest) -> Result<(), Refusal> {
         let index = self.shared.board.read(|state| state.route_index.clone());
-        let index = index.filter(|index| index.number != self.plan_number);
-        let (Some(index), Some(organisation)) = (index, &self.organisation) else {
+        let index = index.filter(|_| self.organisation.is_some());
+        let Some(index) = index.filter(|index| index.number != self.plan_number) else {
             return Ok(());
         };
-        let key = self.metadata.key.as_ref();
-        let holder = key.and_then(|key| index.holder(key));
-        if holder.is_some_and(|holder| holder.organisation == *organisation) {
+        let route = index.find(&self.metadata.host, request.uri.path());
+        let route = route.unwrap_or_else(|| self.route.clone());
+        let checked = index.check_key(&route, self.metadata.key);
+        let is_same_organisation = |holder: Option<Arc<KeyHolder>>| {
+            holder.map(|holder| holder.organisation.clone()) == self.organisation
+        };
+        if checked.is_ok_and(is_same_organisation) {
             return Ok(());
         }
         match self.may_have_run {
@@ -133,7 +126,7 @@
             false => Err(final_refusal(
                 &self.shared,
                 index.number,
-                unknown_key_refusal(),
+                key_refusal(UnknownKey),
             )),
         }
     }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -25,7 +25,7 @@
 };
 use routes::{
     CallerBounds, KeyRule, OrganisationAccess, PublishedPlan, RepeatRule, RoutePlan, RouteSpec,
-    ServicePool, WeightedService,
+    ServicePool, StatedKey, WeightedService,
 };
 use telemetry::MetricTable;
 use tempfile::TempDir;
@@ -63,7 +63,7 @@
         Ok(RequestMetadata {
             attempt_id: text("request-id").unwrap_or("none").into(),
             host: "mill.example".into(),
-            key: text("key").map(key),
+            key: text("key").map_or(StatedKey::Missing, |text| StatedKey::Hash(key(text))),
             remaining: text("deadline-ms").and_then(millis),
             model_usage: text("prompt-parts").map(model_usage),
             continuation: text("last-event").map(|_| StreamContinuation {
--- a/components/relay/tests/keys.rs
+++ b/components/relay/tests/keys.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use common::{TargetStep, TestFleet, TestTarget, key, ok_response, plan};
-use routes::RouteSpec;
+use routes::{KeyRule, RoutePlan, RouteSpec};
+use rstest::rstest;
 use tokio::sync::oneshot;
 use units::PlanNumber;
 
@@ -163,3 +164,44 @@
     assert_eq!(statuses, [401; 6]);
     assert_eq!(target.arrivals(), 1);
 }
+
+/// A plan with `/once/`, which needs a key, and `/open/`, which needs none.
+fn open_plan(keys: &[&str]) -> RoutePlan {
+    let mut plan = plan();
+    let open = RouteSpec {
+        name: "open".into(),
+        prefix: "/open/".into(),
+        key_rule: KeyRule::Optional,
+        ..plan.routes[0].clone()
+    };
+    plan.routes.push(open);
+    for access in plan.organisations.values_mut() {
+        access.keys = keys.iter().copied().map(key).collect();
+    }
+    plan
+}
+
+/// Guards against keys that nobody holds and that are accepted on routes that need none, whether the plan
+/// lists organisations or not.
+#[rstest]
+#[case::other_key(&["other"], [200, 401, 401, 200])]
+#[case::no_key(&[], [200, 401, 401, 401])]
+#[tokio::test(flavor = "multi_thread")]
+async fn route_without_keys_accepts_no_unknown_key(
+    #[case] keys: &[&str],
+    #[case] expected: [u16; 4],
+) {
+    let script = Arc::new(|head: &str| TargetStep::Write(ok_response(head, "booked")));
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(open_plan(&["secret", "other"])), &[&target]).await;
+    assert_eq!(status(&fleet, "/open/x", Some("secret")).await, 200);
+
+    fleet.publish(2, open_plan(keys)).await;
+    common::wait_until(|| fleet.relay.plan_number() == Some(PlanNumber(2))).await;
+    let mut statuses = Vec::new();
+    for key in [None, Some("secret"), Some("never"), Some("other")] {
+        statuses.push(status(&fleet, "/open/x", key).await);
+    }
+
+    assert_eq!(statuses, expected);
+}
--- a/components/routes/src/index.rs
+++ b/components/routes/src/index.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use manifest::KeyHash;
+use thiserror::Error;
 use units::{OrganisationName, PlanNumber, RegionName, ServiceName};
 
 use crate::plan::{KeyRule, PublishedPlan, RoutePlan, RouteSpec};
@@ -19,6 +20,22 @@
     pub regions: BTreeSet<RegionName>,
 }
 
+/// Key that a request states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StatedKey {
+    /// The request has no key.
+    Missing,
+    /// The request states a key that cannot be read, or several.
+    Unreadable,
+    /// The request has the key with this hash.
+    Hash(KeyHash),
+}
+
+/// Refusal of a request whose key no organisation holds, or that has none and needs one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("unknown or missing key")]
+pub struct UnknownKey;
+
 /// A plan, indexed by host and by key hash.
 #[derive(Debug)]
 pub struct RouteIndex {
@@ -71,13 +88,27 @@
         found.cloned()
     }
 
+    /// Organisation of a request by its key; `None` for a request without a key on a route that allows it.
+    ///
+    /// A key that is stated must be held, also where none is needed: it may have been taken away.
+    pub fn check_key(
+        &self,
+        route: &RouteSpec,
+        key: StatedKey,
+    ) -> Result<Option<Arc<KeyHolder>>, UnknownKey> {
+        match key {
+            StatedKey::Missing if !self.requires_key(route) => Ok(None),
+            StatedKey::Missing | StatedKey::Unreadable => Err(UnknownKey),
+            StatedKey::Hash(hash) => self.holder(&hash).map(Some).ok_or(UnknownKey),
+        }
+    }
+
     /// Organisation that holds a key; `None` if the key is unknown.
     pub fn holder(&self, key: &KeyHash) -> Option<Arc<KeyHolder>> {
         self.holders.get(key).cloned()
     }
 
-    /// Whether a request on a route needs a key.
-    pub fn requires_key(&self, route: &RouteSpec) -> bool {
+    fn requires_key(&self, route: &RouteSpec) -> bool {
         match route.key_rule {
             KeyRule::Required => true,
             KeyRule::Optional => false,
--- a/components/routes/src/lib.rs
+++ b/components/routes/src/lib.rs
@@ -10,7 +10,7 @@
 mod plan;
 
 pub use check::PlanFault;
-pub use index::{KeyHolder, RouteIndex, RouteMatch};
+pub use index::{KeyHolder, RouteIndex, RouteMatch, StatedKey, UnknownKey};
 pub use plan::{
     CallerBounds, ColdBound, EngineSpec, KeyRule, OrganisationAccess, PublishedPlan, RepeatRule,
     RoutePlan, RouteSpec, ServicePool, WeightedService,
