Check requests without a key against the newest configuration (CONFIG)

Callers saw: a request without a key that waits for a target runs although a newer configuration, installed meanwhile, requires a key on its route.

Cause: the second check of the key, before a request is sent, left out requests without an organisation.

The second check applies the rule of the first one to the route in the newer configuration.

Evidence: waiting_request_is_checked_against_the_newer_plan gets 200 without the change and 401 with it.

--- a/components/relay/src/forward/admission.rs
+++ b/components/relay/src/forward/admission.rs
@@ -108,7 +108,6 @@
     /// in that plan may need a key that the former one did not need.
     pub(super) fn check_key(&self, request: &CallerRequest) -> Result<(), Refusal> {
         let index = self.shared.board.read(|state| state.route_index.clone());
-        let index = index.filter(|_| self.organisation.is_some());
         let Some(index) = index.filter(|index| index.number != self.plan_number) else {
             return Ok(());
         };
--- a/components/relay/tests/keys.rs
+++ b/components/relay/tests/keys.rs
@@ -10,7 +10,7 @@
 use common::{TargetStep, TestFleet, TestTarget, key, ok_response, plan};
 use routes::{KeyRule, RoutePlan, RouteSpec};
 use rstest::rstest;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use units::PlanNumber;
 
 /// Time for which the entry stands still. Its lease ends in that time.
@@ -172,6 +172,8 @@
         name: "open".into(),
         prefix: "/open/".into(),
         key_rule: KeyRule::Optional,
+        objective_ms: 4_000,
+        timeout_ms: 5_000,
         ..plan.routes[0].clone()
     };
     plan.routes.push(open);
@@ -205,3 +207,50 @@
 
     assert_eq!(statuses, expected);
 }
+
+/// Guards against a request without a key that waits for a target and runs after a newer plan requires
+/// one.
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_request_is_checked_against_the_newer_plan() {
+    let release = Arc::new(Notify::new());
+    let held = release.clone();
+    let script = Arc::new(move |head: &str| {
+        let step = TargetStep::Write(ok_response(head, "booked"));
+        match head.contains("request-id: blocking") {
+            true => TargetStep::Await(held.clone(), Box::new(step)),
+            false => step,
+        }
+    });
+    let target = TestTarget::start("target-1", script).await;
+    let fleet = TestFleet::start(Some(open_plan(&["secret"])), &[&target]).await;
+    let slots = 4;
+    for number in 0..slots {
+        let request = fleet.request_with_deadline(
+            "/open/x",
+            &format!("blocking-{number}"),
+            Duration::from_secs(5),
+        );
+        tokio::spawn(request.send());
+    }
+    common::wait_until(|| target.arrivals() == slots).await;
+    let waiting = fleet.client.post(fleet.url("/open/x"));
+    let waiting = waiting
+        .header("request-id", "waiting")
+        .header("deadline-ms", "5000");
+    let waiting = tokio::spawn(waiting.send());
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    let mut next = open_plan(&["secret"]);
+    for route in &mut next.routes {
+        route.key_rule = KeyRule::Required;
+    }
+    fleet.publish(2, next).await;
+    common::wait_until(|| fleet.relay.plan_number() == Some(PlanNumber(2))).await;
+    for _ in 0..slots {
+        release.notify_one();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    assert_eq!(waiting.await.unwrap().unwrap().status(), 401);
+    assert_eq!(target.arrivals(), slots);
+}
