State who is served best, and by how many entries an organisation comes

`flow-held-back` also names the organisation that got most in each second, with which the others are compared, and the number of entries at which the requests of each arrived.

--- a/components/control/src/requests.rs
+++ b/components/control/src/requests.rs
@@ -271,7 +271,7 @@
     reply
 }
 
-/// Logs what the organisations that are held back have asked for and got.
+/// Logs what the organisations that are held back, and the best served one, have asked for and got.
 fn log_summaries(
     context: &ControlContext,
     service: &ServiceName,
@@ -295,7 +295,9 @@
                 organisation = organisation,
                 asked = summary.asked,
                 overdue = summary.overdue,
-                granted = summary.granted
+                granted = summary.granted,
+                entries = summary.entries,
+                is_best_served = summary.is_best_served
             );
         }
     }
--- a/components/fair/tests/shares.rs
+++ b/components/fair/tests/shares.rs
@@ -572,9 +572,10 @@
     assert!(last > first, "the estimate went from {first} to {last}");
 }
 
-/// Guards against a summary for operators that misses an entry, or names a flow that got what it asked.
+/// Guards against a summary for operators that misses an entry, names a flow that got what it asked, or lacks
+/// the best served one, with which the others are compared.
 #[test]
-fn summary_names_the_flows_that_are_held_back() {
+fn summary_names_the_flows_that_are_held_back_and_the_best_served_one() {
     let mut home = DemandHome::new();
     for (entry, now) in [("entry-1", 1_000), ("entry-2", 2_500)] {
         let now = ClockTime(now);
@@ -582,20 +583,33 @@
         gate.admit(flow(0), UNIT_WEIGHT, CostUnits(700), false, now);
         gate.admit(flow(0), UNIT_WEIGHT, CostUnits(300), true, now);
         gate.record_grant(flow(0), CostUnits(100));
-        gate.admit(flow(1), UNIT_WEIGHT, CostUnits(500), false, now);
-        gate.record_grant(flow(1), CostUnits(500));
+        for (number, cost) in [(1, 500), (2, 400)] {
+            gate.admit(flow(number), UNIT_WEIGHT, CostUnits(cost), false, now);
+            gate.record_grant(flow(number), CostUnits(cost));
+        }
         let report = gate.take_report(entry.into(), Incarnation(1), now);
         home.apply_report(&report, PoolBounds::default, now);
     }
 
     let summaries = home.take_summaries(&"models".into(), ClockTime(2_500));
 
-    let expected = FlowSummary {
+    let held_back = FlowSummary {
         asked: CostUnits(2_000),
         overdue: CostUnits(600),
         granted: CostUnits(200),
+        entries: 2,
+        is_best_served: false,
+    };
+    let best_served = FlowSummary {
+        asked: CostUnits(1_000),
+        overdue: CostUnits(0),
+        granted: CostUnits(1_000),
+        entries: 2,
+        is_best_served: true,
     };
-    assert_eq!(summaries, [(flow(0), expected)]);
+    let mut expected = vec![(flow(0), held_back), (flow(1), best_served)];
+    expected.sort_by_key(|(flow, _)| *flow);
+    assert_eq!(summaries, expected);
 }
 
 /// Guards against requests that are refused because the capacity that the plan states overflows.
