Name no best served organisation while none is served, and count entries from reports

The summary of shares named every organisation with nothing granted as the best served one while all were idle, up to a line each a second. It also kept the names of all entries of a second for each organisation; the number of entries whose newest report has the flow is kept already.

--- a/components/fair/src/demand.rs
+++ b/components/fair/src/demand.rs
@@ -156,6 +156,11 @@
         self.flows.values().map(FlowTotal::asked).sum()
     }
 
+    /// Number of entries that report a flow.
+    pub(crate) fn reporters(&self, flow: FlowId) -> usize {
+        self.flows.get(&flow).map_or(0, |total| total.reporters)
+    }
+
     /// Demand of each flow.
     pub(crate) fn demands(&self) -> impl Iterator<Item = (u64, FlowWeight)> {
         let totals = self.flows.values();
--- a/components/fair/src/share.rs
+++ b/components/fair/src/share.rs
@@ -167,15 +167,18 @@
         (reply, change)
     }
 
-    /// What the flows of a service that are held back have asked for and got since the last call that
+    /// What the flows of a service that are held back, and the best served one, have asked for and got since the last call that
     /// returned any; empty if that is too recent.
     pub fn take_summaries(
         &mut self,
         service: &ServiceName,
         now: ClockTime,
     ) -> Vec<(FlowId, FlowSummary)> {
-        let demand = self.services.get_mut(service);
-        demand.map_or_else(Vec::new, |demand| demand.summary.take_due(now))
+        let Some(demand) = self.services.get_mut(service) else {
+            return Vec::new();
+        };
+        let flows = &demand.flows;
+        demand.summary.take_due(|flow| flows.reporters(flow), now)
     }
 }
 
--- a/components/fair/src/summary.rs
+++ b/components/fair/src/summary.rs
@@ -1,9 +1,9 @@
 //! What each flow of a service asked for and got, summed over all entries, for the log.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use units::{ClockTime, CostUnits, NodeName};
+use units::{ClockTime, CostUnits};
 use wire::{DemandReport, FlowId};
 
 /// Time that one summary covers. A rule on fairness that looks at a few seconds needs several.
@@ -18,60 +18,50 @@
     pub overdue: CostUnits,
     /// Requests that were sent to targets.
     pub granted: CostUnits,
-    /// Number of entries at which the requests arrived.
+    /// Number of entries that have read requests in the last seconds.
     pub entries: usize,
     /// Whether no other flow got more.
     pub is_best_served: bool,
 }
 
-/// Sums of one flow, and the entries that have reported it.
-#[derive(Debug, Clone, Default)]
-struct FlowRecord {
-    summary: FlowSummary,
-    entries: BTreeSet<NodeName>,
-}
-
 /// Sums of the flows of one service since the last summary.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct SummaryRecord {
-    flows: BTreeMap<FlowId, FlowRecord>,
+    flows: BTreeMap<FlowId, FlowSummary>,
     started_at: ClockTime,
 }
 
 impl SummaryRecord {
     pub(crate) fn add_report(&mut self, report: &DemandReport) {
         for flow in &report.flows {
-            let record = self.flows.entry(flow.flow).or_default();
-            record.summary.asked.0 += flow.requested.0;
-            record.summary.overdue.0 += flow.overdue.0;
-            record.summary.granted.0 += flow.granted.0;
-            if flow.requested.0 > 0 {
-                record.entries.insert(report.reporter.clone());
-            }
+            let summary = self.flows.entry(flow.flow).or_default();
+            summary.asked.0 += flow.requested.0;
+            summary.overdue.0 += flow.overdue.0;
+            summary.granted.0 += flow.granted.0;
         }
     }
 
     /// Sums of the flows that got under nine tenths of what they asked for, and of the one that got most, once
-    /// in [`SUMMARY_INTERVAL`]. Some requests of each interval are still being placed.
-    pub(crate) fn take_due(&mut self, now: ClockTime) -> Vec<(FlowId, FlowSummary)> {
+    /// in [`SUMMARY_INTERVAL`]. Some requests of each interval are still being placed. `entries` returns the
+    /// number of entries of a flow.
+    pub(crate) fn take_due(
+        &mut self,
+        entries: impl Fn(FlowId) -> usize,
+        now: ClockTime,
+    ) -> Vec<(FlowId, FlowSummary)> {
         if now.since(self.started_at) < SUMMARY_INTERVAL {
             return Vec::new();
         }
         self.started_at = now;
-        let records = std::mem::take(&mut self.flows);
-        let granted = records.values().map(|record| record.summary.granted);
+        let mut flows: Vec<_> = std::mem::take(&mut self.flows).into_iter().collect();
+        let granted = flows.iter().map(|(_, summary)| summary.granted);
         let best = granted.max().unwrap_or_default();
-        let flows = records.into_iter().map(|(flow, record)| {
-            let summary = FlowSummary {
-                entries: record.entries.len(),
-                is_best_served: record.summary.granted == best,
-                ..record.summary
-            };
-            (flow, summary)
-        });
+        for (flow, summary) in &mut flows {
+            summary.entries = entries(*flow);
+            summary.is_best_served = summary.granted == best && best > CostUnits(0);
+        }
+        flows.retain(|(_, summary)| summary.is_held_back() || summary.is_best_served);
         flows
-            .filter(|(_, summary)| summary.is_held_back() || summary.is_best_served)
-            .collect()
     }
 }
 
--- a/components/limits/src/turns.rs
+++ b/components/limits/src/turns.rs
@@ -10,7 +10,7 @@
 
 /// Divisor of the latency objective that gives the time which these turns may take. The target needs the
 /// rest. While turns are long, few connections are accepted, and callers that get none do not come back,
-/// whereas a refused one comes back at another process.
+/// whereas refused ones do.
 const OBJECTIVE_DIVISOR: u32 = 3;
 
 /// Time without a refusal that ends a series of refusals.
@@ -19,8 +19,8 @@
 /// Duration of a series of refusals from which the process counts as behind. A single stall is shorter.
 const MIN_SERIES: Duration = Duration::from_millis(500);
 
-/// Time after the last refusal for which the process still counts as behind. The load balancer takes a
-/// process out after two failed checks, one each second, and checks must see it.
+/// Time after the last refusal for which the process still counts as behind. A load balancer that checks
+/// once a second, and takes a process out after two failed checks, sees it.
 const RECOVERY_TIME: Duration = Duration::from_millis(1_500);
 
 /// Interval between two summaries.
--- a/components/telemetry/src/events/control.rs
+++ b/components/telemetry/src/events/control.rs
@@ -71,8 +71,8 @@
         "An organisation got under nine tenths of what its callers asked of a service in the last second, or no other got \
          more (is_best_served). asked, overdue and granted are cost units over all entries: what callers asked for, \
          repeated requests each time, the part of it whose callers have already missed their objective, and what was sent to \
-         targets. Requests that an entry could not read are in none of them; entries is the number of entries at which \
-         the others arrived, and entry-behind tells of an entry that cannot read more.";
+         targets. Requests that an entry could not read are in none of them; entries is the number of entries that have \
+         read others in the last seconds, and entry-behind tells of an entry that cannot read more.";
     QUARANTINE_STARTED = 3036, Warn, "quarantine-started",
         "Requests with this trait were at each of several targets that crashed one after the \
          other, and none of them got a complete response; entries refuse further ones. The field \
