--- a/review/harness-3/fleet.rs
+++ b/review/harness-3/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::http;
 
+pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGCONT: i32 = 18;
 
@@ -80,6 +81,7 @@
     pub record: &'static Record,
     folder: PathBuf,
     port: u16,
+    pub memory_mb: u32,
     pub machines: Vec<Machine>,
 }
 
@@ -133,7 +135,7 @@
             })
         };
         let port = (21_000..).step_by(16).find(|port| is_free(*port)).expect("ports are free");
-        Self { record, folder, port, machines }
+        Self { record, folder, port, memory_mb: 110, machines }
     }
 
     pub fn front(&self, machine: usize) -> SocketAddr {
@@ -185,7 +187,7 @@
              \"stream\",\"tenants\",\"places\"]\nconfigurationMode = \"highest\"\n\
              [zones]\nbohemia-a = \"bohemia\"\nmoravia-a = \"moravia\"\nsilesia-a = \"silesia\"\n\
              [listen]\n{listen}\n\
-             [limits]\ncpuShare = 0.45\ncores = 1\nmemoryMb = 110\nfileDescriptors = 4100\n\
+             [limits]\ncpuShare = 0.45\ncores = 1\nmemoryMb = {memory}\nfileDescriptors = 4100\n\
              linkBandwidthMbps = 1000.0\ndiskMb = 64\n\
              [faultTolerance]\nmachines = 1\nzones = 1\nregions = 1\n\
              [bounds]\nseedLagS = 3\nreuseAfterS = 2\ncontactWindowMs = 3000\n\
@@ -202,13 +204,40 @@
             first = self.port + 4,
             last = self.port + 13,
             seeds = seeds.join(","),
+            memory = self.memory_mb,
         )
     }
 
     /// Starts both processes of a machine.
     pub fn start(&mut self, machine: usize, seeds: &[usize], is_first: bool) {
+        self.start_roles(machine, &["control", "entry"], seeds, is_first);
+    }
+
+    /// Starts the entry of a machine again.
+    pub fn start_entry(&mut self, machine: usize) {
+        self.start_roles(machine, &["entry"], &[0, 1, 2], false);
+    }
+
+    /// Ends the entry of a machine.
+    pub fn end_entry(&mut self, machine: usize) {
+        for process in &mut self.machines[machine].processes {
+            if process.role == "entry" {
+                let _ = process.child.kill();
+                let _ = process.child.wait();
+            }
+        }
+        self.machines[machine].processes.retain(|process| process.role != "entry");
+    }
+
+    fn start_roles(
+        &mut self,
+        machine: usize,
+        roles: &[&'static str],
+        seeds: &[usize],
+        is_first: bool,
+    ) {
         let mut processes = Vec::new();
-        for role in ["control", "entry"] {
+        for role in roles.iter().copied() {
             let settings = self.settings(machine, role, seeds, is_first);
             let name = &self.machines[machine].name;
             let file = self.folder.join(format!("{name}-{role}.toml"));
@@ -228,7 +257,7 @@
         fs::create_dir_all(&self.machines[machine].disk).expect("the disk folder can be created");
         let roles: Vec<&str> = processes.iter().map(|process| process.role).collect();
         let this = &mut self.machines[machine];
-        this.processes = processes;
+        this.processes.extend(processes);
         let seeds: Vec<&str> = seeds.iter().map(|seed| ZONES[*seed]).collect();
         self.record.line(&format!("started {} ({roles:?}), seeds in {seeds:?}", this.name));
     }
@@ -301,6 +330,19 @@
         Err(format!("{method} {path} was not acknowledged"))
     }
 
+    /// Resident memory of a process, in kilobytes; 0 if it has ended.
+    pub fn memory_kb(&self, machine: usize, role: &str) -> u64 {
+        let mut processes = self.machines[machine].processes.iter();
+        let Some(process) = processes.find(|process| process.role == role) else {
+            return 0;
+        };
+        let text = fs::read_to_string(format!("/proc/{}/status", process.child.id()));
+        let text = text.unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let word = line.and_then(|line| line.split_whitespace().next());
+        word.and_then(|word| word.parse().ok()).unwrap_or(0)
+    }
+
     /// Version of the configuration that a machine reads back; `None` without a 200.
     pub fn read_version(&self, machine: usize) -> Option<u64> {
         let request = http::request_bytes("GET", "/-/configuration", &[("Host", "c".into())], "");
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -5,7 +5,9 @@
 mod http;
 mod worker;
 
+mod body_read_late;
 mod seeds_of_one;
+mod slow_readers;
 mod version_restart;
 
 use std::process::exit;
@@ -27,6 +29,8 @@
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let result = match case.as_str() {
         "version-restart" => version_restart::run(record, has_trouble),
+        "body-read-late" => body_read_late::run(record, has_trouble),
+        "slow-readers" => slow_readers::run(record, has_trouble),
         "seeds-of-one" => seeds_of_one::run(record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/harness-3/worker.rs
+++ b/review/harness-3/worker.rs
@@ -20,6 +20,7 @@
 struct State {
     lifetime: Lifetime,
     open: Vec<TcpStream>,
+    reads_late: bool,
 }
 
 /// A worker with an address that it keeps over its lifetimes.
@@ -31,6 +32,8 @@
     controls: Vec<SocketAddr>,
     record: &'static Record,
     events: u32,
+    /// Size of a plain answer, in bytes.
+    answer_bytes: usize,
     state: Arc<Mutex<State>>,
 }
 
@@ -39,7 +42,7 @@
 }
 
 impl Worker {
-    /// Starts a worker whose streams have `events` events; with 0 its answers are plain.
+    /// Starts a worker whose streams have `events` events.
     pub fn start(
         record: &'static Record,
         id: &str,
@@ -47,6 +50,29 @@
         ip: &str,
         controls: Vec<SocketAddr>,
         events: u32,
+    ) -> Self {
+        Self::start_with(record, id, zone, ip, controls, (events, 0))
+    }
+
+    /// Starts a worker whose answers have `answer_bytes` bytes.
+    pub fn start_plain(
+        record: &'static Record,
+        id: &str,
+        zone: &'static str,
+        ip: &str,
+        controls: Vec<SocketAddr>,
+        answer_bytes: usize,
+    ) -> Self {
+        Self::start_with(record, id, zone, ip, controls, (0, answer_bytes))
+    }
+
+    fn start_with(
+        record: &'static Record,
+        id: &str,
+        zone: &'static str,
+        ip: &str,
+        controls: Vec<SocketAddr>,
+        (events, answer_bytes): (u32, usize),
     ) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a port is free");
         let lifetime = Lifetime { number: 1, version: "v1".into(), born: unix_ms() };
@@ -57,7 +83,12 @@
             controls,
             record,
             events,
-            state: Arc::new(Mutex::new(State { lifetime, open: Vec::new() })),
+            answer_bytes,
+            state: Arc::new(Mutex::new(State {
+                lifetime,
+                open: Vec::new(),
+                reads_late: false,
+            })),
         };
         let accepting = worker.clone();
         spawn(move || {
@@ -92,6 +123,11 @@
         self.announce_from_now();
     }
 
+    /// Sets whether the worker reads the body of a request after its answer.
+    pub fn set_reads_late(&self, reads_late: bool) {
+        self.state.lock().unwrap().reads_late = reads_late;
+    }
+
     fn lifetime(&self) -> Lifetime {
         self.state.lock().unwrap().lifetime.clone()
     }
@@ -144,14 +180,19 @@
         let _ = writer.set_nodelay(true);
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = http::read_head(&mut reader) {
-            if http::read_body(&mut reader, &head, |_| {}).is_err() {
+            let reads_late = self.state.lock().unwrap().reads_late;
+            if !reads_late && http::read_body(&mut reader, &head, |_| {}).is_err() {
                 return;
             }
             // The process may have ended since.
             if self.lifetime().number != lifetime.number {
                 return;
             }
-            if self.answer(&mut writer, &head, lifetime).is_err() {
+            if let Err(error) = self.answer(&mut writer, &head, lifetime) {
+                self.record.line(&format!("worker {}: its caller is gone ({error})", self.id));
+                return;
+            }
+            if reads_late && http::read_body(&mut reader, &head, |_| {}).is_err() {
                 return;
             }
         }
@@ -175,7 +216,7 @@
         let (id, version) = (&self.id, &lifetime.version);
         let last: u32 = head.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         if self.events == 0 {
-            let body = format!("{id} {version} {attempt}");
+            let body = format!("{id} {version} {attempt} {}", "x".repeat(self.answer_bytes));
             let text = format!(
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n\
                  X-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
