--- a/review/harness-3/fleet.rs
+++ b/review/harness-3/fleet.rs
@@ -377,3 +377,17 @@
          \"allowedRegions\":[]}}]}}"
     )
 }
+
+/// The same with a second route, `/puxa403/`, to the service `wuno96b`.
+pub fn configuration_with_second_route(version: u64) -> String {
+    let route = format!(
+        "{{\"name\":\"r-2\",\"host\":\"{HOST}\",\"pathPrefix\":\"/puxa403/\",\
+         \"kind\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":300,\"priority\":2,\
+         \"service\":\"wuno96b\",\"maxAttempts\":2,\"allowAnonymous\":false,\
+         \"sessionAffinity\":false,\"resumable\":false,\"allowedRegions\":[]}}],\"services\":[\
+         {{\"name\":\"wuno96b\",\"healthCheckPath\":\"/health\",\"connectionLimit\":120,\
+         \"protocol\":\"h1\",\"tls\":false,\"coldStartS\":0.0,\"coldPerS\":0.0}},"
+    );
+    let first = configuration(version, "idempotent", false);
+    first.replace("}],\"services\":[", &format!("}},{route}"))
+}
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -6,6 +6,7 @@
 mod worker;
 
 mod body_read_late;
+mod other_writer;
 mod seeds_of_one;
 mod slow_readers;
 mod version_restart;
@@ -31,6 +32,7 @@
         "version-restart" => version_restart::run(record, has_trouble),
         "body-read-late" => body_read_late::run(record, has_trouble),
         "slow-readers" => slow_readers::run(record, has_trouble),
+        "other-writer" => other_writer::run(record, has_trouble),
         "seeds-of-one" => seeds_of_one::run(record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/harness-3/worker.rs
+++ b/review/harness-3/worker.rs
@@ -9,6 +9,9 @@
 use crate::fleet::Record;
 use crate::http::{self, Head};
 
+/// Service of the workers whose start names none.
+const SERVICE: &str = "huvo11a";
+
 /// One start of a worker's process.
 #[derive(Debug, Clone)]
 pub struct Lifetime {
@@ -34,10 +37,11 @@
     events: u32,
     /// Size of a plain answer, in bytes.
     answer_bytes: usize,
+    service: &'static str,
     state: Arc<Mutex<State>>,
 }
 
-fn unix_ms() -> u64 {
+pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
@@ -51,7 +55,7 @@
         controls: Vec<SocketAddr>,
         events: u32,
     ) -> Self {
-        Self::start_with(record, id, zone, ip, controls, (events, 0))
+        Self::start_with(record, id, zone, ip, controls, (events, 0, SERVICE))
     }
 
     /// Starts a worker whose answers have `answer_bytes` bytes.
@@ -63,7 +67,19 @@
         controls: Vec<SocketAddr>,
         answer_bytes: usize,
     ) -> Self {
-        Self::start_with(record, id, zone, ip, controls, (0, answer_bytes))
+        Self::start_with(record, id, zone, ip, controls, (0, answer_bytes, SERVICE))
+    }
+
+    /// Starts a worker of another service, whose answers are short.
+    pub fn start_of(
+        record: &'static Record,
+        id: &str,
+        zone: &'static str,
+        ip: &str,
+        controls: Vec<SocketAddr>,
+        service: &'static str,
+    ) -> Self {
+        Self::start_with(record, id, zone, ip, controls, (0, 100, service))
     }
 
     fn start_with(
@@ -72,7 +88,7 @@
         zone: &'static str,
         ip: &str,
         controls: Vec<SocketAddr>,
-        (events, answer_bytes): (u32, usize),
+        (events, answer_bytes, service): (u32, usize, &'static str),
     ) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a port is free");
         let lifetime = Lifetime { number: 1, version: "v1".into(), born: unix_ms() };
@@ -84,6 +100,7 @@
             record,
             events,
             answer_bytes,
+            service,
             state: Arc::new(Mutex::new(State {
                 lifetime,
                 open: Vec::new(),
@@ -153,11 +170,11 @@
 
     fn announce(&self, lifetime: &Lifetime, sequence: u64, control: usize) -> bool {
         let body = format!(
-            "{{\"service\":\"huvo11a\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
              \"slots\":48,\"state\":\"ready\",\"coldRemainingMs\":0,\"stage\":\"both\",\
              \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"sequence\":{sequence},\"born\":{}}}",
-            self.address, self.zone, lifetime.version, lifetime.born
+            self.service, self.address, self.zone, lifetime.version, lifetime.born
         );
         let path = format!("/-/instances/{}", self.id);
         let headers = [
