Add a review case of streams that are refused after an upgrade in place

Three of six workers start again with a newer version, and their clients take up the streams a second later.

--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -29,7 +29,8 @@
     let record = fleet::Record::create(&format!("{folder}/record.txt"));
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let result = match case.as_str() {
-        "version-restart" => version_restart::run(record, has_trouble),
+        "version-restart" => version_restart::run_joined(record, has_trouble),
+        "streams-refused" => version_restart::run_refused(record, has_trouble),
         "body-read-late" => body_read_late::run(record, has_trouble),
         "slow-readers" => slow_readers::run(record, has_trouble),
         "other-writer" => other_writer::run(record, has_trouble),
